--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fakes at the interfaces, a fault-injecting proxy, a load generator and measurements.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command-line tool.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router's daemon.
--- /dev/null
+++ b/crates/prefix/src/chain.rs
@@ -0,0 +1,99 @@
+use std::num::NonZeroUsize;
+
+use base::{AdapterId, ModelId, OrganisationId, WeightsVersion};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
+
+/// The size of a prompt's blocks, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BlockBytes(NonZeroUsize);
+
+impl BlockBytes {
+    /// Wraps a size, unless it is zero.
+    pub const fn new(bytes: usize) -> Option<Self> {
+        match NonZeroUsize::new(bytes) {
+            Some(bytes) => Some(Self(bytes)),
+            None => None,
+        }
+    }
+
+    /// Returns the size, in bytes.
+    pub const fn as_usize(self) -> usize {
+        self.0.get()
+    }
+}
+
+/// What a cached block must share with a request, besides the prompt, to be reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Salt(u64);
+
+impl Salt {
+    /// Derives the salt from all that makes a cached block valid.
+    pub fn new(
+        organisation: &OrganisationId,
+        model: &ModelId,
+        weights: &WeightsVersion,
+        adapter: Option<&AdapterId>,
+    ) -> Self {
+        let adapter = adapter.map_or("", AdapterId::as_str);
+        let mut hasher = Xxh3::new();
+        for field in [organisation.as_str(), model.as_str(), weights.as_str(), adapter] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field.as_bytes());
+        }
+        Self(hasher.digest())
+    }
+
+    /// Returns the salt as a number.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
+/// The identity of a block and of all blocks before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BlockHash(u64);
+
+impl BlockHash {
+    /// Wraps a hash received from an engine.
+    pub const fn new(hash: u64) -> Self {
+        Self(hash)
+    }
+
+    /// Returns the hash as a number.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
+/// The hashes of a prompt's whole blocks, first to last.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Chain {
+    blocks: Vec<BlockHash>,
+}
+
+impl Chain {
+    /// Hashes the whole blocks of `prompt` in one pass; a part of a block at the end is left out.
+    pub fn of(salt: Salt, size: BlockBytes, prompt: &[u8]) -> Self {
+        let mut last = salt.0;
+        let blocks = prompt
+            .chunks_exact(size.as_usize())
+            .map(|block| {
+                last = xxh3_64_with_seed(block, last);
+                BlockHash(last)
+            })
+            .collect();
+        Self { blocks }
+    }
+
+    /// Returns the hashes.
+    pub fn blocks(&self) -> &[BlockHash] {
+        &self.blocks
+    }
+
+    /// Returns the hash that stands for the prompt's first `level` blocks, or fewer if it is
+    /// shorter.
+    pub fn at_level(&self, level: usize) -> Option<BlockHash> {
+        let last = level.min(self.blocks.len()).checked_sub(1)?;
+        Some(self.blocks[last])
+    }
+}
--- /dev/null
+++ b/crates/quorum/src/types.rs
@@ -0,0 +1,140 @@
+use std::{collections::BTreeMap, fmt, str::FromStr, sync::Arc};
+
+use base::{HostId, LogIndex, ParseError, Term};
+use serde::{Deserialize, Serialize};
+
+/// The identity of a data folder, drawn when the folder is made.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct FolderId(u64);
+
+impl FolderId {
+    /// Wraps a random number.
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number.
+    pub const fn as_u64(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for FolderId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for FolderId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseError::new("folder id", text, "up to 16 hexadecimal digits"))
+    }
+}
+
+/// The voters, each with the data folder that it may vote from.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoterSet {
+    /// Folder of each voter.
+    pub folders: BTreeMap<HostId, FolderId>,
+}
+
+impl VoterSet {
+    /// Returns how many voters make a majority.
+    pub fn majority(&self) -> usize {
+        self.folders.len() / 2 + 1
+    }
+
+    /// Returns whether `host` may vote from `folder`.
+    pub fn admits(&self, host: &HostId, folder: FolderId) -> bool {
+        self.folders.get(host) == Some(&folder)
+    }
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// The entry's position.
+    pub index: LogIndex,
+    /// The term of the leader that wrote it.
+    pub term: Term,
+    /// What it holds.
+    pub payload: Payload,
+}
+
+/// What an entry holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Payload {
+    /// Nothing; the first entry of a leader's term.
+    Empty,
+    /// A command for the replicated state.
+    Command(Arc<[u8]>),
+    /// The voters from this entry on.
+    Voters(VoterSet),
+}
+
+/// What a voter must remember besides the log.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HardState {
+    /// The latest term seen.
+    pub term: Term,
+    /// Whom the voter voted for in that term.
+    pub voted_for: Option<HostId>,
+}
+
+/// The replicated state up to an entry, which stands for the log up to there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The last entry it covers.
+    pub last_index: LogIndex,
+    /// That entry's term.
+    pub last_term: Term,
+    /// The voters after that entry.
+    pub voters: VoterSet,
+    /// The replicated state.
+    pub data: Arc<[u8]>,
+}
+
+/// What a node finds in its data folder at start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Restored {
+    /// The folder's identity.
+    pub folder: FolderId,
+    /// Term and vote.
+    pub hard_state: HardState,
+    /// The newest snapshot.
+    pub snapshot: Option<Snapshot>,
+    /// The entries after the snapshot.
+    pub entries: Vec<Entry>,
+}
+
+/// The driver's name for a proposal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ProposalId(pub u64);
+
+/// The driver's name for a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ReadId(pub u64);
+
+/// A message between voters.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// Asks for a vote.
+    Vote {
+        /// The candidate's term.
+        term: Term,
+        /// Whether the candidate only asks if it could win.
+        pre_vote: bool,
+        /// The candidate's folder.
+        folder: FolderId,
+        /// The candidate's last entry.
+        last_index: LogIndex,
+        /// That entry's term.
+        last_term: Term,
+    },
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Files under the data folder: the log, the vote and snapshots.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and traces.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Wire types: HTTP bodies and messages between routers.
