--- /dev/null
+++ b/crates/bench/src/demo.rs
@@ -0,0 +1,71 @@
+//! `bench demo`: the whole path on one machine, under a mixed load.
+
+use std::time::Duration;
+
+use comfy_table::{Table, presets::UTF8_FULL_CONDENSED};
+use indicatif::{ProgressBar, ProgressStyle};
+
+use crate::{
+    load::{self, Load, Observed},
+    process::Program,
+    report::Summary,
+    site::{Site, SiteSpec},
+};
+
+/// How long the load lasts.
+const SPAN: Duration = Duration::from_secs(12);
+
+/// Requests a second.
+const RATE: f64 = 60.0;
+
+/// Starts a site, sends it a load and returns the figures.
+///
+/// # Errors
+///
+/// Returns an error if the site doesn't come up.
+pub fn run(program: &Program, seed: u64) -> eyre::Result<Summary> {
+    let spec = SiteSpec {
+        daemons: vec!["a", "b", "c", "a"],
+        engines: vec!["a", "a", "b", "b", "c", "c"],
+        seed,
+        ..SiteSpec::small()
+    };
+    println!("starting 4 daemons, 6 engines and 2 plain services");
+    let site = Site::start(program, spec)?;
+    let load = Load {
+        routers: site.routers(),
+        organisations: site.spec.organisations.clone(),
+        model: site.spec.model.clone(),
+        service: site.spec.service.clone(),
+        rate: RATE,
+        span: SPAN,
+        seed,
+    };
+    let observed = Observed { tally: site.tally.clone(), orders: site.orders.clone() };
+    let bar = ProgressBar::new((RATE * SPAN.as_secs_f64()) as u64);
+    bar.set_style(ProgressStyle::with_template("{elapsed} {wide_bar} {pos} requests, {msg}")?);
+    let counts = {
+        let bar = bar.clone();
+        load::run(&load, &observed, move |counts| {
+            bar.set_position(counts.requests);
+            bar.set_message(format!("{} answered", counts.answered));
+        })
+    };
+    bar.finish_and_clear();
+    Ok(Summary::new(&counts, &site))
+}
+
+/// Returns the figures as a table.
+///
+/// # Panics
+///
+/// Panics if a summary isn't a JSON object, which it always is.
+pub fn table(summary: &Summary) -> String {
+    let mut table = Table::new();
+    table.load_preset(UTF8_FULL_CONDENSED).set_header(["figure", "value"]);
+    let value = serde_json::to_value(summary).expect("a summary is JSON");
+    for (name, value) in value.as_object().expect("a summary is an object") {
+        table.add_row([name.clone(), value.to_string()]);
+    }
+    table.to_string()
+}
--- /dev/null
+++ b/crates/bench/src/fake/engine.rs
@@ -0,0 +1,360 @@
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use base::{BlockCount, EndpointId, ModelId, TokenCount, WeightsVersion};
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use serde_json::{Value, json};
+use tokio::sync::Semaphore;
+use wire::{
+    announcement::{EngineBody, LoadBody, ModelBody},
+    chunk::DONE,
+    sse::Event,
+};
+
+use crate::model::{Generation, token_count};
+
+use super::{
+    cache::{BLOCK_TOKENS, BlockCache, Lookup},
+    server::{FakeBody, Server, streamed, whole},
+};
+
+/// Tokens generated if a request names no limit.
+const DEFAULT_MAX_TOKENS: u64 = 16;
+
+/// Pieces of an answer that wait for a slow reader.
+const RING: usize = 16;
+
+/// Start of the prompt's line that names the organisation.
+const ORGANISATION_LINE: &[u8] = b"organisation ";
+
+/// How a fake engine behaves.
+#[derive(Clone, Debug)]
+pub struct EngineConfig {
+    /// Its name.
+    pub id: EndpointId,
+    /// The model it serves.
+    pub model: ModelId,
+    /// The version of its weights.
+    pub weights: WeightsVersion,
+    /// Blocks that its cache holds.
+    pub cache_blocks: usize,
+    /// Time to prefill a token.
+    pub prefill_token: Duration,
+    /// Time between two tokens of a stream, without other streams.
+    pub decode_token: Duration,
+    /// Time that each other running stream adds to that.
+    pub decode_share: Duration,
+    /// Streams that run at once.
+    pub max_running: usize,
+    /// Whether it refuses an order with an old fencing number.
+    pub checks_fencing: bool,
+}
+
+impl EngineConfig {
+    /// Returns the settings of a fast engine called `id`.
+    pub fn new(id: EndpointId, model: ModelId, weights: WeightsVersion) -> Self {
+        Self {
+            id,
+            model,
+            weights,
+            cache_blocks: 2_000,
+            prefill_token: Duration::from_micros(100),
+            decode_token: Duration::from_millis(5),
+            decode_share: Duration::from_micros(100),
+            max_running: 32,
+            checks_fencing: true,
+        }
+    }
+}
+
+/// What all fake engines of a site count together.
+#[derive(Debug, Default)]
+pub struct Tally {
+    /// Every block computed so far.
+    pub computed: HashSet<u64>,
+    /// The owner of each cache salt.
+    pub salts: HashMap<String, String>,
+    /// Requests whose salt was missing or belonged to another owner.
+    pub wrong_salts: u64,
+    /// Time from a request's arrival to its first token, by request id.
+    pub first_tokens: HashMap<String, Duration>,
+}
+
+/// A tally that engines and the load generator share.
+#[derive(Clone, Debug, Default)]
+pub struct SharedTally(Arc<Mutex<Tally>>);
+
+impl SharedTally {
+    /// Locks the tally.
+    pub fn lock(&self) -> MutexGuard<'_, Tally> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What a fake engine counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineCounts {
+    /// Requests that arrived.
+    pub requests: u64,
+    /// Streams that ended before their end mark, since the reader had gone.
+    pub cancelled: u64,
+    /// Prompt tokens that arrived.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that were cached.
+    pub cached_tokens: u64,
+    /// Prompt tokens computed again.
+    pub wasted_tokens: u64,
+}
+
+/// A model engine with a prefix cache, prefill and decode times, and continuous batching.
+pub struct Engine {
+    server: Server,
+    state: Arc<State>,
+}
+
+struct State {
+    cfg: EngineConfig,
+    tally: SharedTally,
+    slots: Semaphore,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    cache: BlockCache,
+    counts: EngineCounts,
+    prefill_free: Instant,
+    prefill_tokens: u64,
+    running: u32,
+    waiting: u32,
+}
+
+/// A request as the engine takes it.
+struct Job {
+    request: String,
+    salt: String,
+    prompt: Vec<u8>,
+    chat: bool,
+    max_tokens: u64,
+    arrived: Instant,
+}
+
+impl Engine {
+    /// Starts an engine.
+    pub fn start(cfg: EngineConfig, tally: SharedTally) -> Self {
+        let inner = Inner {
+            cache: BlockCache::new(cfg.cache_blocks),
+            counts: EngineCounts::default(),
+            prefill_free: Instant::now(),
+            prefill_tokens: 0,
+            running: 0,
+            waiting: 0,
+        };
+        let slots = Semaphore::new(cfg.max_running);
+        let state = Arc::new(State { cfg, tally, slots, inner: Mutex::new(inner) });
+        let handler = {
+            let state = Arc::clone(&state);
+            move |req| answer(Arc::clone(&state), req)
+        };
+        Self { server: Server::start(handler), state }
+    }
+
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns what it counted.
+    pub fn counts(&self) -> EngineCounts {
+        self.state.lock().counts
+    }
+
+    /// Returns what it announces.
+    pub fn describe(&self) -> EngineBody {
+        self.state.describe()
+    }
+
+    /// Returns a function that gives what it announces, for as long as it runs.
+    pub fn describer(&self) -> impl Fn() -> EngineBody + Send + 'static {
+        let state = Arc::clone(&self.state);
+        move || state.describe()
+    }
+}
+
+impl State {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn describe(&self) -> EngineBody {
+        let inner = self.lock();
+        EngineBody {
+            models: vec![ModelBody {
+                model: self.cfg.model.clone(),
+                weights: self.cfg.weights.clone(),
+                adapters: Vec::new(),
+            }],
+            checks_fencing: self.cfg.checks_fencing,
+            block_tokens: TokenCount::new(BLOCK_TOKENS as u64),
+            load: LoadBody {
+                running: inner.running,
+                waiting: inner.waiting,
+                prefill_tokens: TokenCount::new(inner.prefill_tokens),
+                cached_blocks: BlockCount::new(inner.cache.len() as u64),
+            },
+        }
+    }
+
+    /// Looks the prompt up and returns when its prefill will have ended.
+    fn begin_prefill(&self, job: &Job) -> (Lookup, Instant) {
+        let mut tally = self.tally.lock();
+        check_salt(&mut tally, &self.cfg, job);
+        let mut inner = self.lock();
+        let lookup = inner.cache.take(&job.salt, &job.prompt, &mut tally.computed);
+        inner.counts.requests += 1;
+        inner.counts.prompt_tokens += lookup.prompt_tokens;
+        inner.counts.cached_tokens += lookup.cached_tokens;
+        inner.counts.wasted_tokens += lookup.wasted_tokens;
+        let cold = lookup.prompt_tokens - lookup.cached_tokens;
+        let span = self.cfg.prefill_token * u32::try_from(cold).unwrap_or(u32::MAX);
+        inner.prefill_free = inner.prefill_free.max(Instant::now()) + span;
+        inner.prefill_tokens += cold;
+        (lookup, inner.prefill_free)
+    }
+
+    fn decode_span(&self) -> Duration {
+        let others = self.lock().running.saturating_sub(1);
+        self.cfg.decode_token + self.cfg.decode_share * others
+    }
+}
+
+/// Counts a salt that is missing, or that another owner uses.
+///
+/// The owner is the organisation that the prompt names, with the weights version.
+fn check_salt(tally: &mut Tally, cfg: &EngineConfig, job: &Job) {
+    let mut lines = job.prompt.split(|&byte| byte == b'\n');
+    let named = lines.find(|line| line.starts_with(ORGANISATION_LINE)).unwrap_or_default();
+    let owner = format!("{} {} {}", String::from_utf8_lossy(named), cfg.model, cfg.weights);
+    let known = tally.salts.entry(job.salt.clone()).or_insert_with(|| owner.clone());
+    if job.salt.is_empty() || *known != owner {
+        tally.wrong_salts += 1;
+    }
+}
+
+async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<FakeBody> {
+    let arrived = Instant::now();
+    let (parts, body) = req.into_parts();
+    let request = parts.headers.get("x-request-id").and_then(|id| id.to_str().ok());
+    let request = request.unwrap_or_default().to_owned();
+    let chat = parts.uri.path() == "/v1/chat/completions";
+    if !chat && parts.uri.path() != "/v1/completions" {
+        return whole(StatusCode::NOT_FOUND, "{}");
+    }
+    let Ok(body) = body.collect().await else {
+        return whole(StatusCode::BAD_REQUEST, "{}");
+    };
+    let Ok(fields) = serde_json::from_slice::<Value>(&body.to_bytes()) else {
+        return whole(StatusCode::BAD_REQUEST, "{}");
+    };
+    if fields["model"] != state.cfg.model.as_str() {
+        return whole(StatusCode::NOT_FOUND, "{\"error\": \"unknown model\"}");
+    }
+    let job = Job {
+        request,
+        salt: fields["cache_salt"].as_str().unwrap_or_default().to_owned(),
+        prompt: prompt_text(&fields),
+        chat,
+        max_tokens: fields["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS),
+        arrived,
+    };
+    let (tx, rx) = flume::bounded(RING);
+    tokio::task::spawn_local(generate(state, job, tx));
+    streamed(rx)
+}
+
+/// Returns the text that the completion follows.
+fn prompt_text(fields: &Value) -> Vec<u8> {
+    if let Some(prompt) = fields["prompt"].as_str() {
+        return prompt.as_bytes().to_vec();
+    }
+    let messages = fields["messages"].as_array().map(Vec::as_slice).unwrap_or_default();
+    let continues = fields["continue_final_message"] == true;
+    let (told, begun) = match messages.split_last() {
+        Some((last, told)) if continues => (told, last["content"].as_str().unwrap_or_default()),
+        _ => (messages, ""),
+    };
+    let mut text = String::new();
+    for message in told {
+        let role = message["role"].as_str().unwrap_or_default();
+        let content = message["content"].as_str().unwrap_or_default();
+        text.extend([role, "\n", content, "\n"]);
+    }
+    text.push_str(begun);
+    text.into_bytes()
+}
+
+async fn generate(state: Arc<State>, job: Job, tx: flume::Sender<Bytes>) {
+    state.lock().waiting += 1;
+    let slot = state.slots.acquire().await;
+    state.lock().waiting -= 1;
+    let (lookup, prefilled) = state.begin_prefill(&job);
+    tokio::time::sleep_until(prefilled.into()).await;
+    {
+        let mut inner = state.lock();
+        inner.prefill_tokens -= lookup.prompt_tokens - lookup.cached_tokens;
+        inner.running += 1;
+    }
+    let whole = stream_tokens(&state, &job, lookup, &tx).await;
+    let mut inner = state.lock();
+    inner.running -= 1;
+    if whole.is_none() {
+        inner.counts.cancelled += 1;
+    }
+    drop(slot);
+}
+
+/// Sends the tokens; returns `None` if the reader has gone.
+async fn stream_tokens(
+    state: &State,
+    job: &Job,
+    lookup: Lookup,
+    tx: &flume::Sender<Bytes>,
+) -> Option<()> {
+    let tokens = usize::try_from(job.max_tokens).unwrap_or(usize::MAX);
+    for (i, token) in Generation::after(&job.prompt).take(tokens).enumerate() {
+        tokio::time::sleep(state.decode_span()).await;
+        if i == 0 {
+            let span = job.arrived.elapsed();
+            state.tally.lock().first_tokens.entry(job.request.clone()).or_insert(span);
+        }
+        let mut event = Event::data(chunk(job, &token).to_string());
+        event.id = Some((i + 1).to_string());
+        tx.send_async(event.to_text().into()).await.ok()?;
+    }
+    let usage = json!({
+        "prompt_tokens": token_count(&job.prompt),
+        "completion_tokens": job.max_tokens,
+        "prompt_tokens_details": {"cached_tokens": lookup.cached_tokens},
+    });
+    let last = json!({
+        "id": job.request,
+        "choices": [{"index": 0, "finish_reason": "length"}],
+        "usage": usage,
+    });
+    tx.send_async(Event::data(last.to_string()).to_text().into()).await.ok()?;
+    tx.send_async(Event::data(DONE).to_text().into()).await.ok()
+}
+
+fn chunk(job: &Job, token: &str) -> Value {
+    if job.chat {
+        let choice = json!({"index": 0, "delta": {"content": token}, "finish_reason": null});
+        return json!({"id": format!("chatcmpl-{}", job.request), "choices": [choice]});
+    }
+    let choice = json!({"index": 0, "text": token, "finish_reason": null});
+    json!({"id": format!("cmpl-{}", job.request), "choices": [choice]})
+}
--- /dev/null
+++ b/crates/bench/src/fake/mod.rs
@@ -0,0 +1,15 @@
+//! Small stand-ins for the systems around the router.
+
+mod announcer;
+mod cache;
+mod engine;
+mod server;
+mod service;
+
+pub use self::{
+    announcer::{Announced, Announcer},
+    cache::{BlockCache, Lookup},
+    engine::{Engine, EngineConfig, EngineCounts, SharedTally, Tally},
+    server::Server,
+    service::{Service, ServiceCounts},
+};
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,27 @@
 //! Fakes at the interfaces, a fault-injecting proxy, a load generator and measurements.
+//!
+//! The router's processes are the real ones; what stands around them is small and made here:
+//! engines, plain services, callers, and a [`Proxy`] that delays, holds and cuts connections.
+//!
+//! # Example
+//!
+//! ```
+//! use bench::model::Generation;
+//!
+//! let whole: Vec<_> = Generation::after(b"Dear diary").take(4).collect();
+//! let begun = format!("Dear diary{}{}", whole[0], whole[1]);
+//! let rest: Vec<_> = Generation::after(begun.as_bytes()).take(2).collect();
+//! assert_eq!(rest, whole[2..]);
+//! ```
+
+pub mod caller;
+pub mod demo;
+pub mod fake;
+pub mod load;
+pub mod model;
+pub mod process;
+mod proxy;
+pub mod report;
+pub mod site;
+
+pub use crate::proxy::{Fault, Proxy};
--- /dev/null
+++ b/crates/bench/src/process.rs
@@ -0,0 +1,265 @@
+//! Daemons as processes that can be killed, frozen and restarted.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
+    time::{Duration, Instant},
+};
+
+use eyre::{WrapErr as _, ensure};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Time between looks at a condition.
+const POLL: Duration = Duration::from_millis(5);
+
+/// The program that runs a daemon, with the arguments that come before its settings.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// The executable file.
+    pub path: PathBuf,
+    /// Arguments before the daemon's settings.
+    pub args: Vec<String>,
+}
+
+/// A daemon's settings, as flags.
+#[derive(Clone, Debug)]
+pub struct DaemonSpec {
+    /// Its host id.
+    pub host: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where other routers connect.
+    pub peer_listen: SocketAddr,
+    /// Where operators connect.
+    pub admin_listen: SocketAddr,
+    /// Other flags.
+    pub flags: Vec<String>,
+}
+
+impl DaemonSpec {
+    /// Returns settings with free ports on a loopback address of its own.
+    pub fn new(host: &str, data_centre: &str) -> Self {
+        let ip = unused_loopback();
+        Self {
+            host: host.to_owned(),
+            data_centre: data_centre.to_owned(),
+            listen: free_port(ip),
+            peer_listen: free_port(ip),
+            admin_listen: free_port(ip),
+            flags: Vec::new(),
+        }
+    }
+
+    /// Adds a flag with its value.
+    #[must_use]
+    pub fn flag(mut self, name: &str, value: impl ToString) -> Self {
+        self.flags.extend([name.to_owned(), value.to_string()]);
+        self
+    }
+
+    fn command(&self, program: &Program) -> Command {
+        let mut command = Command::new(&program.path);
+        command
+            .args(&program.args)
+            .args(["--host", &self.host, "--data-centre", &self.data_centre])
+            .args(["--listen", &self.listen.to_string()])
+            .args(["--peer-listen", &self.peer_listen.to_string()])
+            .args(["--admin-listen", &self.admin_listen.to_string()])
+            .args(&self.flags)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log_output());
+        for (name, _) in std::env::vars_os() {
+            if name.to_string_lossy().starts_with("DOTTERELREACH_") {
+                command.env_remove(name);
+            }
+        }
+        command
+    }
+}
+
+/// A daemon's process; killed on drop.
+pub struct Daemon {
+    spec: DaemonSpec,
+    program: Program,
+    child: Child,
+    frozen: bool,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the program can't be started.
+    pub fn start(program: &Program, spec: DaemonSpec) -> eyre::Result<Self> {
+        let child = spec
+            .command(program)
+            .spawn()
+            .wrap_err_with(|| format!("could not start {}", program.path.display()))?;
+        Ok(Self { spec, program: program.clone(), child, frozen: false })
+    }
+
+    /// Returns its settings.
+    pub fn spec(&self) -> &DaemonSpec {
+        &self.spec
+    }
+
+    /// Waits until it is ready, or ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it ends, or isn't ready within `timeout`.
+    pub fn wait_ready(&mut self, timeout: Duration) -> eyre::Result<()> {
+        let url = format!("http://{}/readyz", self.spec.admin_listen);
+        let deadline = Instant::now() + timeout;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                eyre::bail!("{} ended early: {status}", self.spec.host);
+            }
+            if attohttpc::get(&url).timeout(POLL * 20).send().is_ok_and(|r| r.is_success()) {
+                return Ok(());
+            }
+            ensure!(Instant::now() < deadline, "{} was not ready in time", self.spec.host);
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Kills it without notice.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be signalled.
+    pub fn kill(&mut self) -> eyre::Result<()> {
+        self.frozen = false;
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+
+    /// Kills it without notice and starts it again with the same settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be killed or started.
+    pub fn restart(&mut self) -> eyre::Result<()> {
+        self.kill()?;
+        self.start_again()
+    }
+
+    /// Starts it again after it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be started.
+    pub fn start_again(&mut self) -> eyre::Result<()> {
+        self.child = self.spec.command(&self.program).spawn()?;
+        Ok(())
+    }
+
+    /// Stops it from running, as a host that hangs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be signalled.
+    pub fn freeze(&mut self) -> eyre::Result<()> {
+        self.signal(Signal::STOP)?;
+        self.frozen = true;
+        Ok(())
+    }
+
+    /// Lets it run again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be signalled.
+    pub fn thaw(&mut self) -> eyre::Result<()> {
+        self.signal(Signal::CONT)?;
+        self.frozen = false;
+        Ok(())
+    }
+
+    /// Asks it to end gracefully.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it can't be signalled.
+    pub fn terminate(&self) -> eyre::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it doesn't end within `timeout`.
+    pub fn wait_end(&mut self, timeout: Duration) -> eyre::Result<ExitStatus> {
+        let deadline = Instant::now() + timeout;
+        loop {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status);
+            }
+            ensure!(Instant::now() < deadline, "{} did not end in time", self.spec.host);
+            std::thread::sleep(POLL);
+        }
+    }
+
+    /// Returns the process's id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) -> eyre::Result<()> {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(pid.ok_or_else(|| eyre::eyre!("no process id"))?, signal)?;
+        Ok(())
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.kill();
+    }
+}
+
+/// Waits until `condition` holds.
+///
+/// # Errors
+///
+/// Returns an error that names `what` if it doesn't hold within `timeout`.
+pub fn wait_until(
+    what: &str,
+    timeout: Duration,
+    mut condition: impl FnMut() -> bool,
+) -> eyre::Result<()> {
+    let deadline = Instant::now() + timeout;
+    while !condition() {
+        ensure!(Instant::now() < deadline, "not within {timeout:?}: {what}");
+        std::thread::sleep(POLL);
+    }
+    Ok(())
+}
+
+/// Shows the daemons' logs only to those who ask for them.
+fn log_output() -> Stdio {
+    if std::env::var_os("RUST_LOG").is_some() { Stdio::inherit() } else { Stdio::null() }
+}
+
+/// Returns a loopback address that no other daemon of this process has.
+fn unused_loopback() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(0);
+    let pid = std::process::id();
+    let [low, high, ..] = pid.to_le_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    IpAddr::V4(Ipv4Addr::new(127, 1 | high, low, number.wrapping_add(2)))
+}
+
+fn free_port(ip: IpAddr) -> SocketAddr {
+    TcpListener::bind((ip, 0))
+        .and_then(|listener| listener.local_addr())
+        .expect("a port is free on the loopback interface")
+}
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,153 @@
+//! What a run counted, and its percentiles.
+
+use std::time::Duration;
+
+use base::Verdict;
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+/// Longest time that a histogram holds, in microseconds.
+const MAX_MICROS: u64 = 60_000_000;
+
+/// Counts and times of a run, as fakes and callers saw them.
+#[derive(Debug)]
+pub struct Counts {
+    /// Requests sent.
+    pub requests: u64,
+    /// Requests answered whole.
+    pub answered: u64,
+    /// Orders answered as run that never ran.
+    pub lost: u64,
+    /// Orders that ran more than once.
+    pub doubled: u64,
+    /// Answers to something else.
+    pub crossed: u64,
+    /// Answers that ended early without saying so.
+    pub incomplete: u64,
+    /// Requests refused or failed as not run.
+    pub not_run: u64,
+    /// Requests that may have run.
+    pub may_have_run: u64,
+    /// Orders refused as not run that did run.
+    pub false_not_run: u64,
+    /// From request to first token.
+    pub first_token: Histogram<u64>,
+    /// Between tokens.
+    pub gap: Histogram<u64>,
+    /// First-token time beyond the engine's own.
+    pub added: Histogram<u64>,
+}
+
+impl Default for Counts {
+    fn default() -> Self {
+        Self {
+            requests: 0,
+            answered: 0,
+            lost: 0,
+            doubled: 0,
+            crossed: 0,
+            incomplete: 0,
+            not_run: 0,
+            may_have_run: 0,
+            false_not_run: 0,
+            first_token: histogram(),
+            gap: histogram(),
+            added: histogram(),
+        }
+    }
+}
+
+impl Counts {
+    /// Counts a failure by its verdict.
+    pub fn fail(&mut self, verdict: Verdict) {
+        match verdict {
+            Verdict::NotRun => self.not_run += 1,
+            Verdict::MayHaveRun | Verdict::Ran => self.may_have_run += 1,
+        }
+    }
+}
+
+/// Creates a histogram of microseconds.
+pub fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_MICROS, 3).expect("the bounds are valid")
+}
+
+/// Records a time.
+pub fn record(histogram: &mut Histogram<u64>, span: Duration) {
+    histogram.saturating_record(u64::try_from(span.as_micros()).unwrap_or(MAX_MICROS));
+}
+
+/// Returns a percentile, in milliseconds.
+pub fn percentile_ms(histogram: &Histogram<u64>, percentile: f64) -> f64 {
+    histogram.value_at_percentile(percentile) as f64 / 1_000.0
+}
+
+/// The figures of a run, as printed.
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    /// Requests sent.
+    pub requests: u64,
+    /// Requests answered whole.
+    pub answered: u64,
+    /// Orders answered as run that never ran.
+    pub lost: u64,
+    /// Orders that ran more than once.
+    pub doubled: u64,
+    /// Answers to something else.
+    pub crossed: u64,
+    /// Answers that ended early without saying so.
+    pub incomplete: u64,
+    /// Requests refused or failed as not run.
+    pub not_run: u64,
+    /// Requests that may have run.
+    pub may_have_run: u64,
+    /// Orders refused as not run that did run.
+    pub false_not_run: u64,
+    /// Requests with a cache salt that belongs to another owner.
+    pub wrong_salts: u64,
+    /// Share of prompt tokens found cached.
+    pub hit_rate: f64,
+    /// Prompt tokens computed again.
+    pub wasted_tokens: u64,
+    /// Time to first token, median, in milliseconds.
+    pub ttft_p50_ms: f64,
+    /// Time to first token, 95th percentile, in milliseconds.
+    pub ttft_p95_ms: f64,
+    /// Time to first token, 99th percentile, in milliseconds.
+    pub ttft_p99_ms: f64,
+    /// Time between tokens, 95th percentile, in milliseconds.
+    pub gap_p95_ms: f64,
+    /// First-token time beyond the engine's own, median, in milliseconds.
+    pub added_p50_ms: f64,
+    /// First-token time beyond the engine's own, 99th percentile, in milliseconds.
+    pub added_p99_ms: f64,
+}
+
+impl Summary {
+    /// Sums up a run.
+    pub fn new(counts: &Counts, site: &crate::site::Site) -> Self {
+        let engines: Vec<_> = site.engines.iter().map(|node| node.engine.counts()).collect();
+        let prompt_tokens: u64 = engines.iter().map(|counts| counts.prompt_tokens).sum();
+        let cached_tokens: u64 = engines.iter().map(|counts| counts.cached_tokens).sum();
+        Self {
+            requests: counts.requests,
+            answered: counts.answered,
+            lost: counts.lost,
+            doubled: counts.doubled,
+            crossed: counts.crossed,
+            incomplete: counts.incomplete,
+            not_run: counts.not_run,
+            may_have_run: counts.may_have_run,
+            false_not_run: counts.false_not_run,
+            wrong_salts: site.tally.lock().wrong_salts,
+            hit_rate: cached_tokens as f64 / prompt_tokens.max(1) as f64,
+            wasted_tokens: engines.iter().map(|counts| counts.wasted_tokens).sum(),
+            ttft_p50_ms: percentile_ms(&counts.first_token, 50.0),
+            ttft_p95_ms: percentile_ms(&counts.first_token, 95.0),
+            ttft_p99_ms: percentile_ms(&counts.first_token, 99.0),
+            gap_p95_ms: percentile_ms(&counts.gap, 95.0),
+            added_p50_ms: percentile_ms(&counts.added, 50.0),
+            added_p99_ms: percentile_ms(&counts.added, 99.0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/site.rs
@@ -0,0 +1,222 @@
+//! A site on one machine: daemons, fakes, and proxies before the endpoints.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{Digest, EndpointId, Incarnation, ModelId, OrganisationId, ServiceId, WeightsVersion};
+
+use crate::{
+    Proxy,
+    fake::{Announced, Announcer, Engine, EngineConfig, Service, ServiceCounts, SharedTally},
+    process::{Daemon, DaemonSpec, Program, wait_until},
+};
+
+/// The fleet's key in tests and demonstrations.
+pub const FLEET_KEY: &str = "fleet-key-for-tests-only";
+
+/// Time for a site to come up.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Time that a service takes for a call.
+const SERVICE_SPAN: Duration = Duration::from_millis(5);
+
+/// What a site consists of.
+#[derive(Clone, Debug)]
+pub struct SiteSpec {
+    /// Data centre of each daemon.
+    pub daemons: Vec<&'static str>,
+    /// Data centre of each engine.
+    pub engines: Vec<&'static str>,
+    /// Data centre of each endpoint of the plain service.
+    pub services: Vec<&'static str>,
+    /// The model that the engines serve.
+    pub model: ModelId,
+    /// The plain service.
+    pub service: ServiceId,
+    /// The organisations that call.
+    pub organisations: Vec<OrganisationId>,
+    /// Settings of every daemon, as flags with their values.
+    pub flags: Vec<(&'static str, String)>,
+    /// Changes the settings of every engine.
+    pub tune: fn(&mut EngineConfig),
+    /// Decides what the proxies lose.
+    pub seed: u64,
+}
+
+/// A running site.
+pub struct Site {
+    /// The daemons.
+    pub daemons: Vec<Daemon>,
+    /// The engines.
+    pub engines: Vec<EngineNode>,
+    /// The endpoints of the plain service.
+    pub services: Vec<ServiceNode>,
+    /// What the engines count together.
+    pub tally: SharedTally,
+    /// How often each order ran.
+    pub orders: ServiceCounts,
+    /// What it was made from.
+    pub spec: SiteSpec,
+}
+
+/// An engine, behind a proxy.
+pub struct EngineNode {
+    /// The engine.
+    pub engine: Engine,
+    /// The proxy before it.
+    pub proxy: Proxy,
+    /// What announces it.
+    pub announcer: Announcer,
+}
+
+/// An endpoint of a plain service, behind a proxy.
+pub struct ServiceNode {
+    /// The service.
+    pub service: Service,
+    /// The proxy before it.
+    pub proxy: Proxy,
+    /// What announces it.
+    pub announcer: Announcer,
+}
+
+/// Returns the bearer key of an organisation.
+pub fn organisation_key(organisation: &OrganisationId) -> String {
+    format!("key-of-{organisation}")
+}
+
+impl SiteSpec {
+    /// Returns a small site of three data centres.
+    pub fn small() -> Self {
+        let id = |text: &str| text.parse().expect("a valid id");
+        Self {
+            daemons: vec!["a", "b", "c"],
+            engines: vec!["a", "b", "c"],
+            services: vec!["a", "b"],
+            model: id_model("diary-8b"),
+            service: "orders".parse().expect("a valid id"),
+            organisations: (1..=8).map(|n| id(&format!("school-{n}"))).collect(),
+            flags: Vec::new(),
+            tune: |_| {},
+            seed: 1,
+        }
+    }
+}
+
+fn id_model(text: &str) -> ModelId {
+    text.parse().expect("a valid id")
+}
+
+impl Site {
+    /// Starts a site and waits until every daemon knows every endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a process can't be started or the site doesn't come up in time.
+    pub fn start(program: &Program, spec: SiteSpec) -> eyre::Result<Self> {
+        let mut daemons = Vec::new();
+        let specs: Vec<_> = spec
+            .daemons
+            .iter()
+            .enumerate()
+            .map(|(i, data_centre)| DaemonSpec::new(&format!("host-{}", i + 1), data_centre))
+            .collect();
+        for daemon in specs {
+            daemons.push(Daemon::start(program, with_flags(daemon, &spec))?);
+        }
+        for daemon in &mut daemons {
+            daemon.wait_ready(START_TIMEOUT)?;
+        }
+        let mut site = Self {
+            daemons,
+            engines: Vec::new(),
+            services: Vec::new(),
+            tally: SharedTally::default(),
+            orders: ServiceCounts::default(),
+            spec,
+        };
+        site.start_endpoints();
+        site.wait_endpoints()?;
+        Ok(site)
+    }
+
+    /// Returns where callers connect.
+    pub fn routers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.spec().listen).collect()
+    }
+
+    /// Waits until every daemon knows every endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if that takes too long.
+    pub fn wait_endpoints(&self) -> eyre::Result<()> {
+        let expected = self.engines.len() + self.services.len();
+        for daemon in &self.daemons {
+            let what = format!("{} knows {expected} endpoints", daemon.spec().host);
+            let admin = daemon.spec().admin_listen;
+            wait_until(&what, START_TIMEOUT, || known_endpoints(admin) == Some(expected))?;
+        }
+        Ok(())
+    }
+
+    fn start_endpoints(&mut self) {
+        for (i, data_centre) in self.spec.engines.clone().into_iter().enumerate() {
+            let node = self.start_engine(i, data_centre);
+            self.engines.push(node);
+        }
+        for (i, data_centre) in self.spec.services.clone().into_iter().enumerate() {
+            let node = self.start_service(i, data_centre);
+            self.services.push(node);
+        }
+    }
+
+    fn start_engine(&self, i: usize, data_centre: &str) -> EngineNode {
+        let id: EndpointId = format!("engine-{}", i + 1).parse().expect("a valid id");
+        let weights: WeightsVersion = "v1".parse().expect("a valid id");
+        let mut cfg = EngineConfig::new(id.clone(), self.spec.model.clone(), weights);
+        (self.spec.tune)(&mut cfg);
+        let engine = Engine::start(cfg, self.tally.clone());
+        let proxy = Proxy::start(engine.address(), self.spec.seed.wrapping_add(i as u64) << 32);
+        let announced = announced(id, data_centre, &proxy);
+        let announcer = Announcer::engine(announced, engine.describer(), self.routers(), FLEET_KEY);
+        EngineNode { engine, proxy, announcer }
+    }
+
+    fn start_service(&self, i: usize, data_centre: &str) -> ServiceNode {
+        let id = format!("{}-{}", self.spec.service, i + 1).parse().expect("a valid id");
+        let service = Service::start(SERVICE_SPAN, self.orders.clone());
+        let proxy = Proxy::start(service.address(), self.spec.seed);
+        let announced = announced(id, data_centre, &proxy);
+        let routers = self.routers();
+        let announcer =
+            Announcer::service(announced, self.spec.service.clone(), routers, FLEET_KEY);
+        ServiceNode { service, proxy, announcer }
+    }
+}
+
+fn announced(id: EndpointId, data_centre: &str, proxy: &Proxy) -> Announced {
+    Announced {
+        id,
+        incarnation: Incarnation::new(1),
+        data_centre: data_centre.parse().expect("a valid id"),
+        address: proxy.address(),
+    }
+}
+
+fn with_flags(mut daemon: DaemonSpec, spec: &SiteSpec) -> DaemonSpec {
+    daemon = daemon.flag("--fleet-key", FLEET_KEY);
+    for organisation in &spec.organisations {
+        let digest = Digest::of(organisation_key(organisation).as_bytes());
+        daemon = daemon.flag("--organisation-key", format!("{organisation}={digest}"));
+    }
+    for (name, value) in &spec.flags {
+        daemon = daemon.flag(name, value);
+    }
+    daemon
+}
+
+fn known_endpoints(admin: SocketAddr) -> Option<usize> {
+    let url = format!("http://{admin}/operator/endpoints");
+    let body = attohttpc::get(url).timeout(Duration::from_millis(500)).send().ok()?.text().ok()?;
+    let endpoints: Vec<serde_json::Value> = serde_json::from_str(&body).ok()?;
+    Some(endpoints.len())
+}
--- /dev/null
+++ b/crates/bench/tests/whole_path.rs
@@ -0,0 +1,35 @@
+//! A request end to end, through real daemons in three data centres.
+
+use std::{path::PathBuf, time::Duration};
+
+use bench::{
+    load::{self, Load, Observed},
+    process::Program,
+    report::Summary,
+    site::{Site, SiteSpec},
+};
+
+fn program() -> Program {
+    Program { path: PathBuf::from(env!("CARGO_BIN_EXE_bench")), args: vec!["daemon".into()] }
+}
+
+#[test]
+fn every_request_of_a_mixed_load_is_answered_whole() {
+    let site = Site::start(&program(), SiteSpec::small()).unwrap();
+    let load = Load {
+        routers: site.routers(),
+        organisations: site.spec.organisations.clone(),
+        model: site.spec.model.clone(),
+        service: site.spec.service.clone(),
+        rate: 50.0,
+        span: Duration::from_secs(3),
+        seed: 1,
+    };
+    let observed = Observed { tally: site.tally.clone(), orders: site.orders.clone() };
+    let summary = Summary::new(&load::run(&load, &observed, |_| {}), &site);
+
+    assert!(100 < summary.requests, "{summary:?}");
+    assert_eq!(summary.answered, summary.requests, "{summary:?}");
+    assert_eq!(summary.wrong_salts, 0, "{summary:?}");
+    assert_eq!((summary.lost, summary.doubled, summary.crossed), (0, 0, 0), "{summary:?}");
+}
--- /dev/null
+++ b/crates/daemon/src/edge/announce.rs
@@ -0,0 +1,29 @@
+use std::rc::Rc;
+
+use hyper::{Request, Response, StatusCode, body::Incoming};
+use member::Announcement;
+use wire::announcement::AnnouncementBody;
+
+use super::{
+    Edge,
+    body::{self, Body},
+    failure::Failure,
+};
+
+/// Takes an endpoint's announcement and hands it to the roster thread.
+pub(super) async fn handle(
+    edge: &Rc<Edge>,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Failure> {
+    edge.keys.check_fleet(req.headers())?;
+    let body = body::read(edge, req.into_body()).await?;
+    let announcement = AnnouncementBody::from_slice(&body)
+        .and_then(Announcement::try_from)
+        .map_err(|e| Failure::bad_request(e.to_string()))?;
+    if edge.announcements.send_async(announcement).await.is_err() {
+        return Err(Failure::unavailable("the router is ending", std::time::Duration::ZERO));
+    }
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = StatusCode::NO_CONTENT;
+    Ok(response)
+}
--- /dev/null
+++ b/crates/daemon/src/edge/auth.rs
@@ -0,0 +1,53 @@
+use std::collections::HashMap;
+
+use base::{Digest, OrganisationId};
+use hyper::{HeaderMap, header::AUTHORIZATION};
+use subtle::ConstantTimeEq as _;
+
+use crate::Settings;
+
+use super::failure::Failure;
+
+/// The keys that callers and endpoints may show, kept as digests.
+pub(super) struct Keys {
+    fleet: Digest,
+    organisations: HashMap<Digest, OrganisationId>,
+}
+
+impl Keys {
+    pub(super) fn new(cfg: &Settings) -> Self {
+        let organisations =
+            cfg.organisation_keys.iter().map(|key| (key.digest, key.organisation.clone()));
+        Self { fleet: Digest::of(cfg.fleet_key.as_bytes()), organisations: organisations.collect() }
+    }
+
+    /// Returns the organisation whose key the request shows.
+    pub(super) fn organisation(&self, headers: &HeaderMap) -> Result<OrganisationId, Failure> {
+        let shown = bearer(headers)?;
+        let found = self.organisations.get_key_value(&shown);
+        let matching = found.filter(|(known, _)| same(known, &shown));
+        matching.map(|(_, organisation)| organisation.clone()).ok_or_else(Failure::unauthorised)
+    }
+
+    /// Checks that the request shows the fleet's key.
+    pub(super) fn check_fleet(&self, headers: &HeaderMap) -> Result<(), Failure> {
+        let shown = bearer(headers)?;
+        if !same(&self.fleet, &shown) {
+            return Err(Failure::unauthorised());
+        }
+        Ok(())
+    }
+}
+
+fn bearer(headers: &HeaderMap) -> Result<Digest, Failure> {
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let (Some(value), None) = (values.next(), values.next()) else {
+        return Err(Failure::unauthorised());
+    };
+    let key = value.as_bytes().strip_prefix(b"Bearer ").ok_or_else(Failure::unauthorised)?;
+    Ok(Digest::of(key))
+}
+
+fn same(known: &Digest, shown: &Digest) -> bool {
+    known.as_bytes().ct_eq(shown.as_bytes()).into()
+}
--- /dev/null
+++ b/crates/daemon/src/edge/body.rs
@@ -0,0 +1,98 @@
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use futures_util::Stream as _;
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use tokio::task::JoinHandle;
+
+use super::{ActiveRequest, Edge, failure::Failure};
+
+/// The body of an answer.
+pub(super) enum Body {
+    /// A body that is there as a whole.
+    Whole(Full<Bytes>),
+    /// A body that is written as it arrives.
+    Streamed(StreamBody),
+}
+
+/// A body that a task writes into a ring.
+pub(super) struct StreamBody {
+    rx: flume::r#async::RecvStream<'static, Bytes>,
+    _task: AbortOnDrop,
+    _active: ActiveRequest,
+}
+
+/// A task that ends when its owner is dropped.
+pub(super) struct AbortOnDrop(pub JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Body {
+    pub(super) fn empty() -> Self {
+        Self::Whole(Full::default())
+    }
+
+    pub(super) fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Full::new(bytes.into()))
+    }
+
+    pub(super) fn streamed(
+        rx: flume::Receiver<Bytes>,
+        task: AbortOnDrop,
+        active: ActiveRequest,
+    ) -> Self {
+        Self::Streamed(StreamBody { rx: rx.into_stream(), _task: task, _active: active })
+    }
+}
+
+impl HttpBody for Body {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.get_mut() {
+            Self::Whole(body) => Pin::new(body).poll_frame(cx),
+            Self::Streamed(body) => {
+                Pin::new(&mut body.rx).poll_next(cx).map(|bytes| bytes.map(|b| Ok(Frame::data(b))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(body) => body.is_end_stream(),
+            Self::Streamed(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(body) => body.size_hint(),
+            Self::Streamed(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Reads a request's body within the settings' bounds on size and time.
+pub(super) async fn read(edge: &Edge, body: Incoming) -> Result<Bytes, Failure> {
+    let max_bytes = usize::try_from(edge.cfg.limits.body_bytes.as_u64()).unwrap_or(usize::MAX);
+    let reading = Limited::new(body, max_bytes).collect();
+    match tokio::time::timeout(edge.cfg.timeouts.body, reading).await {
+        Err(_) => Err(Failure::slow_body(edge.cfg.timeouts.body)),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Failure::body_too_large(max_bytes)),
+        Ok(Err(_)) => Err(Failure::bad_request("the body is cut or malformed")),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/edge/completions.rs
@@ -0,0 +1,185 @@
+use std::rc::Rc;
+
+use base::RequestId;
+use bytes::Bytes;
+use hyper::{
+    HeaderMap, Request, Response,
+    body::Incoming,
+    header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
+};
+use serde_json::json;
+use wire::{
+    chunk::{DONE, Usage},
+    completion::{Completion, CompletionKind},
+    sse::Event,
+};
+
+use super::{
+    ActiveRequest, Edge,
+    body::{self, AbortOnDrop, Body},
+    failure::Failure,
+    relay::{self, Job, Piece},
+};
+
+/// Pieces of an answer that wait for a slow caller, before the engine's stream is held back.
+const RING_PIECES: usize = 64;
+
+/// Answers `POST /v1/completions` and `POST /v1/chat/completions`.
+pub(super) async fn handle(
+    edge: &Rc<Edge>,
+    req: Request<Incoming>,
+    active: ActiveRequest,
+) -> Result<Response<Body>, Failure> {
+    let organisation = edge.keys.organisation(req.headers())?;
+    let (parts, body) = req.into_parts();
+    let body = body::read(edge, body).await?;
+    let completion =
+        Completion::from_slice(&body).map_err(|e| Failure::bad_request(e.to_string()))?;
+    check_path(parts.uri.path(), completion.kind())?;
+    let request = edge.new_request_id();
+    let traceparent = text_header(&parts.headers, "traceparent");
+    let stream = completion.wants_stream();
+    let job = Job { request: request.clone(), organisation, completion, traceparent };
+
+    let (tx, rx) = flume::bounded(RING_PIECES);
+    let kind = job.completion.kind();
+    let task = AbortOnDrop(tokio::task::spawn_local(relay::run(Rc::clone(edge), job, tx)));
+    let mut response = if stream {
+        streamed(rx, task, active).await?
+    } else {
+        whole(&request, kind, rx, task).await?
+    };
+    let shown = parts.headers.get("x-request-id").cloned();
+    let shown = shown.or_else(|| HeaderValue::from_str(request.as_str()).ok());
+    if let Some(id) = shown {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    Ok(response)
+}
+
+/// Answers `GET /v1/models`.
+pub(super) fn models(edge: &Edge, req: &Request<Incoming>) -> Result<Response<Body>, Failure> {
+    edge.keys.organisation(req.headers())?;
+    let models = edge.router.borrow().models();
+    let list: Vec<_> = models.iter().map(|model| json!({"id": model, "object": "model"})).collect();
+    Ok(json_response(&json!({"object": "list", "data": list})))
+}
+
+fn check_path(path: &str, kind: CompletionKind) -> Result<(), Failure> {
+    match (path, kind) {
+        ("/v1/completions", CompletionKind::Chat) => {
+            Err(Failure::bad_request("\"messages\" belong to /v1/chat/completions"))
+        }
+        ("/v1/chat/completions", CompletionKind::Text) => {
+            Err(Failure::bad_request("\"prompt\" belongs to /v1/completions"))
+        }
+        _ => Ok(()),
+    }
+}
+
+pub(super) fn text_header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+/// Starts a streamed answer once the engine has sent its first piece.
+async fn streamed(
+    rx: flume::Receiver<Piece>,
+    task: AbortOnDrop,
+    active: ActiveRequest,
+) -> Result<Response<Body>, Failure> {
+    let first = match rx.recv_async().await {
+        Ok(Piece::Failed(failure)) => return Err(failure),
+        Ok(first) => first,
+        Err(_) => return Err(lost_relay()),
+    };
+    let (tx, bytes) = flume::bounded(1);
+    let writer = tokio::task::spawn_local(write_events(first, rx, tx, task));
+    let mut response = Response::new(Body::streamed(bytes, AbortOnDrop(writer), active));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    Ok(response)
+}
+
+async fn write_events(
+    first: Piece,
+    rx: flume::Receiver<Piece>,
+    tx: flume::Sender<Bytes>,
+    _task: AbortOnDrop,
+) {
+    let mut next = Some(first);
+    while let Some(piece) = next {
+        let ends = !matches!(piece, Piece::Data { .. });
+        let text = event_text(piece);
+        if tx.send_async(text.into()).await.is_err() || ends {
+            return;
+        }
+        next = rx.recv_async().await.ok();
+    }
+    let _ = tx.send_async(event_text(Piece::Failed(lost_relay())).into()).await;
+}
+
+fn event_text(piece: Piece) -> String {
+    match piece {
+        Piece::Data { token, data, .. } => {
+            Event { id: Some(token.to_string()), kind: None, data }.to_text()
+        }
+        Piece::Done => Event::data(DONE).to_text(),
+        Piece::Failed(failure) => {
+            let data = serde_json::to_string(&failure.to_problem()).expect("a problem is JSON");
+            Event { id: None, kind: Some("error".into()), data }.to_text()
+        }
+    }
+}
+
+/// Collects the pieces of an answer for a caller that wants no stream.
+async fn whole(
+    request: &RequestId,
+    kind: CompletionKind,
+    rx: flume::Receiver<Piece>,
+    _task: AbortOnDrop,
+) -> Result<Response<Body>, Failure> {
+    let mut answer = String::new();
+    let mut used = Usage::default();
+    loop {
+        match rx.recv_async().await {
+            Ok(Piece::Data { text, usage, .. }) => {
+                answer.push_str(&text);
+                used = usage.unwrap_or(used);
+            }
+            Ok(Piece::Done) => {
+                return Ok(json_response(&completion_body(request, kind, &answer, used)));
+            }
+            Ok(Piece::Failed(failure)) => return Err(failure),
+            Err(_) => return Err(lost_relay()),
+        }
+    }
+}
+
+fn completion_body(
+    request: &RequestId,
+    kind: CompletionKind,
+    answer: &str,
+    used: Usage,
+) -> serde_json::Value {
+    let (object, choice) = match kind {
+        CompletionKind::Text => {
+            ("text_completion", json!({"index": 0, "text": answer, "finish_reason": "stop"}))
+        }
+        CompletionKind::Chat => {
+            let message = json!({"role": "assistant", "content": answer});
+            ("chat.completion", json!({"index": 0, "message": message, "finish_reason": "stop"}))
+        }
+    };
+    json!({"id": request, "object": object, "choices": [choice], "usage": used})
+}
+
+fn json_response(value: &serde_json::Value) -> Response<Body> {
+    let mut response = Response::new(Body::whole(value.to_string()));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn lost_relay() -> Failure {
+    Failure::broken("the relay ended without an answer", base::Verdict::MayHaveRun)
+}
--- /dev/null
+++ b/crates/daemon/src/edge/failure.rs
@@ -0,0 +1,99 @@
+use std::time::Duration;
+
+use base::Verdict;
+use hyper::{
+    Response, StatusCode,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+};
+use wire::problem::Problem;
+
+use super::body::Body;
+
+/// Why a request got no answer, and whether it may have run.
+#[derive(Clone, Debug)]
+pub(super) struct Failure {
+    pub status: StatusCode,
+    pub title: &'static str,
+    pub detail: String,
+    pub verdict: Verdict,
+    pub retry_after: Option<Duration>,
+}
+
+impl Failure {
+    pub(super) fn new(
+        status: StatusCode,
+        title: &'static str,
+        detail: impl Into<String>,
+        verdict: Verdict,
+    ) -> Self {
+        Self { status, title, detail: detail.into(), verdict, retry_after: None }
+    }
+
+    fn refused(status: StatusCode, title: &'static str, detail: impl Into<String>) -> Self {
+        Self::new(status, title, detail, Verdict::NotRun)
+    }
+
+    pub(super) fn bad_request(detail: impl Into<String>) -> Self {
+        Self::refused(StatusCode::BAD_REQUEST, "malformed request", detail)
+    }
+
+    pub(super) fn unauthorised() -> Self {
+        let detail = "expected a known key in \"Authorization: Bearer KEY\"";
+        Self::refused(StatusCode::UNAUTHORIZED, "unknown key", detail)
+    }
+
+    pub(super) fn not_found(detail: impl Into<String>) -> Self {
+        Self::refused(StatusCode::NOT_FOUND, "not found", detail)
+    }
+
+    pub(super) fn method_not_allowed() -> Self {
+        let detail = "the path takes another method";
+        Self::refused(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", detail)
+    }
+
+    pub(super) fn body_too_large(max_bytes: usize) -> Self {
+        let detail = format!("the body is over {max_bytes} bytes");
+        Self::refused(StatusCode::PAYLOAD_TOO_LARGE, "body too large", detail)
+    }
+
+    pub(super) fn slow_body(timeout: Duration) -> Self {
+        let timeout = humantime::format_duration(timeout);
+        let detail = format!("the body did not arrive within {timeout}");
+        Self::refused(StatusCode::REQUEST_TIMEOUT, "body timeout", detail)
+    }
+
+    pub(super) fn unavailable(detail: impl Into<String>, retry_after: Duration) -> Self {
+        let mut failure =
+            Self::refused(StatusCode::SERVICE_UNAVAILABLE, "no endpoint available", detail);
+        failure.retry_after = Some(retry_after);
+        failure
+    }
+
+    pub(super) fn broken(detail: impl Into<String>, verdict: Verdict) -> Self {
+        Self::new(StatusCode::BAD_GATEWAY, "endpoint failed", detail, verdict)
+    }
+
+    pub(super) fn timed_out(detail: impl Into<String>, verdict: Verdict) -> Self {
+        Self::new(StatusCode::GATEWAY_TIMEOUT, "timeout", detail, verdict)
+    }
+
+    pub(super) fn to_problem(&self) -> Problem {
+        Problem::new(self.status.as_u16(), self.title, &self.detail, self.verdict)
+    }
+
+    pub(super) fn to_response(&self) -> Response<Body> {
+        let body = serde_json::to_vec(&self.to_problem()).expect("a problem is valid JSON");
+        let mut response = Response::new(Body::whole(body));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, "application/problem+json".parse().expect("a valid header"));
+        if let Some(after) = self.retry_after {
+            headers.insert(RETRY_AFTER, whole_seconds(after).into());
+        }
+        response
+    }
+}
+
+fn whole_seconds(span: Duration) -> u64 {
+    span.as_secs() + u64::from(span.subsec_nanos() != 0)
+}
--- /dev/null
+++ b/crates/daemon/src/edge/mod.rs
@@ -0,0 +1,129 @@
+mod announce;
+mod auth;
+mod body;
+mod completions;
+mod failure;
+mod listen;
+mod relay;
+mod router;
+mod services;
+mod targets;
+mod upstream;
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    rc::Rc,
+    sync::Arc,
+    thread::JoinHandle,
+};
+
+use member::Announcement;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+
+use crate::{Settings, roster::Roster};
+
+use auth::Keys;
+use router::Router;
+
+/// Rings that join the edge thread to the others.
+pub(crate) struct Rings {
+    /// Newest view of the endpoints.
+    pub rosters: flume::Receiver<Arc<Roster>>,
+    /// Announcements that endpoints posted here.
+    pub announcements: flume::Sender<Announcement>,
+    /// Orders to drain or to end.
+    pub control: flume::Receiver<Control>,
+}
+
+/// An order to the edge thread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Control {
+    /// Accept nothing new and end once all requests have ended.
+    Drain,
+    /// End now.
+    Abort,
+}
+
+/// How the edge thread ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EdgeEnd {
+    /// Requests that had not ended.
+    pub cut: u64,
+}
+
+/// State of the edge thread, shared by its tasks.
+struct Edge {
+    cfg: Arc<Settings>,
+    keys: Keys,
+    router: RefCell<Router>,
+    active: Cell<u64>,
+    next_request: Cell<u64>,
+    announcements: flume::Sender<Announcement>,
+}
+
+/// Counts a request as active; ends on drop.
+struct ActiveRequest {
+    edge: Rc<Edge>,
+}
+
+impl Edge {
+    fn new(cfg: Arc<Settings>, announcements: flume::Sender<Announcement>) -> Self {
+        let seed = rand::random();
+        Self {
+            keys: Keys::new(&cfg),
+            router: RefCell::new(Router::new(cfg.listen.ip(), Pcg64Mcg::seed_from_u64(seed))),
+            cfg,
+            active: Cell::new(0),
+            next_request: Cell::new(seed),
+            announcements,
+        }
+    }
+
+    fn begin(self: &Rc<Self>) -> ActiveRequest {
+        self.active.set(self.active.get() + 1);
+        ActiveRequest { edge: Rc::clone(self) }
+    }
+
+    fn new_request_id(&self) -> base::RequestId {
+        let number = self.next_request.get();
+        self.next_request.set(number.wrapping_add(1));
+        let text = format!("{}-{number:016x}", self.cfg.host);
+        text.parse().expect("a host's id and a number make a request id")
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.edge.active.set(self.edge.active.get() - 1);
+    }
+}
+
+/// Starts the edge thread on a listener that is already bound.
+///
+/// # Errors
+///
+/// Returns an error if the thread or its runtime can't be made.
+pub(crate) fn spawn(
+    cfg: Arc<Settings>,
+    listener: std::net::TcpListener,
+    rings: Rings,
+) -> io::Result<JoinHandle<EdgeEnd>> {
+    listener.set_nonblocking(true)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new().name("edge".into()).spawn(move || {
+        let tasks = tokio::task::LocalSet::new();
+        tasks.block_on(&runtime, async move {
+            let edge = Rc::new(Edge::new(cfg, rings.announcements));
+            tokio::task::spawn_local(follow_rosters(Rc::clone(&edge), rings.rosters));
+            listen::run(edge, listener, rings.control).await
+        })
+    })
+}
+
+async fn follow_rosters(edge: Rc<Edge>, rosters: flume::Receiver<Arc<Roster>>) {
+    while let Ok(roster) = rosters.recv_async().await {
+        edge.router.borrow_mut().update(&roster);
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,33 @@
-//! The router's daemon.
+//! The router's daemon: one process on every entry host.
+//!
+//! Each duty has a thread, and bounded rings join them:
+//!
+//! | thread | duty |
+//! |---|---|
+//! | `edge` | callers, streams from endpoints, choice of endpoint |
+//! | `roster` | membership of endpoints and routers |
+//! | `admin` | operator, health and metrics pages |
+//! | `signals` | graceful shutdown |
+//!
+//! # Example
+//!
+//! ```
+//! use daemon::Settings;
+//!
+//! let faults = Settings::from_args(&["--listen", "nowhere"]).unwrap_err();
+//! assert!(faults.to_string().contains("--listen: \"nowhere\""));
+//! ```
+
+mod admin;
+mod clock;
+mod edge;
+mod roster;
+mod run;
+mod settings;
+mod signals;
+
+pub use crate::{
+    edge::EdgeEnd,
+    run::{exit_code, main, run},
+    settings::{Faults, OrganisationKey, Settings, SettingsError},
+};
--- /dev/null
+++ b/crates/daemon/src/settings/check.rs
@@ -0,0 +1,159 @@
+use std::{
+    fmt::Display,
+    net::{Ipv4Addr, SocketAddr},
+    ops::RangeInclusive,
+    str::FromStr,
+    time::Duration,
+};
+
+use base::ByteCount;
+
+use super::{
+    Faults, Limits, Settings, Timeouts,
+    raw::{Many, One, Raw, RawLimits, RawTimeouts, Setting},
+};
+
+const DEFAULT_HOST: &str = "host-1";
+const DEFAULT_DATA_CENTRE: &str = "local";
+const DEFAULT_LISTEN_PORT: u16 = 8080;
+const DEFAULT_PEER_PORT: u16 = 8081;
+const DEFAULT_ADMIN_PORT: u16 = 8082;
+
+/// Shortest and longest time that a timeout may be set to.
+const TIMEOUT_RANGE: RangeInclusive<Duration> =
+    Duration::from_millis(1)..=Duration::from_secs(3600);
+
+/// Shortest fleet key, in bytes.
+const MIN_FLEET_KEY_BYTES: usize = 16;
+
+pub(super) fn check(raw: Raw) -> Result<Settings, Faults> {
+    let mut faults = Faults::default();
+    let settings = Settings {
+        host: parsed(&raw.identity.host, &mut faults)
+            .unwrap_or_else(|| DEFAULT_HOST.parse().expect("the default is valid")),
+        data_centre: parsed(&raw.identity.data_centre, &mut faults)
+            .unwrap_or_else(|| DEFAULT_DATA_CENTRE.parse().expect("the default is valid")),
+        listen: address(&raw.addresses.listen, DEFAULT_LISTEN_PORT, &mut faults),
+        peer_listen: address(&raw.addresses.peer_listen, DEFAULT_PEER_PORT, &mut faults),
+        admin_listen: address(&raw.addresses.admin_listen, DEFAULT_ADMIN_PORT, &mut faults),
+        seeds: all_parsed(&raw.addresses.seeds, &mut faults),
+        data_dir: raw.state.data_dir.text.clone().map(Into::into),
+        voter: raw.state.voter,
+        fleet_key: fleet_key(&raw.keys.fleet_key, &mut faults),
+        operator_keys: all_parsed(&raw.keys.operator_keys, &mut faults),
+        organisation_keys: all_parsed(&raw.keys.organisation_keys, &mut faults),
+        limits: limits(&raw.limits, &mut faults),
+        timeouts: timeouts(&raw.timeouts, &mut faults),
+        check_only: raw.check_only,
+    };
+    if settings.voter && settings.data_dir.is_none() {
+        faults.add("--voter", "DOTTERELREACH_DATA_DIR", "a voter needs --data-dir");
+    }
+    if !faults.lines().is_empty() {
+        return Err(faults);
+    }
+    Ok(settings)
+}
+
+fn parsed<T: FromStr<Err: Display>>(setting: &One, faults: &mut Faults) -> Option<T> {
+    parse_text(setting, setting.text.as_deref()?, faults)
+}
+
+fn all_parsed<T: FromStr<Err: Display>>(setting: &Many, faults: &mut Faults) -> Vec<T> {
+    setting.text.iter().filter_map(|text| parse_text(setting, text, faults)).collect()
+}
+
+fn parse_text<S, T>(setting: &Setting<S>, text: &str, faults: &mut Faults) -> Option<T>
+where
+    T: FromStr<Err: Display>,
+{
+    match text.parse() {
+        Ok(value) => Some(value),
+        Err(e) => {
+            let e: T::Err = e;
+            let message = e.to_string();
+            let shown = format!("{text:?}");
+            if message.starts_with(&shown) {
+                faults.add(setting.flag, setting.env, &message);
+            } else {
+                faults.add(setting.flag, setting.env, &format!("{shown}: {message}"));
+            }
+            None
+        }
+    }
+}
+
+fn address(setting: &One, default_port: u16, faults: &mut Faults) -> SocketAddr {
+    let default = SocketAddr::from((Ipv4Addr::LOCALHOST, default_port));
+    let Some(text) = &setting.text else { return default };
+    text.parse().unwrap_or_else(|_| {
+        let message = format!("{text:?} is no address; write IP:PORT such as 10.1.0.4:8080");
+        faults.add(setting.flag, setting.env, &message);
+        default
+    })
+}
+
+fn fleet_key(setting: &One, faults: &mut Faults) -> std::sync::Arc<str> {
+    let text = setting.text.as_deref().unwrap_or_default();
+    if text.len() < MIN_FLEET_KEY_BYTES {
+        let message = format!("needed, with at least {MIN_FLEET_KEY_BYTES} bytes");
+        faults.add(setting.flag, setting.env, &message);
+    }
+    text.into()
+}
+
+fn limits(raw: &RawLimits, faults: &mut Faults) -> Limits {
+    Limits {
+        header_bytes: ByteCount::new(number(
+            &raw.header_bytes,
+            32 << 10,
+            8 << 10..=1 << 20,
+            faults,
+        )),
+        body_bytes: ByteCount::new(number(&raw.body_bytes, 4 << 20, 1 << 10..=256 << 20, faults)),
+        connections: number(&raw.connections, 10_000, 1..=1_000_000, faults),
+        organisation_requests: number(&raw.organisation_requests, 1_000, 1..=1_000_000, faults),
+    }
+}
+
+fn number(setting: &One, default: u64, allowed: RangeInclusive<u64>, faults: &mut Faults) -> u64 {
+    let Some(text) = &setting.text else { return default };
+    match text.parse() {
+        Ok(number) if allowed.contains(&number) => number,
+        _ => {
+            let (from, to) = (allowed.start(), allowed.end());
+            let message = format!("{text:?} is no whole number from {from} to {to}");
+            faults.add(setting.flag, setting.env, &message);
+            default
+        }
+    }
+}
+
+fn timeouts(raw: &RawTimeouts, faults: &mut Faults) -> Timeouts {
+    Timeouts {
+        header: duration(&raw.header, Duration::from_secs(10), faults),
+        body: duration(&raw.body, Duration::from_secs(30), faults),
+        connect: duration(&raw.connect, Duration::from_secs(1), faults),
+        idle: duration(&raw.idle, Duration::from_secs(10), faults),
+        request: duration(&raw.request, Duration::from_secs(600), faults),
+        drain_notice: duration(&raw.drain_notice, Duration::from_secs(2), faults),
+    }
+}
+
+fn duration(setting: &One, default: Duration, faults: &mut Faults) -> Duration {
+    let Some(text) = &setting.text else { return default };
+    let message = match humantime::parse_duration(text) {
+        Ok(duration) if TIMEOUT_RANGE.contains(&duration) => return duration,
+        Ok(_) => format!(
+            "{text:?} is out of range; write a duration from {} to {}",
+            humantime::format_duration(*TIMEOUT_RANGE.start()),
+            humantime::format_duration(*TIMEOUT_RANGE.end()),
+        ),
+        Err(_) if text.parse::<f64>().is_ok() => {
+            format!("{text:?} has no unit; write a duration such as 800ms or 5s")
+        }
+        Err(_) => format!("{text:?} is no duration; write one such as 800ms or 5s"),
+    };
+    faults.add(setting.flag, setting.env, &message);
+    default
+}
--- /dev/null
+++ b/crates/daemon/src/settings/raw.rs
@@ -0,0 +1,272 @@
+use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
+
+use super::SettingsError;
+
+/// A setting's text, and where to set it.
+#[derive(Clone, Debug)]
+pub(super) struct Setting<T> {
+    pub flag: &'static str,
+    pub env: &'static str,
+    pub text: T,
+}
+
+pub(super) type One = Setting<Option<String>>;
+pub(super) type Many = Setting<Vec<String>>;
+
+/// The settings' texts, not yet checked, so that all faults can be told at once.
+#[derive(Clone, Debug)]
+pub(super) struct Raw {
+    pub identity: RawIdentity,
+    pub addresses: RawAddresses,
+    pub state: RawState,
+    pub keys: RawKeys,
+    pub limits: RawLimits,
+    pub timeouts: RawTimeouts,
+    pub check_only: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct RawIdentity {
+    pub host: One,
+    pub data_centre: One,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct RawAddresses {
+    pub listen: One,
+    pub peer_listen: One,
+    pub admin_listen: One,
+    pub seeds: Many,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct RawState {
+    pub data_dir: One,
+    pub voter: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct RawKeys {
+    pub fleet_key: One,
+    pub operator_keys: Many,
+    pub organisation_keys: Many,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct RawLimits {
+    pub header_bytes: One,
+    pub body_bytes: One,
+    pub connections: One,
+    pub organisation_requests: One,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct RawTimeouts {
+    pub header: One,
+    pub body: One,
+    pub connect: One,
+    pub idle: One,
+    pub request: One,
+    pub drain_notice: One,
+}
+
+pub(super) fn parse(args: &[&str]) -> Result<Raw, SettingsError> {
+    options().run_inner(Args::from(args)).map_err(|failure| match failure {
+        ParseFailure::Stdout(doc, full) => SettingsError::Print(doc.monochrome(full)),
+        ParseFailure::Completion(text) => SettingsError::Print(text),
+        ParseFailure::Stderr(doc) => SettingsError::Usage(doc.monochrome(true)),
+    })
+}
+
+fn options() -> OptionParser<Raw> {
+    let identity = identity();
+    let addresses = addresses();
+    let state = state();
+    let keys = keys();
+    let limits = limits();
+    let timeouts = timeouts();
+    let check_only = long("check").help("Check the settings, print every fault, and exit").switch();
+    construct!(Raw { identity, addresses, state, keys, limits, timeouts, check_only })
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Routes language-model traffic with long shared prompts to warm endpoints")
+        .footer(
+            "Exit codes: 0 ended as asked, 1 failed while running, 2 settings not valid, \
+             3 ended by a second signal with requests cut.\n\
+             Lists in environment variables are separated by commas.",
+        )
+}
+
+macro_rules! one {
+    ($flag:literal, $env:literal, $value:literal, $help:literal) => {
+        long($flag)
+            .env($env)
+            .help($help)
+            .argument::<String>($value)
+            .optional()
+            .map(|text| Setting { flag: concat!("--", $flag), env: $env, text })
+    };
+}
+
+macro_rules! many {
+    ($flag:literal, $env:literal, $value:literal, $help:literal) => {
+        long($flag).env($env).help($help).argument::<String>($value).many().map(|texts| Setting {
+            flag: concat!("--", $flag),
+            env: $env,
+            text: split_list(&texts),
+        })
+    };
+}
+
+fn split_list(texts: &[String]) -> Vec<String> {
+    texts
+        .iter()
+        .flat_map(|text| text.split(','))
+        .map(str::trim)
+        .filter(|text| !text.is_empty())
+        .map(str::to_owned)
+        .collect()
+}
+
+fn identity() -> impl Parser<RawIdentity> {
+    let host = one!("host", "DOTTERELREACH_HOST", "ID", "This host's id (default: host-1)");
+    let data_centre = one!(
+        "data-centre",
+        "DOTTERELREACH_DATA_CENTRE",
+        "ID",
+        "The data centre this host stands in (default: local)"
+    );
+    construct!(RawIdentity { host, data_centre }).group_help("Identity")
+}
+
+fn addresses() -> impl Parser<RawAddresses> {
+    let listen = one!(
+        "listen",
+        "DOTTERELREACH_LISTEN",
+        "ADDRESS",
+        "Where callers and endpoints connect (default: 127.0.0.1:8080)"
+    );
+    let peer_listen = one!(
+        "peer-listen",
+        "DOTTERELREACH_PEER_LISTEN",
+        "ADDRESS",
+        "Where other routers connect (default: 127.0.0.1:8081)"
+    );
+    let admin_listen = one!(
+        "admin-listen",
+        "DOTTERELREACH_ADMIN_LISTEN",
+        "ADDRESS",
+        "Where operators and monitoring connect (default: 127.0.0.1:8082)"
+    );
+    let seeds = many!(
+        "seed",
+        "DOTTERELREACH_SEEDS",
+        "ADDRESS",
+        "Peer address of another router; may be given several times"
+    );
+    construct!(RawAddresses { listen, peer_listen, admin_listen, seeds }).group_help("Addresses")
+}
+
+fn state() -> impl Parser<RawState> {
+    let data_dir = one!(
+        "data-dir",
+        "DOTTERELREACH_DATA_DIR",
+        "FOLDER",
+        "Folder for the state that must survive, on hosts with a disk"
+    );
+    let voter = long("voter").help("Vote in the quorum; needs --data-dir").switch();
+    construct!(RawState { data_dir, voter }).group_help("State")
+}
+
+fn keys() -> impl Parser<RawKeys> {
+    let fleet_key = one!(
+        "fleet-key",
+        "DOTTERELREACH_FLEET_KEY",
+        "SECRET",
+        "Secret that routers and endpoints share; better set by the environment"
+    );
+    let operator_keys = many!(
+        "operator-key",
+        "DOTTERELREACH_OPERATOR_KEYS",
+        "DIGEST",
+        "BLAKE3 digest of an operator's key; may be given several times"
+    );
+    let organisation_keys = many!(
+        "organisation-key",
+        "DOTTERELREACH_ORGANISATION_KEYS",
+        "ORGANISATION=DIGEST",
+        "BLAKE3 digest of an organisation's key; may be given several times"
+    );
+    construct!(RawKeys { fleet_key, operator_keys, organisation_keys }).group_help("Keys")
+}
+
+fn limits() -> impl Parser<RawLimits> {
+    let header_bytes = one!(
+        "max-header-bytes",
+        "DOTTERELREACH_MAX_HEADER_BYTES",
+        "BYTES",
+        "Largest head of a request (default: 32768; 8192 to 1048576)"
+    );
+    let body_bytes = one!(
+        "max-body-bytes",
+        "DOTTERELREACH_MAX_BODY_BYTES",
+        "BYTES",
+        "Largest body of a request (default: 4194304; 1024 to 268435456)"
+    );
+    let connections = one!(
+        "max-connections",
+        "DOTTERELREACH_MAX_CONNECTIONS",
+        "COUNT",
+        "Most connections of callers at once (default: 10000; 1 to 1000000)"
+    );
+    let organisation_requests = one!(
+        "max-organisation-requests",
+        "DOTTERELREACH_MAX_ORGANISATION_REQUESTS",
+        "COUNT",
+        "Most requests of one organisation at once (default: 1000; 1 to 1000000)"
+    );
+    construct!(RawLimits { header_bytes, body_bytes, connections, organisation_requests })
+        .group_help("Limits")
+}
+
+fn timeouts() -> impl Parser<RawTimeouts> {
+    let header = one!(
+        "header-timeout",
+        "DOTTERELREACH_HEADER_TIMEOUT",
+        "DURATION",
+        "Time for the head of a request (default: 10s)"
+    );
+    let body = one!(
+        "body-timeout",
+        "DOTTERELREACH_BODY_TIMEOUT",
+        "DURATION",
+        "Time for the body of a request (default: 30s)"
+    );
+    let connect = one!(
+        "connect-timeout",
+        "DOTTERELREACH_CONNECT_TIMEOUT",
+        "DURATION",
+        "Time for a connection to an endpoint (default: 1s)"
+    );
+    let idle = one!(
+        "idle-timeout",
+        "DOTTERELREACH_IDLE_TIMEOUT",
+        "DURATION",
+        "Time between two events of an endpoint's stream (default: 10s)"
+    );
+    let request = one!(
+        "request-timeout",
+        "DOTTERELREACH_REQUEST_TIMEOUT",
+        "DURATION",
+        "Time for a whole request (default: 10m)"
+    );
+    let drain_notice = one!(
+        "drain-notice",
+        "DOTTERELREACH_DRAIN_NOTICE",
+        "DURATION",
+        "Time from a termination signal, when readiness fails, to the end of accepting \
+         (default: 2s)"
+    );
+    construct!(RawTimeouts { header, body, connect, idle, request, drain_notice })
+        .group_help("Timeouts")
+}
--- a/crates/member/src/announcement.rs
+++ b/crates/member/src/announcement.rs
@@ -35,6 +35,13 @@
     Service(ServiceId),
 }
 
+impl EndpointKind {
+    /// Returns whether the endpoint serves calls to `service`.
+    pub fn is_service(&self, service: &ServiceId) -> bool {
+        matches!(self, Self::Service(served) if served == service)
+    }
+}
+
 /// What a model engine says about itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
--- /dev/null
+++ b/crates/wire/src/announcement.rs
@@ -0,0 +1,208 @@
+//! What an endpoint posts to `/announce`, as JSON.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::{
+    AdapterId, BlockCount, DataCentreId, EndpointId, Incarnation, ModelId, Sequence, ServiceId,
+    TokenCount, WeightsVersion,
+};
+use member::{Announcement, EndpointKind, Engine, Load, ServedModel};
+use serde::{Deserialize, Serialize};
+
+use crate::BodyError;
+
+/// Longest lease that an endpoint may ask for, in milliseconds.
+const MAX_LEASE_MS: u64 = 60_000;
+
+/// Most models that an engine may announce.
+const MAX_MODELS: usize = 64;
+
+/// An announcement.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AnnouncementBody {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// The life of its process: higher after each start.
+    pub incarnation: Incarnation,
+    /// Higher with each announcement of this incarnation.
+    pub sequence: Sequence,
+    /// The data centre it stands in.
+    pub data_centre: DataCentreId,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// How long the announcement counts, in milliseconds.
+    pub lease_ms: u64,
+    /// Whether it wants no new work.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Set for a model engine.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub engine: Option<EngineBody>,
+    /// Set for a plain service.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceId>,
+}
+
+/// What a model engine says about itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineBody {
+    /// The models it has loaded.
+    pub models: Vec<ModelBody>,
+    /// Whether it refuses an order with an old fencing number.
+    pub checks_fencing: bool,
+    /// Tokens in a cached block.
+    pub block_tokens: TokenCount,
+    /// Its load now.
+    #[serde(default)]
+    pub load: LoadBody,
+}
+
+/// A model that an engine has loaded.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelBody {
+    /// The model.
+    pub model: ModelId,
+    /// The version of its weights.
+    pub weights: WeightsVersion,
+    /// The adapters loaded on top.
+    #[serde(default)]
+    pub adapters: Vec<AdapterId>,
+}
+
+/// An engine's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadBody {
+    /// Requests in the running batch.
+    pub running: u32,
+    /// Requests that wait for the batch.
+    pub waiting: u32,
+    /// Tokens still to be prefilled.
+    pub prefill_tokens: TokenCount,
+    /// Blocks cached.
+    pub cached_blocks: BlockCount,
+}
+
+impl AnnouncementBody {
+    /// Reads an announcement from a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the body, and where.
+    pub fn from_slice(body: &[u8]) -> Result<Self, BodyError> {
+        Ok(serde_json::from_slice(body)?)
+    }
+}
+
+impl TryFrom<AnnouncementBody> for Announcement {
+    type Error = BodyError;
+
+    fn try_from(body: AnnouncementBody) -> Result<Self, BodyError> {
+        if !(1..=MAX_LEASE_MS).contains(&body.lease_ms) {
+            let message = format!("\"lease_ms\" must be from 1 to {MAX_LEASE_MS}");
+            return Err(BodyError::new(message));
+        }
+        let kind = match (body.engine, body.service) {
+            (Some(engine), None) => EndpointKind::Engine(engine.try_into()?),
+            (None, Some(service)) => EndpointKind::Service(service),
+            _ => return Err(BodyError::new("expected either \"engine\" or \"service\"")),
+        };
+        Ok(Self {
+            endpoint: body.id,
+            incarnation: body.incarnation,
+            sequence: body.sequence,
+            data_centre: body.data_centre,
+            address: body.address,
+            lease: Duration::from_millis(body.lease_ms),
+            leaving: body.leaving,
+            kind,
+        })
+    }
+}
+
+impl From<Announcement> for AnnouncementBody {
+    fn from(announcement: Announcement) -> Self {
+        let (engine, service) = match announcement.kind {
+            EndpointKind::Engine(engine) => (Some(engine.into()), None),
+            EndpointKind::Service(service) => (None, Some(service)),
+        };
+        Self {
+            id: announcement.endpoint,
+            incarnation: announcement.incarnation,
+            sequence: announcement.sequence,
+            data_centre: announcement.data_centre,
+            address: announcement.address,
+            lease_ms: u64::try_from(announcement.lease.as_millis()).unwrap_or(MAX_LEASE_MS),
+            leaving: announcement.leaving,
+            engine,
+            service,
+        }
+    }
+}
+
+impl TryFrom<EngineBody> for Engine {
+    type Error = BodyError;
+
+    fn try_from(body: EngineBody) -> Result<Self, BodyError> {
+        if MAX_MODELS < body.models.len() {
+            return Err(BodyError::new(format!("over {MAX_MODELS} models")));
+        }
+        if body.block_tokens == TokenCount::ZERO {
+            return Err(BodyError::new("\"block_tokens\" must be at least 1"));
+        }
+        Ok(Self {
+            models: body.models.into_iter().map(ServedModel::from).collect(),
+            checks_fencing: body.checks_fencing,
+            block_tokens: body.block_tokens,
+            load: body.load.into(),
+        })
+    }
+}
+
+impl From<Engine> for EngineBody {
+    fn from(engine: Engine) -> Self {
+        Self {
+            models: engine.models.into_iter().map(ModelBody::from).collect(),
+            checks_fencing: engine.checks_fencing,
+            block_tokens: engine.block_tokens,
+            load: engine.load.into(),
+        }
+    }
+}
+
+impl From<ModelBody> for ServedModel {
+    fn from(body: ModelBody) -> Self {
+        Self { model: body.model, weights: body.weights, adapters: body.adapters }
+    }
+}
+
+impl From<ServedModel> for ModelBody {
+    fn from(served: ServedModel) -> Self {
+        Self { model: served.model, weights: served.weights, adapters: served.adapters }
+    }
+}
+
+impl From<LoadBody> for Load {
+    fn from(body: LoadBody) -> Self {
+        Self {
+            running: body.running,
+            waiting: body.waiting,
+            prefill_tokens: body.prefill_tokens,
+            cached_blocks: body.cached_blocks,
+        }
+    }
+}
+
+impl From<Load> for LoadBody {
+    fn from(load: Load) -> Self {
+        Self {
+            running: load.running,
+            waiting: load.waiting,
+            prefill_tokens: load.prefill_tokens,
+            cached_blocks: load.cached_blocks,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/completion.rs
@@ -0,0 +1,223 @@
+//! Requests for completions, as OpenAI-style clients send them.
+
+use std::borrow::Cow;
+
+use base::{AdapterId, CacheSalt, ModelId};
+use serde_json::{Map, Value};
+
+use crate::BodyError;
+
+/// Separates a model from an adapter in a request's `model`.
+const ADAPTER_SEPARATOR: char = '+';
+
+/// A request for a completion; fields that the router doesn't know are passed on as they are.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Completion {
+    model: ModelId,
+    adapter: Option<AdapterId>,
+    kind: CompletionKind,
+    stream: bool,
+    max_tokens: Option<u64>,
+    fields: Map<String, Value>,
+}
+
+/// Which of the two interfaces the request is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CompletionKind {
+    /// `POST /v1/completions`, with a `prompt`.
+    Text,
+    /// `POST /v1/chat/completions`, with `messages`.
+    Chat,
+}
+
+impl Completion {
+    /// Reads a request from a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the body, and where.
+    pub fn from_slice(body: &[u8]) -> Result<Self, BodyError> {
+        let Value::Object(fields) = serde_json::from_slice(body)? else {
+            return Err(BodyError::new("the body must be a JSON object"));
+        };
+        let kind = completion_kind(&fields)?;
+        let (model, adapter) = parse_model(&fields)?;
+        let stream = optional(&fields, "stream", "true or false", Value::as_bool)?;
+        let max_tokens = optional(&fields, "max_tokens", "a whole number", Value::as_u64)?;
+        Ok(Self { model, adapter, kind, stream: stream.unwrap_or(false), max_tokens, fields })
+    }
+
+    /// Returns the model asked for.
+    pub fn model(&self) -> &ModelId {
+        &self.model
+    }
+
+    /// Returns the adapter asked for.
+    pub fn adapter(&self) -> Option<&AdapterId> {
+        self.adapter.as_ref()
+    }
+
+    /// Returns which interface the request is for.
+    pub fn kind(&self) -> CompletionKind {
+        self.kind
+    }
+
+    /// Returns whether the caller wants the answer as a stream.
+    pub fn wants_stream(&self) -> bool {
+        self.stream
+    }
+
+    /// Returns the most tokens that the caller wants.
+    pub fn max_tokens(&self) -> Option<u64> {
+        self.max_tokens
+    }
+
+    /// Returns the prompt's parts in order; joined, they name the prompt.
+    pub fn prompt_parts(&self) -> Vec<Cow<'_, [u8]>> {
+        match self.kind {
+            CompletionKind::Text => match &self.fields["prompt"] {
+                Value::String(text) => vec![Cow::Borrowed(text.as_bytes())],
+                tokens => vec![Cow::Owned(token_bytes(tokens))],
+            },
+            CompletionKind::Chat => {
+                let Value::Array(messages) = &self.fields["messages"] else { return Vec::new() };
+                messages.iter().flat_map(message_parts).map(Cow::Borrowed).collect()
+            }
+        }
+    }
+
+    /// Writes the request for an engine: always streamed, with `salt` and `priority` in place of
+    /// what the caller may have set, and going on after the text already `delivered`.
+    pub fn to_engine(&self, salt: &CacheSalt, priority: i32, delivered: &Delivered) -> Vec<u8> {
+        let mut fields = self.fields.clone();
+        fields.insert("stream".into(), true.into());
+        fields.insert("stream_options".into(), serde_json::json!({"include_usage": true}));
+        fields.insert("cache_salt".into(), salt.as_str().into());
+        fields.insert("priority".into(), priority.into());
+        if delivered.tokens != 0 {
+            self.continue_after(&mut fields, delivered);
+        }
+        Value::Object(fields).to_string().into_bytes()
+    }
+
+    fn continue_after(&self, fields: &mut Map<String, Value>, delivered: &Delivered) {
+        if let Some(max_tokens) = self.max_tokens {
+            let left = max_tokens.saturating_sub(delivered.tokens);
+            fields.insert("max_tokens".into(), left.into());
+        }
+        match self.kind {
+            CompletionKind::Text => continue_prompt(fields, &delivered.text),
+            CompletionKind::Chat => continue_chat(fields, &delivered.text),
+        }
+    }
+
+    /// Returns whether the request can go on at another engine after some tokens.
+    pub fn can_continue(&self) -> bool {
+        let one_choice = self.fields.get("n").is_none_or(|n| n == 1);
+        let text_prompt = self.fields.get("prompt").is_none_or(Value::is_string);
+        one_choice && text_prompt
+    }
+}
+
+/// The part of an answer that a caller already has.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Delivered {
+    /// Tokens delivered.
+    pub tokens: u64,
+    /// Their text.
+    pub text: String,
+}
+
+fn continue_prompt(fields: &mut Map<String, Value>, delivered: &str) {
+    if let Some(Value::String(prompt)) = fields.get_mut("prompt") {
+        prompt.push_str(delivered);
+    }
+}
+
+fn continue_chat(fields: &mut Map<String, Value>, delivered: &str) {
+    if let Some(Value::Array(messages)) = fields.get_mut("messages") {
+        messages.push(serde_json::json!({"role": "assistant", "content": delivered}));
+    }
+    fields.insert("continue_final_message".into(), true.into());
+    fields.insert("add_generation_prompt".into(), false.into());
+}
+
+fn completion_kind(fields: &Map<String, Value>) -> Result<CompletionKind, BodyError> {
+    match (fields.get("prompt"), fields.get("messages")) {
+        (Some(prompt), None) => check_prompt(prompt).map(|()| CompletionKind::Text),
+        (None, Some(messages)) => check_messages(messages).map(|()| CompletionKind::Chat),
+        _ => Err(BodyError::new("expected either \"prompt\" or \"messages\"")),
+    }
+}
+
+fn check_prompt(prompt: &Value) -> Result<(), BodyError> {
+    let fits = match prompt {
+        Value::String(_) => true,
+        Value::Array(tokens) => tokens.iter().all(is_token),
+        _ => false,
+    };
+    if !fits {
+        return Err(BodyError::new("\"prompt\" must be a text or a list of token numbers"));
+    }
+    Ok(())
+}
+
+fn is_token(token: &Value) -> bool {
+    token.as_u64().is_some_and(|token| u32::try_from(token).is_ok())
+}
+
+fn check_messages(messages: &Value) -> Result<(), BodyError> {
+    let Value::Array(messages) = messages else {
+        return Err(BodyError::new("\"messages\" must be a list"));
+    };
+    let fits = !messages.is_empty() && messages.iter().all(is_message);
+    if !fits {
+        return Err(BodyError::new(
+            "each of \"messages\" must have a text \"role\" and \"content\"",
+        ));
+    }
+    Ok(())
+}
+
+fn is_message(message: &Value) -> bool {
+    message["role"].is_string() && message["content"].is_string()
+}
+
+fn message_parts(message: &Value) -> [&[u8]; 4] {
+    let role = message["role"].as_str().unwrap_or_default();
+    let content = message["content"].as_str().unwrap_or_default();
+    [role.as_bytes(), b"\n", content.as_bytes(), b"\n"]
+}
+
+fn token_bytes(tokens: &Value) -> Vec<u8> {
+    let tokens = tokens.as_array().into_iter().flatten();
+    tokens.filter_map(Value::as_u64).flat_map(|token| (token as u32).to_le_bytes()).collect()
+}
+
+fn parse_model(fields: &Map<String, Value>) -> Result<(ModelId, Option<AdapterId>), BodyError> {
+    let Some(Value::String(text)) = fields.get("model") else {
+        return Err(BodyError::new("\"model\" must be a text"));
+    };
+    let (model, adapter) = match text.split_once(ADAPTER_SEPARATOR) {
+        Some((model, adapter)) => (model, Some(adapter)),
+        None => (text.as_str(), None),
+    };
+    let wrong = |e: base::ParseError| BodyError::new(format!("\"model\": {e}"));
+    let adapter = adapter.map(str::parse).transpose().map_err(wrong)?;
+    Ok((model.parse().map_err(wrong)?, adapter))
+}
+
+fn optional<T>(
+    fields: &Map<String, Value>,
+    name: &str,
+    allowed: &str,
+    read: fn(&Value) -> Option<T>,
+) -> Result<Option<T>, BodyError> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => match read(value) {
+            Some(value) => Ok(Some(value)),
+            None => Err(BodyError::new(format!("\"{name}\" must be {allowed}"))),
+        },
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,25 @@
-//! Wire types: HTTP bodies and messages between routers.
+//! Wire types: what callers, endpoints, operators and routers say to each other.
+//!
+//! Bodies of HTTP messages are types of their own, which convert to and from the types of the
+//! cores with `From` and `TryFrom`, so that a core never depends on a format.
+//!
+//! # Example
+//!
+//! ```
+//! use wire::completion::Completion;
+//!
+//! let body = br#"{"model": "diary-8b", "prompt": "Dear diary", "stream": true}"#;
+//! let completion = Completion::from_slice(body)?;
+//! assert_eq!(completion.model().as_str(), "diary-8b");
+//! assert!(completion.wants_stream());
+//! # Ok::<(), wire::BodyError>(())
+//! ```
+
+pub mod announcement;
+pub mod chunk;
+pub mod completion;
+mod error;
+pub mod problem;
+pub mod sse;
+
+pub use crate::error::BodyError;
--- /dev/null
+++ b/crates/wire/src/sse.rs
@@ -0,0 +1,116 @@
+//! Server-sent events: a parser bounded in memory, and their text.
+
+use std::fmt::Write as _;
+
+use base::ByteCount;
+
+use crate::BodyError;
+
+/// A server-sent event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// The event's id.
+    pub id: Option<String>,
+    /// The event's type, if it isn't the usual one.
+    pub kind: Option<String>,
+    /// The data, its lines joined by line feeds.
+    pub data: String,
+}
+
+impl Event {
+    /// Creates an event of the usual type.
+    pub fn data(data: impl Into<String>) -> Self {
+        Self { data: data.into(), ..Self::default() }
+    }
+
+    /// Returns the event's text, with the empty line that ends it.
+    pub fn to_text(&self) -> String {
+        let mut text = String::with_capacity(self.data.len() + 32);
+        if let Some(id) = &self.id {
+            writeln!(text, "id: {id}").expect("writing to a string never fails");
+        }
+        if let Some(kind) = &self.kind {
+            writeln!(text, "event: {kind}").expect("writing to a string never fails");
+        }
+        for line in self.data.split('\n') {
+            writeln!(text, "data: {line}").expect("writing to a string never fails");
+        }
+        text.push('\n');
+        text
+    }
+}
+
+/// Cuts a stream of bytes into events.
+#[derive(Debug)]
+pub struct Parser {
+    max_event: usize,
+    buf: Vec<u8>,
+    scanned: usize,
+    event: Event,
+    has_data: bool,
+    event_bytes: usize,
+}
+
+impl Parser {
+    /// Creates a parser that keeps no more than `max_event` of one event.
+    pub fn new(max_event: ByteCount) -> Self {
+        Self {
+            max_event: usize::try_from(max_event.as_u64()).unwrap_or(usize::MAX),
+            buf: Vec::new(),
+            scanned: 0,
+            event: Event::default(),
+            has_data: false,
+            event_bytes: 0,
+        }
+    }
+
+    /// Takes bytes and adds the events that they complete to `events`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event is too long or not UTF-8; the parser is then of no further use.
+    pub fn push(&mut self, bytes: &[u8], events: &mut Vec<Event>) -> Result<(), BodyError> {
+        self.buf.extend_from_slice(bytes);
+        let mut start = 0;
+        while let Some(offset) = self.buf[self.scanned..].iter().position(|&b| b == b'\n') {
+            let end = self.scanned + offset;
+            let line = std::str::from_utf8(&self.buf[start..end])
+                .map_err(|_| BodyError::new("an event is not UTF-8"))?;
+            let line = line.strip_suffix('\r').unwrap_or(line);
+            self.event_bytes += line.len();
+            take_line(line, &mut self.event, &mut self.has_data);
+            if line.is_empty() {
+                self.event_bytes = 0;
+                let event = std::mem::take(&mut self.event);
+                if std::mem::take(&mut self.has_data) {
+                    events.push(event);
+                }
+            }
+            start = end + 1;
+            self.scanned = start;
+        }
+        self.buf.drain(..start);
+        self.scanned = self.buf.len();
+        if self.max_event < self.event_bytes + self.buf.len() {
+            return Err(BodyError::new(format!("an event is over {} bytes", self.max_event)));
+        }
+        Ok(())
+    }
+}
+
+fn take_line(line: &str, event: &mut Event, has_data: &mut bool) {
+    let (field, value) = line.split_once(':').unwrap_or((line, ""));
+    let value = value.strip_prefix(' ').unwrap_or(value);
+    match field {
+        "id" => event.id = Some(value.to_owned()),
+        "event" => event.kind = Some(value.to_owned()),
+        "data" => {
+            if *has_data {
+                event.data.push('\n');
+            }
+            event.data.push_str(value);
+            *has_data = true;
+        }
+        _ => {}
+    }
+}
