Refuse hostile callers, and add calls between routers

Cause: bytes of one caller must never become another's request, nor end the process. Change: tests of malformed, slow and forged requests against a real daemon; Cap'n Proto RPC between routers with a mutual proof of the fleet's key (not yet joined to the cores). Conclusion: hyper stays on the caller path.

--- /dev/null
+++ b/crates/bench/tests/hostile_callers.rs
@@ -0,0 +1,188 @@
+//! Malformed, slow and forged requests: a clear refusal, and the daemon lives on.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpStream},
+    path::PathBuf,
+    time::Duration,
+};
+
+use bench::{
+    process::{Daemon, DaemonSpec, Program},
+    site::FLEET_KEY,
+};
+
+/// BLAKE3 digest of the key that the requests show.
+fn key_flag() -> String {
+    format!("school-1={}", base::Digest::of(b"right-key"))
+}
+
+fn start() -> Daemon {
+    let program =
+        Program { path: PathBuf::from(env!("CARGO_BIN_EXE_bench")), args: vec!["daemon".into()] };
+    let spec = DaemonSpec::new("host-1", "a")
+        .flag("--fleet-key", FLEET_KEY)
+        .flag("--organisation-key", key_flag())
+        .flag("--max-header-bytes", 8192)
+        .flag("--max-body-bytes", 65536)
+        .flag("--header-timeout", "300ms")
+        .flag("--body-timeout", "300ms");
+    let mut daemon = Daemon::start(&program, spec).unwrap();
+    daemon.wait_ready(Duration::from_secs(10)).unwrap();
+    daemon
+}
+
+/// Sends bytes and returns all that comes back until the daemon closes.
+fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let _ = stream.write_all(bytes);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn post(path: &str, key: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {key}\r\n\
+         connection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+fn head(extra: &str) -> String {
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: router\r\nauthorization: Bearer right-key\r\n{extra}"
+    )
+}
+
+fn deep_json(levels: usize) -> String {
+    format!("{{\"model\": \"m\", \"prompt\": {}{}}}", "[".repeat(levels), "]".repeat(levels))
+}
+
+fn assert_alive(address: SocketAddr) {
+    let req = "GET /v1/models HTTP/1.1\r\nhost: router\r\nauthorization: Bearer right-key\r\n\
+               connection: close\r\n\r\n";
+    let answer = exchange(address, req.as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+macro_rules! refused {
+    ($($name:ident: $request:expr => $($expected:literal),+;)*) => {$(
+        #[test]
+        fn $name() {
+            let daemon = start();
+            let answer = exchange(daemon.spec().listen, $request.as_ref());
+            $(assert!(answer.contains($expected), "{answer:?}");)+
+            assert!(!answer.contains("HTTP/1.1 200"), "{answer:?}");
+            assert_alive(daemon.spec().listen);
+        }
+    )*};
+}
+
+const BODY: &str = "{\"model\": \"m\", \"prompt\": \"p\"}";
+
+refused! {
+    unknown_key: post("/v1/completions", "wrong-key", BODY) => "401", "not-run";
+    missing_key: "POST /v1/completions HTTP/1.1\r\nhost: r\r\nconnection: close\r\n\
+                  content-length: 0\r\n\r\n" => "401", "not-run";
+    unknown_model: post("/v1/completions", "right-key", BODY) => "404", "not-run", "model m";
+    unknown_service: post("/services/none/x", "right-key", "{}") => "404", "not-run", "none";
+    unknown_path: post("/v2", "right-key", "{}") => "404", "not-run";
+    wrong_method: "DELETE /v1/models HTTP/1.1\r\nhost: r\r\nconnection: close\r\n\r\n"
+        => "405", "not-run";
+    body_is_no_json: post("/v1/completions", "right-key", "{") => "400", "not-run", "line 1";
+    body_is_no_object: post("/v1/completions", "right-key", "[]") => "400", "not-run";
+    model_is_missing: post("/v1/completions", "right-key", "{\"prompt\": \"p\"}")
+        => "400", "not-run", "model";
+    prompt_is_missing: post("/v1/completions", "right-key", "{\"model\": \"m\"}")
+        => "400", "not-run", "prompt";
+    prompt_is_a_number: post("/v1/completions", "right-key", "{\"model\": \"m\", \"prompt\": 1}")
+        => "400", "not-run", "prompt";
+    messages_on_the_wrong_path:
+        post(
+            "/v1/completions",
+            "right-key",
+            "{\"model\": \"m\", \"messages\": [{\"role\": \"user\", \"content\": \"p\"}]}",
+        ) => "400", "not-run", "/v1/chat/completions";
+    deeply_nested_json: post("/v1/completions", "right-key", &deep_json(20_000))
+        => "400", "not-run", "recursion";
+    large_body: post("/v1/completions", "right-key", &"x".repeat(70_000)) => "413", "not-run";
+    announcement_with_an_organisations_key: post("/announce", "right-key", "{}") => "401", "not-run";
+    announcement_of_nothing: post("/announce", FLEET_KEY, "{}") => "400", "not-run", "missing field";
+    two_different_lengths: head("content-length: 5\r\ncontent-length: 6\r\n\r\nhello!") => "400";
+    negative_length: head("content-length: -5\r\n\r\nhello") => "400";
+    length_is_no_number: head("content-length: 5x\r\n\r\nhello") => "400";
+    endless_header: head(&format!("x-filler: {}", "x".repeat(100_000))) => "431";
+    many_headers: head(&"x-filler: x\r\n".repeat(200)) => "431";
+    slow_body: head("content-length: 10\r\n\r\nhello") => "408", "not-run";
+}
+
+#[test]
+fn bytes_after_a_length_with_chunked_are_no_request() {
+    let daemon = start();
+    let smuggled = "GET /v1/models HTTP/1.1\r\nhost: r\r\nauthorization: Bearer right-key\r\n\r\n";
+    let request = head(&format!(
+        "content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n{smuggled}"
+    ));
+    let answer = exchange(daemon.spec().listen, request.as_bytes());
+    assert!(!answer.contains("\"object\":\"list\""), "{answer:?}");
+    assert_alive(daemon.spec().listen);
+}
+
+#[test]
+fn slow_heads_are_closed_and_others_served() {
+    const SLOW_CALLERS: usize = 200;
+    let daemon = start();
+    let address = daemon.spec().listen;
+    let mut slow: Vec<_> = (0..SLOW_CALLERS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(address).unwrap();
+            stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+            stream.write_all(b"POST /v1/completions HT").unwrap();
+            stream
+        })
+        .collect();
+    assert_alive(address);
+    for stream in &mut slow {
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).unwrap();
+        assert!(!answer.starts_with(b"HTTP/1.1 200"));
+    }
+}
+
+#[test]
+fn body_cut_by_the_caller_is_not_run() {
+    let daemon = start();
+    let mut stream = TcpStream::connect(daemon.spec().listen).unwrap();
+    stream.write_all(head("content-length: 100\r\n\r\n{\"model\"").as_bytes()).unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    assert!(!answer.contains("HTTP/1.1 200"), "{answer:?}");
+    assert_alive(daemon.spec().listen);
+}
+
+#[test]
+fn large_header_keeps_memory_bounded() {
+    let daemon = start();
+    let before = resident_kb(daemon.pid());
+    let mut stream = TcpStream::connect(daemon.spec().listen).unwrap();
+    stream.write_all(head("x-filler: ").as_bytes()).unwrap();
+    let filler = vec![b'x'; 1 << 20];
+    for _ in 0..32 {
+        if stream.write_all(&filler).is_err() {
+            break;
+        }
+    }
+    assert_alive(daemon.spec().listen);
+    let grown = resident_kb(daemon.pid()).saturating_sub(before);
+    assert!(grown < 8 << 10, "{grown} kB more");
+}
+
+fn resident_kb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
--- a/crates/daemon/src/edge/upstream.rs
+++ b/crates/daemon/src/edge/upstream.rs
@@ -1,6 +1,5 @@
 use std::{
     cell::RefCell,
-    io,
     net::{IpAddr, SocketAddr},
     time::Duration,
 };
@@ -14,7 +13,8 @@
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpSocket, TcpStream};
+
+use crate::net;
 
 use super::failure::Failure;
 
@@ -44,7 +44,8 @@
     /// Returns a failure with the verdict that nothing has run.
     pub(super) async fn connect(&self, timeout: Duration) -> Result<Connection, Failure> {
         let connecting = async {
-            let stream = open(self.source, self.address).await.map_err(|e| e.to_string())?;
+            let stream =
+                net::connect(self.source, self.address).await.map_err(|e| e.to_string())?;
             http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())
         };
         let not_run = |why: &str| Failure::broken(format!("no connection: {why}"), Verdict::NotRun);
@@ -109,14 +110,3 @@
         .await
         .map_err(|e| Failure::broken(format!("no answer: {e}"), Verdict::MayHaveRun))
 }
-
-/// Opens a connection from the host's own address, so that the far side sees the address that the
-/// settings name.
-async fn open(source: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    if !source.is_unspecified() && source.is_ipv4() == address.is_ipv4() {
-        socket.bind(SocketAddr::new(source, 0))?;
-    }
-    socket.set_nodelay(true)?;
-    socket.connect(address).await
-}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,8 @@
 mod admin;
 mod clock;
 mod edge;
+mod net;
+mod peers;
 mod roster;
 mod run;
 mod settings;
--- /dev/null
+++ b/crates/daemon/src/peers/link.rs
@@ -0,0 +1,224 @@
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use base::HostId;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side as RpcSide, twoparty::VatNetwork};
+use futures_util::AsyncReadExt as _;
+use tokio::task::JoinHandle;
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+use wire::peer_capnp::{gate, router, submitted};
+
+use crate::net;
+
+use super::{
+    Outgoing, PROTOCOL_VERSION, PeersConfig, Submitted,
+    handshake::{FleetSecret, Nonces, Side, new_nonce, read_nonce},
+};
+
+/// Time for a connection with its handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Time without messages after which a link ends.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A connection to another router, after the handshake.
+struct Session {
+    router: router::Client,
+    broken: Rc<std::cell::Cell<bool>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Carries messages to the router at `address` until none come for a while.
+pub(super) async fn run(
+    cfg: PeersConfig,
+    address: SocketAddr,
+    secret: Rc<FleetSecret>,
+    messages: flume::Receiver<Outgoing>,
+) {
+    let mut session: Option<Session> = None;
+    loop {
+        let next = tokio::time::timeout(IDLE_TIMEOUT, messages.recv_async()).await;
+        let Ok(Ok(message)) = next else { return };
+        if session.as_ref().is_some_and(|session| session.broken.get()) {
+            session = None;
+        }
+        if session.is_none() {
+            session = open(&cfg, address, &secret).await;
+        }
+        match &session {
+            Some(session) => session.send(message),
+            None => {
+                message.fail();
+                messages.drain().for_each(Outgoing::fail);
+            }
+        }
+    }
+}
+
+async fn open(cfg: &PeersConfig, address: SocketAddr, secret: &FleetSecret) -> Option<Session> {
+    match tokio::time::timeout(CONNECT_TIMEOUT, connect(cfg, address, secret)).await {
+        Ok(Ok(session)) => Some(session),
+        Ok(Err(e)) => {
+            log::debug!("peer={address} no connection: {e}");
+            None
+        }
+        Err(_) => {
+            log::debug!("peer={address} no connection: timeout");
+            None
+        }
+    }
+}
+
+async fn connect(
+    cfg: &PeersConfig,
+    address: SocketAddr,
+    secret: &FleetSecret,
+) -> Result<Session, capnp::Error> {
+    let stream = net::connect(cfg.source, address)
+        .await
+        .map_err(|e| capnp::Error::disconnected(e.to_string()))?;
+    let (rx, tx) = stream.compat().split();
+    let network = VatNetwork::new(rx, tx, RpcSide::Client, capnp::message::ReaderOptions::new());
+    let mut system = RpcSystem::new(Box::new(network), None);
+    let gate: gate::Client = system.bootstrap(RpcSide::Server);
+    let broken = Rc::new(std::cell::Cell::new(false));
+    let driver = {
+        let broken = Rc::clone(&broken);
+        tokio::task::spawn_local(async move {
+            let _ = system.await;
+            broken.set(true);
+        })
+    };
+    let router = log_in(&cfg.host, &gate, secret).await?;
+    Ok(Session { router, broken, driver })
+}
+
+async fn log_in(
+    host: &HostId,
+    gate: &gate::Client,
+    secret: &FleetSecret,
+) -> Result<router::Client, capnp::Error> {
+    let client = new_nonce();
+    let mut hello = gate.hello_request();
+    hello.get().set_version(PROTOCOL_VERSION);
+    hello.get().set_nonce(&client);
+    let answer = hello.send().promise.await?;
+    let answer = answer.get()?;
+    if answer.get_version() != PROTOCOL_VERSION {
+        let version = answer.get_version();
+        return Err(capnp::Error::failed(format!("the peer speaks version {version}")));
+    }
+    let nonces = Nonces { client, server: read_nonce(answer.get_nonce()?)? };
+    if !secret.check(Side::Server, &nonces, answer.get_proof()?) {
+        return Err(capnp::Error::failed("the peer doesn't know the fleet's key".into()));
+    }
+    let mut login = gate.login_request();
+    login.get().set_host(host.as_str());
+    login.get().set_proof(&secret.prove(Side::Client(host), &nonces));
+    login.send().promise.await?.get()?.get_router()
+}
+
+impl Session {
+    /// Sends a message; calls on one connection arrive in the order in which they were sent.
+    fn send(&self, message: Outgoing) {
+        let broken = Rc::clone(&self.broken);
+        let call = Call::new(&self.router, message);
+        tokio::task::spawn_local(async move {
+            match tokio::time::timeout(CALL_TIMEOUT, call.finish()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(e)) if e.kind == capnp::ErrorKind::Overloaded => {}
+                Ok(Err(_)) | Err(_) => broken.set(true),
+            }
+        });
+    }
+}
+
+/// A call that has been sent.
+enum Call {
+    Gossip(Sent<router::gossip_results::Owned>, flume::Sender<Vec<u8>>),
+    Quorum(Sent<router::quorum_results::Owned>),
+    Submit(Sent<router::submit_results::Owned>, flume::Sender<Submitted>),
+    Configuration(
+        Sent<router::configuration_results::Owned>,
+        flume::Sender<Option<wire::peer::Configuration>>,
+    ),
+}
+
+type Sent<T> = capnp::capability::Promise<capnp::capability::Response<T>, capnp::Error>;
+
+impl Call {
+    fn new(router: &router::Client, message: Outgoing) -> Self {
+        match message {
+            Outgoing::Gossip { message, reply } => {
+                let mut req = router.gossip_request();
+                req.get().set_message(&message);
+                Self::Gossip(req.send().promise, reply)
+            }
+            Outgoing::Quorum { message } => {
+                let mut req = router.quorum_request();
+                req.get().set_message(&message);
+                Self::Quorum(req.send().promise)
+            }
+            Outgoing::Submit { command, reply } => {
+                let mut req = router.submit_request();
+                req.get().set_command(&command);
+                Self::Submit(req.send().promise, reply)
+            }
+            Outgoing::Configuration { above, reply } => {
+                let mut req = router.configuration_request();
+                req.get().set_above(above.as_u64());
+                Self::Configuration(req.send().promise, reply)
+            }
+        }
+    }
+
+    async fn finish(self) -> Result<(), capnp::Error> {
+        match self {
+            Self::Gossip(sent, reply) => {
+                let answer = sent.await?;
+                let _ = reply.try_send(answer.get()?.get_reply()?.to_vec());
+            }
+            Self::Quorum(sent) => {
+                sent.await?;
+            }
+            Self::Submit(sent, reply) => {
+                let submitted = match sent.await {
+                    Ok(answer) => read_submitted(answer.get()?.get_submitted()?)?,
+                    Err(e) => {
+                        let _ = reply.try_send(Submitted::Unknown);
+                        return Err(e);
+                    }
+                };
+                let _ = reply.try_send(submitted);
+            }
+            Self::Configuration(sent, reply) => {
+                let answer = sent.await?;
+                let answer = answer.get()?;
+                let newer = match answer.has_newer() {
+                    true => Some(wire::peer::Configuration::read(answer.get_newer()?)?),
+                    false => None,
+                };
+                let _ = reply.try_send(newer);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn read_submitted(submitted: submitted::Reader<'_>) -> Result<Submitted, capnp::Error> {
+    Ok(match submitted.which()? {
+        submitted::Reply(reply) => Submitted::Reply(reply?.to_vec()),
+        submitted::NotLeader(leader) => {
+            Submitted::NotWritten { leader: leader?.to_str()?.parse().ok() }
+        }
+        submitted::Unknown(()) => Submitted::Unknown,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,184 @@
+//! Calls between routers: Cap'n Proto RPC on a thread of its own.
+//!
+//! The thread moves bytes; what they mean is known to the threads behind the rings.
+
+mod handshake;
+mod link;
+mod server;
+
+use std::{
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    sync::Arc,
+};
+
+use base::{HostId, Revision};
+
+use handshake::FleetSecret;
+
+/// Version of the messages between routers.
+const PROTOCOL_VERSION: u16 = 1;
+
+/// Messages that wait for one peer; more are dropped.
+const LINK_RING: usize = 256;
+
+/// What the thread needs.
+#[derive(Clone)]
+pub(crate) struct PeersConfig {
+    /// This host.
+    pub host: HostId,
+    /// The address that calls come from.
+    pub source: IpAddr,
+    /// The fleet's key.
+    pub fleet_key: Arc<str>,
+}
+
+/// Rings to the threads that answer other routers.
+#[derive(Clone)]
+pub(crate) struct Inbox {
+    /// Gossip, each message answered.
+    pub gossip: flume::Sender<GossipCall>,
+    /// Messages of the quorum.
+    pub quorum: flume::Sender<QuorumCall>,
+    /// Commands for the leader.
+    pub submissions: flume::Sender<SubmitCall>,
+    /// Questions for a newer configuration.
+    pub configurations: flume::Sender<ConfigurationCall>,
+}
+
+/// Gossip from another router.
+pub(crate) struct GossipCall {
+    /// The message.
+    pub message: Vec<u8>,
+    /// Takes the answer.
+    pub reply: flume::Sender<Vec<u8>>,
+}
+
+/// A message of the quorum from another router.
+pub(crate) struct QuorumCall {
+    /// The sender.
+    pub from: HostId,
+    /// The message.
+    pub message: Vec<u8>,
+}
+
+/// A command from another router.
+pub(crate) struct SubmitCall {
+    /// The command.
+    pub command: Vec<u8>,
+    /// Takes what became of it.
+    pub reply: flume::Sender<Submitted>,
+}
+
+/// Another router's question for a configuration above a revision.
+pub(crate) struct ConfigurationCall {
+    /// The revision that it has.
+    pub above: Revision,
+    /// Takes a newer one, if there is one.
+    pub reply: flume::Sender<Option<wire::peer::Configuration>>,
+}
+
+/// What became of a submitted command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Submitted {
+    /// It was committed and applied, with this reply.
+    Reply(Vec<u8>),
+    /// It was not written, and won't be; the leader may be another host.
+    NotWritten {
+        /// The leader, if known.
+        leader: Option<HostId>,
+    },
+    /// It may or may not have been written.
+    Unknown,
+}
+
+/// A message to another router.
+pub(crate) enum Outgoing {
+    /// Gossip.
+    Gossip {
+        /// The message.
+        message: Vec<u8>,
+        /// Takes the answer; dropped if there is none.
+        reply: flume::Sender<Vec<u8>>,
+    },
+    /// A message of the quorum.
+    Quorum {
+        /// The message.
+        message: Vec<u8>,
+    },
+    /// A command for the leader.
+    Submit {
+        /// The command.
+        command: Vec<u8>,
+        /// Takes what became of it.
+        reply: flume::Sender<Submitted>,
+    },
+    /// A question for a configuration above a revision.
+    Configuration {
+        /// The revision that this router has.
+        above: Revision,
+        /// Takes a newer one, if there is one.
+        reply: flume::Sender<Option<wire::peer::Configuration>>,
+    },
+}
+
+/// A message with its receiver.
+pub(crate) struct Addressed {
+    /// Where the receiver listens.
+    pub to: SocketAddr,
+    /// The message.
+    pub message: Outgoing,
+}
+
+/// Starts the thread that calls other routers and answers them.
+///
+/// # Errors
+///
+/// Returns an error if the thread or its runtime can't be made.
+pub(crate) fn spawn(
+    cfg: PeersConfig,
+    listener: std::net::TcpListener,
+    inbox: Inbox,
+    outbox: flume::Receiver<Addressed>,
+) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new().name("peers".into()).spawn(move || {
+        let tasks = tokio::task::LocalSet::new();
+        tasks.block_on(&runtime, async move {
+            let secret = Rc::new(FleetSecret::new(&cfg.fleet_key));
+            tokio::task::spawn_local(server::run(listener, Rc::clone(&secret), inbox));
+            dispatch(cfg, secret, outbox).await;
+        });
+    })?;
+    Ok(())
+}
+
+/// Hands each message to the link to its receiver.
+async fn dispatch(cfg: PeersConfig, secret: Rc<FleetSecret>, outbox: flume::Receiver<Addressed>) {
+    let mut links: HashMap<SocketAddr, flume::Sender<Outgoing>> = HashMap::new();
+    while let Ok(Addressed { to, message }) = outbox.recv_async().await {
+        let known = links.get(&to).filter(|link| !link.is_disconnected());
+        let link = known.cloned().unwrap_or_else(|| {
+            let (tx, rx) = flume::bounded(LINK_RING);
+            tokio::task::spawn_local(link::run(cfg.clone(), to, Rc::clone(&secret), rx));
+            links.insert(to, tx.clone());
+            tx
+        });
+        if let Err(e) = link.try_send(message) {
+            e.into_inner().fail();
+        }
+        links.retain(|_, link| !link.is_disconnected());
+    }
+}
+
+impl Outgoing {
+    /// Tells the sender that the message was not sent.
+    fn fail(self) {
+        if let Self::Submit { reply, .. } = self {
+            let _ = reply.send(Submitted::NotWritten { leader: None });
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/server.rs
@@ -0,0 +1,176 @@
+use std::{cell::Cell, io, rc::Rc, time::Duration};
+
+use base::{HostId, Revision};
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side as RpcSide, twoparty::VatNetwork};
+use futures_util::AsyncReadExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::compat::TokioAsyncReadCompatExt as _;
+use wire::peer_capnp::{gate, router};
+
+use super::{
+    ConfigurationCall, GossipCall, Inbox, PROTOCOL_VERSION, QuorumCall, SubmitCall, Submitted,
+    handshake::{FleetSecret, Nonces, Side, new_nonce, read_nonce},
+};
+
+/// Time to wait after a failure to accept, such as too many open files.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Answers other routers until the thread ends.
+pub(super) async fn run(listener: std::net::TcpListener, secret: Rc<FleetSecret>, inbox: Inbox) {
+    let listener = TcpListener::from_std(listener).expect("the listener is in non-blocking mode");
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gate = Gate {
+                    secret: Rc::clone(&secret),
+                    inbox: inbox.clone(),
+                    nonces: Cell::new(None),
+                };
+                tokio::task::spawn_local(async move {
+                    if let Err(e) = serve(stream, gate).await {
+                        log::debug!("a router's connection ended: {e}");
+                    }
+                });
+            }
+            Err(e) => {
+                log::warn!("could not accept a router's connection: {e}");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, gate: Gate) -> Result<(), capnp::Error> {
+    stream.set_nodelay(true).map_err(io_error)?;
+    let (rx, tx) = stream.compat().split();
+    let network = VatNetwork::new(rx, tx, RpcSide::Server, capnp::message::ReaderOptions::new());
+    let gate: gate::Client = capnp_rpc::new_client(gate);
+    RpcSystem::new(Box::new(network), Some(gate.client)).await
+}
+
+fn io_error(e: io::Error) -> capnp::Error {
+    capnp::Error::disconnected(e.to_string())
+}
+
+/// What a stranger can reach.
+struct Gate {
+    secret: Rc<FleetSecret>,
+    inbox: Inbox,
+    nonces: Cell<Option<Nonces>>,
+}
+
+impl gate::Server for Gate {
+    async fn hello(
+        self: Rc<Self>,
+        params: gate::HelloParams,
+        mut results: gate::HelloResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let nonces = Nonces { client: read_nonce(params.get_nonce()?)?, server: new_nonce() };
+        self.nonces.set(Some(nonces));
+        let mut results = results.get();
+        results.set_version(PROTOCOL_VERSION);
+        results.set_nonce(&nonces.server);
+        results.set_proof(&self.secret.prove(Side::Server, &nonces));
+        Ok(())
+    }
+
+    async fn login(
+        self: Rc<Self>,
+        params: gate::LoginParams,
+        mut results: gate::LoginResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let host: HostId = params
+            .get_host()?
+            .to_str()?
+            .parse()
+            .map_err(|e: base::ParseError| capnp::Error::failed(e.to_string()))?;
+        let nonces = self.nonces.take().ok_or_else(|| refused("login before hello"))?;
+        if !self.secret.check(Side::Client(&host), &nonces, params.get_proof()?) {
+            return Err(refused("the proof doesn't fit the fleet's key"));
+        }
+        let router = Router { host, inbox: self.inbox.clone() };
+        results.get().set_router(capnp_rpc::new_client(router));
+        Ok(())
+    }
+}
+
+fn refused(why: &str) -> capnp::Error {
+    capnp::Error::failed(why.to_owned())
+}
+
+/// What a router of the fleet can reach.
+struct Router {
+    host: HostId,
+    inbox: Inbox,
+}
+
+impl router::Server for Router {
+    async fn gossip(
+        self: Rc<Self>,
+        params: router::GossipParams,
+        mut results: router::GossipResults,
+    ) -> Result<(), capnp::Error> {
+        let message = params.get()?.get_message()?.to_vec();
+        let (reply, answer) = flume::bounded(1);
+        let call = GossipCall { message, reply };
+        self.inbox.gossip.try_send(call).map_err(|_| overloaded())?;
+        let answer = answer.recv_async().await.map_err(|_| overloaded())?;
+        results.get().set_reply(&answer);
+        Ok(())
+    }
+
+    async fn quorum(
+        self: Rc<Self>,
+        params: router::QuorumParams,
+        _results: router::QuorumResults,
+    ) -> Result<(), capnp::Error> {
+        let message = params.get()?.get_message()?.to_vec();
+        let call = QuorumCall { from: self.host.clone(), message };
+        self.inbox.quorum.try_send(call).map_err(|_| overloaded())
+    }
+
+    async fn submit(
+        self: Rc<Self>,
+        params: router::SubmitParams,
+        mut results: router::SubmitResults,
+    ) -> Result<(), capnp::Error> {
+        let command = params.get()?.get_command()?.to_vec();
+        let (reply, answer) = flume::bounded(1);
+        let sent = self.inbox.submissions.try_send(SubmitCall { command, reply });
+        let submitted = match sent {
+            Ok(()) => answer.recv_async().await.unwrap_or(Submitted::Unknown),
+            Err(_) => Submitted::NotWritten { leader: None },
+        };
+        let mut result = results.get().init_submitted();
+        match submitted {
+            Submitted::Reply(reply) => result.set_reply(&reply),
+            Submitted::NotWritten { leader } => {
+                result.set_not_leader(leader.as_ref().map_or("", HostId::as_str));
+            }
+            Submitted::Unknown => result.set_unknown(()),
+        }
+        Ok(())
+    }
+
+    async fn configuration(
+        self: Rc<Self>,
+        params: router::ConfigurationParams,
+        mut results: router::ConfigurationResults,
+    ) -> Result<(), capnp::Error> {
+        let above = Revision::new(params.get()?.get_above());
+        let (reply, answer) = flume::bounded(1);
+        let call = ConfigurationCall { above, reply };
+        self.inbox.configurations.try_send(call).map_err(|_| overloaded())?;
+        let newer = answer.recv_async().await.map_err(|_| overloaded())?;
+        if let Some(newer) = newer {
+            newer.write(results.get().init_newer());
+        }
+        Ok(())
+    }
+}
+
+fn overloaded() -> capnp::Error {
+    capnp::Error::overloaded("the router is busy or ending".into())
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,7 +19,11 @@
 pub mod chunk;
 pub mod completion;
 mod error;
+pub mod peer;
 pub mod problem;
 pub mod sse;
 
+#[allow(missing_docs, clippy::all, clippy::unimplemented)]
+pub mod peer_capnp;
+
 pub use crate::error::BodyError;
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,56 @@
+//! Messages between routers, beside the schema's generated code.
+
+use std::sync::Arc;
+
+use base::{Author, ChangeId, ParseError, Revision, UnixMillis};
+
+use crate::peer_capnp::configuration;
+
+/// A configuration, as one router gives it to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Configuration {
+    /// Its revision.
+    pub revision: Revision,
+    /// The declaration, as TOML.
+    pub declaration: Arc<str>,
+    /// Who made the change.
+    pub author: Author,
+    /// Why.
+    pub reason: Arc<str>,
+    /// The change's id.
+    pub change: ChangeId,
+    /// When.
+    pub at: UnixMillis,
+}
+
+impl Configuration {
+    /// Writes the configuration into a message.
+    pub fn write(&self, mut to: configuration::Builder<'_>) {
+        to.set_revision(self.revision.as_u64());
+        to.set_declaration(&*self.declaration);
+        to.set_author(self.author.as_str());
+        to.set_reason(&*self.reason);
+        to.set_change_id(self.change.as_str());
+        to.set_at_unix_millis(self.at.as_u64());
+    }
+
+    /// Reads a configuration from a message.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the message is malformed.
+    pub fn read(from: configuration::Reader<'_>) -> Result<Self, capnp::Error> {
+        Ok(Self {
+            revision: Revision::new(from.get_revision()),
+            declaration: from.get_declaration()?.to_str()?.into(),
+            author: from.get_author()?.to_str()?.parse().map_err(malformed)?,
+            reason: from.get_reason()?.to_str()?.into(),
+            change: from.get_change_id()?.to_str()?.parse().map_err(malformed)?,
+            at: UnixMillis::new(from.get_at_unix_millis()),
+        })
+    }
+}
+
+fn malformed(e: ParseError) -> capnp::Error {
+    capnp::Error::failed(e.to_string())
+}
