--- /dev/null
+++ b/crates/quorum/src/founding.rs
@@ -0,0 +1,87 @@
+use base::{HostId, LogIndex, Term};
+use rand::Rng;
+
+use crate::{Action, Body, Entry, FolderId, Founding, Node, Payload, VoterSet, registration};
+
+/// The log's first entry, which names the founding voters.
+const FIRST: LogIndex = LogIndex::new(1);
+
+impl<R: Rng> Node<R> {
+    /// Asks the other founders what they hold while this node holds nothing.
+    pub(crate) fn tick_founding(&mut self, actions: &mut Vec<Action>) {
+        let named = self.cfg.founders.contains(&self.cfg.host);
+        if !named || !self.is_fresh() || self.founding_denied || self.now < self.retry_at {
+            return;
+        }
+        self.retry_at = self.now + self.cfg.heartbeat;
+        for host in self.cfg.founders.clone() {
+            if host != self.cfg.host {
+                self.send(&host, Body::FoundingQuery, actions);
+            }
+        }
+        self.found_if_all_fresh(actions);
+    }
+
+    pub(crate) fn answer_founding(
+        &self,
+        from: &HostId,
+        asker: FolderId,
+        actions: &mut Vec<Action>,
+    ) {
+        let founding = match self.log.entry(FIRST).map(|entry| &entry.payload) {
+            Some(Payload::Voters(voters)) => Founding::Founded(voters.clone()),
+            _ if !self.is_fresh() => Founding::Compacted,
+            _ if self.cfg.founders.first() == Some(from) => Founding::Fresh,
+            _ => return,
+        };
+        self.send(from, Body::FoundingReply { asker, founding }, actions);
+    }
+
+    pub(crate) fn take_founding(
+        &mut self,
+        from: &HostId,
+        folder: FolderId,
+        asker: FolderId,
+        founding: Founding,
+        actions: &mut Vec<Action>,
+    ) {
+        let named = self.cfg.founders.contains(from);
+        if asker != self.folder || !named || !self.is_fresh() || self.founding_denied {
+            return;
+        }
+        match founding {
+            Founding::Fresh => {
+                self.fresh_founders.insert(from.clone(), folder);
+                self.found_if_all_fresh(actions);
+            }
+            Founding::Founded(voters) if voters.admits(&self.cfg.host, self.folder) => {
+                self.write_first(voters, actions);
+            }
+            Founding::Founded(_) | Founding::Compacted => self.founding_denied = true,
+        }
+    }
+
+    fn is_fresh(&self) -> bool {
+        self.log.is_fresh() && self.hard.term == Term::ZERO
+    }
+
+    fn found_if_all_fresh(&mut self, actions: &mut Vec<Action>) {
+        if self.cfg.founders.first() != Some(&self.cfg.host) {
+            return;
+        }
+        let mut voters = VoterSet { folders: self.fresh_founders.clone() };
+        voters.folders.insert(self.cfg.host.clone(), self.folder);
+        if self.cfg.founders.iter().all(|host| voters.folders.contains_key(host)) {
+            self.write_first(voters, actions);
+        }
+    }
+
+    fn write_first(&mut self, voters: VoterSet, actions: &mut Vec<Action>) {
+        let entry = Entry { index: FIRST, term: Term::new(1), payload: Payload::Voters(voters) };
+        self.log.push(entry.clone());
+        self.hard.term = entry.term;
+        let hard_state = Some(self.hard.clone());
+        actions.push(Action::Persist { hard_state, entries: vec![entry] });
+        self.registration = registration::at_start(&self.cfg.host, self.folder, self.log.voters());
+    }
+}
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -8,14 +8,79 @@
 //! The driver may step the node with several inputs, and then makes every [`Action::Persist`] and
 //! [`Action::SaveSnapshot`] returned durable, in order, before it carries out any other action of
 //! those steps. If that fails it stops the node. Messages may be lost, doubled and reordered.
+//! The driver steps the node with [`Input::Tick`] several times a heartbeat, and reads the clock
+//! anew before it trusts [`Node::holds_lease`].
+//!
+//! # Founding
+//!
+//! The hosts in [`Config::founders`] ask one another what they hold. The first-listed host writes
+//! the first entry, with the folder of each, once all others have said that they hold nothing and
+//! name the same first host. The others take that entry over. A host whose disk was lost has
+//! another folder: it neither founds a second log nor votes, since one host that holds anything
+//! denies it. A host that was added later and isn't listed isn't asked; keep the list up to date.
+//!
+//! # Lost, swapped and older folders
+//!
+//! A voter is a host together with its folder. Votes and acknowledgements from another folder
+//! count for nothing until the voters are changed: remove the host, then add it with the new
+//! folder. A change commits with a majority of the old voters and of the new ones.
+//!
+//! An older copy of the right folder is caught by registration. A voter that starts stays silent
+//! until a majority, itself included, has confirmed that its folder holds all that they remember
+//! of it: its count of starts, the highest term in which it voted or acknowledged, and the highest
+//! entry that it acknowledged then. They learn this from the votes, from the leader's heartbeats
+//! and from earlier registrations, and keep it with their vote. Not caught are: a copy taken since
+//! the last start that lacks only what the confirming voters had not heard of (the latest
+//! acknowledgements when the leader of that time is away), a copy taken before the folder became a
+//! voter, and older copies on a majority at once.
+//!
+//! # Example
+//!
+//! ```
+//! use base::MonotonicTime;
+//! use quorum::{Action, Config, FolderId, Input, Node, ProposalId, Restored, Role};
+//! use rand::SeedableRng;
+//!
+//! let mut cfg = Config::new("tas-a1".parse()?);
+//! cfg.founders = vec![cfg.host.clone()];
+//! let restored = Restored { folder: FolderId::new(7), ..Restored::default() };
+//! let rng = rand_pcg::Pcg64Mcg::seed_from_u64(1);
+//! let mut node = Node::new(cfg, restored, MonotonicTime::ZERO, rng);
+//!
+//! let mut actions = Vec::new();
+//! for millis in (0..1000).step_by(20) {
+//!     node.step(MonotonicTime::from_millis(millis), Input::Tick, &mut actions);
+//! }
+//! assert_eq!(node.role(), Role::Leader);
+//!
+//! let command = b"order 12"[..].into();
+//! let input = Input::Propose { id: ProposalId(1), command };
+//! node.step(MonotonicTime::from_millis(1000), input, &mut actions);
+//! assert!(matches!(actions.last(), Some(Action::Apply(entries)) if entries.len() == 1));
+//! # Ok::<(), base::ParseError>(())
+//! ```
 
+mod action;
+mod election;
+mod follower;
+mod founding;
+mod leader;
+mod log;
+mod message;
 mod node;
+mod progress;
+mod registration;
+mod replication;
 mod types;
 
 pub use crate::{
-    node::{Action, Config, Input, Node, Role},
+    action::{Action, Input, Refusal},
+    message::{AppendOutcome, Ballot, Body, Founding, Message},
+    node::{Config, Node, Role, Status},
+    progress::Progress,
+    registration::Registration,
     types::{
-        Entry, FolderId, HardState, Message, Payload, ProposalId, ReadId, Restored, Snapshot,
-        VoterSet,
+        Entry, FolderId, HardState, Payload, ProposalId, ReadId, Restored, Snapshot, Standing,
+        StartCount, VoterSet,
     },
 };
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -1,19 +1,53 @@
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use base::{HostId, LogIndex, MonotonicTime, Term};
-use rand::Rng;
+use rand::{Rng, RngExt};
 
-use crate::{Entry, HardState, Message, ProposalId, ReadId, Restored, Snapshot, VoterSet};
+use crate::{
+    Action, Body, Entry, FolderId, HardState, Input, Message, Progress, Refusal, Registration,
+    Restored, VoterSet,
+    election::Campaign,
+    follower::{Incoming, Part},
+    leader::Leading,
+    log::Log,
+    registration,
+};
 
 /// A node's settings.
 #[derive(Clone, Debug)]
 pub struct Config {
     /// This host.
     pub host: HostId,
+    /// The hosts that found the log, the same list on each; the first writes the first entry.
+    pub founders: Vec<HostId>,
     /// Shortest time without a leader before an election; each draw is up to twice as long.
     pub election_timeout: Duration,
     /// Time between a leader's heartbeats.
     pub heartbeat: Duration,
+    /// How much two hosts' clocks may drift apart within an election timeout.
+    pub drift_margin: Duration,
+    /// Size of a batch of entries, in bytes; a larger entry travels alone.
+    pub max_batch: usize,
+    /// Size of a part of a snapshot, in bytes.
+    pub max_chunk: usize,
+}
+
+impl Config {
+    /// Creates the settings of `host`, which founds no log.
+    pub fn new(host: HostId) -> Self {
+        Self {
+            host,
+            founders: Vec::new(),
+            election_timeout: Duration::from_millis(300),
+            heartbeat: Duration::from_millis(60),
+            drift_margin: Duration::from_millis(30),
+            max_batch: 256 << 10,
+            max_chunk: 256 << 10,
+        }
+    }
 }
 
 /// What a node does in its term.
@@ -27,95 +61,307 @@
     Leader,
 }
 
-/// What the driver tells the node.
+/// A node's state as operators see it.
 #[derive(Clone, Debug)]
-pub enum Input {
-    /// Time has passed.
-    Tick,
-    /// A message has arrived.
-    Message {
-        /// The sender.
-        from: HostId,
-        /// The message.
-        message: Message,
-    },
-    /// A command is to be written to the log.
-    Propose {
-        /// The driver's name for it.
-        id: ProposalId,
-        /// The command.
-        command: Arc<[u8]>,
-    },
-    /// The replicated state is to be read as of now.
-    Read {
-        /// The driver's name for the read.
-        id: ReadId,
-    },
-}
-
-/// What the node tells the driver.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Write term, vote and entries; the log after the entry before the first is dropped.
-    Persist {
-        /// Term and vote, if changed.
-        hard_state: Option<HardState>,
-        /// Entries to write.
-        entries: Vec<Entry>,
-    },
-    /// Replace the log up to the snapshot's last entry.
-    SaveSnapshot(Snapshot),
-    /// Send a message.
-    Send {
-        /// The receiver.
-        to: HostId,
-        /// The message.
-        message: Message,
-    },
-    /// Apply committed entries to the replicated state.
-    Apply(Vec<Entry>),
-    /// A proposal was written at this index; it commits when that entry of this term is applied.
-    Accepted {
-        /// The driver's name for it.
-        id: ProposalId,
-        /// The entry's position.
-        index: LogIndex,
-        /// The entry's term.
-        term: Term,
-    },
-    /// A proposal was not written, since this node does not lead.
-    Refused {
-        /// The driver's name for it.
-        id: ProposalId,
-        /// The leader, if known.
-        leader: Option<HostId>,
-    },
-    /// A read may be answered once the entry at this index is applied.
-    ReadReady {
-        /// The driver's name for it.
-        id: ReadId,
-        /// The entry to wait for.
-        index: LogIndex,
-    },
+pub struct Status {
+    /// The term.
+    pub term: Term,
+    /// The role in it.
+    pub role: Role,
+    /// The leader, if known.
+    pub leader: Option<HostId>,
+    /// The last entry known to be committed.
+    pub commit: LogIndex,
+    /// The last entry handed out to be applied.
+    pub applied: LogIndex,
+    /// The last entry of the log.
+    pub last: LogIndex,
+    /// The last entry that the snapshot covers.
+    pub snapshot: LogIndex,
+    /// The voters after the last entry.
+    pub voters: VoterSet,
+    /// Whether the last change of voters is committed.
+    pub voters_committed: bool,
+    /// Whether this node may vote from its folder.
+    pub registration: Registration,
+    /// What a leader knows of each voter and learner.
+    pub progress: BTreeMap<HostId, Progress>,
 }
 
 /// A voter's or follower's part in the replicated log.
 #[derive(Debug)]
 pub struct Node<R> {
-    cfg: Config,
-    rng: R,
-    restored: Restored,
-    voters: VoterSet,
+    pub(crate) cfg: Config,
+    pub(crate) rng: R,
+    pub(crate) folder: FolderId,
+    pub(crate) hard: HardState,
+    pub(crate) standings_changed: bool,
+    pub(crate) log: Log,
+    pub(crate) commit: LogIndex,
+    pub(crate) applied: LogIndex,
+    pub(crate) now: MonotonicTime,
+    pub(crate) leader: Option<HostId>,
+    pub(crate) leader_heard: MonotonicTime,
+    pub(crate) election_at: MonotonicTime,
+    pub(crate) campaign: Option<Campaign>,
+    pub(crate) leading: Option<Leading>,
+    pub(crate) learners: BTreeSet<HostId>,
+    pub(crate) incoming: Option<Incoming>,
+    pub(crate) registration: Registration,
+    pub(crate) accepted_by: BTreeSet<HostId>,
+    pub(crate) retry_at: MonotonicTime,
+    pub(crate) fresh_founders: BTreeMap<HostId, FolderId>,
+    pub(crate) founding_denied: bool,
 }
 
 impl<R: Rng> Node<R> {
     /// Creates a node from what its data folder held.
-    pub fn new(cfg: Config, restored: Restored, _now: MonotonicTime, rng: R) -> Self {
-        Self { cfg, rng, restored, voters: VoterSet::default() }
+    pub fn new(cfg: Config, restored: Restored, now: MonotonicTime, rng: R) -> Self {
+        let log = Log::new(restored.snapshot, restored.entries);
+        let covered = log.snapshot_index();
+        let registration = registration::at_start(&cfg.host, restored.folder, log.voters());
+        let mut node = Self {
+            cfg,
+            rng,
+            folder: restored.folder,
+            hard: restored.hard_state,
+            standings_changed: false,
+            log,
+            commit: covered,
+            applied: covered,
+            now,
+            leader: None,
+            leader_heard: now,
+            election_at: now,
+            campaign: None,
+            leading: None,
+            learners: BTreeSet::new(),
+            incoming: None,
+            registration,
+            accepted_by: BTreeSet::new(),
+            retry_at: now,
+            fresh_founders: BTreeMap::new(),
+            founding_denied: false,
+        };
+        node.defer_election();
+        node
     }
 
     /// Takes one input and adds the actions that follow from it to `actions`.
-    pub fn step(&mut self, _now: MonotonicTime, _input: Input, _actions: &mut Vec<Action>) {
-        let _ = (&self.cfg, &mut self.rng, &self.restored, &self.voters);
+    pub fn step(&mut self, now: MonotonicTime, input: Input, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match input {
+            Input::Tick => self.tick(actions),
+            Input::Message { from, message } => self.receive(&from, message, actions),
+            Input::Propose { id, command } => self.propose(id, command, actions),
+            Input::ProposeVoters { id, voters } => self.propose_voters(id, voters, actions),
+            Input::Read { id } => self.read(id, actions),
+            Input::Snapshot { through, data } => self.compact(through, data, actions),
+            Input::Learners(hosts) => self.set_learners(hosts),
+            Input::Transfer => self.transfer(actions),
+        }
+    }
+
+    /// Returns until when no other node can lead, if this one leads.
+    pub fn lease_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        let leading = self.leading.as_ref()?;
+        if leading.transfer_until.is_some() || self.commit < leading.term_start {
+            return None;
+        }
+        self.support_until(now)
+    }
+
+    /// Returns whether this node leads and no other one can at `now`.
+    pub fn holds_lease(&self, now: MonotonicTime) -> bool {
+        self.lease_until(now).is_some_and(|until| now < until)
+    }
+
+    /// Returns the role in the present term.
+    pub fn role(&self) -> Role {
+        if self.leading.is_some() {
+            return Role::Leader;
+        }
+        if self.campaign.is_some() { Role::Candidate } else { Role::Follower }
+    }
+
+    /// Returns the leader of the present term, if known.
+    pub fn leader(&self) -> Option<&HostId> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the present term.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// Returns this node's folder.
+    pub fn folder(&self) -> FolderId {
+        self.folder
+    }
+
+    /// Returns what operators see of the node.
+    pub fn status(&self) -> Status {
+        Status {
+            term: self.hard.term,
+            role: self.role(),
+            leader: self.leader.clone(),
+            commit: self.commit,
+            applied: self.applied,
+            last: self.log.last_index(),
+            snapshot: self.log.snapshot_index(),
+            voters: self.log.voters().clone(),
+            voters_committed: self.log.voters_index() <= self.commit,
+            registration: self.registration,
+            progress: self.leading.as_ref().map(|l| l.progress.clone()).unwrap_or_default(),
+        }
+    }
+
+    fn tick(&mut self, actions: &mut Vec<Action>) {
+        if self.leading.is_some() {
+            return self.tick_leader(actions);
+        }
+        self.tick_founding(actions);
+        self.tick_registration(actions);
+        if self.election_at <= self.now {
+            self.start_election(actions);
+        }
+    }
+
+    fn receive(&mut self, from: &HostId, message: Message, actions: &mut Vec<Action>) {
+        if *from == self.cfg.host {
+            return;
+        }
+        let Message { term, folder, body } = message;
+        match body {
+            Body::Register { starts, last_index } => {
+                return self.register(from, folder, starts, term, last_index, actions);
+            }
+            Body::RegisterReply { starts, accepted } => {
+                return self.registered(from, folder, starts, accepted, actions);
+            }
+            Body::FoundingQuery => return self.answer_founding(from, folder, actions),
+            Body::FoundingReply { asker, founding } => {
+                return self.take_founding(from, folder, asker, founding, actions);
+            }
+            _ => {}
+        }
+        if self.registration != Registration::Done {
+            return;
+        }
+        if let Body::Vote { campaign, ballot, last_index, last_term } = body {
+            let candidate = (last_term, last_index);
+            return self.vote(from, folder, campaign, ballot, candidate, actions);
+        }
+        if term < self.hard.term {
+            return self.answer_stale(from, &body, actions);
+        }
+        if self.hard.term < term {
+            self.follow(term, None, actions);
+        }
+        self.receive_current(from, folder, body, actions);
+    }
+
+    fn receive_current(
+        &mut self,
+        from: &HostId,
+        folder: FolderId,
+        body: Body,
+        actions: &mut Vec<Action>,
+    ) {
+        match body {
+            Body::VoteReply { campaign, ballot, granted } => {
+                self.count_vote(from, folder, campaign, ballot, granted, actions);
+            }
+            Body::Append { prev_index, prev_term, entries, commit, sent, standings } => {
+                self.hear_leader(from, actions);
+                self.merge_standings(&standings);
+                let outcome = self.append(prev_index, prev_term, entries, actions);
+                self.send(from, Body::AppendReply { outcome, sent }, actions);
+                self.learn_commit(outcome, commit, actions);
+            }
+            Body::AppendReply { outcome, sent } => {
+                self.appended(from, folder, outcome, sent, actions);
+            }
+            Body::Chunk { last_index, last_term, voters, offset, data, done, sent } => {
+                self.hear_leader(from, actions);
+                let target = Incoming::new(last_index, last_term, voters);
+                let part = Part { offset, data: &data, done, sent };
+                let reply = self.take_chunk(target, part, actions);
+                self.send(from, reply, actions);
+            }
+            Body::ChunkReply { last_index, received, sent } => {
+                self.chunk_taken(from, folder, last_index, received, sent, actions);
+            }
+            Body::Campaign => self.campaign_at_once(actions),
+            _ => {}
+        }
+    }
+
+    /// Becomes a follower in `term`, which may be the present one.
+    pub(crate) fn follow(&mut self, term: Term, leader: Option<HostId>, actions: &mut Vec<Action>) {
+        if self.hard.term < term {
+            self.hard.term = term;
+            self.hard.voted_for = None;
+            self.incoming = None;
+            self.save_hard_state(actions);
+        }
+        self.leader = leader;
+        self.campaign = None;
+        let Some(leading) = self.leading.take() else { return };
+        for read in leading.reads {
+            actions.push(Action::ReadRefused { id: read.id, leader: self.leader.clone() });
+        }
+        self.defer_election();
+    }
+
+    /// Draws the time of the next election.
+    pub(crate) fn defer_election(&mut self) {
+        let shortest = self.cfg.election_timeout;
+        let spread = u64::try_from(shortest.as_micros()).unwrap_or(u64::MAX).max(1);
+        let extra = Duration::from_micros(self.rng.random_range(0..spread));
+        self.election_at = self.now + shortest + extra;
+    }
+
+    /// Returns whether this node's folder is one of the voters'.
+    pub(crate) fn is_voter(&self) -> bool {
+        self.log.voters().admits(&self.cfg.host, self.folder)
+    }
+
+    /// Returns the other voters' hosts.
+    pub(crate) fn other_voters(&self) -> Vec<HostId> {
+        let hosts = self.log.voters().folders.keys();
+        hosts.filter(|host| **host != self.cfg.host).cloned().collect()
+    }
+
+    pub(crate) fn send(&self, to: &HostId, body: Body, actions: &mut Vec<Action>) {
+        let message = Message { term: self.hard.term, folder: self.folder, body };
+        actions.push(Action::Send { to: to.clone(), message });
+    }
+
+    pub(crate) fn save_hard_state(&mut self, actions: &mut Vec<Action>) {
+        self.standings_changed = false;
+        let hard_state = Some(self.hard.clone());
+        actions.push(Action::Persist { hard_state, entries: Vec::new() });
+    }
+
+    /// Writes entries, and what is newly known of the voters with them.
+    pub(crate) fn save_entries(&mut self, entries: Vec<Entry>, actions: &mut Vec<Action>) {
+        let changed = std::mem::take(&mut self.standings_changed);
+        let hard_state = changed.then(|| self.hard.clone());
+        actions.push(Action::Persist { hard_state, entries });
+    }
+
+    pub(crate) fn apply_committed(&mut self, actions: &mut Vec<Action>) {
+        if self.commit <= self.applied {
+            return;
+        }
+        let entries = self.log.range(self.applied.next(), self.commit).cloned().collect();
+        self.applied = self.commit;
+        actions.push(Action::Apply(entries));
+    }
+
+    pub(crate) fn refusal(&self) -> Option<Refusal> {
+        let Some(leading) = &self.leading else { return Some(Refusal::NotLeader) };
+        leading.transfer_until.is_some().then_some(Refusal::Transferring)
     }
 }
--- /dev/null
+++ b/crates/quorum/src/registration.rs
@@ -0,0 +1,148 @@
+use std::fmt;
+
+use base::{HostId, LogIndex, Term};
+use rand::Rng;
+
+use crate::{Action, Body, FolderId, Node, Standing, StartCount, VoterSet};
+
+/// Whether a node may vote from the folder that it found at its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Registration {
+    /// The other voters have not confirmed the folder yet.
+    Pending,
+    /// A majority confirmed the folder, or it is not a voter's.
+    Done,
+    /// A voter remembers more of this folder than it holds: it is an older copy.
+    Refused,
+}
+
+impl fmt::Display for Registration {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Pending => "waiting for a majority to confirm the data folder",
+            Self::Done => "confirmed",
+            Self::Refused => "refused: the data folder is an older copy",
+        })
+    }
+}
+
+/// Returns what a node with this folder starts with.
+pub(crate) fn at_start(host: &HostId, folder: FolderId, voters: &VoterSet) -> Registration {
+    if voters.admits(host, folder) { Registration::Pending } else { Registration::Done }
+}
+
+impl<R: Rng> Node<R> {
+    pub(crate) fn tick_registration(&mut self, actions: &mut Vec<Action>) {
+        if self.registration != Registration::Pending || self.now < self.retry_at {
+            return;
+        }
+        self.retry_at = self.now + self.cfg.heartbeat;
+        let (starts, last_index) = (self.next_start(), self.log.last_index());
+        for host in self.other_voters() {
+            self.send(&host, Body::Register { starts, last_index }, actions);
+        }
+        self.finish_registration(actions);
+    }
+
+    /// Checks the folder of a voter that started against what is remembered of it.
+    pub(crate) fn register(
+        &mut self,
+        from: &HostId,
+        folder: FolderId,
+        starts: StartCount,
+        term: Term,
+        last_index: LogIndex,
+        actions: &mut Vec<Action>,
+    ) {
+        let admitted = self.log.voters().admits(from, folder);
+        if self.registration == Registration::Refused || !admitted {
+            return;
+        }
+        let known = self.standing(from, folder);
+        let is_new = known.starts < starts || known.starts == starts && !known.active;
+        let accepted = is_new && (known.term, known.matched) <= (term, last_index);
+        if accepted {
+            let mut standing = known;
+            (standing.starts, standing.active) = (starts, false);
+            standing.raise(term, LogIndex::ZERO);
+            self.hard.standings.insert(from.clone(), standing);
+            self.save_hard_state(actions);
+        }
+        self.send(from, Body::RegisterReply { starts, accepted }, actions);
+    }
+
+    pub(crate) fn registered(
+        &mut self,
+        from: &HostId,
+        folder: FolderId,
+        starts: StartCount,
+        accepted: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let current = self.registration == Registration::Pending && starts == self.next_start();
+        if !current || !self.log.voters().admits(from, folder) {
+            return;
+        }
+        if !accepted {
+            self.registration = Registration::Refused;
+            return;
+        }
+        self.accepted_by.insert(from.clone());
+        self.finish_registration(actions);
+    }
+
+    /// Remembers that a voter's folder voted or acknowledged in `term`.
+    pub(crate) fn note_promise(
+        &mut self,
+        host: &HostId,
+        folder: FolderId,
+        term: Term,
+        matched: LogIndex,
+    ) {
+        if !self.log.voters().admits(host, folder) {
+            return;
+        }
+        let mut standing = self.standing(host, folder);
+        standing.active = true;
+        standing.raise(term, matched);
+        self.remember(host, standing);
+    }
+
+    pub(crate) fn merge_standings(&mut self, standings: &[(HostId, Standing)]) {
+        for (host, heard) in standings {
+            if !self.log.voters().admits(host, heard.folder) || *host == self.cfg.host {
+                continue;
+            }
+            let mut standing = self.standing(host, heard.folder);
+            standing.merge(heard);
+            self.remember(host, standing);
+        }
+    }
+
+    fn next_start(&self) -> StartCount {
+        StartCount(self.hard.starts.0 + 1)
+    }
+
+    fn standing(&self, host: &HostId, folder: FolderId) -> Standing {
+        let known = self.hard.standings.get(host).filter(|known| known.folder == folder);
+        known.copied().unwrap_or(Standing { folder, ..Standing::default() })
+    }
+
+    fn remember(&mut self, host: &HostId, standing: Standing) {
+        if self.hard.standings.get(host) == Some(&standing) {
+            return;
+        }
+        self.hard.standings.insert(host.clone(), standing);
+        self.standings_changed = true;
+    }
+
+    fn finish_registration(&mut self, actions: &mut Vec<Action>) {
+        if self.accepted_by.len() + 1 < self.log.voters().majority() {
+            return;
+        }
+        self.hard.starts = self.next_start();
+        self.registration = Registration::Done;
+        self.accepted_by.clear();
+        self.save_hard_state(actions);
+    }
+}
--- a/crates/quorum/src/types.rs
+++ b/crates/quorum/src/types.rs
@@ -54,6 +54,22 @@
     pub fn admits(&self, host: &HostId, folder: FolderId) -> bool {
         self.folders.get(host) == Some(&folder)
     }
+
+    /// Returns whether `other` has one voter more or one less.
+    pub fn differs_by_one(&self, other: &Self) -> bool {
+        let (small, large) =
+            if self.folders.len() < other.folders.len() { (self, other) } else { (other, self) };
+        small.folders.len() + 1 == large.folders.len()
+            && small.folders.iter().all(|(host, folder)| large.admits(host, *folder))
+    }
+
+    /// Returns the highest value that a majority of the voters has reached.
+    pub(crate) fn agreed<T: Ord + Default>(&self, value: impl Fn(&HostId, FolderId) -> T) -> T {
+        let mut reached: Vec<T> =
+            self.folders.iter().map(|(host, folder)| value(host, *folder)).collect();
+        reached.sort_unstable_by(|a, b| b.cmp(a));
+        reached.into_iter().nth(self.majority() - 1).unwrap_or_default()
+    }
 }
 
 /// An entry of the log.
@@ -85,6 +101,53 @@
     pub term: Term,
     /// Whom the voter voted for in that term.
     pub voted_for: Option<HostId>,
+    /// How often a process registered this folder with the other voters.
+    pub starts: StartCount,
+    /// What the other voters' folders are known to have promised.
+    pub standings: BTreeMap<HostId, Standing>,
+}
+
+/// A number of registered process starts of one folder.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StartCount(pub u64);
+
+/// The least that a voter's folder must still hold, from what it was heard to promise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// The folder.
+    pub folder: FolderId,
+    /// The highest start that registered.
+    pub starts: StartCount,
+    /// Whether it voted or acknowledged since that start, so that the start can't come again.
+    pub active: bool,
+    /// The highest term in which it voted or acknowledged.
+    pub term: Term,
+    /// The highest entry that it acknowledged in that term.
+    pub matched: LogIndex,
+}
+
+impl Standing {
+    /// Raises the promise to an acknowledgement of `matched` in `term`.
+    pub(crate) fn raise(&mut self, term: Term, matched: LogIndex) {
+        if (self.term, self.matched) < (term, matched) {
+            (self.term, self.matched) = (term, matched);
+        }
+    }
+
+    /// Takes in what another voter remembers of the same host.
+    pub(crate) fn merge(&mut self, other: &Self) {
+        if self.folder != other.folder {
+            return;
+        }
+        if self.starts < other.starts {
+            (self.starts, self.active) = (other.starts, other.active);
+        } else if self.starts == other.starts {
+            self.active |= other.active;
+        }
+        self.raise(other.term, other.matched);
+    }
 }
 
 /// The replicated state up to an entry, which stands for the log up to there.
@@ -120,21 +183,3 @@
 /// The driver's name for a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ReadId(pub u64);
-
-/// A message between voters.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Message {
-    /// Asks for a vote.
-    Vote {
-        /// The candidate's term.
-        term: Term,
-        /// Whether the candidate only asks if it could win.
-        pre_vote: bool,
-        /// The candidate's folder.
-        folder: FolderId,
-        /// The candidate's last entry.
-        last_index: LogIndex,
-        /// That entry's term.
-        last_term: Term,
-    },
-}
--- /dev/null
+++ b/crates/quorum/tests/checker.rs
@@ -0,0 +1,181 @@
+//! What must hold in every run, whatever fails.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, hash_map::DefaultHasher},
+    hash::{Hash, Hasher},
+};
+
+use base::{HostId, LogIndex, Term};
+use quorum::{Ballot, Body, Entry, FolderId, HardState, Message, Payload, Snapshot, VoterSet};
+
+/// What a crash leaves of a node.
+#[derive(Clone, Debug, Default)]
+pub struct DiskImage {
+    pub folder: FolderId,
+    pub hard_state: HardState,
+    pub snapshot: Option<Snapshot>,
+    pub entries: Vec<Entry>,
+}
+
+impl DiskImage {
+    pub fn write(&mut self, hard_state: Option<HardState>, entries: Vec<Entry>) {
+        self.hard_state = hard_state.unwrap_or_else(|| self.hard_state.clone());
+        if let Some(first) = entries.first() {
+            self.entries.retain(|entry| entry.index < first.index);
+        }
+        self.entries.extend(entries);
+    }
+
+    pub fn save(&mut self, snapshot: Snapshot) {
+        let key = (snapshot.last_index, snapshot.last_term);
+        let continues = self.entries.iter().any(|entry| (entry.index, entry.term) == key);
+        self.entries.retain(|entry| continues && snapshot.last_index < entry.index);
+        self.snapshot = Some(snapshot);
+    }
+
+    pub fn is_fresh(&self) -> bool {
+        self.entries.is_empty() && self.snapshot.is_none()
+    }
+
+    pub fn voters(&self) -> VoterSet {
+        let newest = self.entries.iter().rev().find_map(|entry| match &entry.payload {
+            Payload::Voters(voters) => Some(voters.clone()),
+            _ => None,
+        });
+        let covered = || self.snapshot.as_ref().map(|snapshot| snapshot.voters.clone());
+        newest.or_else(covered).unwrap_or_default()
+    }
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    TwoLeaders(Term),
+    TwoVotes(Term, HostId),
+    VoteByStranger(HostId),
+    CommittedDiffers(LogIndex),
+    CommittedWithoutMajority(LogIndex),
+    LogsDiffer(LogIndex),
+    StateDiffers(LogIndex),
+}
+
+/// Watches a run.
+#[derive(Debug, Default)]
+pub struct Checker {
+    pub violations: Vec<Violation>,
+    pub committed: BTreeMap<LogIndex, Entry>,
+    leaders: BTreeMap<Term, (HostId, FolderId)>,
+    votes: BTreeMap<(Term, HostId, FolderId), HostId>,
+    states: BTreeMap<LogIndex, u64>,
+    written: BTreeSet<(FolderId, LogIndex, Term)>,
+    covered: BTreeMap<FolderId, LogIndex>,
+}
+
+impl Checker {
+    pub fn leads(&mut self, term: Term, host: &HostId, folder: FolderId) {
+        let first = self.leaders.entry(term).or_insert_with(|| (host.clone(), folder));
+        if *first != (host.clone(), folder) {
+            self.violations.push(Violation::TwoLeaders(term));
+        }
+    }
+
+    pub fn sends(&mut self, host: &HostId, to: &HostId, message: &Message, disk: &DiskImage) {
+        match &message.body {
+            Body::VoteReply { campaign, ballot, granted: true } => {
+                self.votes_for(host, to, *ballot, *campaign, disk);
+            }
+            Body::Vote { campaign, ballot, .. } => {
+                self.votes_for(host, host, *ballot, *campaign, disk);
+            }
+            _ => {}
+        }
+    }
+
+    /// Notes that a node applied an entry, and returns the state after it.
+    pub fn applies(&mut self, entry: &Entry, state: u64) -> u64 {
+        let index = entry.index;
+        if *self.committed.entry(index).or_insert_with(|| entry.clone()) != *entry {
+            self.violations.push(Violation::CommittedDiffers(index));
+        }
+        let state = state_after(state, entry);
+        if *self.states.entry(index).or_insert(state) != state {
+            self.violations.push(Violation::StateDiffers(index));
+        }
+        state
+    }
+
+    /// Notes that a folder holds an entry, also if its disk is lost later.
+    pub fn writes(&mut self, folder: FolderId, entries: &[Entry]) {
+        self.written.extend(entries.iter().map(|entry| (folder, entry.index, entry.term)));
+    }
+
+    /// Notes that a folder holds a snapshot.
+    pub fn saves(&mut self, folder: FolderId, through: LogIndex) {
+        let covered = self.covered.entry(folder).or_default();
+        *covered = through.max(*covered);
+    }
+
+    /// Checks the first commit of an entry: a majority of its leader's voters must have held it.
+    pub fn commits(&mut self, entry: &Entry, voters: &VoterSet) {
+        if self.committed.contains_key(&entry.index) {
+            return;
+        }
+        let holders = voters.folders.values().filter(|folder| {
+            let covered = self.covered.get(folder).is_some_and(|last| entry.index <= *last);
+            covered || self.written.contains(&(**folder, entry.index, entry.term))
+        });
+        if holders.count() < voters.majority() {
+            self.violations.push(Violation::CommittedWithoutMajority(entry.index));
+        }
+    }
+
+    pub fn restores(&mut self, index: LogIndex, state: u64) {
+        if self.states.get(&index) != Some(&state) {
+            self.violations.push(Violation::StateDiffers(index));
+        }
+    }
+
+    /// Checks that two logs are equal up to the last entry that they share.
+    pub fn compare(&mut self, a: &DiskImage, b: &DiskImage) {
+        let other: BTreeMap<LogIndex, &Entry> = b.entries.iter().map(|e| (e.index, e)).collect();
+        let pairs = a.entries.iter().filter_map(|entry| Some((entry, *other.get(&entry.index)?)));
+        let mut differing = None;
+        for (left, right) in pairs {
+            if left != right {
+                differing = differing.or(Some(left.index));
+            }
+            if left.term == right.term
+                && let Some(index) = differing
+            {
+                return self.violations.push(Violation::LogsDiffer(index));
+            }
+        }
+    }
+
+    fn votes_for(
+        &mut self,
+        host: &HostId,
+        candidate: &HostId,
+        ballot: Ballot,
+        term: Term,
+        disk: &DiskImage,
+    ) {
+        if !disk.voters().admits(host, disk.folder) {
+            self.violations.push(Violation::VoteByStranger(host.clone()));
+        }
+        if ballot == Ballot::PreVote {
+            return;
+        }
+        let key = (term, host.clone(), disk.folder);
+        if self.votes.entry(key).or_insert_with(|| candidate.clone()) != candidate {
+            self.violations.push(Violation::TwoVotes(term, host.clone()));
+        }
+    }
+}
+
+fn state_after(state: u64, entry: &Entry) -> u64 {
+    let Payload::Command(command) = &entry.payload else { return state };
+    let mut hasher = DefaultHasher::new();
+    (state, command).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/quorum/tests/cluster.rs
@@ -0,0 +1,379 @@
+//! Nodes on hosts that crash, lose their disks and talk over a network that fails.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use base::{HostId, LogIndex, MonotonicTime};
+use quorum::{
+    Action, Config, FolderId, Input, Message, Node, ProposalId, ReadId, Registration, Restored,
+    Role, Status, VoterSet,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::checker::{Checker, DiskImage};
+
+/// Time between two ticks, in milliseconds.
+pub const TICK: u64 = 20;
+
+/// A fault planted in the driver, which the checker must find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// The vote is not written.
+    ForgetVote,
+    /// A host whose disk was lost speaks for its old folder.
+    ForgeFolder,
+}
+
+/// Where in a step a host crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Crash {
+    BeforeSync,
+    AfterSync,
+}
+
+/// A host with its disk.
+#[derive(Debug)]
+pub struct Machine {
+    pub host: HostId,
+    pub disk: DiskImage,
+    pub node: Option<Node<Pcg64Mcg>>,
+    pub answers: Vec<Action>,
+    first_folder: FolderId,
+    state: u64,
+    applied: LogIndex,
+}
+
+#[derive(Clone, Debug)]
+struct Packet {
+    from: usize,
+    to: usize,
+    message: Message,
+}
+
+/// All hosts, and the network between them.
+#[derive(Debug)]
+pub struct Cluster {
+    pub machines: Vec<Machine>,
+    pub checker: Checker,
+    pub now: MonotonicTime,
+    pub cut: BTreeSet<(usize, usize)>,
+    pub fault: Fault,
+    packets: Vec<Packet>,
+    rng: Pcg64Mcg,
+    founders: usize,
+    last_id: u64,
+}
+
+impl Cluster {
+    /// Starts `founders` hosts that found a log, and `spares` that don't.
+    pub fn new(founders: usize, spares: usize) -> Self {
+        let mut cluster = Self {
+            machines: Vec::new(),
+            checker: Checker::default(),
+            now: MonotonicTime::ZERO,
+            cut: BTreeSet::new(),
+            fault: Fault::None,
+            packets: Vec::new(),
+            rng: Pcg64Mcg::seed_from_u64(11),
+            founders,
+            last_id: 0,
+        };
+        for i in 0..founders + spares {
+            let folder = cluster.fresh_folder();
+            let disk = DiskImage { folder, ..DiskImage::default() };
+            cluster.machines.push(Machine {
+                host: host(i),
+                disk,
+                node: None,
+                answers: Vec::new(),
+                first_folder: folder,
+                state: 0,
+                applied: LogIndex::ZERO,
+            });
+            cluster.start(i);
+        }
+        cluster
+    }
+
+    /// Starts a cluster and waits for its leader.
+    pub fn led(founders: usize, spares: usize) -> (Self, usize) {
+        let mut cluster = Self::new(founders, spares);
+        cluster.run(2000);
+        let leader = cluster.leader().expect("a leader within 2 s");
+        (cluster, leader)
+    }
+
+    pub fn config(&self, i: usize) -> Config {
+        let mut cfg = Config::new(host(i));
+        cfg.founders = (0..self.founders).map(host).collect();
+        cfg.max_batch = 256;
+        cfg.max_chunk = 3;
+        cfg
+    }
+
+    pub fn start(&mut self, i: usize) {
+        if self.machines[i].node.is_some() {
+            return;
+        }
+        let cfg = self.config(i);
+        let rng = Pcg64Mcg::seed_from_u64(self.rng.random());
+        let machine = &mut self.machines[i];
+        let disk = machine.disk.clone();
+        machine.state = disk.snapshot.as_ref().map_or(0, |s| state_in(&s.data));
+        machine.applied = disk.snapshot.as_ref().map_or(LogIndex::ZERO, |s| s.last_index);
+        let DiskImage { folder, hard_state, snapshot, entries } = disk;
+        let restored = Restored { folder, hard_state, snapshot, entries };
+        machine.node = Some(Node::new(cfg, restored, self.now, rng));
+    }
+
+    pub fn crash(&mut self, i: usize) {
+        self.machines[i].node = None;
+    }
+
+    pub fn restart(&mut self, i: usize) {
+        self.crash(i);
+        self.start(i);
+    }
+
+    /// Replaces a host's disk by an empty one.
+    pub fn lose_disk(&mut self, i: usize) {
+        self.crash(i);
+        let folder = self.fresh_folder();
+        self.machines[i].disk = DiskImage { folder, ..DiskImage::default() };
+        self.start(i);
+    }
+
+    /// Cuts `a` off from `b`, both ways.
+    pub fn cut_between(&mut self, a: usize, b: usize) {
+        self.cut.extend([(a, b), (b, a)]);
+    }
+
+    pub fn isolate(&mut self, i: usize) {
+        for other in 0..self.machines.len() {
+            self.cut_between(i, other);
+        }
+    }
+
+    /// Lets time pass, with every message delivered within a tick, in random order.
+    pub fn run(&mut self, millis: u64) {
+        for _ in 0..millis.div_ceil(TICK) {
+            self.tick_all();
+            self.deliver_all();
+        }
+    }
+
+    pub fn tick_all(&mut self) {
+        self.now += Duration::from_millis(TICK);
+        for i in 0..self.machines.len() {
+            self.step(i, Input::Tick, None);
+        }
+    }
+
+    pub fn deliver_all(&mut self) {
+        for _ in 0..2000 {
+            if self.packets.is_empty() {
+                return;
+            }
+            let slot = self.rng.random_range(0..self.packets.len());
+            self.deliver(slot, None);
+        }
+    }
+
+    /// Delivers one message under way.
+    pub fn deliver(&mut self, slot: usize, crash: Option<Crash>) {
+        if self.packets.is_empty() {
+            return;
+        }
+        let slot = slot % self.packets.len();
+        let Packet { from, to, message } = self.packets.swap_remove(slot);
+        if self.cut.contains(&(from, to)) {
+            return;
+        }
+        let from = self.machines[from].host.clone();
+        self.step(to, Input::Message { from, message }, crash);
+    }
+
+    pub fn drop_packet(&mut self, slot: usize) {
+        if !self.packets.is_empty() {
+            self.packets.swap_remove(slot % self.packets.len());
+        }
+    }
+
+    pub fn double_packet(&mut self, slot: usize) {
+        if !self.packets.is_empty() {
+            self.packets.push(self.packets[slot % self.packets.len()].clone());
+        }
+    }
+
+    pub fn under_way(&self) -> impl Iterator<Item = &Message> {
+        self.packets.iter().map(|packet| &packet.message)
+    }
+
+    pub fn propose(&mut self, i: usize, text: &str) -> ProposalId {
+        let id = ProposalId(self.fresh_id());
+        let command = Arc::from(text.as_bytes());
+        self.step(i, Input::Propose { id, command }, None);
+        id
+    }
+
+    pub fn propose_voters(&mut self, i: usize, voters: VoterSet) -> ProposalId {
+        let id = ProposalId(self.fresh_id());
+        self.step(i, Input::ProposeVoters { id, voters }, None);
+        id
+    }
+
+    pub fn read(&mut self, i: usize) -> ReadId {
+        let id = ReadId(self.fresh_id());
+        self.step(i, Input::Read { id }, None);
+        id
+    }
+
+    pub fn compact(&mut self, i: usize) {
+        let machine = &self.machines[i];
+        let data = Arc::from(machine.state.to_le_bytes());
+        self.step(i, Input::Snapshot { through: machine.applied, data }, None);
+    }
+
+    /// Returns the host that leads in the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |i: &usize| self.role(*i) == Some(Role::Leader);
+        (0..self.machines.len()).filter(leads).max_by_key(|i| self.status(*i).term)
+    }
+
+    pub fn role(&self, i: usize) -> Option<Role> {
+        self.machines[i].node.as_ref().map(Node::role)
+    }
+
+    pub fn status(&self, i: usize) -> Status {
+        self.machines[i].node.as_ref().expect("the host is up").status()
+    }
+
+    pub fn registration(&self, i: usize) -> Registration {
+        self.status(i).registration
+    }
+
+    pub fn node(&self, i: usize) -> &Node<Pcg64Mcg> {
+        self.machines[i].node.as_ref().expect("the host is up")
+    }
+
+    pub fn is_committed(&self, text: &str) -> bool {
+        self.checker.committed.values().any(|entry| {
+            matches!(&entry.payload, quorum::Payload::Command(command) if **command == *text.as_bytes())
+        })
+    }
+
+    /// Returns a host other than those in `taken`.
+    pub fn other(&self, taken: &[usize]) -> usize {
+        (0..self.machines.len()).find(|i| !taken.contains(i)).expect("another host")
+    }
+
+    /// Hands an input to a host's node and carries out what follows.
+    pub fn step(&mut self, i: usize, input: Input, crash: Option<Crash>) {
+        let machine = &mut self.machines[i];
+        let Some(node) = &mut machine.node else { return };
+        let mut actions = Vec::new();
+        node.step(self.now, input, &mut actions);
+        if crash == Some(Crash::BeforeSync) {
+            return self.crash(i);
+        }
+        let fault = self.fault;
+        for action in &actions {
+            match action.clone() {
+                Action::Persist { mut hard_state, entries } => {
+                    if let (Fault::ForgetVote, Some(hard_state)) = (fault, &mut hard_state) {
+                        hard_state.voted_for = None;
+                    }
+                    self.checker.writes(machine.disk.folder, &entries);
+                    machine.disk.write(hard_state, entries);
+                }
+                Action::SaveSnapshot(snapshot) => {
+                    self.checker.saves(machine.disk.folder, snapshot.last_index);
+                    machine.disk.save(snapshot);
+                }
+                _ => {}
+            }
+        }
+        if crash == Some(Crash::AfterSync) {
+            return self.crash(i);
+        }
+        self.note_leader(i);
+        for action in actions {
+            self.carry_out(i, action);
+        }
+        self.compare_logs(i);
+    }
+
+    fn carry_out(&mut self, i: usize, action: Action) {
+        match action {
+            Action::Persist { .. } | Action::SaveSnapshot(_) => {}
+            Action::Send { to, message } => self.send(i, &to, message),
+            Action::Apply(entries) => {
+                for entry in entries {
+                    self.apply(i, &entry);
+                }
+            }
+            Action::Restore(snapshot) => {
+                let state = state_in(&snapshot.data);
+                self.checker.restores(snapshot.last_index, state);
+                let machine = &mut self.machines[i];
+                (machine.state, machine.applied) = (state, snapshot.last_index);
+            }
+            answer => self.machines[i].answers.push(answer),
+        }
+    }
+
+    fn send(&mut self, i: usize, to: &HostId, mut message: Message) {
+        let machine = &self.machines[i];
+        self.checker.sends(&machine.host, to, &message, &machine.disk);
+        if self.fault == Fault::ForgeFolder {
+            message.folder = machine.first_folder;
+        }
+        if let Some(to) = self.machines.iter().position(|machine| machine.host == *to) {
+            self.packets.push(Packet { from: i, to, message });
+        }
+    }
+
+    fn apply(&mut self, i: usize, entry: &quorum::Entry) {
+        assert_eq!(entry.index, self.machines[i].applied.next(), "entries are applied in order");
+        let voters = self.status(i).voters;
+        if self.role(i) == Some(Role::Leader) {
+            self.checker.commits(entry, &voters);
+        }
+        let machine = &mut self.machines[i];
+        machine.state = self.checker.applies(entry, machine.state);
+        machine.applied = entry.index;
+    }
+
+    fn note_leader(&mut self, i: usize) {
+        let machine = &self.machines[i];
+        if let Some(node) = machine.node.as_ref().filter(|node| node.role() == Role::Leader) {
+            self.checker.leads(node.term(), &machine.host, node.folder());
+        }
+    }
+
+    fn compare_logs(&mut self, i: usize) {
+        for (other, machine) in self.machines.iter().enumerate() {
+            if other != i {
+                self.checker.compare(&self.machines[i].disk, &machine.disk);
+            }
+        }
+    }
+
+    fn fresh_folder(&mut self) -> FolderId {
+        FolderId::new(self.rng.random())
+    }
+
+    fn fresh_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+}
+
+pub fn host(i: usize) -> HostId {
+    format!("host-{i}").parse().expect("a host id")
+}
+
+fn state_in(data: &[u8]) -> u64 {
+    u64::from_le_bytes(data.try_into().expect("a state of 8 bytes"))
+}
--- /dev/null
+++ b/crates/quorum/tests/main.rs
@@ -0,0 +1,11 @@
+//! The replicated log, by theme.
+
+mod checker;
+mod cluster;
+mod election;
+mod lease;
+mod lost_disk;
+mod model;
+mod replication;
+mod snapshot;
+mod voters;
--- /dev/null
+++ b/crates/quorum/tests/model.rs
@@ -0,0 +1,211 @@
+//! Random runs with failures, checked after each step.
+
+use proptest::{
+    prelude::{BoxedStrategy, Just, ProptestConfig, Strategy, any, prop_oneof},
+    test_runner::{RngSeed, TestRunner},
+};
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use quorum::{Input, VoterSet};
+
+use crate::cluster::{Cluster, Crash, Fault};
+
+/// Most transitions in a run.
+const MAX_TRANSITIONS: usize = 120;
+
+#[derive(Clone, Debug)]
+enum Transition {
+    Run(u8),
+    Wait(u8),
+    Restart(usize),
+    Deliver(u16),
+    DeliverAndCrash(u16, Crash),
+    Drop(u16),
+    Double(u16),
+    Crash(usize),
+    Start(usize),
+    LoseDisk(usize),
+    Isolate(usize),
+    CutOneWay(usize, usize),
+    Heal,
+    Propose(usize),
+    Compact(usize),
+    ChangeVoters(usize),
+    Transfer(usize),
+    Read(usize),
+}
+
+fn transitions(hosts: usize) -> BoxedStrategy<Transition> {
+    let host = || 0..hosts;
+    let crash = prop_oneof![Just(Crash::BeforeSync), Just(Crash::AfterSync)];
+    prop_oneof![
+        12 => (1_u8..40).prop_map(Transition::Run),
+        10 => (1_u8..20).prop_map(Transition::Wait),
+        4 => host().prop_map(Transition::Restart),
+        40 => any::<u16>().prop_map(Transition::Deliver),
+        4 => (any::<u16>(), crash).prop_map(|(slot, crash)| Transition::DeliverAndCrash(slot, crash)),
+        6 => any::<u16>().prop_map(Transition::Drop),
+        6 => any::<u16>().prop_map(Transition::Double),
+        3 => host().prop_map(Transition::Crash),
+        8 => host().prop_map(Transition::Start),
+        1 => host().prop_map(Transition::LoseDisk),
+        2 => host().prop_map(Transition::Isolate),
+        3 => (host(), host()).prop_map(|(a, b)| Transition::CutOneWay(a, b)),
+        4 => Just(Transition::Heal),
+        12 => host().prop_map(Transition::Propose),
+        3 => host().prop_map(Transition::Compact),
+        3 => host().prop_map(Transition::ChangeVoters),
+        1 => host().prop_map(Transition::Transfer),
+        2 => host().prop_map(Transition::Read),
+    ]
+    .boxed()
+}
+
+/// Any transition may follow any other; what can't happen does nothing.
+#[derive(Debug)]
+struct Anything<const HOSTS: usize>;
+
+impl<const HOSTS: usize> ReferenceStateMachine for Anything<HOSTS> {
+    type State = ();
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_state: &()) -> BoxedStrategy<Transition> {
+        transitions(HOSTS)
+    }
+
+    fn apply(_state: (), _transition: &Transition) {}
+}
+
+struct Checked<const HOSTS: usize>;
+
+impl<const HOSTS: usize> StateMachineTest for Checked<HOSTS> {
+    type SystemUnderTest = Cluster;
+    type Reference = Anything<HOSTS>;
+
+    fn init_test(_state: &()) -> Cluster {
+        let mut cluster = Cluster::new(HOSTS, 0);
+        cluster.run(800);
+        cluster
+    }
+
+    fn apply(mut cluster: Cluster, _state: &(), transition: Transition) -> Cluster {
+        carry_out(&mut cluster, transition);
+        cluster
+    }
+
+    fn check_invariants(cluster: &Cluster, _state: &()) {
+        assert_eq!(cluster.checker.violations, []);
+    }
+}
+
+fn carry_out(cluster: &mut Cluster, transition: Transition) {
+    match transition {
+        Transition::Run(ticks) => cluster.run(u64::from(ticks) * crate::cluster::TICK),
+        Transition::Wait(ticks) => (0..ticks).for_each(|_| cluster.tick_all()),
+        Transition::Restart(i) => cluster.restart(i),
+        Transition::Deliver(slot) => cluster.deliver(slot.into(), None),
+        Transition::DeliverAndCrash(slot, crash) => cluster.deliver(slot.into(), Some(crash)),
+        Transition::Drop(slot) => cluster.drop_packet(slot.into()),
+        Transition::Double(slot) => cluster.double_packet(slot.into()),
+        Transition::Crash(i) => cluster.crash(i),
+        Transition::Start(i) => cluster.start(i),
+        Transition::LoseDisk(i) => lose_disk(cluster, i),
+        Transition::Isolate(i) => cluster.isolate(i),
+        Transition::CutOneWay(a, b) => {
+            cluster.cut.insert((a, b));
+        }
+        Transition::Heal => cluster.cut.clear(),
+        Transition::Propose(i) => {
+            let i = cluster.leader().unwrap_or(i);
+            let text = format!("{:?} by {i}", cluster.now);
+            cluster.propose(i, &text);
+        }
+        Transition::Compact(i) => cluster.compact(i),
+        Transition::ChangeVoters(i) => change_voters(cluster, i),
+        Transition::Transfer(i) => cluster.step(i, Input::Transfer, None),
+        Transition::Read(i) => {
+            cluster.read(i);
+        }
+    }
+}
+
+/// Loses a disk, unless no other one holds anything.
+fn lose_disk(cluster: &mut Cluster, i: usize) {
+    let others = cluster.machines.iter().enumerate().filter(|(other, _)| *other != i);
+    if others.clone().any(|(_, machine)| !machine.disk.is_fresh()) {
+        cluster.lose_disk(i);
+    }
+}
+
+/// Removes a voter, or takes in a host that is none.
+fn change_voters(cluster: &mut Cluster, i: usize) {
+    let Some(leader) = cluster.leader() else { return };
+    let machine = &cluster.machines[i];
+    let (host, folder) = (machine.host.clone(), machine.disk.folder);
+    let mut voters: VoterSet = cluster.status(leader).voters;
+    if voters.folders.remove(&host).is_none() {
+        cluster.step(leader, Input::Learners(vec![host.clone()]), None);
+        cluster.run(400);
+        voters.folders.insert(host, folder);
+    }
+    cluster.propose_voters(leader, voters);
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(5),
+        max_shrink_iters: 200,
+        ..ProptestConfig::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config(96))]
+
+    #[test]
+    fn three_hosts_keep_their_promises(sequential 1..MAX_TRANSITIONS => Checked<3>);
+}
+
+prop_state_machine! {
+    #![proptest_config(config(48))]
+
+    #[test]
+    fn five_hosts_keep_their_promises(sequential 1..MAX_TRANSITIONS => Checked<5>);
+}
+
+/// Returns whether random runs with a planted fault break a promise.
+fn is_found(fault: Fault) -> bool {
+    let strategy = <Anything<3>>::sequential_strategy(MAX_TRANSITIONS / 2..MAX_TRANSITIONS);
+    let run = |((), transitions, _): (_, Vec<Transition>, _)| {
+        let mut cluster = Cluster::new(3, 0);
+        cluster.fault = fault;
+        cluster.run(800);
+        for transition in transitions {
+            carry_out(&mut cluster, transition);
+        }
+        proptest::prop_assert_eq!(cluster.checker.violations, []);
+        Ok(())
+    };
+    let cfg = ProptestConfig { max_shrink_iters: 0, ..config(3000) };
+    TestRunner::new(cfg).run(&strategy, run).is_err()
+}
+
+macro_rules! planted_faults {
+    ($($name:ident: $fault:expr => $found:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(is_found($fault), $found);
+        }
+    )*};
+}
+
+planted_faults! {
+    finds_no_fault_where_none_is: Fault::None => false,
+    finds_forgotten_vote: Fault::ForgetVote => true,
+    finds_forged_folder: Fault::ForgeFolder => true,
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,55 @@
 //! Files under the data folder: the log, the vote and snapshots.
+//!
+//! [`Log`] keeps what a [`quorum::Node`] must find again after a crash. A driver stages what the
+//! node wants persisted and syncs once for the whole batch.
+//!
+//! # Files
+//!
+//! | file | holds |
+//! |---|---|
+//! | `lock` | nothing; held locked by the process that uses the folder |
+//! | `identity` | the folder's random identity |
+//! | `snapshot-INDEX` | the replicated state up to an entry |
+//! | `log-NUMBER` | a segment of the log, in frames; one frame is one synced batch |
+//!
+//! Each file starts with its kind, a format version and a checksum; each frame has its own.
+//! Files other than the newest segment are written under a temporary name, synced and renamed.
+//!
+//! # Damage
+//!
+//! An unfinished frame at the end of the newest segment was never synced and is cut off. Anything
+//! else that can't be read is an error that names the file and the offset, and the folder stays as
+//! it is. A synced last frame that is damaged later looks like an unfinished one; the other voters
+//! notice that this folder holds less than it acknowledged, see [`quorum`].
+//!
+//! A write or sync that failed poisons the log: what is on disk is unknown, so nothing may be
+//! acknowledged until the process has started anew.
+//!
+//! # Example
+//!
+//! ```
+//! use quorum::{FolderId, HardState};
+//! use store::{Log, RealDisk};
+//!
+//! let folder = tempfile::tempdir()?;
+//! let (mut log, restored) = Log::open(folder.path(), RealDisk, FolderId::new(7))?;
+//! assert_eq!(restored.folder, FolderId::new(7));
+//!
+//! log.stage(Some(&HardState::default()), &[]);
+//! log.sync()?;
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod disk;
+mod error;
+mod folder;
+mod frame;
+mod log;
+mod segment;
+mod snapshot;
+
+pub use crate::{
+    disk::{Disk, RealDisk},
+    error::{Category, Error, Result},
+    log::Log,
+};
--- /dev/null
+++ b/crates/store/src/log.rs
@@ -0,0 +1,236 @@
+use std::{
+    fs::File,
+    mem,
+    path::{Path, PathBuf},
+};
+
+use base::{LogIndex, Term};
+use quorum::{Entry, FolderId, HardState, Restored, Snapshot};
+
+use crate::{
+    Disk, Error, Result,
+    folder::Folder,
+    frame::{self, Kind},
+    segment::{self, PREFIX, Record, Replay},
+    snapshot,
+};
+
+/// Size from which a batch goes to a new segment, in bytes.
+const SEGMENT_BYTES: u64 = 64 << 20;
+
+/// The log, the vote and the newest snapshot in a data folder.
+///
+/// A batch is staged and then synced. A failed write or sync poisons the log for good.
+#[derive(Debug)]
+pub struct Log<D> {
+    folder: Folder<D>,
+    number: u64,
+    path: PathBuf,
+    file: File,
+    len: u64,
+    kept: Replay,
+    staged: Vec<Record>,
+    poisoned: bool,
+}
+
+impl<D: Disk> Log<D> {
+    /// Opens the data folder at `path`, and makes it if need be with the identity `fresh`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if another process uses the folder, a file is damaged or of an unknown
+    /// version, or the operating system refuses.
+    pub fn open(path: &Path, disk: D, fresh: FolderId) -> Result<(Self, Restored)> {
+        let folder = Folder::lock(path, disk)?;
+        let snapshot = snapshot::read_newest(&folder)?;
+        let segments = usable_segments(&folder)?;
+        let Some(((number, newest), older)) = segments.split_last() else {
+            let is_empty = snapshot.is_none() && !folder.has_identity();
+            let missing = || Error::damage(path, 0, "the segments of the log are missing");
+            return if is_empty { Self::create(folder, fresh) } else { Err(missing()) };
+        };
+        let mut kept = Replay::default();
+        for (_, older) in older {
+            segment::replay(older, &mut kept)?;
+        }
+        let len = segment::replay_newest(newest, &mut kept)?;
+        let is_empty = snapshot.is_none() && kept == Replay::default();
+        let id = folder.identity(fresh, is_empty)?;
+        if let Some(snapshot) = &snapshot {
+            drop_covered(&mut kept.entries, snapshot.last_index, snapshot.last_term);
+        }
+        let covered = snapshot.as_ref().map_or(LogIndex::ZERO, |snapshot| snapshot.last_index);
+        check_indexes(newest, covered, &kept.entries)?;
+        let file = File::options().append(true).open(newest).map_err(Error::io("open", newest))?;
+        let restored = Restored {
+            folder: id,
+            hard_state: kept.hard_state.clone(),
+            snapshot,
+            entries: kept.entries.clone(),
+        };
+        let (number, path) = (*number, newest.clone());
+        let staged = Vec::new();
+        let log = Self { folder, number, path, file, len, kept, staged, poisoned: false };
+        Ok((log, restored))
+    }
+
+    /// Adds term, vote and entries to the batch; entries from the first one's index on that were
+    /// written before are dropped.
+    pub fn stage(&mut self, hard_state: Option<&HardState>, entries: &[Entry]) {
+        if let Some(hard_state) = hard_state {
+            self.kept.hard_state = hard_state.clone();
+            self.staged.push(Record::HardState(hard_state.clone()));
+        }
+        for entry in entries {
+            self.kept.write(entry.clone());
+            self.staged.push(Record::Entry(entry.clone()));
+        }
+    }
+
+    /// Makes the staged batch durable, with one sync.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it may not be durable, now and at each later call.
+    pub fn sync(&mut self) -> Result<()> {
+        self.guarded(Self::write_staged)
+    }
+
+    /// Makes the staged batch and a snapshot durable, and drops the entries that it covers.
+    ///
+    /// Entries after it stay only if the log held the snapshot's last entry with its term.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if they may not be durable, now and at each later call.
+    pub fn save_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
+        self.guarded(|log| log.write_snapshot(snapshot))
+    }
+
+    /// Returns whether a write or sync failed, so that nothing may be acknowledged.
+    pub fn is_poisoned(&self) -> bool {
+        self.poisoned
+    }
+
+    fn create(folder: Folder<D>, id: FolderId) -> Result<(Self, Restored)> {
+        let kept = Replay::default();
+        let number = 1;
+        let (path, file, len) = write_segment(&folder, number, &kept)?;
+        let id = folder.identity(id, true)?;
+        let staged = Vec::new();
+        let log = Self { folder, number, path, file, len, kept, staged, poisoned: false };
+        Ok((log, Restored { folder: id, ..Restored::default() }))
+    }
+
+    fn guarded(&mut self, work: impl FnOnce(&mut Self) -> Result<()>) -> Result<()> {
+        if self.poisoned {
+            return Err(Error::poisoned());
+        }
+        let done = work(self);
+        self.poisoned = done.is_err();
+        done
+    }
+
+    fn write_staged(&mut self) -> Result<()> {
+        if self.staged.is_empty() {
+            return Ok(());
+        }
+        if SEGMENT_BYTES <= self.len {
+            self.start_segment()?;
+        }
+        let mut buf = Vec::new();
+        segment::push_batch(&mut buf, &mem::take(&mut self.staged));
+        let disk = &self.folder.disk;
+        disk.append(&mut self.file, &buf).map_err(Error::io("write", &self.path))?;
+        disk.sync(&self.file).map_err(Error::io("sync", &self.path))?;
+        self.len += buf.len() as u64;
+        Ok(())
+    }
+
+    fn start_segment(&mut self) -> Result<()> {
+        let path = self.folder.path_of(PREFIX, self.number + 1);
+        let header = frame::header(Kind::Segment);
+        self.file = self.folder.write_file(&path, &[&header])?;
+        self.len = header.len() as u64;
+        self.path = path;
+        self.number += 1;
+        Ok(())
+    }
+
+    fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<()> {
+        self.write_staged()?;
+        snapshot::write(&self.folder, snapshot)?;
+        drop_covered(&mut self.kept.entries, snapshot.last_index, snapshot.last_term);
+        let (path, file, len) = write_segment(&self.folder, self.number + 1, &self.kept)?;
+        (self.path, self.file, self.len) = (path, file, len);
+        self.number += 1;
+        self.remove_older_segments()?;
+        snapshot::remove_older(&self.folder, snapshot.last_index)
+    }
+
+    /// Removes the segments before the newest, oldest first, so that no gap can appear.
+    fn remove_older_segments(&self) -> Result<()> {
+        for (number, path) in self.folder.numbered(PREFIX)? {
+            if number < self.number {
+                self.folder.remove(&path)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Writes a segment that needs none before it.
+fn write_segment<D: Disk>(
+    folder: &Folder<D>,
+    number: u64,
+    kept: &Replay,
+) -> Result<(PathBuf, File, u64)> {
+    let mut records = vec![Record::Checkpoint, Record::HardState(kept.hard_state.clone())];
+    records.extend(kept.entries.iter().cloned().map(Record::Entry));
+    let mut bytes = frame::header(Kind::Segment).to_vec();
+    segment::push_batch(&mut bytes, &records);
+    let path = folder.path_of(PREFIX, number);
+    let file = folder.write_file(&path, &[&bytes])?;
+    Ok((path, file, bytes.len() as u64))
+}
+
+/// Drops the entries that a snapshot covers, and all others if they don't continue it.
+fn drop_covered(entries: &mut Vec<Entry>, last_index: LogIndex, last_term: Term) {
+    let continues = match entries.first() {
+        Some(first) if first.index <= last_index => {
+            entries.iter().any(|entry| (entry.index, entry.term) == (last_index, last_term))
+        }
+        Some(first) => first.index == last_index.next(),
+        None => true,
+    };
+    if continues {
+        entries.retain(|entry| last_index < entry.index);
+    } else {
+        entries.clear();
+    }
+}
+
+/// Returns the segments from the newest one that needs none before it.
+fn usable_segments<D: Disk>(folder: &Folder<D>) -> Result<Vec<(u64, PathBuf)>> {
+    let mut segments = folder.numbered(PREFIX)?;
+    let mut first = segments.len();
+    while 0 < first && !segment::is_first(&segments[first - 1].1)? {
+        first -= 1;
+        let follows = 0 < first && segments[first - 1].0 + 1 == segments[first].0;
+        if !follows {
+            return Err(Error::damage(&segments[first].1, 0, "the segment before it is missing"));
+        }
+    }
+    Ok(segments.split_off(first.saturating_sub(1)))
+}
+
+fn check_indexes(path: &Path, covered: LogIndex, entries: &[Entry]) -> Result<()> {
+    let mut last = covered;
+    for entry in entries {
+        if entry.index != last.next() {
+            return Err(Error::damage(path, 0, "an entry or the snapshot before one is missing"));
+        }
+        last = entry.index;
+    }
+    Ok(())
+}
