--- a/crates/quorum/tests/cluster.rs
+++ b/crates/quorum/tests/cluster.rs
@@ -194,6 +194,11 @@
         self.step(to, Input::Message { from, message }, crash);
     }
 
+    /// Drops all messages under way.
+    pub fn drop_all(&mut self) {
+        self.packets.clear();
+    }
+
     pub fn drop_packet(&mut self, slot: usize) {
         if !self.packets.is_empty() {
             self.packets.swap_remove(slot % self.packets.len());
--- a/crates/quorum/tests/snapshot.rs
+++ b/crates/quorum/tests/snapshot.rs
@@ -1,1 +1,77 @@
-//! x
+//! Snapshots.
+
+use crate::cluster::Cluster;
+
+/// Enough commands that a follower without them needs the snapshot.
+const MANY: usize = 1100;
+
+fn fill(cluster: &mut Cluster, leader: usize) {
+    for n in 0..MANY {
+        cluster.propose(leader, &format!("order {n}"));
+        if n % 50 == 0 {
+            cluster.deliver_all();
+        }
+    }
+    cluster.run(200);
+}
+
+#[test]
+fn follower_far_behind_gets_the_snapshot_in_parts() {
+    let (mut cluster, leader) = Cluster::led(3, 0);
+    let behind = cluster.other(&[leader]);
+    cluster.isolate(behind);
+    fill(&mut cluster, leader);
+    cluster.compact(leader);
+    cluster.cut.clear();
+    cluster.run(1000);
+    assert_eq!(cluster.status(behind).applied, cluster.status(leader).applied);
+    assert!(cluster.machines[behind].disk.snapshot.is_some());
+    assert_eq!(cluster.checker.violations, []);
+}
+
+#[test]
+fn lost_parts_are_sent_again() {
+    let (mut cluster, leader) = Cluster::led(3, 0);
+    let behind = cluster.other(&[leader]);
+    cluster.isolate(behind);
+    fill(&mut cluster, leader);
+    cluster.compact(leader);
+    cluster.cut.clear();
+    for slot in 0..40 {
+        cluster.tick_all();
+        cluster.drop_packet(slot);
+        cluster.double_packet(slot);
+        cluster.deliver_all();
+    }
+    assert_eq!(cluster.status(behind).applied, cluster.status(leader).applied);
+}
+
+#[test]
+fn follower_a_little_behind_gets_entries() {
+    let (mut cluster, leader) = Cluster::led(3, 0);
+    let behind = cluster.other(&[leader]);
+    cluster.isolate(behind);
+    cluster.propose(leader, "order 1");
+    cluster.run(200);
+    cluster.compact(leader);
+    cluster.cut.clear();
+    cluster.run(300);
+    assert_eq!(cluster.status(behind).applied, cluster.status(leader).applied);
+    assert!(cluster.machines[behind].disk.snapshot.is_none());
+}
+
+#[test]
+fn all_restart_from_their_snapshots() {
+    let (mut cluster, leader) = Cluster::led(3, 0);
+    cluster.propose(leader, "order 1");
+    cluster.run(200);
+    (0..3).for_each(|i| cluster.compact(i));
+    (0..3).for_each(|i| cluster.crash(i));
+    (0..3).for_each(|i| cluster.start(i));
+    cluster.run(2000);
+    let next = cluster.leader().expect("a leader");
+    cluster.propose(next, "order 2");
+    cluster.run(200);
+    assert!(cluster.is_committed("order 2"));
+    assert_eq!(cluster.checker.violations, []);
+}
