store: rewrite what is kept when the folder is opened; test it

Cause: pages of a failed sync can be read back though they are not on the disk, so a restarted voter would acknowledge entries that a power cut takes. Change: opening writes a new segment with all that is kept, synced. Random runs also check that one host at most holds a lease and that no read is stale.

--- a/crates/quorum/tests/checker.rs
+++ b/crates/quorum/tests/checker.rs
@@ -6,7 +6,9 @@
 };
 
 use base::{HostId, LogIndex, Term};
-use quorum::{Ballot, Body, Entry, FolderId, HardState, Message, Payload, Snapshot, VoterSet};
+use quorum::{
+    Ballot, Body, Entry, FolderId, HardState, Message, Payload, ReadId, Snapshot, VoterSet,
+};
 
 /// What a crash leaves of a node.
 #[derive(Clone, Debug, Default)]
@@ -57,6 +59,8 @@
     CommittedWithoutMajority(LogIndex),
     LogsDiffer(LogIndex),
     StateDiffers(LogIndex),
+    TwoLeases(Term),
+    StaleRead(ReadId),
 }
 
 /// Watches a run.
@@ -69,6 +73,7 @@
     states: BTreeMap<LogIndex, u64>,
     written: BTreeSet<(FolderId, LogIndex, Term)>,
     covered: BTreeMap<FolderId, LogIndex>,
+    reads: BTreeMap<ReadId, LogIndex>,
 }
 
 impl Checker {
@@ -129,6 +134,25 @@
         }
     }
 
+    /// Checks that one host at most holds a lease at a time.
+    pub fn holds_leases(&mut self, holders: &[Term]) {
+        if let [_, second, ..] = holders {
+            self.violations.push(Violation::TwoLeases(*second));
+        }
+    }
+
+    pub fn reads(&mut self, id: ReadId) {
+        let committed = self.committed.keys().next_back();
+        self.reads.insert(id, committed.copied().unwrap_or_default());
+    }
+
+    /// Checks that a read sees all that was committed when it came.
+    pub fn answers_read(&mut self, id: ReadId, index: LogIndex) {
+        if self.reads.get(&id).is_none_or(|needed| index < *needed) {
+            self.violations.push(Violation::StaleRead(id));
+        }
+    }
+
     pub fn restores(&mut self, index: LogIndex, state: u64) {
         if self.states.get(&index) != Some(&state) {
             self.violations.push(Violation::StateDiffers(index));
--- a/crates/quorum/tests/cluster.rs
+++ b/crates/quorum/tests/cluster.rs
@@ -230,6 +230,7 @@
 
     pub fn read(&mut self, i: usize) -> ReadId {
         let id = ReadId(self.fresh_id());
+        self.checker.reads(id);
         self.step(i, Input::Read { id }, None);
         id
     }
@@ -324,6 +325,10 @@
                 let machine = &mut self.machines[i];
                 (machine.state, machine.applied) = (state, snapshot.last_index);
             }
+            Action::ReadReady { id, index } => {
+                self.checker.answers_read(id, index);
+                self.machines[i].answers.push(Action::ReadReady { id, index });
+            }
             answer => self.machines[i].answers.push(answer),
         }
     }
@@ -355,6 +360,9 @@
         if let Some(node) = machine.node.as_ref().filter(|node| node.role() == Role::Leader) {
             self.checker.leads(node.term(), &machine.host, node.folder());
         }
+        let nodes = self.machines.iter().filter_map(|machine| machine.node.as_ref());
+        let holders = nodes.filter(|node| node.holds_lease(self.now)).map(Node::term);
+        self.checker.holds_leases(&holders.collect::<Vec<_>>());
     }
 
     fn compare_logs(&mut self, i: usize) {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -17,13 +17,13 @@
 //!
 //! # Damage
 //!
-//! An unfinished frame at the end of the newest segment was never synced and is cut off. Anything
-//! else that can't be read is an error that names the file and the offset, and the folder stays as
+//! An unfinished frame at the end of the newest segment was never synced and is dropped: opening
+//! the folder writes what is kept to a new segment. Anything else that can't be read is an error that names the file and the offset, and the folder stays as
 //! it is. A synced last frame that is damaged later looks like an unfinished one; the other voters
 //! notice that this folder holds less than it acknowledged, see [`quorum`].
 //!
 //! A write or sync that failed poisons the log: what is on disk is unknown, so nothing may be
-//! acknowledged until the process has started anew.
+//! acknowledged until the process has started anew and has written all that it keeps again.
 //!
 //! # Example
 //!
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -10,7 +10,7 @@
 use crate::{
     Disk, Error, Result,
     folder::Folder,
-    frame::{self, Kind},
+    frame::{self, HEADER_BYTES, Kind},
     segment::{self, PREFIX, Record, Replay},
     snapshot,
 };
@@ -53,7 +53,7 @@
         for (_, older) in older {
             segment::replay(older, &mut kept)?;
         }
-        let len = segment::replay_newest(newest, &mut kept)?;
+        segment::replay_newest(newest, &mut kept)?;
         let is_empty = snapshot.is_none() && kept == Replay::default();
         let id = folder.identity(fresh, is_empty)?;
         if let Some(snapshot) = &snapshot {
@@ -61,16 +61,14 @@
         }
         let covered = snapshot.as_ref().map_or(LogIndex::ZERO, |snapshot| snapshot.last_index);
         check_indexes(newest, covered, &kept.entries)?;
-        let file = File::options().append(true).open(newest).map_err(Error::io("open", newest))?;
         let restored = Restored {
             folder: id,
             hard_state: kept.hard_state.clone(),
             snapshot,
             entries: kept.entries.clone(),
         };
-        let (number, path) = (*number, newest.clone());
-        let staged = Vec::new();
-        let log = Self { folder, number, path, file, len, kept, staged, poisoned: false };
+        let log = Self::start(folder, number + 1, kept)?;
+        log.remove_older(covered)?;
         Ok((log, restored))
     }
 
@@ -112,14 +110,19 @@
         self.poisoned
     }
 
-    fn create(folder: Folder<D>, id: FolderId) -> Result<(Self, Restored)> {
-        let kept = Replay::default();
-        let number = 1;
+    fn create(folder: Folder<D>, fresh: FolderId) -> Result<(Self, Restored)> {
+        let log = Self::start(folder, 1, Replay::default())?;
+        let id = log.folder.identity(fresh, true)?;
+        Ok((log, Restored { folder: id, ..Restored::default() }))
+    }
+
+    /// Writes what is kept to a new segment.
+    ///
+    /// What an earlier process failed to sync may be read back and still not be on the disk.
+    fn start(folder: Folder<D>, number: u64, kept: Replay) -> Result<Self> {
         let (path, file, len) = write_segment(&folder, number, &kept)?;
-        let id = folder.identity(id, true)?;
         let staged = Vec::new();
-        let log = Self { folder, number, path, file, len, kept, staged, poisoned: false };
-        Ok((log, Restored { folder: id, ..Restored::default() }))
+        Ok(Self { folder, number, path, file, len, kept, staged, poisoned: false })
     }
 
     fn guarded(&mut self, work: impl FnOnce(&mut Self) -> Result<()>) -> Result<()> {
@@ -164,18 +167,17 @@
         let (path, file, len) = write_segment(&self.folder, self.number + 1, &self.kept)?;
         (self.path, self.file, self.len) = (path, file, len);
         self.number += 1;
-        self.remove_older_segments()?;
-        snapshot::remove_older(&self.folder, snapshot.last_index)
+        self.remove_older(snapshot.last_index)
     }
 
-    /// Removes the segments before the newest, oldest first, so that no gap can appear.
-    fn remove_older_segments(&self) -> Result<()> {
+    /// Removes the segments before the newest and the snapshots before `covered`.
+    fn remove_older(&self, covered: LogIndex) -> Result<()> {
         for (number, path) in self.folder.numbered(PREFIX)? {
             if number < self.number {
                 self.folder.remove(&path)?;
             }
         }
-        Ok(())
+        snapshot::remove_older(&self.folder, covered)
     }
 }
 
@@ -218,7 +220,8 @@
         first -= 1;
         let follows = 0 < first && segments[first - 1].0 + 1 == segments[first].0;
         if !follows {
-            return Err(Error::damage(&segments[first].1, 0, "the segment before it is missing"));
+            let what = "its first batch is damaged or the segment before it is missing";
+            return Err(Error::damage(&segments[first].1, HEADER_BYTES as u64, what));
         }
     }
     Ok(segments.split_off(first.saturating_sub(1)))
--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -1,7 +1,4 @@
-use std::{
-    fs::{self, File},
-    path::Path,
-};
+use std::{fs, path::Path};
 
 use quorum::{Entry, HardState};
 use serde::{Deserialize, Serialize};
@@ -71,18 +68,18 @@
     Ok(())
 }
 
-/// Replays the newest segment, cuts an unfinished batch off its end and returns its length.
-pub(crate) fn replay_newest(path: &Path, replay: &mut Replay) -> Result<u64> {
+/// Replays the newest segment, without an unfinished batch at its end.
+pub(crate) fn replay_newest(path: &Path, replay: &mut Replay) -> Result<()> {
     let bytes = read(path)?;
     let end = replay_frames(path, &bytes, replay)?;
-    if end < bytes.len() {
-        if frame::any(&bytes[end + 1..]) {
-            return Err(Error::damage(path, end as u64, "the checksum is wrong"));
-        }
-        log::warn!("cutting an unfinished batch off {} at byte {end}", path.display());
-        cut(path, end as u64)?;
+    if end == bytes.len() {
+        return Ok(());
+    }
+    if frame::any(&bytes[end + 1..]) {
+        return Err(Error::damage(path, end as u64, "the checksum is wrong"));
     }
-    Ok(end as u64)
+    log::warn!("dropping an unfinished batch of {} at byte {end}", path.display());
+    Ok(())
 }
 
 fn read(path: &Path) -> Result<Vec<u8>> {
@@ -104,9 +101,3 @@
     }
     Ok(offset)
 }
-
-fn cut(path: &Path, len: u64) -> Result<()> {
-    let file = File::options().write(true).open(path).map_err(Error::io("open", path))?;
-    file.set_len(len).map_err(Error::io("cut", path))?;
-    file.sync_all().map_err(Error::io("sync", path))
-}
--- /dev/null
+++ b/crates/store/tests/main.rs
@@ -0,0 +1,6 @@
+//! Files under the data folder, by theme.
+
+mod damage;
+mod failing_disk;
+mod reopen;
+mod samples;
