quorum: name the sender's start in each message

Cause: a late acknowledgement from an earlier start could use up the number of the next one, so that a voter which crashed while it registered was refused. Change: a message carries the sender's count of starts. Tests of a node's answers to single messages, for what random runs reach too rarely.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -3,7 +3,7 @@
 use base::{HostId, LogIndex, MonotonicTime, Term};
 use rand::Rng;
 
-use crate::{Action, Ballot, Body, FolderId, Node, Registration};
+use crate::{Action, Ballot, Body, Node, Registration, message::Sender};
 
 /// A candidate's count of votes.
 #[derive(Debug)]
@@ -35,8 +35,7 @@
     /// Answers a candidate whose last entry is `candidate`.
     pub(crate) fn vote(
         &mut self,
-        from: &HostId,
-        folder: FolderId,
+        from: Sender<'_>,
         campaign: Term,
         ballot: Ballot,
         candidate: (Term, LogIndex),
@@ -51,39 +50,38 @@
         let complete = (self.log.last_term(), self.log.last_index()) <= candidate;
         if ballot == Ballot::PreVote {
             let granted = complete && self.hard.term < campaign;
-            return self.send(from, Body::VoteReply { campaign, ballot, granted }, actions);
+            return self.send(from.host, Body::VoteReply { campaign, ballot, granted }, actions);
         }
         if self.hard.term < campaign {
             self.follow(campaign, None, actions);
         }
-        let free = self.hard.voted_for.as_ref().is_none_or(|host| host == from);
+        let free = self.hard.voted_for.as_ref().is_none_or(|host| host == from.host);
         let granted = complete && free && campaign == self.hard.term;
         if granted {
-            self.grant(from, folder, actions);
+            self.grant(from, actions);
         }
-        self.send(from, Body::VoteReply { campaign, ballot, granted }, actions);
+        self.send(from.host, Body::VoteReply { campaign, ballot, granted }, actions);
     }
 
     pub(crate) fn count_vote(
         &mut self,
-        from: &HostId,
-        folder: FolderId,
+        from: Sender<'_>,
         term: Term,
         ballot: Ballot,
         granted: bool,
         actions: &mut Vec<Action>,
     ) {
-        if !granted || !self.log.voters().admits(from, folder) {
+        if !granted || !self.log.voters().admits(from.host, from.folder) {
             return;
         }
         if ballot != Ballot::PreVote {
-            self.note_promise(from, folder, term, LogIndex::ZERO);
+            self.note_promise(from, term, LogIndex::ZERO);
         }
         let Some(campaign) = &mut self.campaign else { return };
         if campaign.term != term || campaign.ballot != ballot {
             return;
         }
-        campaign.granted_by.insert(from.clone());
+        campaign.granted_by.insert(from.host.clone());
         self.finish_campaign(actions);
     }
 
@@ -92,9 +90,9 @@
         self.registration == Registration::Done && self.is_voter()
     }
 
-    fn grant(&mut self, candidate: &HostId, folder: FolderId, actions: &mut Vec<Action>) {
-        self.note_promise(candidate, folder, self.hard.term, LogIndex::ZERO);
-        self.hard.voted_for = Some(candidate.clone());
+    fn grant(&mut self, candidate: Sender<'_>, actions: &mut Vec<Action>) {
+        self.note_promise(candidate, self.hard.term, LogIndex::ZERO);
+        self.hard.voted_for = Some(candidate.host.clone());
         self.defer_election();
         self.save_hard_state(actions);
     }
--- a/crates/quorum/src/founding.rs
+++ b/crates/quorum/src/founding.rs
@@ -1,7 +1,9 @@
 use base::{HostId, LogIndex, Term};
 use rand::Rng;
 
-use crate::{Action, Body, Entry, FolderId, Founding, Node, Payload, VoterSet, registration};
+use crate::{
+    Action, Body, Entry, FolderId, Founding, Node, Payload, VoterSet, message::Sender, registration,
+};
 
 /// The log's first entry, which names the founding voters.
 const FIRST: LogIndex = LogIndex::new(1);
@@ -39,19 +41,18 @@
 
     pub(crate) fn take_founding(
         &mut self,
-        from: &HostId,
-        folder: FolderId,
+        from: Sender<'_>,
         asker: FolderId,
         founding: Founding,
         actions: &mut Vec<Action>,
     ) {
-        let named = self.cfg.founders.contains(from);
+        let named = self.cfg.founders.contains(from.host);
         if asker != self.folder || !named || !self.is_fresh() || self.founding_denied {
             return;
         }
         match founding {
             Founding::Fresh => {
-                self.fresh_founders.insert(from.clone(), folder);
+                self.fresh_founders.insert(from.host.clone(), from.folder);
                 self.found_if_all_fresh(actions);
             }
             Founding::Founded(voters) if voters.admits(&self.cfg.host, self.folder) => {
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -12,10 +12,20 @@
     pub term: Term,
     /// The sender's folder.
     pub folder: FolderId,
+    /// How often the sender's folder has registered.
+    pub starts: StartCount,
     /// What the sender says.
     pub body: Body,
 }
 
+/// Where a message comes from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sender<'a> {
+    pub(crate) host: &'a HostId,
+    pub(crate) folder: FolderId,
+    pub(crate) starts: StartCount,
+}
+
 /// What a message says.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -13,6 +13,7 @@
     follower::{Incoming, Part},
     leader::Leading,
     log::Log,
+    message::Sender,
     registration,
 };
 
@@ -231,17 +232,18 @@
         if *from == self.cfg.host {
             return;
         }
-        let Message { term, folder, body } = message;
+        let Message { term, folder, starts, body } = message;
+        let sender = Sender { host: from, folder, starts };
         match body {
             Body::Register { starts, last_index } => {
-                return self.register(from, folder, starts, term, last_index, actions);
+                return self.register(sender, starts, term, last_index, actions);
             }
             Body::RegisterReply { starts, accepted } => {
-                return self.registered(from, folder, starts, accepted, actions);
+                return self.registered(sender, starts, accepted, actions);
             }
             Body::FoundingQuery => return self.answer_founding(from, folder, actions),
             Body::FoundingReply { asker, founding } => {
-                return self.take_founding(from, folder, asker, founding, actions);
+                return self.take_founding(sender, asker, founding, actions);
             }
             _ => {}
         }
@@ -250,7 +252,7 @@
         }
         if let Body::Vote { campaign, ballot, last_index, last_term } = body {
             let candidate = (last_term, last_index);
-            return self.vote(from, folder, campaign, ballot, candidate, actions);
+            return self.vote(sender, campaign, ballot, candidate, actions);
         }
         if term < self.hard.term {
             return self.answer_stale(from, &body, actions);
@@ -258,39 +260,33 @@
         if self.hard.term < term {
             self.follow(term, None, actions);
         }
-        self.receive_current(from, folder, body, actions);
+        self.receive_current(sender, body, actions);
     }
 
-    fn receive_current(
-        &mut self,
-        from: &HostId,
-        folder: FolderId,
-        body: Body,
-        actions: &mut Vec<Action>,
-    ) {
+    fn receive_current(&mut self, from: Sender<'_>, body: Body, actions: &mut Vec<Action>) {
         match body {
             Body::VoteReply { campaign, ballot, granted } => {
-                self.count_vote(from, folder, campaign, ballot, granted, actions);
+                self.count_vote(from, campaign, ballot, granted, actions);
             }
             Body::Append { prev_index, prev_term, entries, commit, sent, standings } => {
-                self.hear_leader(from, actions);
+                self.hear_leader(from.host, actions);
                 self.merge_standings(&standings);
                 let outcome = self.append(prev_index, prev_term, entries, actions);
-                self.send(from, Body::AppendReply { outcome, sent }, actions);
+                self.send(from.host, Body::AppendReply { outcome, sent }, actions);
                 self.learn_commit(outcome, commit, actions);
             }
             Body::AppendReply { outcome, sent } => {
-                self.appended(from, folder, outcome, sent, actions);
+                self.appended(from, outcome, sent, actions);
             }
             Body::Chunk { last_index, last_term, voters, offset, data, done, sent } => {
-                self.hear_leader(from, actions);
+                self.hear_leader(from.host, actions);
                 let target = Incoming::new(last_index, last_term, voters);
                 let part = Part { offset, data: &data, done, sent };
                 let reply = self.take_chunk(target, part, actions);
-                self.send(from, reply, actions);
+                self.send(from.host, reply, actions);
             }
             Body::ChunkReply { last_index, received, sent } => {
-                self.chunk_taken(from, folder, last_index, received, sent, actions);
+                self.chunk_taken(from, last_index, received, sent, actions);
             }
             Body::Campaign => self.campaign_at_once(actions),
             _ => {}
@@ -334,7 +330,8 @@
     }
 
     pub(crate) fn send(&self, to: &HostId, body: Body, actions: &mut Vec<Action>) {
-        let message = Message { term: self.hard.term, folder: self.folder, body };
+        let (term, folder, starts) = (self.hard.term, self.folder, self.hard.starts);
+        let message = Message { term, folder, starts, body };
         actions.push(Action::Send { to: to.clone(), message });
     }
 
--- a/crates/quorum/src/registration.rs
+++ b/crates/quorum/src/registration.rs
@@ -3,7 +3,7 @@
 use base::{HostId, LogIndex, Term};
 use rand::Rng;
 
-use crate::{Action, Body, FolderId, Node, Standing, StartCount, VoterSet};
+use crate::{Action, Body, FolderId, Node, Standing, StartCount, VoterSet, message::Sender};
 
 /// Whether a node may vote from the folder that it found at its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,65 +47,59 @@
     /// Checks the folder of a voter that started against what is remembered of it.
     pub(crate) fn register(
         &mut self,
-        from: &HostId,
-        folder: FolderId,
+        from: Sender<'_>,
         starts: StartCount,
         term: Term,
         last_index: LogIndex,
         actions: &mut Vec<Action>,
     ) {
-        let admitted = self.log.voters().admits(from, folder);
+        let admitted = self.log.voters().admits(from.host, from.folder);
         if self.registration == Registration::Refused || !admitted {
             return;
         }
-        let known = self.standing(from, folder);
+        let known = self.standing(from.host, from.folder);
         let is_new = known.starts < starts || known.starts == starts && !known.active;
         let accepted = is_new && (known.term, known.matched) <= (term, last_index);
         if accepted {
             let mut standing = known;
             (standing.starts, standing.active) = (starts, false);
             standing.raise(term, LogIndex::ZERO);
-            self.hard.standings.insert(from.clone(), standing);
+            self.hard.standings.insert(from.host.clone(), standing);
             self.save_hard_state(actions);
         }
-        self.send(from, Body::RegisterReply { starts, accepted }, actions);
+        self.send(from.host, Body::RegisterReply { starts, accepted }, actions);
     }
 
     pub(crate) fn registered(
         &mut self,
-        from: &HostId,
-        folder: FolderId,
+        from: Sender<'_>,
         starts: StartCount,
         accepted: bool,
         actions: &mut Vec<Action>,
     ) {
         let current = self.registration == Registration::Pending && starts == self.next_start();
-        if !current || !self.log.voters().admits(from, folder) {
+        if !current || !self.log.voters().admits(from.host, from.folder) {
             return;
         }
         if !accepted {
             self.registration = Registration::Refused;
             return;
         }
-        self.accepted_by.insert(from.clone());
+        self.accepted_by.insert(from.host.clone());
         self.finish_registration(actions);
     }
 
     /// Remembers that a voter's folder voted or acknowledged in `term`.
-    pub(crate) fn note_promise(
-        &mut self,
-        host: &HostId,
-        folder: FolderId,
-        term: Term,
-        matched: LogIndex,
-    ) {
-        if !self.log.voters().admits(host, folder) {
+    pub(crate) fn note_promise(&mut self, from: Sender<'_>, term: Term, matched: LogIndex) {
+        if !self.log.voters().admits(from.host, from.folder) {
             return;
         }
-        let mut standing = self.standing(host, folder);
-        standing.active = true;
+        let mut standing = self.standing(from.host, from.folder);
+        if standing.starts <= from.starts {
+            (standing.starts, standing.active) = (from.starts, true);
+        }
         standing.raise(term, matched);
-        self.remember(host, standing);
+        self.remember(from.host, standing);
     }
 
     pub(crate) fn merge_standings(&mut self, standings: &[(HostId, Standing)]) {
--- a/crates/quorum/src/replication.rs
+++ b/crates/quorum/src/replication.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 
 use crate::{
-    Action, AppendOutcome, Body, Entry, FolderId, Node, log::before, progress::ChunkProgress,
+    Action, AppendOutcome, Body, Entry, Node, log::before, message::Sender, progress::ChunkProgress,
 };
 
 impl<R: Rng> Node<R> {
@@ -29,40 +29,38 @@
 
     pub(crate) fn appended(
         &mut self,
-        from: &HostId,
-        folder: FolderId,
+        from: Sender<'_>,
         outcome: AppendOutcome,
         sent: Duration,
         actions: &mut Vec<Action>,
     ) {
         let Some(leading) = &mut self.leading else { return };
-        let Some(progress) = leading.progress.get_mut(from) else { return };
-        progress.answered(folder, MonotonicTime::new(sent));
+        let Some(progress) = leading.progress.get_mut(from.host) else { return };
+        progress.answered(from.folder, MonotonicTime::new(sent));
         match outcome {
             AppendOutcome::Matched(index) => {
                 progress.matched_through(index);
-                self.note_promise(from, folder, self.hard.term, index);
+                self.note_promise(from, self.hard.term, index);
                 self.advance_commit(actions);
             }
             AppendOutcome::Conflict { prev_index, next } => progress.conflicted(prev_index, next),
         }
         self.answer_reads(actions);
-        self.replicate(from, actions);
+        self.replicate(from.host, actions);
         self.hand_over(actions);
     }
 
     pub(crate) fn chunk_taken(
         &mut self,
-        from: &HostId,
-        folder: FolderId,
+        from: Sender<'_>,
         last_index: LogIndex,
         received: u64,
         sent: Duration,
         actions: &mut Vec<Action>,
     ) {
         let Some(leading) = &mut self.leading else { return };
-        let Some(progress) = leading.progress.get_mut(from) else { return };
-        progress.answered(folder, MonotonicTime::new(sent));
+        let Some(progress) = leading.progress.get_mut(from.host) else { return };
+        progress.answered(from.folder, MonotonicTime::new(sent));
         if let Some(chunk) = &mut progress.chunk
             && chunk.last_index == last_index
         {
@@ -70,7 +68,7 @@
             chunk.waiting = false;
         }
         self.answer_reads(actions);
-        self.replicate(from, actions);
+        self.replicate(from.host, actions);
     }
 
     fn followers(&self) -> Vec<HostId> {
--- a/crates/quorum/tests/main.rs
+++ b/crates/quorum/tests/main.rs
@@ -5,6 +5,7 @@
 mod election;
 mod lease;
 mod lost_disk;
+mod messages;
 mod model;
 mod replication;
 mod snapshot;
--- /dev/null
+++ b/crates/quorum/tests/messages.rs
@@ -0,0 +1,197 @@
+//! A node's answers to single messages.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{HostId, LogIndex, MonotonicTime, Term};
+use quorum::{
+    Action, AppendOutcome, Ballot, Body, Config, Entry, FolderId, HardState, Input, Message, Node,
+    Payload, ProposalId, Restored, Role, StartCount, VoterSet,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::cluster::host;
+
+/// Host 0 with its log, among voters that the test plays.
+struct Bench {
+    node: Node<Pcg64Mcg>,
+    now: MonotonicTime,
+    actions: Vec<Action>,
+}
+
+impl Bench {
+    /// Starts host 0 among `voters` with one entry of each term after the first entry.
+    fn new(voters: usize, terms: &[u64]) -> Self {
+        let folders = (0..voters).map(|i| (host(i), folder(i))).collect();
+        let mut entries = vec![entry(1, 1, Payload::Voters(VoterSet { folders }))];
+        for (i, term) in terms.iter().enumerate() {
+            entries.push(entry(i as u64 + 2, *term, Payload::Empty));
+        }
+        let term = entries.last().map_or(Term::ZERO, |entry| entry.term);
+        let hard_state = HardState { term, ..HardState::default() };
+        let restored = Restored { folder: folder(0), hard_state, entries, snapshot: None };
+        let rng = Pcg64Mcg::seed_from_u64(1);
+        let node = Node::new(Config::new(host(0)), restored, MonotonicTime::ZERO, rng);
+        let mut bench = Self { node, now: MonotonicTime::ZERO, actions: Vec::new() };
+        bench.wait(0);
+        let reply = Body::RegisterReply { starts: StartCount(1), accepted: true };
+        (1..voters).for_each(|i| bench.receive(i, folder(i), reply.clone()));
+        bench
+    }
+
+    /// Starts host 0 and has it elected by all `voters`.
+    fn leading(voters: usize, terms: &[u64]) -> Self {
+        let mut bench = Self::new(voters, terms);
+        bench.wait(700);
+        let campaign = bench.node.term().next();
+        for ballot in [Ballot::PreVote, Ballot::Vote] {
+            let body = Body::VoteReply { campaign, ballot, granted: true };
+            (1..voters).for_each(|i| bench.receive(i, folder(i), body.clone()));
+        }
+        assert_eq!(bench.node.role(), Role::Leader);
+        bench
+    }
+
+    fn wait(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.step(Input::Tick);
+    }
+
+    fn step(&mut self, input: Input) {
+        self.node.step(self.now, input, &mut self.actions);
+    }
+
+    fn receive(&mut self, from: usize, folder: FolderId, body: Body) {
+        self.receive_in(self.node.term(), StartCount(1), from, folder, body);
+    }
+
+    fn receive_in(
+        &mut self,
+        term: Term,
+        starts: StartCount,
+        from: usize,
+        folder: FolderId,
+        body: Body,
+    ) {
+        let message = Message { term, folder, starts, body };
+        self.step(Input::Message { from: host(from), message });
+    }
+
+    fn acknowledge(&mut self, from: usize, index: u64) {
+        let outcome = AppendOutcome::Matched(LogIndex::new(index));
+        let body = Body::AppendReply { outcome, sent: self.now.since_origin() };
+        self.receive(from, folder(from), body);
+    }
+
+    fn commit(&self) -> u64 {
+        self.node.status().commit.as_u64()
+    }
+
+    fn sent(&self, wanted: &HostId) -> impl Iterator<Item = &Body> {
+        self.actions.iter().filter_map(move |action| match action {
+            Action::Send { to, message } if to == wanted => Some(&message.body),
+            _ => None,
+        })
+    }
+}
+
+fn folder(i: usize) -> FolderId {
+    FolderId::new(100 + i as u64)
+}
+
+fn entry(index: u64, term: u64, payload: Payload) -> Entry {
+    Entry { index: LogIndex::new(index), term: Term::new(term), payload }
+}
+
+fn heartbeat(prev_index: u64, prev_term: u64, commit: u64) -> Body {
+    Body::Append {
+        prev_index: LogIndex::new(prev_index),
+        prev_term: Term::new(prev_term),
+        entries: Vec::new(),
+        commit: LogIndex::new(commit),
+        sent: Duration::ZERO,
+        standings: Vec::new(),
+    }
+}
+
+#[test]
+fn entry_of_an_older_term_is_not_committed_by_counting() {
+    let mut bench = Bench::leading(3, &[2]);
+    bench.acknowledge(1, 2);
+    assert_eq!(bench.commit(), 0);
+    bench.acknowledge(1, 3);
+    assert_eq!(bench.commit(), 3);
+}
+
+#[test]
+fn vote_from_another_folder_does_not_count() {
+    let mut bench = Bench::new(3, &[]);
+    bench.wait(700);
+    let campaign = bench.node.term().next();
+    let body = Body::VoteReply { campaign, ballot: Ballot::PreVote, granted: true };
+    bench.receive(1, folder(9), body.clone());
+    assert_eq!(bench.node.term().next(), campaign);
+    bench.receive(1, folder(1), body);
+    assert_eq!(bench.node.term(), campaign);
+}
+
+#[test]
+fn commit_stops_where_the_logs_are_known_to_agree() {
+    let mut bench = Bench::new(3, &[1, 1, 1]);
+    bench.receive(1, folder(1), heartbeat(2, 1, 4));
+    assert_eq!(bench.commit(), 2);
+}
+
+#[test]
+fn snapshot_of_another_history_replaces_the_log() {
+    let mut bench = Bench::new(3, &[1, 1, 1]);
+    let body = Body::Chunk {
+        last_index: LogIndex::new(3),
+        last_term: Term::new(2),
+        voters: VoterSet::default(),
+        offset: 0,
+        data: Arc::from([]),
+        done: true,
+        sent: Duration::ZERO,
+    };
+    bench.receive_in(Term::new(3), StartCount(1), 1, folder(1), body);
+    let status = bench.node.status();
+    assert_eq!((status.last, status.commit), (LogIndex::new(3), LogIndex::new(3)));
+}
+
+#[test]
+fn new_voter_does_not_make_the_majority_that_takes_it_in() {
+    let mut bench = Bench::leading(2, &[]);
+    bench.acknowledge(1, 2);
+    bench.step(Input::Learners(vec![host(2)]));
+    bench.acknowledge(2, 2);
+    let mut voters = bench.node.status().voters;
+    voters.folders.insert(host(2), folder(2));
+    bench.step(Input::ProposeVoters { id: ProposalId(1), voters });
+    bench.acknowledge(2, 3);
+    assert_eq!(bench.commit(), 2);
+    bench.acknowledge(1, 3);
+    assert_eq!(bench.commit(), 3);
+}
+
+#[test]
+fn message_from_an_earlier_start_does_not_use_up_a_registration() {
+    let mut bench = Bench::new(3, &[]);
+    let register = Body::Register { starts: StartCount(2), last_index: LogIndex::new(1) };
+    let term = Term::new(1);
+    bench.receive_in(term, StartCount(1), 1, folder(1), register.clone());
+    bench.wait(700);
+    let (last_index, last_term) = (LogIndex::new(1), Term::new(1));
+    let campaign = Term::new(1);
+    let vote = Body::Vote { campaign, ballot: Ballot::Vote, last_index, last_term };
+    bench.receive_in(term, StartCount(1), 1, folder(1), vote);
+    bench.receive_in(term, StartCount(1), 1, folder(1), register);
+    let replies: Vec<bool> = bench
+        .sent(&host(1))
+        .filter_map(|body| match body {
+            Body::RegisterReply { accepted, .. } => Some(*accepted),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(replies, [true, true]);
+}
