--- /dev/null
+++ b/crates/quorum/tests/main.rs
@@ -0,0 +1,12 @@
+//! The replicated log, by theme.
+
+mod checker;
+mod cluster;
+mod election;
+mod lease;
+mod lost_disk;
+mod messages;
+mod model;
+mod replication;
+mod snapshot;
+mod voters;
