--- /dev/null
+++ b/crates/fleet/src/codec.rs
@@ -0,0 +1,93 @@
+//! Bytes of commands and snapshots: a format version, then the value in postcard's form.
+
+use std::{error, fmt};
+
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{Command, declaration_error::DeclarationError};
+
+/// The format that this program writes and reads.
+const FORMAT: u8 = 1;
+
+/// Bytes that are no command or snapshot of this program.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CodecError(Problem);
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Problem {
+    Empty,
+    Format(u8),
+    Damaged(postcard::Error),
+    TrailingBytes(usize),
+    Inconsistent,
+    Declaration(DeclarationError),
+}
+
+impl CodecError {
+    /// Returns whether the bytes come from a program with another format.
+    pub fn is_other_format(&self) -> bool {
+        matches!(self.0, Problem::Format(_))
+    }
+
+    pub(crate) fn inconsistent() -> Self {
+        Self(Problem::Inconsistent)
+    }
+}
+
+impl From<DeclarationError> for CodecError {
+    fn from(e: DeclarationError) -> Self {
+        Self(Problem::Declaration(e))
+    }
+}
+
+impl fmt::Display for CodecError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.0 {
+            Problem::Empty => f.write_str("no bytes; expected a format version"),
+            Problem::Format(found) => {
+                write!(f, "format version {found} is unknown; this program reads version {FORMAT}")
+            }
+            Problem::Damaged(e) => write!(f, "damaged bytes: {e}"),
+            Problem::TrailingBytes(count) => write!(f, "{count} bytes too many"),
+            Problem::Inconsistent => f.write_str("damaged bytes: the parts contradict each other"),
+            Problem::Declaration(e) => write!(f, "invalid declaration: {e}"),
+        }
+    }
+}
+
+impl error::Error for CodecError {}
+
+impl Command {
+    /// Writes the command for the log.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        encode(self)
+    }
+
+    /// Reads a command from the log.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes have an unknown format version or are damaged.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, CodecError> {
+        decode(bytes)
+    }
+}
+
+pub(crate) fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_extend(value, vec![FORMAT]).expect("each type here has a postcard form")
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+    let Some((format, rest)) = bytes.split_first() else {
+        return Err(CodecError(Problem::Empty));
+    };
+    if *format != FORMAT {
+        return Err(CodecError(Problem::Format(*format)));
+    }
+    let (value, left) =
+        postcard::take_from_bytes(rest).map_err(|e| CodecError(Problem::Damaged(e)))?;
+    if !left.is_empty() {
+        return Err(CodecError(Problem::TrailingBytes(left.len())));
+    }
+    Ok(value)
+}
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -1,11 +1,15 @@
-use std::sync::Arc;
+//! The commands of the replicated log and their replies.
+
+use std::{fmt, str::FromStr, sync::Arc, time::Duration};
 
 use base::{
-    Author, ChangeId, Digest, HostId, IdempotencyKey, Incarnation, OrganisationId, Revision,
-    UnixMillis, Verdict,
+    Author, ChangeId, Digest, HostId, IdempotencyKey, Incarnation, OrganisationId, ParseError,
+    Revision, UnixMillis,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::declaration_error::DeclarationError;
+
 /// The process that holds a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Owner {
@@ -15,15 +19,68 @@
     pub incarnation: Incarnation,
 }
 
-/// A claim to send a call that may not be repeated.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
+impl fmt::Display for Owner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} (incarnation {})", self.host, self.incarnation)
+    }
+}
+
+/// The identity of one attempt to claim a call, the same on every resend of that attempt.
+///
+/// Its owner makes it, unique over all its incarnations.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ClaimId(u128);
+
+impl ClaimId {
+    /// Wraps a plain number.
+    pub const fn new(number: u128) -> Self {
+        Self(number)
+    }
+}
+
+impl fmt::Display for ClaimId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for ClaimId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseError::new("claim id", text, "up to 32 hexadecimal digits"))
+    }
+}
+
+/// An organisation's name for one call that may not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CallKey {
     /// The organisation that calls.
     pub organisation: OrganisationId,
     /// Its name for the call.
     pub key: IdempotencyKey,
+}
+
+impl fmt::Display for CallKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.organisation, self.key)
+    }
+}
+
+/// A claim to send a call that may not be repeated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The call.
+    pub call: CallKey,
     /// Digest of method, path and body.
     pub request: Digest,
+    /// The attempt.
+    pub id: ClaimId,
     /// Who will send it.
     pub owner: Owner,
     /// When it was claimed.
@@ -41,6 +98,76 @@
     pub body: Option<Arc<[u8]>>,
 }
 
+/// How a call that was sent ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The endpoint answered.
+    Answered(Answer),
+    /// The call was sent, and its outcome is unknown.
+    Unknown,
+}
+
+/// A report of a claim's owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Finish {
+    /// The call.
+    pub call: CallKey,
+    /// The attempt.
+    pub id: ClaimId,
+    /// Who sent it.
+    pub owner: Owner,
+    /// What came back.
+    pub outcome: Outcome,
+    /// When.
+    pub at: UnixMillis,
+}
+
+/// The word of a claim's owner that it sent nothing and never will under this claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The call.
+    pub call: CallKey,
+    /// The attempt.
+    pub id: ClaimId,
+    /// Who held it.
+    pub owner: Owner,
+    /// When.
+    pub at: UnixMillis,
+}
+
+/// What an operator found out about a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Resolution {
+    /// It ran.
+    Ran,
+    /// It did not run.
+    NotRun,
+}
+
+/// An operator's settlement of a call that stayed open.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resolve {
+    /// The call.
+    pub call: CallKey,
+    /// What the operator found.
+    pub resolution: Resolution,
+    /// Who found it.
+    pub author: Author,
+    /// How.
+    pub reason: Arc<str>,
+    /// When.
+    pub at: UnixMillis,
+}
+
+/// The notice that processes of a host have ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerGone {
+    /// The last incarnation that ended; earlier ones have ended too.
+    pub owner: Owner,
+    /// When.
+    pub at: UnixMillis,
+}
+
 /// A change of defaults and exceptions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigChange {
@@ -59,30 +186,162 @@
 }
 
 /// An entry of the log, decoded.
+///
+/// The leader stamps each command with its own clock when it appends it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
     /// Changes defaults and exceptions.
     Change(ConfigChange),
     /// Claims a call.
     Claim(Claim),
-    /// Records the answer to a claimed call.
-    Finish {
-        /// The organisation that calls.
-        organisation: OrganisationId,
-        /// Its name for the call.
-        key: IdempotencyKey,
-        /// Who sent it.
-        owner: Owner,
-        /// What came back, or how far the call got.
-        outcome: Result<Answer, Verdict>,
-    },
+    /// Records the outcome of a claimed call.
+    Finish(Finish),
+    /// Gives a claim back unused.
+    Release(Release),
+    /// Settles a call by an operator's word.
+    Resolve(Resolve),
+    /// Marks the open claims of processes that ended.
+    OwnerGone(OwnerGone),
 }
 
-/// What a command led to.
+/// A change that is or was in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Reply {
+pub struct ChangeRecord {
+    /// The revision it led to.
+    pub revision: Revision,
+    /// Its id.
+    pub id: ChangeId,
+    /// Who made it.
+    pub author: Author,
+    /// Why.
+    pub reason: Arc<str>,
+    /// When.
+    pub at: UnixMillis,
+}
+
+/// What a change of configuration led to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChangeReply {
     /// The change is in force from this revision on.
     Changed(Revision),
+    /// Another change came first; nothing changed.
+    Conflict {
+        /// The change that took the expected revision's place, or the latest one if that is
+        /// forgotten.
+        winner: Option<ChangeRecord>,
+        /// The revision in force.
+        current: Revision,
+    },
+    /// The declaration is not valid; nothing changed.
+    Invalid(DeclarationError),
+    /// The reason is empty or too long; nothing changed.
+    InvalidReason,
+    /// The change id belongs to a change with other content; nothing changed.
+    IdReused,
+}
+
+/// What a claim led to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimReply {
     /// The claim is the sender's: it may send the call once.
-    Claimed,
+    Claimed {
+        /// How long after it proposed the claim the owner may still send, on the owner's own
+        /// monotonic clock; past this it releases the claim.
+        send_within: Duration,
+    },
+    /// Another attempt holds the claim.
+    InProgress(Owner),
+    /// The call ran and this came back.
+    Finished(Answer),
+    /// The call ran by an operator's word; no answer is known.
+    Ran,
+    /// The call may have run.
+    MayHaveRun {
+        /// Since when its outcome is unknown.
+        since: UnixMillis,
+        /// Why.
+        why: Doubt,
+    },
+    /// The call did not run and never will under this key.
+    NotRun,
+    /// This attempt was released before; nothing was sent under it.
+    AttemptReleased,
+    /// The key belongs to another request; this one did not run.
+    KeyReused,
+    /// The organisation has too many claims open; this call did not run.
+    TooMany,
+}
+
+/// Why a call's outcome is unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Doubt {
+    /// Its owner lost the endpoint after it had begun to send.
+    OutcomeLost,
+    /// Its owner ended.
+    OwnerGone,
+}
+
+/// What the report of an outcome led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FinishReply {
+    /// The outcome stands.
+    Recorded,
+    /// An outcome stands already; nothing changed.
+    AlreadySettled,
+    /// An operator has settled the call otherwise; the verdict stays, the conflict is kept.
+    Conflict,
+    /// The sender does not hold the claim; nothing changed.
+    NotOwner,
+    /// The call is not known; nothing changed.
+    Unknown,
+}
+
+/// What the release of a claim led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReleaseReply {
+    /// The key may be claimed again.
+    Released,
+    /// The call is settled; nothing changed.
+    AlreadySettled,
+    /// The sender does not hold the claim; nothing changed.
+    NotOwner,
+    /// The call is not known; nothing changed.
+    Unknown,
+}
+
+/// What an operator's settlement led to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ResolveReply {
+    /// The settlement stands.
+    Resolved,
+    /// The owner may still send the call; ask again after this time.
+    TooEarly {
+        /// How long to wait.
+        wait: Duration,
+    },
+    /// The call is settled already; nothing changed.
+    AlreadySettled,
+    /// The reason is empty or too long; nothing changed.
+    InvalidReason,
+    /// The call is not known; nothing changed.
+    Unknown,
+}
+
+/// What a command led to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// To a change of configuration.
+    Change(ChangeReply),
+    /// To a claim.
+    Claim(ClaimReply),
+    /// To the report of an outcome.
+    Finish(FinishReply),
+    /// To the release of a claim.
+    Release(ReleaseReply),
+    /// To an operator's settlement.
+    Resolve(ResolveReply),
+    /// To the notice that an owner ended: how many claims were open.
+    OwnerGone(u32),
+    /// The command at this index was applied before; nothing changed.
+    AlreadyApplied,
 }
--- /dev/null
+++ b/crates/fleet/src/configuration.rs
@@ -0,0 +1,180 @@
+//! Defaults and exceptions in force, their history, and the answers to past changes.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{ChangeId, Digest, Hasher, Revision, UnixMillis};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    codec::CodecError,
+    command::{ChangeRecord, ChangeReply, ConfigChange},
+    declaration::{Declaration, Reason},
+    declaration_error::DeclarationError,
+};
+
+/// Most changes that the history keeps.
+pub const HISTORY_COUNT: usize = 1_000;
+
+/// Most change ids whose first answer is remembered.
+pub const REMEMBERED_COUNT: usize = 20_000;
+
+/// How long a change id's first answer is remembered, by the commands' times.
+pub const REMEMBERED_TIME: Duration = Duration::from_secs(48 * 3600);
+
+/// The configuration in force and what led to it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    record: ConfigurationRecord,
+    declaration: Arc<Declaration>,
+}
+
+/// The part of the configuration that a snapshot holds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ConfigurationRecord {
+    revision: Revision,
+    text: Arc<str>,
+    history: VecDeque<ChangeRecord>,
+    answers: BTreeMap<ChangeId, Remembered>,
+    answer_order: VecDeque<ChangeId>,
+    clock: UnixMillis,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Remembered {
+    content: Digest,
+    reply: ChangeReply,
+    at: UnixMillis,
+}
+
+impl Configuration {
+    /// Returns the revision in force.
+    pub fn revision(&self) -> Revision {
+        self.record.revision
+    }
+
+    /// Returns the declaration in force.
+    pub fn declaration(&self) -> &Arc<Declaration> {
+        &self.declaration
+    }
+
+    /// Returns the text of the declaration in force, as its author wrote it.
+    pub fn text(&self) -> &Arc<str> {
+        &self.record.text
+    }
+
+    /// Lists the latest changes, the oldest first.
+    pub fn history(&self) -> impl DoubleEndedIterator<Item = &ChangeRecord> {
+        self.record.history.iter()
+    }
+
+    /// Applies a change if it was made on the revision in force.
+    pub(crate) fn apply(&mut self, change: &ConfigChange) -> ChangeReply {
+        self.record.advance(change.at);
+        let content = content(change);
+        if let Some(remembered) = self.record.answers.get(&change.id) {
+            if remembered.content != content {
+                return ChangeReply::IdReused;
+            }
+            return remembered.reply.clone();
+        }
+        let reply = self.decide(change);
+        self.record.remember(change.id.clone(), content, reply.clone());
+        reply
+    }
+
+    pub(crate) fn record(&self) -> &ConfigurationRecord {
+        &self.record
+    }
+
+    fn decide(&mut self, change: &ConfigChange) -> ChangeReply {
+        if change.reason.parse::<Reason>().is_err() {
+            return ChangeReply::InvalidReason;
+        }
+        if change.expected != self.record.revision {
+            return self.record.conflict(change.expected);
+        }
+        match Declaration::from_toml(&change.declaration) {
+            Err(e) => ChangeReply::Invalid(e),
+            Ok(declaration) => {
+                self.declaration = Arc::new(declaration);
+                ChangeReply::Changed(self.record.accept(change))
+            }
+        }
+    }
+}
+
+impl TryFrom<ConfigurationRecord> for Configuration {
+    type Error = CodecError;
+
+    fn try_from(record: ConfigurationRecord) -> Result<Self, CodecError> {
+        let declaration: Result<_, DeclarationError> = Declaration::from_toml(&record.text);
+        Ok(Self { declaration: Arc::new(declaration?), record })
+    }
+}
+
+impl ConfigurationRecord {
+    fn accept(&mut self, change: &ConfigChange) -> Revision {
+        self.revision = self.revision.next();
+        self.text = change.declaration.clone();
+        self.history.push_back(ChangeRecord {
+            revision: self.revision,
+            id: change.id.clone(),
+            author: change.author.clone(),
+            reason: change.reason.clone(),
+            at: change.at,
+        });
+        if HISTORY_COUNT < self.history.len() {
+            self.history.pop_front();
+        }
+        self.revision
+    }
+
+    fn conflict(&self, expected: Revision) -> ChangeReply {
+        let taken = expected.next();
+        let winner = self.history.iter().find(|change| change.revision == taken);
+        let winner = winner.or(self.history.back()).cloned();
+        ChangeReply::Conflict { winner, current: self.revision }
+    }
+
+    fn remember(&mut self, id: ChangeId, content: Digest, reply: ChangeReply) {
+        let remembered = Remembered { content, reply, at: self.clock };
+        self.answers.insert(id.clone(), remembered);
+        self.answer_order.push_back(id);
+        if REMEMBERED_COUNT < self.answer_order.len() {
+            self.forget_oldest();
+        }
+    }
+
+    /// Moves time forward, never back, and forgets the answers that are too old.
+    fn advance(&mut self, at: UnixMillis) {
+        self.clock = self.clock.max(at);
+        while self.oldest_is_old() {
+            self.forget_oldest();
+        }
+    }
+
+    fn oldest_is_old(&self) -> bool {
+        let oldest = self.answer_order.front().and_then(|id| self.answers.get(id));
+        oldest.is_some_and(|answer| REMEMBERED_TIME <= self.clock.saturating_since(answer.at))
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some(id) = self.answer_order.pop_front() {
+            self.answers.remove(&id);
+        }
+    }
+}
+
+/// Digests what a resend repeats: all but its time.
+fn content(change: &ConfigChange) -> Digest {
+    Hasher::default()
+        .field(&change.expected.as_u64().to_le_bytes())
+        .field(change.author.as_str().as_bytes())
+        .field(change.reason.as_bytes())
+        .field(change.declaration.as_bytes())
+        .finish()
+}
--- /dev/null
+++ b/crates/fleet/src/ledger.rs
@@ -0,0 +1,421 @@
+//! The ledger of calls that may not be repeated.
+//!
+//! A key is open while an owner holds the claim to send its call, then settled. A settled key is
+//! forgotten after the organisation's retention time or when too many later ones are settled; an
+//! open one never is. Time is the highest time of any command, so it never moves back. Each
+//! command forgets for its own organisation and for one other in turn.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    ops::Bound,
+    time::Duration,
+};
+
+use base::{IdempotencyKey, OrganisationId, UnixMillis};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    call::{Call, CallState, Conflict, Held},
+    command::{
+        Answer, CallKey, Claim, ClaimReply, Doubt, Finish, FinishReply, Outcome, OwnerGone,
+        Release, ReleaseReply, Resolution, Resolve, ResolveReply,
+    },
+    declaration::Reason,
+    settings::Settings,
+};
+
+/// Time added to a claim's send deadline before an operator may declare it not run.
+pub const RESOLVE_MARGIN: Duration = Duration::from_secs(5);
+
+/// Most bytes of answers kept over all organisations; past it an answer is kept without its body.
+pub const KEPT_BODY_BYTES: usize = 32 << 20;
+
+/// Most ids of released attempts that a key remembers.
+const RELEASED_IDS: usize = 16;
+
+/// More settlements than any ledger reaches; a snapshot that claims more is damaged.
+const MAX_SETTLEMENTS: u64 = u64::MAX / 2;
+
+/// The calls of every organisation.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    organisations: BTreeMap<OrganisationId, Calls>,
+    clock: UnixMillis,
+    next_settlement: u64,
+    kept_body_bytes: usize,
+    /// The organisation that the last command swept in turn.
+    swept: Option<OrganisationId>,
+}
+
+/// The calls of one organisation.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Calls {
+    by_key: BTreeMap<IdempotencyKey, Entry>,
+    open: BTreeSet<IdempotencyKey>,
+    /// Settled keys, the oldest settlement first.
+    settled: BTreeMap<u64, IdempotencyKey>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Entry {
+    call: Call,
+    released: VecDeque<crate::ClaimId>,
+    settlement: Option<u64>,
+}
+
+/// A view of the effective settings of each organisation.
+pub(crate) trait SettingsOf {
+    /// Returns the settings of `organisation` at `now`.
+    fn settings_of(&self, organisation: &OrganisationId, now: UnixMillis) -> Settings;
+}
+
+impl Ledger {
+    /// Returns what is known of a call.
+    pub fn call(&self, key: &CallKey) -> Option<&Call> {
+        self.organisations.get(&key.organisation)?.by_key.get(&key.key).map(|entry| &entry.call)
+    }
+
+    /// Returns how many claims an organisation has open.
+    pub fn open_claims(&self, organisation: &OrganisationId) -> usize {
+        self.organisations.get(organisation).map_or(0, |calls| calls.open.len())
+    }
+
+    /// Lists the calls that are open or whose outcome is unknown.
+    pub fn unsettled(&self) -> impl Iterator<Item = (CallKey, &Call)> {
+        self.organisations.iter().flat_map(|(organisation, calls)| {
+            let entries = calls.by_key.iter().filter(|(_, entry)| entry.call.state.is_in_doubt());
+            entries.map(|(key, entry)| {
+                let key = CallKey { organisation: organisation.clone(), key: key.clone() };
+                (key, &entry.call)
+            })
+        })
+    }
+
+    /// Returns how many calls are remembered.
+    pub fn len(&self) -> usize {
+        self.organisations.values().map(|calls| calls.by_key.len()).sum()
+    }
+
+    /// Returns whether no call is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.organisations.is_empty()
+    }
+
+    /// Returns the ledger's time: the highest time of any command.
+    pub fn clock(&self) -> UnixMillis {
+        self.clock
+    }
+
+    /// Moves time forward, never back, and forgets what is too old.
+    pub(crate) fn advance<S: SettingsOf>(
+        &mut self,
+        at: UnixMillis,
+        organisation: Option<&OrganisationId>,
+        settings: &S,
+    ) {
+        self.clock = self.clock.max(at);
+        if let Some(organisation) = organisation {
+            self.sweep(organisation, settings);
+        }
+        if let Some(next) = self.next_in_turn() {
+            self.sweep(&next, settings);
+            self.swept = Some(next);
+        }
+    }
+
+    pub(crate) fn claim(&mut self, claim: &Claim, settings: &Settings) -> ClaimReply {
+        if let Some(held) = self.ended_holder(claim) {
+            self.settle(&claim.call, CallState::MayHaveRun(held, Doubt::OwnerGone));
+        }
+        let send_within = settings.claim_send_deadline.as_duration();
+        let known = self.entry_mut(&claim.call).and_then(|entry| entry.answer(claim));
+        if let Some(reply) = known {
+            return reply;
+        }
+        let max_open = settings.max_open_claims.as_u32() as usize;
+        if max_open <= self.open_claims(&claim.call.organisation) {
+            return ClaimReply::TooMany;
+        }
+        self.open(claim, send_within);
+        ClaimReply::Claimed { send_within }
+    }
+
+    pub(crate) fn finish(&mut self, finish: &Finish, settings: &Settings) -> FinishReply {
+        let Some(entry) = self.entry_mut(&finish.call) else {
+            return FinishReply::Unknown;
+        };
+        let state = match &entry.call.state {
+            CallState::Released => return FinishReply::NotOwner,
+            CallState::Claimed(held)
+            | CallState::MayHaveRun(held, _)
+            | CallState::Finished(held, _)
+            | CallState::Resolved(held, _)
+                if !held.is_by(finish.id, &finish.owner) =>
+            {
+                return FinishReply::NotOwner;
+            }
+            CallState::Finished(..) => return FinishReply::AlreadySettled,
+            CallState::Resolved(_, resolved) => {
+                let Outcome::Answered(answer) = &finish.outcome else {
+                    return FinishReply::AlreadySettled;
+                };
+                if resolved.resolution == Resolution::Ran {
+                    return FinishReply::AlreadySettled;
+                }
+                entry.call.conflict = Some(Conflict { status: answer.status, at: finish.at });
+                return FinishReply::Conflict;
+            }
+            CallState::Claimed(held) | CallState::MayHaveRun(held, _) => held.clone(),
+        };
+        match &finish.outcome {
+            Outcome::Answered(answer) => {
+                let answer = self.bounded(answer, settings);
+                self.settle(&finish.call, CallState::Finished(state, answer));
+                FinishReply::Recorded
+            }
+            Outcome::Unknown => self.doubt(&finish.call, state),
+        }
+    }
+
+    pub(crate) fn release(&mut self, release: &Release) -> ReleaseReply {
+        let Some(entry) = self.entry_mut(&release.call) else {
+            return ReleaseReply::Unknown;
+        };
+        if entry.released.contains(&release.id) {
+            return ReleaseReply::Released;
+        }
+        match &entry.call.state {
+            CallState::Released => ReleaseReply::NotOwner,
+            CallState::Claimed(held)
+            | CallState::MayHaveRun(held, _)
+            | CallState::Finished(held, _)
+            | CallState::Resolved(held, _)
+                if !held.is_by(release.id, &release.owner) =>
+            {
+                ReleaseReply::NotOwner
+            }
+            CallState::Finished(..)
+            | CallState::Resolved(..)
+            | CallState::MayHaveRun(_, Doubt::OutcomeLost) => ReleaseReply::AlreadySettled,
+            CallState::Claimed(_) | CallState::MayHaveRun(_, Doubt::OwnerGone) => {
+                entry.released.push_back(release.id);
+                if RELEASED_IDS < entry.released.len() {
+                    entry.released.pop_front();
+                }
+                self.settle(&release.call, CallState::Released);
+                ReleaseReply::Released
+            }
+        }
+    }
+
+    pub(crate) fn resolve(&mut self, resolve: &Resolve) -> ResolveReply {
+        if resolve.reason.parse::<Reason>().is_err() {
+            return ResolveReply::InvalidReason;
+        }
+        let clock = self.clock;
+        let Some(entry) = self.entry_mut(&resolve.call) else {
+            return ResolveReply::Unknown;
+        };
+        let held = match &entry.call.state {
+            CallState::Claimed(held) | CallState::MayHaveRun(held, _) => held.clone(),
+            CallState::Finished(..) | CallState::Resolved(..) | CallState::Released => {
+                return ResolveReply::AlreadySettled;
+            }
+        };
+        let wait = held.time_to_safety(clock);
+        if resolve.resolution == Resolution::NotRun && !wait.is_zero() {
+            return ResolveReply::TooEarly { wait };
+        }
+        let resolved = crate::call::Resolved {
+            resolution: resolve.resolution,
+            author: resolve.author.clone(),
+            reason: resolve.reason.clone(),
+            at: resolve.at,
+        };
+        self.settle(&resolve.call, CallState::Resolved(held, resolved));
+        ResolveReply::Resolved
+    }
+
+    /// Marks every open claim of the ended processes; returns how many there were.
+    pub(crate) fn owner_gone(&mut self, gone: &OwnerGone) -> u32 {
+        let mut found = Vec::new();
+        for (organisation, calls) in &self.organisations {
+            for key in &calls.open {
+                if let CallState::Claimed(held) = &calls.by_key[key].call.state
+                    && held.owner.host == gone.owner.host
+                    && held.owner.incarnation <= gone.owner.incarnation
+                {
+                    let call = CallKey { organisation: organisation.clone(), key: key.clone() };
+                    found.push((call, held.clone()));
+                }
+            }
+        }
+        let count = found.len() as u32;
+        for (call, held) in found {
+            self.settle(&call, CallState::MayHaveRun(held, Doubt::OwnerGone));
+        }
+        count
+    }
+
+    /// Checks what a snapshot's maps promise each other, so that later commands cannot panic.
+    pub(crate) fn is_consistent(&self) -> bool {
+        let mut bytes = 0_usize;
+        for calls in self.organisations.values() {
+            let open = calls.by_key.iter().filter(|(_, entry)| entry.call.state.is_open());
+            let unnumbered = open.clone().all(|(_, entry)| entry.settlement.is_none());
+            if !unnumbered || !open.map(|(key, _)| key).eq(&calls.open) {
+                return false;
+            }
+            let settled = calls.by_key.iter().filter(|(_, e)| !e.call.state.is_open());
+            let listed = settled.clone().all(|(key, entry)| {
+                entry.settlement.and_then(|number| calls.settled.get(&number)) == Some(key)
+            });
+            if !listed || settled.count() != calls.settled.len() {
+                return false;
+            }
+            bytes +=
+                calls.by_key.values().map(|entry| entry.call.state.body_bytes()).sum::<usize>();
+        }
+        let numbers = self.organisations.values().flat_map(|calls| calls.settled.keys().last());
+        let next = numbers.max().map_or(0, |last| last.saturating_add(1));
+        bytes == self.kept_body_bytes
+            && next <= self.next_settlement
+            && self.next_settlement < MAX_SETTLEMENTS
+    }
+
+    /// Returns the claim of an earlier life of the claimant's host.
+    fn ended_holder(&self, claim: &Claim) -> Option<Held> {
+        let CallState::Claimed(held) = &self.call(&claim.call)?.state else {
+            return None;
+        };
+        held.is_before(&claim.owner).then(|| held.clone())
+    }
+
+    fn entry_mut(&mut self, call: &CallKey) -> Option<&mut Entry> {
+        self.organisations.get_mut(&call.organisation)?.by_key.get_mut(&call.key)
+    }
+
+    fn open(&mut self, claim: &Claim, send_within: Duration) {
+        let calls = self.organisations.entry(claim.call.organisation.clone()).or_default();
+        let held =
+            Held { id: claim.id, owner: claim.owner.clone(), claimed_at: self.clock, send_within };
+        let call = Call::new(claim.request, CallState::Claimed(held), self.clock);
+        let key = &claim.call.key;
+        calls.open.insert(key.clone());
+        match calls.by_key.get_mut(key) {
+            Some(entry) => {
+                if let Some(number) = entry.settlement.take() {
+                    calls.settled.remove(&number);
+                }
+                entry.call = call;
+            }
+            None => {
+                let entry = Entry { call, released: VecDeque::new(), settlement: None };
+                calls.by_key.insert(key.clone(), entry);
+            }
+        }
+    }
+
+    fn doubt(&mut self, call: &CallKey, held: Held) -> FinishReply {
+        self.settle(call, CallState::MayHaveRun(held, Doubt::OutcomeLost));
+        FinishReply::Recorded
+    }
+
+    fn settle(&mut self, call: &CallKey, state: CallState) {
+        let number = self.next_settlement;
+        let clock = self.clock;
+        let Some(calls) = self.organisations.get_mut(&call.organisation) else {
+            return;
+        };
+        let Some(entry) = calls.by_key.get_mut(&call.key) else {
+            return;
+        };
+        if let Some(earlier) = entry.settlement.replace(number) {
+            calls.settled.remove(&earlier);
+        }
+        calls.open.remove(&call.key);
+        calls.settled.insert(number, call.key.clone());
+        self.kept_body_bytes += state.body_bytes();
+        self.kept_body_bytes -= entry.call.state.body_bytes();
+        entry.call.state = state;
+        entry.call.since = clock;
+        self.next_settlement += 1;
+    }
+
+    /// Drops the body of an answer that is too large to keep.
+    fn bounded(&self, answer: &Answer, settings: &Settings) -> Answer {
+        let mut answer = answer.clone();
+        let room = KEPT_BODY_BYTES.saturating_sub(self.kept_body_bytes);
+        let limit = room.min(settings.max_answer_bytes.as_u32() as usize);
+        answer.body = answer.body.filter(|body| body.len() <= limit);
+        answer
+    }
+
+    fn next_in_turn(&self) -> Option<OrganisationId> {
+        let after = self.swept.as_ref().map_or(Bound::Unbounded, Bound::Excluded);
+        let mut later = self.organisations.range::<OrganisationId, _>((after, Bound::Unbounded));
+        later.next().or_else(|| self.organisations.first_key_value()).map(|(id, _)| id.clone())
+    }
+
+    fn sweep<S: SettingsOf>(&mut self, organisation: &OrganisationId, settings: &S) {
+        let Some(calls) = self.organisations.get_mut(organisation) else {
+            return;
+        };
+        let settings = settings.settings_of(organisation, self.clock);
+        self.kept_body_bytes -= calls.forget(self.clock, &settings);
+        self.forget_if_empty(organisation);
+    }
+
+    fn forget_if_empty(&mut self, organisation: &OrganisationId) {
+        if self.organisations.get(organisation).is_some_and(|calls| calls.by_key.is_empty()) {
+            self.organisations.remove(organisation);
+        }
+    }
+}
+
+impl Calls {
+    /// Forgets settled calls past their bounds; returns the bytes of their bodies.
+    fn forget(&mut self, now: UnixMillis, settings: &Settings) -> usize {
+        let retention = settings.claim_retention.as_duration();
+        let count = settings.claim_retention_count.as_u32() as usize;
+        let mut freed = 0;
+        while let Some((number, key)) = self.settled.first_key_value() {
+            let age = now.saturating_since(self.by_key[key].call.since);
+            if age < retention && self.settled.len() <= count {
+                break;
+            }
+            let (number, key) = (*number, key.clone());
+            self.settled.remove(&number);
+            let entry = self.by_key.remove(&key);
+            freed += entry.map_or(0, |entry| entry.call.state.body_bytes());
+        }
+        freed
+    }
+}
+
+impl Entry {
+    /// Answers a claim from what is known, `None` if the key is free.
+    fn answer(&self, claim: &Claim) -> Option<ClaimReply> {
+        if self.call.request != claim.request {
+            return Some(ClaimReply::KeyReused);
+        }
+        if self.released.contains(&claim.id) {
+            return Some(ClaimReply::AttemptReleased);
+        }
+        match &self.call.state {
+            CallState::Claimed(held) if held.is_by(claim.id, &claim.owner) => {
+                Some(ClaimReply::Claimed { send_within: held.send_within })
+            }
+            CallState::Claimed(held) => Some(ClaimReply::InProgress(held.owner.clone())),
+            CallState::Released => None,
+            CallState::Finished(_, answer) => Some(ClaimReply::Finished(answer.clone())),
+            CallState::MayHaveRun(_, why) => {
+                Some(ClaimReply::MayHaveRun { since: self.call.since, why: *why })
+            }
+            CallState::Resolved(_, resolved) => Some(match resolved.resolution {
+                Resolution::Ran => ClaimReply::Ran,
+                Resolution::NotRun => ClaimReply::NotRun,
+            }),
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,15 +1,63 @@
 //! The replicated state of the fleet: defaults, exceptions and the ledger of calls that may not be
-//! repeated.
+//! repeated; and the planner of orders to endpoints.
 //!
 //! [`Fleet::apply`] takes the log's commands in order; every replica that applied the same
 //! commands holds the same state. Nothing in it reads a clock: a command carries its time.
+//!
+//! # Example
+//!
+//! ```
+//! use base::{LogIndex, Revision, UnixMillis};
+//! use fleet::{ChangeReply, Command, ConfigChange, Fleet, Reply, Scope};
+//!
+//! let change = Command::Change(ConfigChange {
+//!     id: "change-1".parse()?,
+//!     expected: Revision::ZERO,
+//!     author: "ilona".parse()?,
+//!     reason: "the harvest rota needs longer prompts".into(),
+//!     at: UnixMillis::new(1_000),
+//!     declaration: "[defaults]\nrequest-timeout = '90s'".into(),
+//! });
+//! let mut fleet = Fleet::default();
+//! let reply = fleet.apply(LogIndex::new(1), &change);
+//! assert_eq!(reply, Reply::Change(ChangeReply::Changed(Revision::new(1))));
+//!
+//! let declaration = fleet.configuration().declaration();
+//! let settings = declaration.effective(&Scope::default(), UnixMillis::new(2_000));
+//! assert_eq!(settings.request_timeout.to_string(), "1m 30s");
+//! # Ok::<(), base::ParseError>(())
+//! ```
 
+mod call;
+mod codec;
 mod command;
+mod configuration;
 mod declaration;
+mod declaration_error;
+mod diff;
+mod ledger;
+pub mod orders;
+mod scope;
+pub mod setting;
+mod settings;
 mod state;
 
 pub use crate::{
-    command::{Answer, Claim, Command, ConfigChange, Owner, Reply},
-    declaration::{Declaration, DeclarationError},
+    call::{Call, CallState, Conflict, Held, Resolved},
+    codec::CodecError,
+    command::{
+        Answer, CallKey, ChangeRecord, ChangeReply, Claim, ClaimId, ClaimReply, Command,
+        ConfigChange, Doubt, Finish, FinishReply, Outcome, Owner, OwnerGone, Release, ReleaseReply,
+        Reply, Resolution, Resolve, ResolveReply,
+    },
+    configuration::{Configuration, HISTORY_COUNT, REMEMBERED_COUNT, REMEMBERED_TIME},
+    declaration::{
+        Contents, Declaration, DesiredModel, Exception, Explanation, Organisation, Reason, Source,
+    },
+    declaration_error::DeclarationError,
+    diff::{Difference, diff},
+    ledger::{KEPT_BODY_BYTES, Ledger, RESOLVE_MARGIN},
+    scope::Scope,
+    settings::{Overrides, SettingKey, SettingValue, Settings},
     state::Fleet,
 };
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,24 +1,130 @@
-use base::{LogIndex, Revision};
+use base::{LogIndex, OrganisationId, Revision, UnixMillis};
+use serde::{Deserialize, Serialize};
 
-use crate::{Command, Reply};
+use crate::{
+    CallKey, Claim, Command, Reply, Scope, Settings,
+    codec::{self, CodecError},
+    configuration::{Configuration, ConfigurationRecord},
+    ledger::{Ledger, SettingsOf},
+};
 
 /// The replicated state.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fleet {
     applied: LogIndex,
-    revision: Revision,
+    configuration: Configuration,
+    ledger: Ledger,
 }
 
 impl Fleet {
     /// Applies the command at `index`.
+    ///
+    /// A command at or before an index that was applied changes nothing.
     pub fn apply(&mut self, index: LogIndex, command: &Command) -> Reply {
+        if index <= self.applied {
+            return Reply::AlreadyApplied;
+        }
         self.applied = index;
         match command {
-            Command::Change(_) => {
-                self.revision = self.revision.next();
-                Reply::Changed(self.revision)
+            Command::Change(change) => Reply::Change(self.configuration.apply(change)),
+            Command::Claim(claim) => Reply::Claim(self.claim(claim)),
+            Command::Finish(finish) => {
+                let settings = self.advance(finish.at, &finish.call);
+                Reply::Finish(self.ledger.finish(finish, &settings))
+            }
+            Command::Release(release) => {
+                self.advance(release.at, &release.call);
+                Reply::Release(self.ledger.release(release))
+            }
+            Command::Resolve(resolve) => {
+                self.advance(resolve.at, &resolve.call);
+                Reply::Resolve(self.ledger.resolve(resolve))
+            }
+            Command::OwnerGone(gone) => {
+                self.ledger.advance(gone.at, None, &self.configuration);
+                Reply::OwnerGone(self.ledger.owner_gone(gone))
             }
-            Command::Claim(_) | Command::Finish { .. } => Reply::Claimed,
         }
     }
+
+    /// Records that the log entry at `index` holds no command, such as a new leader's first.
+    pub fn skip(&mut self, index: LogIndex) {
+        self.applied = self.applied.max(index);
+    }
+
+    /// Returns the highest index applied.
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// Returns the revision of the configuration in force.
+    pub fn revision(&self) -> Revision {
+        self.configuration.revision()
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Returns the ledger of calls that may not be repeated.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// Writes the whole state.
+    pub fn to_snapshot(&self) -> Vec<u8> {
+        codec::encode(&SnapshotRef {
+            applied: self.applied,
+            configuration: self.configuration.record(),
+            ledger: &self.ledger,
+        })
+    }
+
+    /// Reads the whole state.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes have an unknown format version or are damaged.
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, CodecError> {
+        let snapshot: Snapshot = codec::decode(bytes)?;
+        if !snapshot.ledger.is_consistent() {
+            return Err(CodecError::inconsistent());
+        }
+        Ok(Self {
+            applied: snapshot.applied,
+            configuration: snapshot.configuration.try_into()?,
+            ledger: snapshot.ledger,
+        })
+    }
+
+    fn claim(&mut self, claim: &Claim) -> crate::ClaimReply {
+        let settings = self.advance(claim.at, &claim.call);
+        self.ledger.claim(claim, &settings)
+    }
+
+    fn advance(&mut self, at: UnixMillis, call: &CallKey) -> Settings {
+        self.ledger.advance(at, Some(&call.organisation), &self.configuration);
+        self.configuration.settings_of(&call.organisation, self.ledger.clock())
+    }
+}
+
+impl SettingsOf for Configuration {
+    fn settings_of(&self, organisation: &OrganisationId, now: UnixMillis) -> Settings {
+        self.declaration().effective(&Scope::organisation(organisation.clone()), now)
+    }
+}
+
+#[derive(Serialize)]
+struct SnapshotRef<'a> {
+    applied: LogIndex,
+    configuration: &'a ConfigurationRecord,
+    ledger: &'a Ledger,
+}
+
+#[derive(Deserialize)]
+struct Snapshot {
+    applied: LogIndex,
+    configuration: ConfigurationRecord,
+    ledger: Ledger,
 }
