--- a/crates/fleet/src/codec.rs
+++ b/crates/fleet/src/codec.rs
@@ -48,7 +48,9 @@
                 write!(f, "format version {found} is unknown; this program reads version {FORMAT}")
             }
             Problem::Damaged(e) => write!(f, "damaged bytes: {e}"),
-            Problem::TrailingBytes(count) => write!(f, "{count} bytes too many"),
+            Problem::TrailingBytes(count) => {
+                write!(f, "damaged bytes: {count} left over after the value")
+            }
             Problem::Inconsistent => f.write_str("damaged bytes: the parts contradict each other"),
             Problem::Declaration(e) => write!(f, "invalid declaration: {e}"),
         }
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -245,7 +245,7 @@
 pub enum ClaimReply {
     /// The claim is the sender's: it may send the call once.
     Claimed {
-        /// How long after it proposed the claim the owner may still send, on the owner's own
+        /// How long after it first proposed the claim the owner may still send, on the owner's own
         /// monotonic clock; past this it releases the claim.
         send_within: Duration,
     },
--- /dev/null
+++ b/crates/fleet/tests/retention.rs
@@ -0,0 +1,133 @@
+//! What the ledger forgets, and when.
+
+mod fixture;
+
+use std::time::Duration;
+
+use fixture::{Log, answer, at, call, claim, claimed, finish};
+use fleet::{Claim, Command, Finish, KEPT_BODY_BYTES, Outcome, Reply};
+
+const BOUNDS: &str = "[defaults]\nclaim-retention = '10s'\nclaim-retention-count = 3";
+
+fn run(log: &mut Log, key: &str, id: u128, millis: u64) {
+    log.apply(&Command::Claim(Claim { at: at(millis), ..claim(key, id, "a") }));
+    let Command::Finish(report) = finish(key, id, "a", Outcome::Answered(answer(b"done"))) else {
+        return;
+    };
+    log.apply(&Command::Finish(Finish { at: at(millis), ..report }));
+}
+
+fn knows(log: &Log, key: &str) -> bool {
+    log.fleet.ledger().call(&call(key)).is_some()
+}
+
+/// Moves the ledger's time by a claim of a key that matters to no test.
+fn pass(log: &mut Log, millis: u64) -> Reply {
+    let tick = Claim { at: at(millis), ..claim(&format!("tick-{millis}"), millis.into(), "t") };
+    log.apply(&Command::Claim(tick))
+}
+
+#[test]
+fn settled_key_is_forgotten_at_its_age() {
+    let mut log = Log::default();
+    log.declare(BOUNDS);
+    run(&mut log, "k", 1, 5_000);
+    pass(&mut log, 14_999);
+    assert!(knows(&log, "k"));
+    pass(&mut log, 15_000);
+    assert!(!knows(&log, "k"));
+}
+
+#[test]
+fn older_command_does_not_move_time_back() {
+    let mut log = Log::default();
+    log.declare(BOUNDS);
+    pass(&mut log, 20_000);
+    run(&mut log, "k", 1, 1_000);
+    pass(&mut log, 20_001);
+    assert_eq!(log.fleet.ledger().clock(), at(20_001));
+    assert!(knows(&log, "k"), "settled at 20 s by the ledger's time");
+    pass(&mut log, 30_000);
+    assert!(!knows(&log, "k"));
+}
+
+#[test]
+fn oldest_settled_keys_go_past_the_count() {
+    let mut log = Log::default();
+    log.declare(BOUNDS);
+    for (id, key) in (1..).zip(["a", "b", "c", "d"]) {
+        run(&mut log, key, id, 1_000);
+    }
+    pass(&mut log, 1_000);
+    let known = ["a", "b", "c", "d"].map(|key| knows(&log, key));
+    assert_eq!(known, [false, true, true, true]);
+}
+
+#[test]
+fn open_claim_outlives_every_bound() {
+    let mut log = Log::default();
+    log.declare(BOUNDS);
+    assert_eq!(log.apply(&Command::Claim(claim("open", 99, "a"))), claimed());
+    for id in 1..10 {
+        run(&mut log, &format!("k-{id}"), id, 1_000);
+    }
+    pass(&mut log, u64::MAX);
+    assert!(knows(&log, "open"));
+    assert_eq!(log.apply(&Command::Claim(claim("open", 99, "a"))), claimed());
+}
+
+#[test]
+fn organisation_that_went_quiet_is_swept_in_turn() {
+    let mut log = Log::default();
+    log.declare(BOUNDS);
+    for number in 0..5_u128 {
+        let mut quiet = claim("k", number, "a");
+        quiet.call.organisation = format!("quiet-{number}").parse().expect("organisation");
+        let report = Finish {
+            call: quiet.call.clone(),
+            id: quiet.id,
+            owner: quiet.owner.clone(),
+            outcome: Outcome::Answered(answer(b"done")),
+            at: quiet.at,
+        };
+        log.apply(&Command::Claim(quiet));
+        log.apply(&Command::Finish(report));
+    }
+    for step in 0..6 {
+        pass(&mut log, 60_000 + step);
+    }
+    assert_eq!(log.fleet.ledger().len(), 6, "only the claims that moved time are left");
+}
+
+#[test]
+fn bodies_of_all_organisations_stay_bounded() {
+    const BODY_BYTES: usize = 1 << 20;
+    let mut log = Log::default();
+    log.declare("[defaults]\nmax-answer-bytes = 1048576");
+    let body = vec![7; BODY_BYTES];
+    let count = (KEPT_BODY_BYTES / BODY_BYTES + 2) as u128;
+    for id in 0..count {
+        let key = format!("k-{id}");
+        log.apply(&Command::Claim(claim(&key, id, "a")));
+        log.apply(&finish(&key, id, "a", Outcome::Answered(answer(&body))));
+    }
+    assert_eq!(log.fleet.ledger().len() as u128, count);
+    assert!(log.fleet.to_snapshot().len() < KEPT_BODY_BYTES + BODY_BYTES);
+    assert_eq!(log.round_trip().fleet, log.fleet);
+    assert_eq!(pass(&mut log, 86_402_000), claimed());
+    assert!(log.fleet.to_snapshot().len() < 1_000, "bodies are gone with their calls");
+    run(&mut log, "again", 500, 86_402_000);
+    assert_eq!(log.round_trip().fleet, log.fleet);
+}
+
+#[test]
+fn retention_is_the_organisation_s_own() {
+    let mut log = Log::default();
+    log.declare(
+        "[[exceptions]]\nid = 'e'\nreason = 'long press runs'\n\
+         scope = { organisation = 'printers' }\nset = { claim-retention = '30days' }",
+    );
+    run(&mut log, "k", 1, 0);
+    pass(&mut log, Duration::from_secs(29 * 86_400).as_millis() as u64);
+    assert!(knows(&log, "k"));
+}
