fleet: count calls in doubt apart from answered ones

Cause: a flood of answered calls could drive out a key whose call may have run, after which the key could be claimed again. Change: two lists with their own counts; the calls of one organisation have a module of their own; settings answer whether a method may be repeated.

--- a/crates/fleet/src/call.rs
+++ b/crates/fleet/src/call.rs
@@ -108,6 +108,11 @@
         self.owner.host == owner.host && self.owner.incarnation < owner.incarnation
     }
 
+    /// Returns whether the holder ended when `ended`, or a later life of its host, did.
+    pub(crate) fn ended_with(&self, ended: &Owner) -> bool {
+        self.owner.host == ended.host && self.owner.incarnation <= ended.incarnation
+    }
+
     /// Returns how long the owner might still send the call, with a margin.
     pub(crate) fn time_to_safety(&self, now: UnixMillis) -> Duration {
         let needed = self.send_within.saturating_add(RESOLVE_MARGIN);
--- /dev/null
+++ b/crates/fleet/src/calls.rs
@@ -0,0 +1,196 @@
+//! The calls of one organisation, and the order in which they are forgotten.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use base::{IdempotencyKey, UnixMillis};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    call::{Call, CallState, Held},
+    command::{Claim, ClaimId, ClaimReply, Resolution},
+    settings::Settings,
+};
+
+/// Most ids of released attempts that a key remembers.
+const RELEASED_IDS: usize = 16;
+
+/// Keys by the number of their settlement, the oldest first.
+type Settlements = BTreeMap<u64, IdempotencyKey>;
+
+/// The calls of one organisation.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Calls {
+    by_key: BTreeMap<IdempotencyKey, Entry>,
+    open: BTreeSet<IdempotencyKey>,
+    /// Keys whose outcome is known.
+    known: Settlements,
+    /// Keys whose call may have run.
+    doubted: Settlements,
+}
+
+/// A call and the attempts to send it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Entry {
+    pub(crate) call: Call,
+    pub(crate) released: VecDeque<ClaimId>,
+    settlement: Option<u64>,
+}
+
+impl Calls {
+    pub(crate) fn call(&self, key: &IdempotencyKey) -> Option<&Call> {
+        self.by_key.get(key).map(|entry| &entry.call)
+    }
+
+    pub(crate) fn entry_mut(&mut self, key: &IdempotencyKey) -> Option<&mut Entry> {
+        self.by_key.get_mut(key)
+    }
+
+    pub(crate) fn iter(&self) -> impl ExactSizeIterator<Item = (&IdempotencyKey, &Call)> {
+        self.by_key.iter().map(|(key, entry)| (key, &entry.call))
+    }
+
+    pub(crate) fn open_count(&self) -> usize {
+        self.open.len()
+    }
+
+    pub(crate) fn open_claims(&self) -> impl Iterator<Item = (&IdempotencyKey, &Held)> {
+        self.open.iter().filter_map(|key| match &self.by_key.get(key)?.call.state {
+            CallState::Claimed(held) => Some((key, held)),
+            _ => None,
+        })
+    }
+
+    /// Takes up a call that is claimed.
+    pub(crate) fn open(&mut self, key: &IdempotencyKey, call: Call) {
+        self.open.insert(key.clone());
+        let Some(entry) = self.by_key.get_mut(key) else {
+            let entry = Entry { call, released: VecDeque::new(), settlement: None };
+            self.by_key.insert(key.clone(), entry);
+            return;
+        };
+        entry.call = call;
+        if let Some(number) = entry.settlement.take() {
+            self.unlist(number);
+        }
+    }
+
+    /// Moves a call to a state that is not open; returns the bytes of the body that it held.
+    pub(crate) fn settle(
+        &mut self,
+        key: &IdempotencyKey,
+        state: CallState,
+        now: UnixMillis,
+        number: u64,
+    ) -> usize {
+        let Some(entry) = self.by_key.get_mut(key) else {
+            return 0;
+        };
+        let freed = entry.call.state.body_bytes();
+        let earlier = entry.settlement.replace(number);
+        let list = if state.is_in_doubt() { &mut self.doubted } else { &mut self.known };
+        list.insert(number, key.clone());
+        entry.call.state = state;
+        entry.call.since = now;
+        self.open.remove(key);
+        if let Some(earlier) = earlier {
+            self.unlist(earlier);
+        }
+        freed
+    }
+
+    /// Forgets settled calls past their bounds; returns the bytes of their bodies.
+    pub(crate) fn forget(&mut self, now: UnixMillis, settings: &Settings) -> usize {
+        let mut due = self.due(&self.known, now, settings);
+        due.extend(self.due(&self.doubted, now, settings));
+        due.iter().map(|key| self.remove(key)).sum()
+    }
+
+    pub(crate) fn body_bytes(&self) -> usize {
+        self.iter().map(|(_, call)| call.state.body_bytes()).sum()
+    }
+
+    pub(crate) fn last_settlement(&self) -> Option<u64> {
+        let known = self.known.last_key_value();
+        known.max(self.doubted.last_key_value()).map(|(number, _)| *number)
+    }
+
+    /// Returns whether the lists name each call exactly once and in the right place.
+    pub(crate) fn is_consistent(&self) -> bool {
+        let listed = self.open.len() + self.known.len() + self.doubted.len();
+        listed == self.by_key.len()
+            && self.by_key.iter().all(|(key, entry)| self.is_listed(key, entry))
+    }
+
+    fn is_listed(&self, key: &IdempotencyKey, entry: &Entry) -> bool {
+        let Some(number) = entry.settlement else {
+            return entry.call.state.is_open() && self.open.contains(key);
+        };
+        let list = if entry.call.state.is_in_doubt() { &self.doubted } else { &self.known };
+        !entry.call.state.is_open() && list.get(&number) == Some(key)
+    }
+
+    /// Lists the keys at the front of `list` that are past a bound.
+    fn due(&self, list: &Settlements, now: UnixMillis, settings: &Settings) -> Vec<IdempotencyKey> {
+        let retention = settings.claim_retention.as_duration();
+        let count = settings.claim_retention_count.as_u32() as usize;
+        let excess = list.len().saturating_sub(count);
+        let is_old = |key: &IdempotencyKey| {
+            let since = self.call(key).map_or(UnixMillis::default(), |call| call.since);
+            retention <= now.saturating_since(since)
+        };
+        list.values()
+            .enumerate()
+            .take_while(|(position, key)| *position < excess || is_old(key))
+            .map(|(_, key)| key.clone())
+            .collect()
+    }
+
+    fn remove(&mut self, key: &IdempotencyKey) -> usize {
+        let Some(entry) = self.by_key.remove(key) else {
+            return 0;
+        };
+        if let Some(number) = entry.settlement {
+            self.unlist(number);
+        }
+        entry.call.state.body_bytes()
+    }
+
+    fn unlist(&mut self, number: u64) {
+        self.known.remove(&number);
+        self.doubted.remove(&number);
+    }
+}
+
+impl Entry {
+    pub(crate) fn remember_released(&mut self, id: ClaimId) {
+        self.released.push_back(id);
+        if RELEASED_IDS < self.released.len() {
+            self.released.pop_front();
+        }
+    }
+
+    /// Answers a claim from what is known, `None` if the key is free.
+    pub(crate) fn answer(&self, claim: &Claim) -> Option<ClaimReply> {
+        if self.call.request != claim.request {
+            return Some(ClaimReply::KeyReused);
+        }
+        if self.released.contains(&claim.id) {
+            return Some(ClaimReply::AttemptReleased);
+        }
+        match &self.call.state {
+            CallState::Claimed(held) if held.is_by(claim.id, &claim.owner) => {
+                Some(ClaimReply::Claimed { send_within: held.send_within })
+            }
+            CallState::Claimed(held) => Some(ClaimReply::InProgress(held.owner.clone())),
+            CallState::Released => None,
+            CallState::Finished(_, answer) => Some(ClaimReply::Finished(answer.clone())),
+            CallState::MayHaveRun(_, why) => {
+                Some(ClaimReply::MayHaveRun { since: self.call.since, why: *why })
+            }
+            CallState::Resolved(_, resolved) => Some(match resolved.resolution {
+                Resolution::Ran => ClaimReply::Ran,
+                Resolution::NotRun => ClaimReply::NotRun,
+            }),
+        }
+    }
+}
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -1,21 +1,19 @@
 //! The ledger of calls that may not be repeated.
 //!
 //! A key is open while an owner holds the claim to send its call, then settled. A settled key is
-//! forgotten after the organisation's retention time or when too many later ones are settled; an
-//! open one never is. Time is the highest time of any command, so it never moves back. Each
+//! forgotten after the organisation's retention time or when too many later ones are settled; calls
+//! in doubt are counted apart, so that no flood of answered ones drives them out. An open key is
+//! never forgotten. Time is the highest time of any command, so it never moves back. Each
 //! command forgets for its own organisation and for one other in turn.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    ops::Bound,
-    time::Duration,
-};
+use std::{collections::BTreeMap, ops::Bound, time::Duration};
 
-use base::{IdempotencyKey, OrganisationId, UnixMillis};
+use base::{OrganisationId, UnixMillis};
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    call::{Call, CallState, Conflict, Held},
+    call::{Call, CallState, Conflict, Held, Resolved},
+    calls::{Calls, Entry},
     command::{
         Answer, CallKey, Claim, ClaimReply, Doubt, Finish, FinishReply, Outcome, OwnerGone,
         Release, ReleaseReply, Resolution, Resolve, ResolveReply,
@@ -30,9 +28,6 @@
 /// Most bytes of answers kept over all organisations; past it an answer is kept without its body.
 pub const KEPT_BODY_BYTES: usize = 32 << 20;
 
-/// Most ids of released attempts that a key remembers.
-const RELEASED_IDS: usize = 16;
-
 /// More settlements than any ledger reaches; a snapshot that claims more is damaged.
 const MAX_SETTLEMENTS: u64 = u64::MAX / 2;
 
@@ -47,22 +42,6 @@
     swept: Option<OrganisationId>,
 }
 
-/// The calls of one organisation.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-struct Calls {
-    by_key: BTreeMap<IdempotencyKey, Entry>,
-    open: BTreeSet<IdempotencyKey>,
-    /// Settled keys, the oldest settlement first.
-    settled: BTreeMap<u64, IdempotencyKey>,
-}
-
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Entry {
-    call: Call,
-    released: VecDeque<crate::ClaimId>,
-    settlement: Option<u64>,
-}
-
 /// A view of the effective settings of each organisation.
 pub(crate) trait SettingsOf {
     /// Returns the settings of `organisation` at `now`.
@@ -72,28 +51,28 @@
 impl Ledger {
     /// Returns what is known of a call.
     pub fn call(&self, key: &CallKey) -> Option<&Call> {
-        self.organisations.get(&key.organisation)?.by_key.get(&key.key).map(|entry| &entry.call)
+        self.organisations.get(&key.organisation)?.call(&key.key)
     }
 
     /// Returns how many claims an organisation has open.
     pub fn open_claims(&self, organisation: &OrganisationId) -> usize {
-        self.organisations.get(organisation).map_or(0, |calls| calls.open.len())
+        self.organisations.get(organisation).map_or(0, Calls::open_count)
     }
 
     /// Lists the calls that are open or whose outcome is unknown.
     pub fn unsettled(&self) -> impl Iterator<Item = (CallKey, &Call)> {
         self.organisations.iter().flat_map(|(organisation, calls)| {
-            let entries = calls.by_key.iter().filter(|(_, entry)| entry.call.state.is_in_doubt());
-            entries.map(|(key, entry)| {
+            let in_doubt = calls.iter().filter(|(_, call)| call.state.is_in_doubt());
+            in_doubt.map(|(key, call)| {
                 let key = CallKey { organisation: organisation.clone(), key: key.clone() };
-                (key, &entry.call)
+                (key, call)
             })
         })
     }
 
     /// Returns how many calls are remembered.
     pub fn len(&self) -> usize {
-        self.organisations.values().map(|calls| calls.by_key.len()).sum()
+        self.organisations.values().map(|calls| calls.iter().len()).sum()
     }
 
     /// Returns whether no call is remembered.
@@ -144,7 +123,7 @@
         let Some(entry) = self.entry_mut(&finish.call) else {
             return FinishReply::Unknown;
         };
-        let state = match &entry.call.state {
+        let held = match &entry.call.state {
             CallState::Released => return FinishReply::NotOwner,
             CallState::Claimed(held)
             | CallState::MayHaveRun(held, _)
@@ -170,10 +149,13 @@
         match &finish.outcome {
             Outcome::Answered(answer) => {
                 let answer = self.bounded(answer, settings);
-                self.settle(&finish.call, CallState::Finished(state, answer));
+                self.settle(&finish.call, CallState::Finished(held, answer));
+                FinishReply::Recorded
+            }
+            Outcome::Unknown => {
+                self.settle(&finish.call, CallState::MayHaveRun(held, Doubt::OutcomeLost));
                 FinishReply::Recorded
             }
-            Outcome::Unknown => self.doubt(&finish.call, state),
         }
     }
 
@@ -198,10 +180,7 @@
             | CallState::Resolved(..)
             | CallState::MayHaveRun(_, Doubt::OutcomeLost) => ReleaseReply::AlreadySettled,
             CallState::Claimed(_) | CallState::MayHaveRun(_, Doubt::OwnerGone) => {
-                entry.released.push_back(release.id);
-                if RELEASED_IDS < entry.released.len() {
-                    entry.released.pop_front();
-                }
+                entry.remember_released(release.id);
                 self.settle(&release.call, CallState::Released);
                 ReleaseReply::Released
             }
@@ -226,7 +205,7 @@
         if resolve.resolution == Resolution::NotRun && !wait.is_zero() {
             return ResolveReply::TooEarly { wait };
         }
-        let resolved = crate::call::Resolved {
+        let resolved = Resolved {
             resolution: resolve.resolution,
             author: resolve.author.clone(),
             reason: resolve.reason.clone(),
@@ -238,20 +217,20 @@
 
     /// Marks every open claim of the ended processes; returns how many there were.
     pub(crate) fn owner_gone(&mut self, gone: &OwnerGone) -> u32 {
-        let mut found = Vec::new();
-        for (organisation, calls) in &self.organisations {
-            for key in &calls.open {
-                if let CallState::Claimed(held) = &calls.by_key[key].call.state
-                    && held.owner.host == gone.owner.host
-                    && held.owner.incarnation <= gone.owner.incarnation
-                {
-                    let call = CallKey { organisation: organisation.clone(), key: key.clone() };
-                    found.push((call, held.clone()));
-                }
-            }
-        }
-        let count = found.len() as u32;
-        for (call, held) in found {
+        let held_by_ended: Vec<_> = self
+            .organisations
+            .iter()
+            .flat_map(|(organisation, calls)| {
+                calls.open_claims().map(move |(key, held)| (organisation, key, held))
+            })
+            .filter(|(_, _, held)| held.ended_with(&gone.owner))
+            .map(|(organisation, key, held)| {
+                let call = CallKey { organisation: organisation.clone(), key: key.clone() };
+                (call, held.clone())
+            })
+            .collect();
+        let count = held_by_ended.len() as u32;
+        for (call, held) in held_by_ended {
             self.settle(&call, CallState::MayHaveRun(held, Doubt::OwnerGone));
         }
         count
@@ -259,26 +238,11 @@
 
     /// Checks what a snapshot's maps promise each other, so that later commands cannot panic.
     pub(crate) fn is_consistent(&self) -> bool {
-        let mut bytes = 0_usize;
-        for calls in self.organisations.values() {
-            let open = calls.by_key.iter().filter(|(_, entry)| entry.call.state.is_open());
-            let unnumbered = open.clone().all(|(_, entry)| entry.settlement.is_none());
-            if !unnumbered || !open.map(|(key, _)| key).eq(&calls.open) {
-                return false;
-            }
-            let settled = calls.by_key.iter().filter(|(_, e)| !e.call.state.is_open());
-            let listed = settled.clone().all(|(key, entry)| {
-                entry.settlement.and_then(|number| calls.settled.get(&number)) == Some(key)
-            });
-            if !listed || settled.count() != calls.settled.len() {
-                return false;
-            }
-            bytes +=
-                calls.by_key.values().map(|entry| entry.call.state.body_bytes()).sum::<usize>();
-        }
-        let numbers = self.organisations.values().flat_map(|calls| calls.settled.keys().last());
+        let bytes: usize = self.organisations.values().map(Calls::body_bytes).sum();
+        let numbers = self.organisations.values().filter_map(Calls::last_settlement);
         let next = numbers.max().map_or(0, |last| last.saturating_add(1));
-        bytes == self.kept_body_bytes
+        self.organisations.values().all(Calls::is_consistent)
+            && bytes == self.kept_body_bytes
             && next <= self.next_settlement
             && self.next_settlement < MAX_SETTLEMENTS
     }
@@ -292,7 +256,7 @@
     }
 
     fn entry_mut(&mut self, call: &CallKey) -> Option<&mut Entry> {
-        self.organisations.get_mut(&call.organisation)?.by_key.get_mut(&call.key)
+        self.organisations.get_mut(&call.organisation)?.entry_mut(&call.key)
     }
 
     fn open(&mut self, claim: &Claim, send_within: Duration) {
@@ -300,45 +264,15 @@
         let held =
             Held { id: claim.id, owner: claim.owner.clone(), claimed_at: self.clock, send_within };
         let call = Call::new(claim.request, CallState::Claimed(held), self.clock);
-        let key = &claim.call.key;
-        calls.open.insert(key.clone());
-        match calls.by_key.get_mut(key) {
-            Some(entry) => {
-                if let Some(number) = entry.settlement.take() {
-                    calls.settled.remove(&number);
-                }
-                entry.call = call;
-            }
-            None => {
-                let entry = Entry { call, released: VecDeque::new(), settlement: None };
-                calls.by_key.insert(key.clone(), entry);
-            }
-        }
-    }
-
-    fn doubt(&mut self, call: &CallKey, held: Held) -> FinishReply {
-        self.settle(call, CallState::MayHaveRun(held, Doubt::OutcomeLost));
-        FinishReply::Recorded
+        calls.open(&claim.call.key, call);
     }
 
     fn settle(&mut self, call: &CallKey, state: CallState) {
-        let number = self.next_settlement;
-        let clock = self.clock;
         let Some(calls) = self.organisations.get_mut(&call.organisation) else {
             return;
         };
-        let Some(entry) = calls.by_key.get_mut(&call.key) else {
-            return;
-        };
-        if let Some(earlier) = entry.settlement.replace(number) {
-            calls.settled.remove(&earlier);
-        }
-        calls.open.remove(&call.key);
-        calls.settled.insert(number, call.key.clone());
         self.kept_body_bytes += state.body_bytes();
-        self.kept_body_bytes -= entry.call.state.body_bytes();
-        entry.call.state = state;
-        entry.call.since = clock;
+        self.kept_body_bytes -= calls.settle(&call.key, state, self.clock, self.next_settlement);
         self.next_settlement += 1;
     }
 
@@ -367,55 +301,8 @@
     }
 
     fn forget_if_empty(&mut self, organisation: &OrganisationId) {
-        if self.organisations.get(organisation).is_some_and(|calls| calls.by_key.is_empty()) {
+        if self.organisations.get(organisation).is_some_and(|calls| calls.iter().len() == 0) {
             self.organisations.remove(organisation);
         }
     }
 }
-
-impl Calls {
-    /// Forgets settled calls past their bounds; returns the bytes of their bodies.
-    fn forget(&mut self, now: UnixMillis, settings: &Settings) -> usize {
-        let retention = settings.claim_retention.as_duration();
-        let count = settings.claim_retention_count.as_u32() as usize;
-        let mut freed = 0;
-        while let Some((number, key)) = self.settled.first_key_value() {
-            let age = now.saturating_since(self.by_key[key].call.since);
-            if age < retention && self.settled.len() <= count {
-                break;
-            }
-            let (number, key) = (*number, key.clone());
-            self.settled.remove(&number);
-            let entry = self.by_key.remove(&key);
-            freed += entry.map_or(0, |entry| entry.call.state.body_bytes());
-        }
-        freed
-    }
-}
-
-impl Entry {
-    /// Answers a claim from what is known, `None` if the key is free.
-    fn answer(&self, claim: &Claim) -> Option<ClaimReply> {
-        if self.call.request != claim.request {
-            return Some(ClaimReply::KeyReused);
-        }
-        if self.released.contains(&claim.id) {
-            return Some(ClaimReply::AttemptReleased);
-        }
-        match &self.call.state {
-            CallState::Claimed(held) if held.is_by(claim.id, &claim.owner) => {
-                Some(ClaimReply::Claimed { send_within: held.send_within })
-            }
-            CallState::Claimed(held) => Some(ClaimReply::InProgress(held.owner.clone())),
-            CallState::Released => None,
-            CallState::Finished(_, answer) => Some(ClaimReply::Finished(answer.clone())),
-            CallState::MayHaveRun(_, why) => {
-                Some(ClaimReply::MayHaveRun { since: self.call.since, why: *why })
-            }
-            CallState::Resolved(_, resolved) => Some(match resolved.resolution {
-                Resolution::Ran => ClaimReply::Ran,
-                Resolution::NotRun => ClaimReply::NotRun,
-            }),
-        }
-    }
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 //! ```
 
 mod call;
+mod calls;
 mod codec;
 mod command;
 mod configuration;
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -5,11 +5,18 @@
 use crate::{
     scope::Dimensions,
     setting::{
-        ByteLimit, Count, HedgeDelay, Methods, PlacementLevel, Priority, Ratio, Retention,
+        ByteLimit, Count, HedgeDelay, Method, Methods, PlacementLevel, Priority, Ratio, Retention,
         RoutingPolicy, Share, Timeout, Weight, WeightLoads,
     },
 };
 
+impl Settings {
+    /// Returns whether a call of a plain service by `method`, as HTTP spells it, may be repeated.
+    pub fn may_repeat(&self, method: &str) -> bool {
+        method.parse().is_ok_and(|method: Method| self.idempotent_methods.contains(method))
+    }
+}
+
 /// A setting's name and where an exception may change it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SettingKey {
--- a/crates/fleet/tests/declaration.rs
+++ b/crates/fleet/tests/declaration.rs
@@ -192,6 +192,26 @@
     }
 }
 
+macro_rules! repeat_cases {
+    ($($name:ident: $scope:literal, $method:literal => $may:literal,)*) => {$(
+        #[test]
+        fn $name() {
+            let declaration = Declaration::from_toml(LAYERED).expect("declaration");
+            let settings = declaration.effective(&scope($scope), UnixMillis::new(0));
+            assert_eq!(settings.may_repeat($method), $may);
+        }
+    )*};
+}
+
+repeat_cases! {
+    get_may_be_repeated: "{ service = 'rota' }", "GET" => true,
+    head_by_the_default: "{ service = 'rota' }", "HEAD" => false,
+    post_by_exception: "{ service = 'desk' }", "POST" => true,
+    post_elsewhere: "{ service = 'rota' }", "POST" => false,
+    unknown_method: "{ service = 'desk' }", "BREW" => false,
+    methods_are_in_upper_case: "{ service = 'desk' }", "get" => false,
+}
+
 #[test]
 fn bearer_key_names_its_organisation() {
     let declaration = Declaration::from_toml(LAYERED).expect("declaration");
--- a/crates/fleet/tests/retention.rs
+++ b/crates/fleet/tests/retention.rs
@@ -63,6 +63,21 @@
     assert_eq!(known, [false, true, true, true]);
 }
 
+#[test]
+fn answered_calls_drive_no_doubt_out() {
+    let mut log = Log::default();
+    log.declare(BOUNDS);
+    log.apply(&Command::Claim(claim("doubt", 99, "a")));
+    log.apply(&finish("doubt", 99, "a", Outcome::Unknown));
+    for id in 1..10 {
+        run(&mut log, &format!("k-{id}"), id, 2_000);
+    }
+    pass(&mut log, 11_999);
+    assert!(knows(&log, "doubt"));
+    pass(&mut log, 12_000);
+    assert!(!knows(&log, "doubt"));
+}
+
 #[test]
 fn open_claim_outlives_every_bound() {
     let mut log = Log::default();
