--- a/crates/fleet/src/call.rs
+++ b/crates/fleet/src/call.rs
@@ -6,8 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    command::{Answer, ClaimId, Doubt, Owner, Resolution},
+    command::{Answer, ClaimId, Owner, Resolution},
     ledger::RESOLVE_MARGIN,
+    reply::Doubt,
 };
 
 /// A call that may not be repeated.
--- a/crates/fleet/src/calls.rs
+++ b/crates/fleet/src/calls.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     call::{Call, CallState, Held},
-    command::{Claim, ClaimId, ClaimReply, Resolution},
+    command::{Claim, ClaimId, Resolution},
+    reply::ClaimReply,
     settings::Settings,
 };
 
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -11,9 +11,11 @@
 
 use crate::{
     codec::CodecError,
-    command::{ChangeRecord, ChangeReply, ConfigChange},
-    declaration::{Declaration, Reason},
+    command::ConfigChange,
+    contents::Reason,
+    declaration::Declaration,
     declaration_error::DeclarationError,
+    reply::{ChangeRecord, ChangeReply},
 };
 
 /// Most changes that the history keeps.
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -14,11 +14,9 @@
 use crate::{
     call::{Call, CallState, Conflict, Held, Resolved},
     calls::{Calls, Entry},
-    command::{
-        Answer, CallKey, Claim, ClaimReply, Doubt, Finish, FinishReply, Outcome, OwnerGone,
-        Release, ReleaseReply, Resolution, Resolve, ResolveReply,
-    },
-    declaration::Reason,
+    command::{Answer, CallKey, Claim, Finish, Outcome, OwnerGone, Release, Resolution, Resolve},
+    contents::Reason,
+    reply::{ClaimReply, Doubt, FinishReply, ReleaseReply, ResolveReply},
     settings::Settings,
 };
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,11 +33,15 @@
 mod codec;
 mod command;
 mod configuration;
+mod contents;
 mod declaration;
 mod declaration_error;
+mod declaration_file;
 mod diff;
+mod explanation;
 mod ledger;
 pub mod orders;
+mod reply;
 mod scope;
 pub mod setting;
 mod settings;
@@ -47,17 +51,20 @@
     call::{Call, CallState, Conflict, Held, Resolved},
     codec::CodecError,
     command::{
-        Answer, CallKey, ChangeRecord, ChangeReply, Claim, ClaimId, ClaimReply, Command,
-        ConfigChange, Doubt, Finish, FinishReply, Outcome, Owner, OwnerGone, Release, ReleaseReply,
-        Reply, Resolution, Resolve, ResolveReply,
+        Answer, CallKey, Claim, ClaimId, Command, ConfigChange, Finish, Outcome, Owner, OwnerGone,
+        Release, Resolution, Resolve,
     },
     configuration::{Configuration, HISTORY_COUNT, REMEMBERED_COUNT, REMEMBERED_TIME},
-    declaration::{
-        Contents, Declaration, DesiredModel, Exception, Explanation, Organisation, Reason, Source,
-    },
+    contents::{Contents, DesiredModel, Exception, Organisation, Reason},
+    declaration::Declaration,
     declaration_error::DeclarationError,
     diff::{Difference, diff},
+    explanation::{Explanation, Source},
     ledger::{KEPT_BODY_BYTES, Ledger, RESOLVE_MARGIN},
+    reply::{
+        ChangeRecord, ChangeReply, ClaimReply, Doubt, FinishReply, ReleaseReply, Reply,
+        ResolveReply,
+    },
     scope::Scope,
     settings::{Overrides, SettingKey, SettingValue, Settings},
     state::Fleet,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -1,3 +1,5 @@
+//! The replicated state as a whole, and its snapshots.
+
 use base::{LogIndex, OrganisationId, Revision, UnixMillis};
 use serde::{Deserialize, Serialize};
 
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -135,7 +135,7 @@
 }
 
 #[test]
-fn answer_is_forgotten_after_its_time_and_time_never_moves_back() {
+fn answer_is_forgotten_after_its_time() {
     let mut log = Log::default();
     let first = ConfigChange { at: at(0), ..change("first", 0, EMPTY) };
     let end = REMEMBERED_TIME.as_millis() as u64;
--- a/crates/fleet/tests/orders.rs
+++ b/crates/fleet/tests/orders.rs
@@ -182,6 +182,7 @@
     in_progress: Vec<InProgress>,
     given: Vec<Order>,
     most_loads: usize,
+    replaced: usize,
 }
 
 const ROUNDS_UNTIL_VISIBLE: u64 = 8;
@@ -190,7 +191,8 @@
     /// Plans once a second while the wish moves between two states every half a minute.
     fn run(awareness: StateAwareness) -> Self {
         let engines = reported("a=m:1 b=m:1 c=m:1 d=m:1 e=n:1 f=n:1 g= h=");
-        let mut site = Self { engines, in_progress: Vec::new(), given: Vec::new(), most_loads: 0 };
+        let (in_progress, given) = (Vec::new(), Vec::new());
+        let mut site = Self { engines, in_progress, given, most_loads: 0, replaced: 0 };
         let wishes = [desired("m:1*4 n:1*4"), desired("m:1*6 n:1*2")];
         let limits = Limits { awareness, ..limits() };
         for round in 0..240 {
@@ -214,6 +216,7 @@
             let is_visible = sent.since_origin().as_secs() + ROUNDS_UNTIL_VISIBLE <= round;
             let engine = self.engines.iter_mut().find(|e| e.endpoint == order.endpoint);
             if let Some(engine) = engine.filter(|_| is_visible) {
+                self.replaced += usize::from(engine.models != [model.clone()]);
                 engine.models = vec![model.clone()];
             }
         }
@@ -226,8 +229,14 @@
 fn awareness_of_earlier_orders_gives_fewer_orders() {
     let aware = Site::run(StateAwareness::On);
     let unaware = Site::run(StateAwareness::Off);
-    println!("orders: {} aware, {} unaware", aware.given.len(), unaware.given.len());
+    let count = |site: &Site| (site.given.len(), site.replaced);
+    println!(
+        "orders and replaced models: {:?} aware, {:?} unaware",
+        count(&aware),
+        count(&unaware)
+    );
     assert!(aware.given.len() < unaware.given.len());
+    assert!(aware.replaced <= unaware.replaced);
     assert!(aware.most_loads <= 3 && unaware.most_loads <= 3);
     assert!(aware.engines.iter().all(|engine| !engine.models.is_empty()));
 }
--- a/crates/fleet/tests/replicas.rs
+++ b/crates/fleet/tests/replicas.rs
@@ -174,6 +174,27 @@
     }
 }
 
+#[test]
+fn snapshot_with_any_bit_flipped_is_refused_or_runs() {
+    let mut log = Log::default();
+    let first = Claim { owner: owner("a", 1), ..fixture::claim("k", 1, "a") };
+    log.apply(&Command::Claim(first.clone()));
+    log.apply(&finish(first, true));
+    log.apply(&Command::Claim(fixture::claim("l", 2, "a")));
+    let later = Command::Claim(Claim { at: at(u64::MAX), ..fixture::claim("m", 3, "a") });
+    let bytes = log.fleet.to_snapshot();
+    for bit in 0..bytes.len() * 8 {
+        let mut flipped = bytes.clone();
+        flipped[bit / 8] ^= 1 << (bit % 8);
+        if let Ok(fleet) = Fleet::from_snapshot(&flipped) {
+            let mut damaged = Log { fleet };
+            damaged.apply(&later);
+            damaged.apply(&fixture::release("l", 2, "a"));
+            damaged.round_trip();
+        }
+    }
+}
+
 #[test]
 fn other_format_is_named() {
     let mut bytes = Command::Change(ConfigChange { at: at(0), ..change("c", 0, "") }).to_bytes();
