fleet: bound the calls kept over all organisations

Cause: each organisation had its own bounds, so the sum had none that fits a host's memory at 3,100 organisations. Change: past 65,536 calls the organisation with the most settled calls loses its oldest one; a claim is refused as not run if all are open.

--- a/crates/fleet/src/calls.rs
+++ b/crates/fleet/src/calls.rs
@@ -37,6 +37,13 @@
     settlement: Option<u64>,
 }
 
+/// How much was forgotten.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Forgotten {
+    pub(crate) calls: usize,
+    pub(crate) body_bytes: usize,
+}
+
 impl Calls {
     pub(crate) fn call(&self, key: &IdempotencyKey) -> Option<&Call> {
         self.by_key.get(key).map(|entry| &entry.call)
@@ -99,11 +106,23 @@
         freed
     }
 
-    /// Forgets settled calls past their bounds; returns the bytes of their bodies.
-    pub(crate) fn forget(&mut self, now: UnixMillis, settings: &Settings) -> usize {
+    /// Returns how many calls are not open.
+    pub(crate) fn settled_count(&self) -> usize {
+        self.known.len() + self.doubted.len()
+    }
+
+    /// Forgets settled calls past their bounds.
+    pub(crate) fn forget(&mut self, now: UnixMillis, settings: &Settings) -> Forgotten {
         let mut due = self.due(&self.known, now, settings);
         due.extend(self.due(&self.doubted, now, settings));
-        due.iter().map(|key| self.remove(key)).sum()
+        self.remove_all(&due)
+    }
+
+    /// Forgets the oldest call whose outcome is known, or else the oldest one in doubt.
+    pub(crate) fn forget_oldest(&mut self) -> Forgotten {
+        let oldest = self.known.first_key_value().or(self.doubted.first_key_value());
+        let due: Vec<_> = oldest.map(|(_, key)| key.clone()).into_iter().collect();
+        self.remove_all(&due)
     }
 
     pub(crate) fn body_bytes(&self) -> usize {
@@ -146,14 +165,19 @@
             .collect()
     }
 
-    fn remove(&mut self, key: &IdempotencyKey) -> usize {
-        let Some(entry) = self.by_key.remove(key) else {
-            return 0;
-        };
-        if let Some(number) = entry.settlement {
-            self.unlist(number);
+    fn remove_all(&mut self, due: &[IdempotencyKey]) -> Forgotten {
+        let mut forgotten = Forgotten::default();
+        for key in due {
+            let Some(entry) = self.by_key.remove(key) else {
+                continue;
+            };
+            if let Some(number) = entry.settlement {
+                self.unlist(number);
+            }
+            forgotten.calls += 1;
+            forgotten.body_bytes += entry.call.state.body_bytes();
         }
-        entry.call.state.body_bytes()
+        forgotten
     }
 
     fn unlist(&mut self, number: u64) {
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -3,7 +3,7 @@
 //! A key is open while an owner holds the claim to send its call, then settled. A settled key is
 //! forgotten after the organisation's retention time or when too many later ones are settled; calls
 //! in doubt are counted apart, so that no flood of answered ones drives them out. An open key is
-//! never forgotten. Time is the highest time of any command, so it never moves back. Each
+//! never forgotten. A last bound holds over all organisations. Time is the highest time of any command, so it never moves back. Each
 //! command forgets for its own organisation and for one other in turn.
 
 use std::{collections::BTreeMap, ops::Bound, time::Duration};
@@ -13,7 +13,7 @@
 
 use crate::{
     call::{Call, CallState, Conflict, Held, Resolved},
-    calls::{Calls, Entry},
+    calls::{Calls, Entry, Forgotten},
     command::{Answer, CallKey, Claim, Finish, Outcome, OwnerGone, Release, Resolution, Resolve},
     contents::Reason,
     reply::{ClaimReply, Doubt, FinishReply, ReleaseReply, ResolveReply},
@@ -26,6 +26,10 @@
 /// Most bytes of answers kept over all organisations; past it an answer is kept without its body.
 pub const KEPT_BODY_BYTES: usize = 32 << 20;
 
+/// Most calls kept over all organisations, open or settled; past it the organisation with the most
+/// settled calls loses its oldest one.
+pub const KEPT_CALLS: usize = 1 << 16;
+
 /// More settlements than any ledger reaches; a snapshot that claims more is damaged.
 const MAX_SETTLEMENTS: u64 = u64::MAX / 2;
 
@@ -35,6 +39,7 @@
     organisations: BTreeMap<OrganisationId, Calls>,
     clock: UnixMillis,
     next_settlement: u64,
+    kept_calls: usize,
     kept_body_bytes: usize,
     /// The organisation that the last command swept in turn.
     swept: Option<OrganisationId>,
@@ -70,7 +75,7 @@
 
     /// Returns how many calls are remembered.
     pub fn len(&self) -> usize {
-        self.organisations.values().map(|calls| calls.iter().len()).sum()
+        self.kept_calls
     }
 
     /// Returns whether no call is remembered.
@@ -113,6 +118,9 @@
         if max_open <= self.open_claims(&claim.call.organisation) {
             return ClaimReply::TooMany;
         }
+        if self.call(&claim.call).is_none() && !self.make_room() {
+            return ClaimReply::TooMany;
+        }
         self.open(claim, send_within);
         ClaimReply::Claimed { send_within }
     }
@@ -237,9 +245,11 @@
     /// Checks what a snapshot's maps promise each other, so that later commands cannot panic.
     pub(crate) fn is_consistent(&self) -> bool {
         let bytes: usize = self.organisations.values().map(Calls::body_bytes).sum();
+        let calls: usize = self.organisations.values().map(|calls| calls.iter().len()).sum();
         let numbers = self.organisations.values().filter_map(Calls::last_settlement);
         let next = numbers.max().map_or(0, |last| last.saturating_add(1));
         self.organisations.values().all(Calls::is_consistent)
+            && calls == self.kept_calls
             && bytes == self.kept_body_bytes
             && next <= self.next_settlement
             && self.next_settlement < MAX_SETTLEMENTS
@@ -262,6 +272,7 @@
         let held =
             Held { id: claim.id, owner: claim.owner.clone(), claimed_at: self.clock, send_within };
         let call = Call::new(claim.request, CallState::Claimed(held), self.clock);
+        self.kept_calls += usize::from(calls.call(&claim.call.key).is_none());
         calls.open(&claim.call.key, call);
     }
 
@@ -294,7 +305,27 @@
             return;
         };
         let settings = settings.settings_of(organisation, self.clock);
-        self.kept_body_bytes -= calls.forget(self.clock, &settings);
+        let forgotten = calls.forget(self.clock, &settings);
+        self.account(organisation, forgotten);
+    }
+
+    /// Keeps within [`KEPT_CALLS`]; returns whether there is room for one more call.
+    fn make_room(&mut self) -> bool {
+        if self.kept_calls < KEPT_CALLS {
+            return true;
+        }
+        let largest = self.organisations.iter_mut().max_by_key(|(_, calls)| calls.settled_count());
+        let Some((organisation, calls)) = largest else {
+            return false;
+        };
+        let (organisation, forgotten) = (organisation.clone(), calls.forget_oldest());
+        self.account(&organisation, forgotten);
+        forgotten != Forgotten::default()
+    }
+
+    fn account(&mut self, organisation: &OrganisationId, forgotten: Forgotten) {
+        self.kept_calls -= forgotten.calls;
+        self.kept_body_bytes -= forgotten.body_bytes;
         self.forget_if_empty(organisation);
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -60,7 +60,7 @@
     declaration_error::DeclarationError,
     diff::{Difference, diff},
     explanation::{Explanation, Source},
-    ledger::{KEPT_BODY_BYTES, Ledger, RESOLVE_MARGIN},
+    ledger::{KEPT_BODY_BYTES, KEPT_CALLS, Ledger, RESOLVE_MARGIN},
     reply::{
         ChangeRecord, ChangeReply, ClaimReply, Doubt, FinishReply, ReleaseReply, Reply,
         ResolveReply,
--- a/crates/fleet/tests/retention.rs
+++ b/crates/fleet/tests/retention.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fixture::{Log, answer, at, call, claim, claimed, finish};
-use fleet::{Claim, Command, Finish, KEPT_BODY_BYTES, Outcome, Reply};
+use fleet::{Claim, Command, Finish, KEPT_BODY_BYTES, KEPT_CALLS, Outcome, Reply};
 
 const BOUNDS: &str = "[defaults]\nclaim-retention = '10s'\nclaim-retention-count = 3";
 
@@ -135,6 +135,36 @@
     assert_eq!(log.round_trip().fleet, log.fleet);
 }
 
+#[test]
+fn calls_of_all_organisations_stay_bounded() {
+    let mut log = Log::default();
+    log.declare(
+        "[defaults]\nclaim-retention-count = 1000000\nmax-open-claims = 1000000\n\
+         claim-retention = '30days'",
+    );
+    log.apply(&Command::Claim(claim("open", 0, "a")));
+    let mut small = claim("small", 1, "a");
+    small.call.organisation = "weavers".parse().expect("organisation");
+    log.apply(&Command::Claim(small.clone()));
+    let Claim { call, id, owner, at, .. } = small;
+    log.apply(&Command::Finish(Finish {
+        call: call.clone(),
+        id,
+        owner,
+        at,
+        outcome: Outcome::Unknown,
+    }));
+    for id in 2..KEPT_CALLS as u128 {
+        run(&mut log, &format!("k-{id}"), id, 1_000);
+    }
+    assert_eq!(log.fleet.ledger().len(), KEPT_CALLS);
+    assert_eq!(pass(&mut log, 2_000), claimed());
+    assert_eq!(log.fleet.ledger().len(), KEPT_CALLS);
+    assert!(knows(&log, "open") && !knows(&log, "k-2") && knows(&log, "k-3"));
+    assert!(log.fleet.ledger().call(&call).is_some(), "the small organisation loses nothing");
+    assert_eq!(log.round_trip().fleet, log.fleet);
+}
+
 #[test]
 fn retention_is_the_organisation_s_own() {
     let mut log = Log::default();
