--- a/crates/base/src/digest.rs
+++ b/crates/base/src/digest.rs
@@ -5,6 +5,8 @@
 use crate::ParseError;
 
 /// A BLAKE3 digest.
+///
+/// Formats for people hold it as hexadecimal digits, binary ones as 32 bytes.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Digest([u8; Digest::BYTES]);
 
@@ -71,12 +73,18 @@
 
 impl Serialize for Digest {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if !serializer.is_human_readable() {
+            return self.0.serialize(serializer);
+        }
         serializer.collect_str(self)
     }
 }
 
 impl<'de> Deserialize<'de> for Digest {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if !deserializer.is_human_readable() {
+            return Deserialize::deserialize(deserializer).map(Self);
+        }
         let text = <std::borrow::Cow<'de, str>>::deserialize(deserializer)?;
         text.parse().map_err(de::Error::custom)
     }
--- a/crates/fleet/src/declaration.rs
+++ b/crates/fleet/src/declaration.rs
@@ -32,6 +32,33 @@
     /// # Errors
     ///
     /// Returns the line, the column, the key and the value that are wrong, and what is allowed.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::UnixMillis;
+    /// use fleet::{Declaration, Scope};
+    ///
+    /// let declaration = Declaration::from_toml(
+    ///     r#"
+    ///     [defaults]
+    ///     request-timeout = "60s"
+    ///
+    ///     [[exceptions]]
+    ///     id = "fan-repair"
+    ///     reason = "engine-3 is switched off for a new fan"
+    ///     until = "2026-12-05T18:00:00Z"
+    ///     scope = { endpoint = "engine-3" }
+    ///     set = { drain = true }
+    ///     "#,
+    /// )?;
+    /// let scope = Scope::endpoint("engine-3".parse()?);
+    /// assert!(declaration.effective(&scope, UnixMillis::new(0)).drain);
+    ///
+    /// let error = Declaration::from_toml("[defaults]\nshare = 0").unwrap_err();
+    /// assert_eq!((error.line(), error.column()), (2, 9));
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
     pub fn from_toml(text: &str) -> Result<Self, DeclarationError> {
         let contents: Contents = DeclarationFile::read(text)?.into();
         let index = Index::new(&contents);
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -1,5 +1,13 @@
 //! The ledger of calls that may not be repeated.
 //!
+//! A call is sent only under a claim that this ledger gave, and by the claim's owner within the
+//! claim's send deadline, which the owner checks on its own monotonic clock right before the first
+//! byte. A claim ends by its owner's report, by the owner's word that it sent nothing, or by an
+//! operator's settlement, which is final for the key: the caller takes a new one. An operator can
+//! settle a call as not run only when the send deadline and [`RESOLVE_MARGIN`] have passed; should
+//! an owner that was frozen between its check and the first byte answer still, the answer is kept
+//! as a conflict.
+//!
 //! A key is open while an owner holds the claim to send its call, then settled. A settled key is
 //! forgotten after the organisation's retention time or when too many later ones are settled; calls
 //! in doubt are counted apart, so that no flood of answered ones drives them out. An open key is
--- a/crates/fleet/tests/replicas.rs
+++ b/crates/fleet/tests/replicas.rs
@@ -188,9 +188,10 @@
         flipped[bit / 8] ^= 1 << (bit % 8);
         if let Ok(fleet) = Fleet::from_snapshot(&flipped) {
             let mut damaged = Log { fleet };
-            damaged.apply(&later);
             damaged.apply(&fixture::release("l", 2, "a"));
             damaged.round_trip();
+            damaged.apply(&later);
+            damaged.round_trip();
         }
     }
 }
@@ -206,6 +207,12 @@
     assert!(error.is_other_format());
 }
 
+#[test]
+fn claim_stays_small_in_the_log() {
+    let bytes = Command::Claim(fixture::claim("k", 1, "a")).to_bytes();
+    assert!(bytes.len() <= 64, "{} bytes", bytes.len());
+}
+
 #[test]
 fn bytes_after_the_value_are_refused() {
     let mut bytes = Command::Change(change("c", 0, "")).to_bytes();
