--- a/crates/fleet/src/declaration.rs
+++ b/crates/fleet/src/declaration.rs
@@ -13,6 +13,9 @@
     settings::{Overrides, SettingValue, Settings},
 };
 
+/// Longest text of a declaration, in bytes.
+const MAX_BYTES: usize = 2 << 20;
+
 /// A checked declaration.
 #[derive(Clone, Debug, Default)]
 pub struct Declaration {
@@ -60,6 +63,9 @@
     /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
     pub fn from_toml(text: &str) -> Result<Self, DeclarationError> {
+        if MAX_BYTES < text.len() {
+            return Err(DeclarationError::too_long(text.len(), MAX_BYTES));
+        }
         let contents: Contents = DeclarationFile::read(text)?.into();
         let index = Index::new(&contents);
         Ok(Self { contents, index })
--- a/crates/fleet/src/declaration_error.rs
+++ b/crates/fleet/src/declaration_error.rs
@@ -47,6 +47,12 @@
         Self::new(text, start, key, &value, &format!("expected {allowed}"))
     }
 
+    /// Describes a text of `found` bytes where `most` are allowed.
+    pub(crate) fn too_long(found: usize, most: usize) -> Self {
+        let message = format!("the text has {found} bytes; expected at most {most}").into();
+        Self { line: 1, column: 1, message }
+    }
+
     fn new(text: &str, start: usize, key: &str, value: &str, problem: &str) -> Self {
         let before = text.get(..start).unwrap_or_default();
         let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
--- a/crates/fleet/tests/declaration.rs
+++ b/crates/fleet/tests/declaration.rs
@@ -82,6 +82,8 @@
     only_prefill: "[[models]]\nmodel = 'm'\nweights = 'v1'\nminimum-servers = 2\nprefill-servers = 2" =>
         "line 1 column 1: key `prefill-servers`, value `[[models]]`: \
          expected fewer prefill-servers than minimum-servers",
+    too_long: &"#".repeat(2_097_153) =>
+        "line 1 column 1: the text has 2097153 bytes; expected at most 2097152",
     broken_toml: "[defaults\n" =>
         "line 1 column 10: unclosed table, expected `]`",
 }
