--- /dev/null
+++ b/crates/fleet/src/ledger.rs
@@ -0,0 +1,345 @@
+//! The ledger of calls that may not be repeated.
+//!
+//! A call is sent only under a claim that this ledger gave, and by the claim's owner within the
+//! claim's send deadline, which the owner checks on its own monotonic clock right before the first
+//! byte. A claim ends by its owner's report, by the owner's word that it sent nothing, or by an
+//! operator's settlement, which is final for the key: the caller takes a new one. An operator can
+//! settle a call as not run only when the send deadline and [`RESOLVE_MARGIN`] have passed; should
+//! an owner that was frozen between its check and the first byte answer still, the answer is kept
+//! as a conflict.
+//!
+//! A key is open while an owner holds the claim to send its call, then settled. A settled key is
+//! forgotten after the organisation's retention time or when too many later ones are settled; calls
+//! in doubt are counted apart, so that no flood of answered ones drives them out. An open key is
+//! never forgotten. A last bound holds over all organisations. Time is the highest time of any command, so it never moves back. Each
+//! command forgets for its own organisation and for one other in turn.
+
+use std::{collections::BTreeMap, ops::Bound, time::Duration};
+
+use base::{OrganisationId, UnixMillis};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    call::{Call, CallState, Conflict, Held, Resolved},
+    calls::{Calls, Entry, Forgotten},
+    command::{Answer, CallKey, Claim, Finish, Outcome, OwnerGone, Release, Resolution, Resolve},
+    contents::Reason,
+    reply::{ClaimReply, Doubt, FinishReply, ReleaseReply, ResolveReply},
+    settings::Settings,
+};
+
+/// Time added to a claim's send deadline before an operator may declare it not run.
+pub const RESOLVE_MARGIN: Duration = Duration::from_secs(5);
+
+/// Most bytes of answers kept over all organisations; past it an answer is kept without its body.
+pub const KEPT_BODY_BYTES: usize = 32 << 20;
+
+/// Most calls kept over all organisations, open or settled; past it the organisation with the most
+/// settled calls loses its oldest one.
+pub const KEPT_CALLS: usize = 1 << 16;
+
+/// More settlements than any ledger reaches; a snapshot that claims more is damaged.
+const MAX_SETTLEMENTS: u64 = u64::MAX / 2;
+
+/// The calls of every organisation.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    organisations: BTreeMap<OrganisationId, Calls>,
+    clock: UnixMillis,
+    next_settlement: u64,
+    kept_calls: usize,
+    kept_body_bytes: usize,
+    /// The organisation that the last command swept in turn.
+    swept: Option<OrganisationId>,
+}
+
+/// A view of the effective settings of each organisation.
+pub(crate) trait SettingsOf {
+    /// Returns the settings of `organisation` at `now`.
+    fn settings_of(&self, organisation: &OrganisationId, now: UnixMillis) -> Settings;
+}
+
+impl Ledger {
+    /// Returns what is known of a call.
+    pub fn call(&self, key: &CallKey) -> Option<&Call> {
+        self.organisations.get(&key.organisation)?.call(&key.key)
+    }
+
+    /// Returns how many claims an organisation has open.
+    pub fn open_claims(&self, organisation: &OrganisationId) -> usize {
+        self.organisations.get(organisation).map_or(0, Calls::open_count)
+    }
+
+    /// Lists the calls that are open or whose outcome is unknown.
+    pub fn unsettled(&self) -> impl Iterator<Item = (CallKey, &Call)> {
+        self.organisations.iter().flat_map(|(organisation, calls)| {
+            let in_doubt = calls.iter().filter(|(_, call)| call.state.is_in_doubt());
+            in_doubt.map(|(key, call)| {
+                let key = CallKey { organisation: organisation.clone(), key: key.clone() };
+                (key, call)
+            })
+        })
+    }
+
+    /// Returns how many calls are remembered.
+    pub fn len(&self) -> usize {
+        self.kept_calls
+    }
+
+    /// Returns whether no call is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.organisations.is_empty()
+    }
+
+    /// Returns the ledger's time: the highest time of any command.
+    pub fn clock(&self) -> UnixMillis {
+        self.clock
+    }
+
+    /// Moves time forward, never back, and forgets what is too old.
+    pub(crate) fn advance<S: SettingsOf>(
+        &mut self,
+        at: UnixMillis,
+        organisation: Option<&OrganisationId>,
+        settings: &S,
+    ) {
+        self.clock = self.clock.max(at);
+        if let Some(organisation) = organisation {
+            self.sweep(organisation, settings);
+        }
+        if let Some(next) = self.next_in_turn() {
+            self.sweep(&next, settings);
+            self.swept = Some(next);
+        }
+    }
+
+    pub(crate) fn claim(&mut self, claim: &Claim, settings: &Settings) -> ClaimReply {
+        if let Some(held) = self.ended_holder(claim) {
+            self.settle(&claim.call, CallState::MayHaveRun(held, Doubt::OwnerGone));
+        }
+        let send_within = settings.claim_send_deadline.as_duration();
+        let known = self.entry_mut(&claim.call).and_then(|entry| entry.answer(claim));
+        if let Some(reply) = known {
+            return reply;
+        }
+        let max_open = settings.max_open_claims.as_u32() as usize;
+        if max_open <= self.open_claims(&claim.call.organisation) {
+            return ClaimReply::TooMany;
+        }
+        if self.call(&claim.call).is_none() && !self.make_room() {
+            return ClaimReply::TooMany;
+        }
+        self.open(claim, send_within);
+        ClaimReply::Claimed { send_within }
+    }
+
+    pub(crate) fn finish(&mut self, finish: &Finish, settings: &Settings) -> FinishReply {
+        let Some(entry) = self.entry_mut(&finish.call) else {
+            return FinishReply::Unknown;
+        };
+        let held = match &entry.call.state {
+            CallState::Released => return FinishReply::NotOwner,
+            CallState::Claimed(held)
+            | CallState::MayHaveRun(held, _)
+            | CallState::Finished(held, _)
+            | CallState::Resolved(held, _)
+                if !held.is_by(finish.id, &finish.owner) =>
+            {
+                return FinishReply::NotOwner;
+            }
+            CallState::Finished(..) => return FinishReply::AlreadySettled,
+            CallState::Resolved(_, resolved) => {
+                let Outcome::Answered(answer) = &finish.outcome else {
+                    return FinishReply::AlreadySettled;
+                };
+                if resolved.resolution == Resolution::Ran {
+                    return FinishReply::AlreadySettled;
+                }
+                entry.call.conflict = Some(Conflict { status: answer.status, at: finish.at });
+                return FinishReply::Conflict;
+            }
+            CallState::Claimed(held) | CallState::MayHaveRun(held, _) => held.clone(),
+        };
+        match &finish.outcome {
+            Outcome::Answered(answer) => {
+                let answer = self.bounded(answer, settings);
+                self.settle(&finish.call, CallState::Finished(held, answer));
+                FinishReply::Recorded
+            }
+            Outcome::Unknown => {
+                self.settle(&finish.call, CallState::MayHaveRun(held, Doubt::OutcomeLost));
+                FinishReply::Recorded
+            }
+        }
+    }
+
+    pub(crate) fn release(&mut self, release: &Release) -> ReleaseReply {
+        let Some(entry) = self.entry_mut(&release.call) else {
+            return ReleaseReply::Unknown;
+        };
+        if entry.released.contains(&release.id) {
+            return ReleaseReply::Released;
+        }
+        match &entry.call.state {
+            CallState::Released => ReleaseReply::NotOwner,
+            CallState::Claimed(held)
+            | CallState::MayHaveRun(held, _)
+            | CallState::Finished(held, _)
+            | CallState::Resolved(held, _)
+                if !held.is_by(release.id, &release.owner) =>
+            {
+                ReleaseReply::NotOwner
+            }
+            CallState::Finished(..)
+            | CallState::Resolved(..)
+            | CallState::MayHaveRun(_, Doubt::OutcomeLost) => ReleaseReply::AlreadySettled,
+            CallState::Claimed(_) | CallState::MayHaveRun(_, Doubt::OwnerGone) => {
+                entry.remember_released(release.id);
+                self.settle(&release.call, CallState::Released);
+                ReleaseReply::Released
+            }
+        }
+    }
+
+    pub(crate) fn resolve(&mut self, resolve: &Resolve) -> ResolveReply {
+        if resolve.reason.parse::<Reason>().is_err() {
+            return ResolveReply::InvalidReason;
+        }
+        let clock = self.clock;
+        let Some(entry) = self.entry_mut(&resolve.call) else {
+            return ResolveReply::Unknown;
+        };
+        let held = match &entry.call.state {
+            CallState::Claimed(held) | CallState::MayHaveRun(held, _) => held.clone(),
+            CallState::Finished(..) | CallState::Resolved(..) | CallState::Released => {
+                return ResolveReply::AlreadySettled;
+            }
+        };
+        let wait = held.time_to_safety(clock);
+        if resolve.resolution == Resolution::NotRun && !wait.is_zero() {
+            return ResolveReply::TooEarly { wait };
+        }
+        let resolved = Resolved {
+            resolution: resolve.resolution,
+            author: resolve.author.clone(),
+            reason: resolve.reason.clone(),
+            at: resolve.at,
+        };
+        self.settle(&resolve.call, CallState::Resolved(held, resolved));
+        ResolveReply::Resolved
+    }
+
+    /// Marks every open claim of the ended processes; returns how many there were.
+    pub(crate) fn owner_gone(&mut self, gone: &OwnerGone) -> u32 {
+        let held_by_ended: Vec<_> = self
+            .organisations
+            .iter()
+            .flat_map(|(organisation, calls)| {
+                calls.open_claims().map(move |(key, held)| (organisation, key, held))
+            })
+            .filter(|(_, _, held)| held.ended_with(&gone.owner))
+            .map(|(organisation, key, held)| {
+                let call = CallKey { organisation: organisation.clone(), key: key.clone() };
+                (call, held.clone())
+            })
+            .collect();
+        let count = held_by_ended.len() as u32;
+        for (call, held) in held_by_ended {
+            self.settle(&call, CallState::MayHaveRun(held, Doubt::OwnerGone));
+        }
+        count
+    }
+
+    /// Checks what a snapshot's maps promise each other, so that later commands cannot panic.
+    pub(crate) fn is_consistent(&self) -> bool {
+        let bytes: usize = self.organisations.values().map(Calls::body_bytes).sum();
+        let calls: usize = self.organisations.values().map(|calls| calls.iter().len()).sum();
+        let numbers = self.organisations.values().filter_map(Calls::last_settlement);
+        let next = numbers.max().map_or(0, |last| last.saturating_add(1));
+        self.organisations.values().all(Calls::is_consistent)
+            && calls == self.kept_calls
+            && bytes == self.kept_body_bytes
+            && next <= self.next_settlement
+            && self.next_settlement < MAX_SETTLEMENTS
+    }
+
+    /// Returns the claim of an earlier life of the claimant's host.
+    fn ended_holder(&self, claim: &Claim) -> Option<Held> {
+        let CallState::Claimed(held) = &self.call(&claim.call)?.state else {
+            return None;
+        };
+        held.is_before(&claim.owner).then(|| held.clone())
+    }
+
+    fn entry_mut(&mut self, call: &CallKey) -> Option<&mut Entry> {
+        self.organisations.get_mut(&call.organisation)?.entry_mut(&call.key)
+    }
+
+    fn open(&mut self, claim: &Claim, send_within: Duration) {
+        let calls = self.organisations.entry(claim.call.organisation.clone()).or_default();
+        let held =
+            Held { id: claim.id, owner: claim.owner.clone(), claimed_at: self.clock, send_within };
+        let call = Call::new(claim.request, CallState::Claimed(held), self.clock);
+        self.kept_calls += usize::from(calls.call(&claim.call.key).is_none());
+        calls.open(&claim.call.key, call);
+    }
+
+    fn settle(&mut self, call: &CallKey, state: CallState) {
+        let Some(calls) = self.organisations.get_mut(&call.organisation) else {
+            return;
+        };
+        self.kept_body_bytes += state.body_bytes();
+        self.kept_body_bytes -= calls.settle(&call.key, state, self.clock, self.next_settlement);
+        self.next_settlement += 1;
+    }
+
+    /// Drops the body of an answer that is too large to keep.
+    fn bounded(&self, answer: &Answer, settings: &Settings) -> Answer {
+        let mut answer = answer.clone();
+        let room = KEPT_BODY_BYTES.saturating_sub(self.kept_body_bytes);
+        let limit = room.min(settings.max_answer_bytes.as_u32() as usize);
+        answer.body = answer.body.filter(|body| body.len() <= limit);
+        answer
+    }
+
+    fn next_in_turn(&self) -> Option<OrganisationId> {
+        let after = self.swept.as_ref().map_or(Bound::Unbounded, Bound::Excluded);
+        let mut later = self.organisations.range::<OrganisationId, _>((after, Bound::Unbounded));
+        later.next().or_else(|| self.organisations.first_key_value()).map(|(id, _)| id.clone())
+    }
+
+    fn sweep<S: SettingsOf>(&mut self, organisation: &OrganisationId, settings: &S) {
+        let Some(calls) = self.organisations.get_mut(organisation) else {
+            return;
+        };
+        let settings = settings.settings_of(organisation, self.clock);
+        let forgotten = calls.forget(self.clock, &settings);
+        self.account(organisation, forgotten);
+    }
+
+    /// Keeps within [`KEPT_CALLS`]; returns whether there is room for one more call.
+    fn make_room(&mut self) -> bool {
+        if self.kept_calls < KEPT_CALLS {
+            return true;
+        }
+        let largest = self.organisations.iter_mut().max_by_key(|(_, calls)| calls.settled_count());
+        let Some((organisation, calls)) = largest else {
+            return false;
+        };
+        let (organisation, forgotten) = (organisation.clone(), calls.forget_oldest());
+        self.account(&organisation, forgotten);
+        forgotten != Forgotten::default()
+    }
+
+    fn account(&mut self, organisation: &OrganisationId, forgotten: Forgotten) {
+        self.kept_calls -= forgotten.calls;
+        self.kept_body_bytes -= forgotten.body_bytes;
+        self.forget_if_empty(organisation);
+    }
+
+    fn forget_if_empty(&mut self, organisation: &OrganisationId) {
+        if self.organisations.get(organisation).is_some_and(|calls| calls.iter().len() == 0) {
+            self.organisations.remove(organisation);
+        }
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,15 +1,71 @@
 //! The replicated state of the fleet: defaults, exceptions and the ledger of calls that may not be
-//! repeated.
+//! repeated; and the planner of orders to endpoints.
 //!
 //! [`Fleet::apply`] takes the log's commands in order; every replica that applied the same
 //! commands holds the same state. Nothing in it reads a clock: a command carries its time.
+//!
+//! # Example
+//!
+//! ```
+//! use base::{LogIndex, Revision, UnixMillis};
+//! use fleet::{ChangeReply, Command, ConfigChange, Fleet, Reply, Scope};
+//!
+//! let change = Command::Change(ConfigChange {
+//!     id: "change-1".parse()?,
+//!     expected: Revision::ZERO,
+//!     author: "ilona".parse()?,
+//!     reason: "the harvest rota needs longer prompts".into(),
+//!     at: UnixMillis::new(1_000),
+//!     declaration: "[defaults]\nrequest-timeout = '90s'".into(),
+//! });
+//! let mut fleet = Fleet::default();
+//! let reply = fleet.apply(LogIndex::new(1), &change);
+//! assert_eq!(reply, Reply::Change(ChangeReply::Changed(Revision::new(1))));
+//!
+//! let declaration = fleet.configuration().declaration();
+//! let settings = declaration.effective(&Scope::default(), UnixMillis::new(2_000));
+//! assert_eq!(settings.request_timeout.to_string(), "1m 30s");
+//! # Ok::<(), base::ParseError>(())
+//! ```
 
+mod call;
+mod calls;
+mod codec;
 mod command;
+mod configuration;
+mod contents;
 mod declaration;
+mod declaration_error;
+mod declaration_file;
+mod diff;
+mod explanation;
+mod ledger;
+pub mod orders;
+mod reply;
+mod scope;
+pub mod setting;
+mod settings;
 mod state;
 
 pub use crate::{
-    command::{Answer, Claim, Command, ConfigChange, Owner, Reply},
-    declaration::{Declaration, DeclarationError},
+    call::{Call, CallState, Conflict, Held, Resolved},
+    codec::CodecError,
+    command::{
+        Answer, CallKey, Claim, ClaimId, Command, ConfigChange, Finish, Outcome, Owner, OwnerGone,
+        Release, Resolution, Resolve,
+    },
+    configuration::{Configuration, HISTORY_COUNT, REMEMBERED_COUNT, REMEMBERED_TIME},
+    contents::{Contents, DesiredModel, Exception, Organisation, Reason},
+    declaration::Declaration,
+    declaration_error::DeclarationError,
+    diff::{Difference, diff},
+    explanation::{Explanation, Source},
+    ledger::{KEPT_BODY_BYTES, KEPT_CALLS, Ledger, RESOLVE_MARGIN},
+    reply::{
+        ChangeRecord, ChangeReply, ClaimReply, Doubt, FinishReply, ReleaseReply, Reply,
+        ResolveReply,
+    },
+    scope::Scope,
+    settings::{Overrides, SettingKey, SettingValue, Settings},
     state::Fleet,
 };
