prefix: add the warm index, homes and hot prefixes

Cause: the skeleton had identity and rank only; routing needs what endpoints hold, bounded in memory. Ruled out: an entry a block with inline holders (64 bytes, most of it empty for the many blocks that one endpoint holds); one list for eviction order (8 bytes more a holding). Change: a holding of 24 bytes for each pair of block and endpoint; slots bound to an incarnation by a generation number; trust that shortens after a gap and follows the answers; prompts in parts; counters of hot prefixes in sets. Conclusion: bounds, gaps, ageing and placement are tested.

--- a/crates/prefix/src/chain.rs
+++ b/crates/prefix/src/chain.rs
@@ -85,6 +85,19 @@
         Self { blocks }
     }
 
+    /// Hashes a prompt given in parts, as if they were joined; blocks run across the parts.
+    pub fn of_parts<'a>(
+        salt: Salt,
+        size: BlockBytes,
+        parts: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Self {
+        let mut open = OpenBlock::new(salt.0, size);
+        for part in parts {
+            open.push(part);
+        }
+        Self { blocks: open.blocks }
+    }
+
     /// Returns the hashes.
     pub fn blocks(&self) -> &[BlockHash] {
         &self.blocks
@@ -97,3 +110,51 @@
         Some(self.blocks[last])
     }
 }
+
+/// A block whose bytes arrive in parts.
+struct OpenBlock {
+    blocks: Vec<BlockHash>,
+    size: usize,
+    last: u64,
+    filled: usize,
+    hasher: Xxh3,
+}
+
+impl OpenBlock {
+    fn new(seed: u64, size: BlockBytes) -> Self {
+        let hasher = Xxh3::with_seed(seed);
+        Self { blocks: Vec::new(), size: size.as_usize(), last: seed, filled: 0, hasher }
+    }
+
+    fn push(&mut self, part: &[u8]) {
+        let missing = (self.size - self.filled) % self.size;
+        let (head, rest) = part.split_at(missing.min(part.len()));
+        self.extend(head);
+        let whole = rest.chunks_exact(self.size);
+        let tail = whole.remainder();
+        for block in whole {
+            self.close(xxh3_64_with_seed(block, self.last));
+        }
+        self.extend(tail);
+    }
+
+    fn extend(&mut self, bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if self.filled == 0 {
+            self.hasher = Xxh3::with_seed(self.last);
+        }
+        self.hasher.update(bytes);
+        self.filled += bytes.len();
+        if self.filled == self.size {
+            self.close(self.hasher.digest());
+        }
+    }
+
+    fn close(&mut self, hash: u64) {
+        self.last = hash;
+        self.filled = 0;
+        self.blocks.push(BlockHash(hash));
+    }
+}
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -4,6 +4,10 @@
 //! that precede it, starting from a [`Salt`] of organisation, model, weights version and adapter.
 //! So two hashes are equal only where an engine may reuse the cached block.
 //!
+//! The [`WarmIndex`] holds which endpoints are believed to hold a block, in a fixed amount of
+//! memory. [`rank`] gives each prefix a home without any state, and [`HotPrefixes`] with
+//! [`Replication`] give a hot prefix more than one.
+//!
 //! # Example
 //!
 //! ```
@@ -18,9 +22,18 @@
 //! ```
 
 mod chain;
+mod event;
+mod hot;
+mod index;
 mod placement;
+mod slot;
+mod table;
 
 pub use crate::{
     chain::{BlockBytes, BlockHash, Chain, Salt},
-    placement::rank,
+    event::{Applied, CacheEvent},
+    hot::HotPrefixes,
+    index::{IndexSettings, WarmIndex, Warmth},
+    placement::{Replication, homes, rank},
+    slot::Slot,
 };
--- a/crates/prefix/src/placement.rs
+++ b/crates/prefix/src/placement.rs
@@ -1,3 +1,5 @@
+use std::cmp::Reverse;
+
 use base::EndpointId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -9,3 +11,41 @@
 pub fn rank(prefix: BlockHash, endpoint: &EndpointId) -> u64 {
     xxh3_64_with_seed(endpoint.as_str().as_bytes(), prefix.as_u64())
 }
+
+/// Returns the first `count` endpoints by [`rank`] for `prefix`, the home first.
+pub fn homes<'a>(
+    prefix: BlockHash,
+    endpoints: impl IntoIterator<Item = &'a EndpointId>,
+    count: usize,
+) -> Vec<&'a EndpointId> {
+    let mut ranked: Vec<_> = endpoints.into_iter().map(|e| (Reverse(rank(prefix, e)), e)).collect();
+    if count < ranked.len() {
+        ranked.select_nth_unstable(count);
+        ranked.truncate(count);
+    }
+    ranked.sort_unstable();
+    ranked.into_iter().map(|(_, endpoint)| endpoint).collect()
+}
+
+/// How many homes a prefix gets as its rate of requests rises.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Replication {
+    /// Requests a second that one home takes.
+    pub rate_per_home: f64,
+    /// Most homes of one prefix.
+    pub max_homes: u32,
+}
+
+impl Default for Replication {
+    fn default() -> Self {
+        Self { rate_per_home: 8.0, max_homes: 8 }
+    }
+}
+
+impl Replication {
+    /// Returns the number of homes for a prefix requested `rate` times a second, at least one.
+    pub fn homes(&self, rate: f64) -> u32 {
+        let wanted = (rate / self.rate_per_home).ceil();
+        (wanted as u32).clamp(1, self.max_homes.max(1))
+    }
+}
--- a/crates/prefix/tests/chain.rs
+++ b/crates/prefix/tests/chain.rs
@@ -34,3 +34,25 @@
     adapters_share_no_block: salt("org", "model", "v1", Some("a")),
     field_boundaries_count: salt("orgm", "odel", "v1", None),
 }
+
+macro_rules! parts_hash_as_joined {
+    ($($name:ident: $parts:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            let parts: &[&[u8]] = &$parts;
+            let salt = salt("org", "model", "v1", None);
+            let size = BlockBytes::new(4).unwrap();
+            let joined = Chain::of(salt, size, &parts.concat());
+            assert_eq!(Chain::of_parts(salt, size, parts.iter().copied()), joined);
+        }
+    )*};
+}
+
+parts_hash_as_joined! {
+    no_part: [],
+    one_part: [b"abcdefghij"],
+    block_across_parts: [b"abc", b"defgh", b"ij"],
+    block_over_three_parts: [b"a", b"b", b"cdefgh"],
+    empty_parts: [b"", b"abcd", b"", b"efgh"],
+    many_blocks_after_a_piece: [b"ab", b"cdefghijklmnopqrst", b"uvwx"],
+}
--- /dev/null
+++ b/crates/prefix/tests/index.rs
@@ -0,0 +1,215 @@
+//! What the index believes of endpoints' caches.
+
+use std::time::Duration;
+
+use base::{ByteCount, Incarnation, MonotonicTime, Sequence};
+use prefix::{
+    Applied, BlockBytes, CacheEvent, Chain, IndexSettings, Salt, Slot, WarmIndex, Warmth,
+};
+use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
+
+const BLOCKS: usize = 8;
+
+fn chain_of(text: &[u8]) -> Chain {
+    let id = "x".parse().unwrap();
+    let salt = Salt::new(&id, &"m".parse().unwrap(), &"v1".parse().unwrap(), None);
+    Chain::of(salt, BlockBytes::new(4).unwrap(), text)
+}
+
+fn chain() -> Chain {
+    chain_of(&[7; 4 * BLOCKS])
+}
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+struct Fixture {
+    index: WarmIndex,
+    slot: Slot,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let mut index = WarmIndex::new(IndexSettings {
+            memory: ByteCount::new(64 << 10),
+            max_trust: Duration::from_secs(10),
+            min_trust: Duration::from_secs(1),
+        });
+        let slot = index.bind(&"e1".parse().unwrap(), Incarnation::new(1)).unwrap();
+        Self { index, slot }
+    }
+
+    fn sent(mut self) -> Self {
+        self.index.learn_sent(at(0), self.slot, &chain());
+        self
+    }
+
+    fn restart(mut self, incarnation: u64) -> Self {
+        let endpoint = "e1".parse().unwrap();
+        self.index.bind(&endpoint, Incarnation::new(incarnation)).unwrap();
+        self
+    }
+
+    fn event(mut self, incarnation: u64, sequence: u64, event: CacheEvent) -> (Self, Applied) {
+        let incarnation = Incarnation::new(incarnation);
+        let sequence = Sequence::new(sequence);
+        let applied = self.index.apply(at(500), self.slot, incarnation, sequence, &event);
+        (self, applied)
+    }
+
+    fn warm(&self, now: u64) -> usize {
+        let mut warmth = Warmth::default();
+        self.index.warm_blocks(at(now), &chain(), &mut warmth);
+        warmth.blocks(self.slot)
+    }
+}
+
+fn stored(blocks: std::ops::Range<usize>) -> CacheEvent {
+    CacheEvent::Stored(chain().blocks()[blocks].to_vec())
+}
+
+fn removed(blocks: std::ops::Range<usize>) -> CacheEvent {
+    CacheEvent::Removed(chain().blocks()[blocks].to_vec())
+}
+
+macro_rules! warm_cases {
+    ($($name:ident: $fixture:expr, at $now:expr => $blocks:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!($fixture.warm($now), $blocks);
+        }
+    )*};
+}
+
+warm_cases! {
+    nothing_is_believed_at_first: Fixture::new(), at 0 => 0,
+    own_request_is_believed: Fixture::new().sent(), at 1 => BLOCKS,
+    belief_ends_with_trust: Fixture::new().sent(), at 10_000 => 0,
+    new_incarnation_voids: Fixture::new().sent().restart(2), at 1 => 0,
+    older_incarnation_changes_nothing: Fixture::new().restart(3).sent().restart(2), at 1 => BLOCKS,
+    stored_event_raises: Fixture::new().event(1, 1, stored(0..3)).0, at 501 => 3,
+    removed_event_cuts: Fixture::new().sent().event(1, 1, removed(5..6)).0, at 501 => 5,
+    cleared_event_voids: Fixture::new().sent().event(1, 1, CacheEvent::Cleared).0, at 501 => 0,
+    hole_hides_what_follows: Fixture::new().event(1, 1, stored(1..8)).0, at 501 => 0,
+    event_of_dead_incarnation_is_ignored:
+        Fixture::new().restart(2).event(1, 1, stored(0..8)).0, at 501 => 0,
+    event_without_gap_keeps_trust:
+        Fixture::new().sent().event(1, 1, stored(0..1)).0.event(1, 2, stored(0..1)).0,
+        at 1_500 => BLOCKS,
+    gap_shortens_trust_in_what_came_before:
+        Fixture::new().sent().event(1, 1, stored(0..1)).0.event(1, 3, stored(0..2)).0,
+        at 2_000 => 2,
+    gap_leaves_recent_belief:
+        Fixture::new().sent().event(1, 1, stored(0..1)).0.event(1, 3, stored(0..2)).0,
+        at 999 => BLOCKS,
+}
+
+#[test]
+fn repeated_event_is_stale() {
+    let (fixture, first) = Fixture::new().event(1, 4, stored(0..1));
+    let (fixture, second) = fixture.event(1, 4, CacheEvent::Cleared);
+    let (_, third) = fixture.event(1, 6, stored(0..1));
+    assert_eq!([first, second, third], [Applied::InOrder, Applied::Stale, Applied::AfterGap]);
+}
+
+#[test]
+fn cached_count_lowers_and_raises() {
+    let mut fixture = Fixture::new().sent();
+    fixture.index.learn_cached(at(1), fixture.slot, &chain(), 2);
+    assert_eq!(fixture.warm(2), 2);
+    fixture.index.learn_cached(at(3), fixture.slot, &chain(), 6);
+    assert_eq!(fixture.warm(4), 6);
+}
+
+#[test]
+fn answers_move_trust() {
+    let mut fixture = Fixture::new();
+    let start = fixture.index.trust(fixture.slot).unwrap();
+    for _ in 0..100 {
+        fixture.index.learn_answer(at(0), fixture.slot, &chain(), 8, 1);
+    }
+    let low = fixture.index.trust(fixture.slot).unwrap();
+    for _ in 0..100 {
+        fixture.index.learn_answer(at(0), fixture.slot, &chain(), 8, 8);
+    }
+    assert_eq!(low, Duration::from_secs(1));
+    assert_eq!(fixture.index.trust(fixture.slot), Some(start));
+}
+
+#[test]
+fn reused_slot_inherits_nothing() {
+    let mut fixture = Fixture::new().sent();
+    fixture.index.unbind(&"e1".parse().unwrap());
+    let slot = fixture.index.bind(&"e2".parse().unwrap(), Incarnation::new(1)).unwrap();
+    assert_eq!((slot, fixture.warm(1)), (fixture.slot, 0));
+}
+
+#[test]
+fn memory_stays_at_the_stated_cost() {
+    let mut fixture = Fixture::new();
+    let reserved = fixture.index.memory();
+    for n in 0_u64..20_000 {
+        fixture.index.learn_sent(at(n / 10), fixture.slot, &chain_of(&n.to_le_bytes()));
+    }
+    let capacity = (64 << 10) / WarmIndex::HOLDING_BYTES as u64;
+    assert_eq!(fixture.index.len().as_u64(), capacity);
+    assert_eq!(fixture.index.memory(), reserved);
+    assert_eq!(reserved.as_u64(), capacity * WarmIndex::HOLDING_BYTES as u64);
+    assert_eq!(WarmIndex::HOLDING_BYTES, 24);
+}
+
+#[test]
+fn eviction_spares_what_is_renewed() {
+    let mut fixture = Fixture::new().sent();
+    for n in 0_u64..6_000 {
+        fixture.index.learn_sent(at(n), fixture.slot, &chain_of(&n.to_le_bytes()));
+        fixture.index.learn_sent(at(n), fixture.slot, &chain());
+    }
+    assert_eq!(fixture.warm(6_000), BLOCKS);
+}
+
+#[test]
+fn holders_of_a_block_are_bounded() {
+    let mut fixture = Fixture::new();
+    for n in 0..100 {
+        let endpoint = format!("x{n}").parse().unwrap();
+        let slot = fixture.index.bind(&endpoint, Incarnation::new(1)).unwrap();
+        fixture.index.learn_sent(at(n), slot, &chain_of(b"root"));
+    }
+    assert_eq!(fixture.index.len().as_u64(), WarmIndex::MAX_HOLDERS as u64);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_history_stays_in_bounds(steps in proptest::collection::vec(any::<(u8, u8, u16)>(), 0..300)) {
+        let memory = ByteCount::new(50 * WarmIndex::HOLDING_BYTES as u64);
+        let mut index = WarmIndex::new(IndexSettings { memory, ..IndexSettings::default() });
+        let mut warmth = Warmth::default();
+        for (n, (op, id, seed)) in (0_u64..).zip(steps) {
+            let endpoint = format!("e{}", id % 5).parse().unwrap();
+            let life = Incarnation::new(u64::from(seed % 3));
+            let slot = index.bind(&endpoint, life).unwrap();
+            let chain = chain_of(&[seed.to_le_bytes(), seed.to_be_bytes()].concat().repeat(3));
+            let blocks = chain.blocks().to_vec();
+            let mut apply = |event| index.apply(at(n), slot, life, Sequence::new(n), &event);
+            match op % 7 {
+                0 => index.learn_sent(at(n), slot, &chain),
+                1 => index.learn_cached(at(n), slot, &chain, usize::from(seed % 4)),
+                2 => index.learn_answer(at(n), slot, &chain, 2, usize::from(seed % 4)),
+                3 => { apply(CacheEvent::Stored(blocks)); }
+                4 => { apply(CacheEvent::Removed(blocks)); }
+                5 => { apply(CacheEvent::Cleared); }
+                _ => index.unbind(&endpoint),
+            }
+            index.warm_blocks(at(n), &chain, &mut warmth);
+            prop_assert!(warmth.blocks(slot) <= chain.blocks().len());
+            prop_assert!(index.len().as_u64() <= 50);
+        }
+    }
+}
