route: add the full warm policy, admission, outliers and retry bounds

Cause: the skeleton chose by warm tokens and own load only. Ruled out: strict priority over organisations (one could starve the others); exponential ageing of reports (a division a candidate does as well). Change: policies by name; score in seconds with aged reports and bounded load on homes; start-time fair queueing with deadlines; ejection with probes; retry budget, backoff, hedging; estimate of capacity. base gains TokenRate. Conclusion: the first full version; the trace in tests/trace.rs compares the policies.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -30,7 +30,7 @@
     },
     number::{
         BlockCount, ByteCount, ByteRate, Incarnation, LogIndex, Revision, Sequence, Term,
-        TokenCount, TokenIndex,
+        TokenCount, TokenIndex, TokenRate,
     },
     parse::ParseError,
     time::{MonotonicTime, UnixMillis},
--- a/crates/base/src/number.rs
+++ b/crates/base/src/number.rs
@@ -73,4 +73,6 @@
     TokenCount: "token count",
     /// A token's position in a stream, from 1.
     TokenIndex: "token index",
+    /// A rate of tokens, in tokens per second.
+    TokenRate: "token rate",
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,7 +1,11 @@
 //! Choice of endpoint, admission and retry budgets.
 //!
 //! A [`Policy`] picks one of the candidates that can serve a request. It sees each candidate's
-//! load, distance and warmth, and never a socket or a clock.
+//! load, distance and warmth, and never a socket or a clock. [`AnyPolicy`] is one chosen by name.
+//!
+//! [`Admission`] shares the capacity, as [`Capacity`] estimates it, among organisations.
+//! [`Outliers`] keeps requests from endpoints that fail or are slow. [`RetryBudget`], [`Backoff`]
+//! and [`Hedge`] bound what is sent again.
 //!
 //! # Example
 //!
@@ -16,12 +20,30 @@
 //! assert_eq!(chosen, Some(1));
 //! ```
 
+mod admission;
 mod baseline;
+mod capacity;
+mod hedge;
+mod kind;
+mod outlier;
 mod policy;
+mod retry;
+mod share;
+mod ticket;
 mod warm;
+mod warm_v1;
+mod window;
 
 pub use crate::{
+    admission::{Admission, AdmissionSettings},
     baseline::{Hash, LeastInFlight, RoundRobin},
+    capacity::{Capacity, CapacitySettings},
+    hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
+    kind::{AnyPolicy, PolicyKind},
+    outlier::{Outcome, OutlierSettings, Outliers, Standing, StandingChange},
     policy::{Candidate, Policy, Request},
-    warm::{Warm, Weights},
+    retry::{Backoff, BudgetSettings, RetryBudget},
+    ticket::{Action, Arrival, Decision, Priority, Refusal, RefusalReason, Ticket},
+    warm::{Warm, WarmSettings},
+    warm_v1::{WarmV1, Weights},
 };
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -8,6 +8,8 @@
 pub struct Request {
     /// The prompt's length.
     pub prompt_tokens: TokenCount,
+    /// Homes of the request's prefix, the first by rank; 0 counts as 1.
+    pub homes: u32,
 }
 
 /// What a policy knows of an endpoint that can serve the request.
--- /dev/null
+++ b/crates/route/tests/outliers.rs
@@ -0,0 +1,166 @@
+//! Ejection of endpoints that fail or are slow.
+
+use std::time::Duration;
+
+use base::{EndpointId, MonotonicTime};
+use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
+use route::{Outcome, OutlierSettings, Outliers, Standing, StandingChange};
+
+fn id(n: usize) -> EndpointId {
+    format!("engine-{n}").parse().unwrap()
+}
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn tracker(endpoints: usize) -> Outliers {
+    let mut outliers = Outliers::new(OutlierSettings {
+        max_share: 0.5,
+        first_ejection: Duration::from_secs(1),
+        ..OutlierSettings::default()
+    });
+    (0..endpoints).for_each(|n| outliers.join(at(0), id(n)));
+    outliers
+}
+
+const GOOD: Outcome = Outcome::Answered(Duration::from_millis(100));
+const SLOW: Outcome = Outcome::Answered(Duration::from_millis(900));
+
+/// Records outcomes at the first endpoint while the others answer as usual.
+fn record(outliers: &mut Outliers, millis: u64, outcomes: &[Outcome]) -> Option<StandingChange> {
+    let mut last = None;
+    for &outcome in outcomes {
+        (1..4).for_each(|n| assert_eq!(outliers.record(at(millis), &id(n), GOOD), None));
+        last = outliers.record(at(millis), &id(0), outcome).or(last);
+    }
+    last
+}
+
+macro_rules! ejection_cases {
+    ($($name:ident: $outcomes:expr => $standing:ident,)*) => {$(
+        #[test]
+        fn $name() {
+            let mut outliers = tracker(4);
+            record(&mut outliers, 10, &$outcomes);
+            assert_eq!(outliers.standing(at(20), &id(0)), Standing::$standing);
+            assert_eq!(outliers.standing(at(20), &id(1)), Standing::Ready);
+        }
+    )*};
+}
+
+ejection_cases! {
+    answers_keep_it: [GOOD; 20] => Ready,
+    few_failures_keep_it: [Outcome::Failed; 4] => Ready,
+    failures_eject_it: [Outcome::Failed; 5] => Ejected,
+    slow_answers_eject_it: [SLOW; 8] => Ejected,
+    failures_below_the_share_keep_it: [GOOD, GOOD, Outcome::Failed, GOOD, Outcome::Failed] => Ready,
+}
+
+#[test]
+fn old_failures_leave_the_window() {
+    let mut outliers = tracker(4);
+    record(&mut outliers, 0, &[Outcome::Failed; 4]);
+    record(&mut outliers, 11_000, &[Outcome::Failed; 4]);
+    assert_eq!(outliers.ejected(), 0);
+}
+
+#[test]
+fn probes_restore_it() {
+    let mut outliers = tracker(4);
+    record(&mut outliers, 0, &[Outcome::Failed; 5]);
+    assert_eq!(outliers.standing(at(999), &id(0)), Standing::Ejected);
+    let mut changes = Vec::new();
+    for _ in 0..3 {
+        assert_eq!(outliers.standing(at(1_000), &id(0)), Standing::ProbeDue);
+        outliers.sent(at(1_000), &id(0));
+        assert_eq!(outliers.standing(at(1_000), &id(0)), Standing::Ejected);
+        changes.extend(outliers.record(at(1_000), &id(0), GOOD));
+    }
+    assert_eq!(changes, [StandingChange::Restored]);
+    assert_eq!((outliers.standing(at(1_000), &id(0)), outliers.ejected()), (Standing::Ready, 0));
+}
+
+#[test]
+fn failed_probe_doubles_the_ejection() {
+    let mut outliers = tracker(4);
+    record(&mut outliers, 0, &[Outcome::Failed; 5]);
+    outliers.sent(at(1_000), &id(0));
+    outliers.record(at(1_000), &id(0), Outcome::Failed);
+    assert_eq!(outliers.standing(at(2_999), &id(0)), Standing::Ejected);
+    assert_eq!(outliers.standing(at(3_000), &id(0)), Standing::ProbeDue);
+}
+
+#[test]
+fn outcome_from_before_the_ejection_is_no_probe() {
+    let mut outliers = tracker(4);
+    record(&mut outliers, 0, &[Outcome::Failed; 5]);
+    (0..5).for_each(|_| assert_eq!(outliers.record(at(1), &id(0), GOOD), None));
+    assert_eq!(outliers.standing(at(2), &id(0)), Standing::Ejected);
+}
+
+#[test]
+fn lost_probe_is_followed_by_another() {
+    let mut outliers = tracker(4);
+    record(&mut outliers, 0, &[Outcome::Failed; 5]);
+    outliers.sent(at(1_000), &id(0));
+    assert_eq!(outliers.standing(at(2_000), &id(0)), Standing::ProbeDue);
+}
+
+#[test]
+fn new_incarnation_starts_afresh() {
+    let mut outliers = tracker(4);
+    record(&mut outliers, 0, &[Outcome::Failed; 5]);
+    outliers.join(at(1), id(0));
+    assert_eq!((outliers.standing(at(1), &id(0)), outliers.ejected()), (Standing::Ready, 0));
+}
+
+macro_rules! bound_cases {
+    ($($name:ident: $endpoints:expr => $ejected:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            let mut outliers = tracker($endpoints);
+            for n in (0..$endpoints).cycle().take(20 * $endpoints) {
+                outliers.record(at(1), &id(n), Outcome::Failed);
+            }
+            assert_eq!(outliers.ejected(), $ejected);
+        }
+    )*};
+}
+
+bound_cases! {
+    only_endpoint_stays: 1 => 0,
+    half_stays: 8 => 4,
+    odd_half_is_rounded_down: 3 => 1,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn ejected_stay_within_their_share(steps in proptest::collection::vec(any::<(u8, u8, u16)>(), 0..400)) {
+        let mut outliers = tracker(6);
+        let mut now = 0;
+        for (op, n, pause) in steps {
+            now += u64::from(pause % 300);
+            let endpoint = id(usize::from(n % 6));
+            match op % 8 {
+                0 => outliers.join(at(now), endpoint),
+                1 => outliers.sent(at(now), &endpoint),
+                2 => { outliers.record(at(now), &endpoint, GOOD); }
+                _ => { outliers.record(at(now), &endpoint, Outcome::Failed); }
+            }
+            let ready = (0..6).filter(|&n| outliers.standing(at(now), &id(n)) == Standing::Ready);
+            prop_assert_eq_count(ready.count() + outliers.ejected())?;
+            prop_assert!(outliers.ejected() <= 3);
+        }
+    }
+}
+
+fn prop_assert_eq_count(count: usize) -> Result<(), proptest::test_runner::TestCaseError> {
+    prop_assert!(count == 6, "{count} endpoints counted");
+    Ok(())
+}
--- /dev/null
+++ b/crates/route/tests/policies.rs
@@ -0,0 +1,183 @@
+//! Which candidate each policy takes.
+
+use std::time::Duration;
+
+use base::TokenCount;
+use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use route::{AnyPolicy, Candidate, Policy, PolicyKind, Request, Warm, WarmSettings};
+
+fn tokens(n: u64) -> TokenCount {
+    TokenCount::new(n)
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn request() -> Request {
+    Request { prompt_tokens: tokens(2_000), homes: 1 }
+}
+
+/// Four idle candidates; the third is the home, the second the next by rank.
+fn idle() -> [Candidate; 4] {
+    [1, 8, 9, 2].map(|rank| Candidate { rank, ..Candidate::default() })
+}
+
+fn with(changes: impl FnOnce(&mut [Candidate; 4])) -> [Candidate; 4] {
+    let mut candidates = idle();
+    changes(&mut candidates);
+    candidates
+}
+
+fn choose(kind: PolicyKind, req: Request, candidates: &[Candidate], seed: u64) -> Option<usize> {
+    let mut policy = AnyPolicy::new(kind, WarmSettings::default());
+    policy.choose(&req, candidates, &mut Pcg64Mcg::seed_from_u64(seed))
+}
+
+macro_rules! choice_cases {
+    ($($name:ident: $kind:ident, $candidates:expr => $chosen:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            for seed in 0..20 {
+                let chosen = choose(PolicyKind::$kind, request(), &$candidates, seed);
+                assert_eq!(chosen, Some($chosen));
+            }
+        }
+    )*};
+}
+
+choice_cases! {
+    round_robin_starts_at_the_first: RoundRobin, idle() => 0,
+    least_in_flight_takes_the_idle: LeastInFlight,
+        with(|c| [0, 1, 3].into_iter().for_each(|i| c[i].in_flight = 1)) => 2,
+    hash_takes_the_home_whatever_its_load: Hash, with(|c| c[2].in_flight = 99) => 2,
+    warm_v1_takes_the_home_when_nothing_is_known: WarmV1, idle() => 2,
+    warm_v1_takes_the_warm: WarmV1, with(|c| c[0].warm_tokens = tokens(1_000)) => 0,
+    home_wins_when_nothing_is_known: Warm, idle() => 2,
+    warm_wins_over_home: Warm, with(|c| c[0].warm_tokens = tokens(2_000)) => 0,
+    warm_wins_over_slightly_less_busy: Warm, with(|c| {
+        c[0].warm_tokens = tokens(2_000);
+        c[0].in_flight = 5;
+        c[0].own_prefill_tokens = tokens(1_500);
+    }) => 0,
+    overloaded_warm_spills_to_the_home: Warm, with(|c| {
+        c[0].warm_tokens = tokens(2_000);
+        c[0].own_prefill_tokens = tokens(8_000);
+    }) => 2,
+    overloaded_home_spills_to_the_next_by_rank: Warm, with(|c| c[2].in_flight = 9) => 1,
+    reported_load_spills_as_own_does: Warm, with(|c| {
+        c[2].reported_requests = 9;
+        c[2].reported_prefill_tokens = tokens(9_000);
+    }) => 1,
+    near_wins_among_equally_warm: Warm, with(|c| {
+        c.iter_mut().for_each(|c| c.warm_tokens = tokens(2_000));
+        c.iter_mut().for_each(|c| c.round_trip = ms(10));
+        c[3].round_trip = ms(1);
+    }) => 3,
+    warm_far_away_wins_over_cold_nearby: Warm, with(|c| {
+        c[0].warm_tokens = tokens(2_000);
+        c[0].round_trip = ms(10);
+    }) => 0,
+    own_load_is_not_counted_twice: Warm, with(|c| {
+        c[2].in_flight = 2;
+        c[2].reported_requests = 2;
+        c[2].own_prefill_tokens = tokens(700);
+        c[2].reported_prefill_tokens = tokens(700);
+    }) => 2,
+}
+
+#[test]
+fn no_candidate_no_choice() {
+    for kind in PolicyKind::ALL {
+        assert_eq!(choose(kind, request(), &[], 1), None);
+    }
+}
+
+#[test]
+fn names_read_back() {
+    for kind in PolicyKind::ALL {
+        assert_eq!(kind.to_string().parse(), Ok(kind));
+        assert_eq!(AnyPolicy::new(kind, WarmSettings::default()).kind(), kind);
+    }
+    assert!("warmest".parse::<PolicyKind>().is_err());
+}
+
+#[test]
+fn hot_prefix_uses_all_its_homes() {
+    let req = Request { homes: 2, ..request() };
+    let chosen =
+        |home| (0..100).filter(move |&s| choose(PolicyKind::Warm, req, &idle(), s) == home);
+    assert!(30 < chosen(Some(1)).count() && 30 < chosen(Some(2)).count());
+    assert_eq!(chosen(Some(0)).count() + chosen(Some(3)).count(), 0);
+}
+
+#[test]
+fn one_stale_low_report_draws_no_herd() {
+    const ROUTERS: u64 = 8;
+    const REQUESTS: u64 = 25;
+    const ENGINES: u64 = 18;
+    let mut to_stale = 0;
+    for router in 0..ROUTERS {
+        let mut rng = Pcg64Mcg::seed_from_u64(router);
+        let mut policy = Warm::default();
+        let mut candidates = [Candidate::default(); ENGINES as usize];
+        for (n, candidate) in candidates.iter_mut().enumerate() {
+            candidate.report_age = ms(1_000);
+            candidate.reported_requests = if n == 0 { 0 } else { 12 };
+            candidate.reported_prefill_tokens = tokens(if n == 0 { 0 } else { 6_000 });
+        }
+        for n in 0..REQUESTS {
+            let prefix = prefix::BlockHash::new(spread(router * REQUESTS + n));
+            for (engine, candidate) in candidates.iter_mut().enumerate() {
+                let endpoint = format!("engine-{engine}").parse().unwrap();
+                candidate.rank = prefix::rank(prefix, &endpoint);
+            }
+            let chosen = policy.choose(&request(), &candidates, &mut rng).unwrap();
+            candidates[chosen].in_flight += 1;
+            candidates[chosen].own_prefill_tokens =
+                tokens(candidates[chosen].own_prefill_tokens.as_u64() + 2_000);
+            to_stale += u64::from(chosen == 0);
+        }
+    }
+    let fair = ROUTERS * REQUESTS / ENGINES;
+    assert!(to_stale <= fair * 3, "{to_stale} of {} at the stale one", ROUTERS * REQUESTS);
+}
+
+fn spread(n: u64) -> u64 {
+    n.wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn every_choice_is_a_candidate(
+        fields in proptest::collection::vec(any::<[u64; 6]>(), 1..40),
+        prompt in any::<u64>(),
+        homes in any::<u32>(),
+        seed in any::<u64>(),
+    ) {
+        let candidates: Vec<_> = fields.iter().map(|&[rank, warm, busy, own, reported, millis]| {
+            Candidate {
+                rank,
+                warm_tokens: tokens(warm),
+                in_flight: busy as u32,
+                own_prefill_tokens: tokens(own),
+                reported_requests: reported as u32,
+                reported_prefill_tokens: tokens(reported),
+                report_age: ms(millis),
+                round_trip: ms(millis),
+            }
+        }).collect();
+        let req = Request { prompt_tokens: tokens(prompt), homes };
+        for kind in PolicyKind::ALL {
+            let chosen = choose(kind, req, &candidates, seed);
+            prop_assert!(chosen.is_some_and(|i| i < candidates.len()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/trace.rs
@@ -0,0 +1,163 @@
+//! Hit rate and time to first token of the policies over one trace of nested, shifting prefixes.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{EndpointId, Incarnation, MonotonicTime, TokenCount, TokenRate};
+use prefix::{
+    BlockBytes, Chain, HotPrefixes, IndexSettings, Replication, Salt, Slot, WarmIndex, Warmth, rank,
+};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use route::{AnyPolicy, Candidate, Policy as _, PolicyKind, Request, WarmSettings};
+
+const ENGINES: usize = 18;
+const ROUTERS: usize = 8;
+const CACHE_BLOCKS: usize = 2_000;
+const BLOCK_TOKENS: u64 = 64;
+const PREFILL_RATE: u64 = 8_000;
+const HOME_LEVEL: usize = 32;
+const REPORT_LAG: f64 = 0.5;
+const DECODE: f64 = 0.5;
+
+/// An engine: its cache by block with the time of last use, and when its prefill queue ends.
+#[derive(Default)]
+struct Engine {
+    cache: BTreeMap<u64, u64>,
+    by_use: BTreeMap<u64, u64>,
+    uses: u64,
+    free_at: f64,
+    reported: (u32, f64, f64),
+    ends: Vec<f64>,
+}
+
+impl Engine {
+    /// Runs a prompt that arrives at `now`; returns the cached blocks and the time to first token.
+    fn run(&mut self, now: f64, chain: &Chain) -> (usize, f64) {
+        let blocks = chain.blocks();
+        let cached = blocks.iter().take_while(|b| self.cache.contains_key(&b.as_u64())).count();
+        for block in blocks.iter().rev() {
+            self.uses += 1;
+            if let Some(old) = self.cache.insert(block.as_u64(), self.uses) {
+                self.by_use.remove(&old);
+            }
+            self.by_use.insert(self.uses, block.as_u64());
+        }
+        while CACHE_BLOCKS < self.cache.len() {
+            let (_, oldest) = self.by_use.pop_first().unwrap();
+            self.cache.remove(&oldest);
+        }
+        let cold = (blocks.len() - cached) as u64 * BLOCK_TOKENS;
+        self.free_at = self.free_at.max(now) + cold as f64 / PREFILL_RATE as f64 + 0.002;
+        self.ends.push(self.free_at + DECODE);
+        (cached, self.free_at - now)
+    }
+
+    fn report(&mut self, now: f64) -> (u32, f64, f64) {
+        self.ends.retain(|&end| now < end);
+        if self.reported.2 + REPORT_LAG <= now {
+            self.reported = (self.ends.len() as u32, (self.free_at - now).max(0.0), now);
+        }
+        self.reported
+    }
+}
+
+struct Router {
+    index: WarmIndex,
+    slots: Vec<Slot>,
+    hot: HotPrefixes,
+    policy: AnyPolicy,
+    /// Ends of prefill and of the answer of own requests, for each engine.
+    own: Vec<Vec<(f64, f64, u64)>>,
+}
+
+fn router(kind: PolicyKind, ids: &[EndpointId]) -> Router {
+    let mut index = WarmIndex::new(IndexSettings::default());
+    let slots = ids.iter().map(|id| index.bind(id, Incarnation::new(1)).unwrap()).collect();
+    let rate = TokenRate::new(PREFILL_RATE);
+    let settings = WarmSettings { prefill_rate: rate, ..WarmSettings::default() };
+    let hot = HotPrefixes::new(1_024, Duration::from_secs(5));
+    Router { index, slots, hot, policy: AnyPolicy::new(kind, settings), own: vec![vec![]; ENGINES] }
+}
+
+/// Draws a prompt: organisation, school and page, each with a few that are hot for five seconds.
+fn prompt(now: f64, n: usize, rng: &mut Pcg64Mcg) -> Chain {
+    let mut skewed = |count: usize| (rng.random::<f64>().powi(3) * count as f64) as usize;
+    let shift = (now / 5.0) as usize * 7;
+    let (org, school, page) = (skewed(8), (skewed(12) + shift) % 12, (skewed(30) + shift) % 30);
+    let levels =
+        [(16, vec![org]), (16, vec![org, school]), (8, vec![org, school, page]), (2, vec![n])];
+    let mut text = Vec::new();
+    for (blocks, ids) in levels {
+        let id = ids.iter().fold(blocks as u64, |id, &n| id * 100_003 + n as u64);
+        text.extend((0..blocks).flat_map(|block| (id * 64 + block as u64).to_le_bytes()));
+    }
+    let id = "x".parse().unwrap();
+    let salt = Salt::new(&id, &"m".parse().unwrap(), &"v1".parse().unwrap(), None);
+    Chain::of(salt, BlockBytes::new(8).unwrap(), &text)
+}
+
+/// Hit rate and the 99th percentile of the time to first token, in seconds.
+fn trace(kind: PolicyKind, rate: f64, seed: u64) -> (f64, f64) {
+    let ids: Vec<EndpointId> = (0..ENGINES).map(|n| format!("e{n}").parse().unwrap()).collect();
+    let mut engines: Vec<_> = (0..ENGINES).map(|_| Engine::default()).collect();
+    let mut routers: Vec<_> = (0..ROUTERS).map(|_| router(kind, &ids)).collect();
+    let (mut load_rng, mut rng) = (Pcg64Mcg::seed_from_u64(seed), Pcg64Mcg::seed_from_u64(!seed));
+    let (mut now, mut cached, mut all, mut ttft) = (0.0, 0, 0, Vec::new());
+    let mut warmth = Warmth::default();
+    for n in 0..(rate * 30.0) as usize {
+        now -= (1.0 - load_rng.random::<f64>()).ln() / rate;
+        let chain = prompt(now, n, &mut load_rng);
+        let router = &mut routers[load_rng.random_range(0..ROUTERS)];
+        let time = MonotonicTime::new(Duration::from_secs_f64(now));
+        let home = chain.at_level(HOME_LEVEL).unwrap();
+        let homes = Replication::default().homes(router.hot.record(time, home));
+        router.index.warm_blocks(time, &chain, &mut warmth);
+        let candidates: Vec<_> = (0..ENGINES)
+            .map(|e| {
+                router.own[e].retain(|own| now < own.1);
+                let (requests, prefill, at) = engines[e].report(now);
+                let queued = router.own[e].iter().filter(|own| now < own.0).map(|own| own.2).sum();
+                Candidate {
+                    rank: rank(home, &ids[e]),
+                    warm_tokens: TokenCount::new(
+                        warmth.blocks(router.slots[e]) as u64 * BLOCK_TOKENS,
+                    ),
+                    in_flight: router.own[e].len() as u32,
+                    own_prefill_tokens: TokenCount::new(queued),
+                    reported_requests: requests,
+                    reported_prefill_tokens: TokenCount::new(
+                        (prefill * PREFILL_RATE as f64) as u64,
+                    ),
+                    report_age: Duration::from_secs_f64(now - at),
+                    round_trip: Duration::from_millis(if e % 3 == 0 { 0 } else { 10 }),
+                }
+            })
+            .collect();
+        let blocks = chain.blocks().len();
+        let req = Request { prompt_tokens: TokenCount::new(blocks as u64 * BLOCK_TOKENS), homes };
+        let e = router.policy.choose(&req, &candidates, &mut rng).unwrap();
+        let (hits, wait) = engines[e].run(now, &chain);
+        let believed = warmth.blocks(router.slots[e]);
+        router.index.learn_answer(time, router.slots[e], &chain, believed, hits);
+        let cold = (blocks - believed) as u64 * BLOCK_TOKENS;
+        router.own[e].push((now + wait, now + wait + DECODE, cold));
+        (cached, all) = (cached + hits, all + blocks);
+        ttft.push(wait + candidates[e].round_trip.as_secs_f64());
+    }
+    ttft.sort_by(f64::total_cmp);
+    (cached as f64 / all as f64, ttft[ttft.len() * 99 / 100])
+}
+
+#[test]
+fn warm_beats_the_baselines() {
+    let mean = |kind| {
+        let runs = [1, 2, 3].map(|seed| trace(kind, 150.0, seed));
+        let mean = |f: fn(&(f64, f64)) -> f64| runs.iter().map(f).sum::<f64>() / 3.0;
+        let (hits, p99) = (mean(|run| run.0), mean(|run| run.1));
+        println!("{kind:16} hit rate {hits:.3}, p99 {p99:.3} s");
+        (hits, p99)
+    };
+    let [round_robin, least, hash, _, warm] = PolicyKind::ALL.map(mean);
+    assert!(round_robin.0 < warm.0 && least.0 < warm.0);
+    assert!(warm.1 < round_robin.1 && warm.1 < least.1 && warm.1 < hash.1);
+}
