route: spill to the next by rank and weigh recomputation away from home

Change: cost of computing away from home grades by rank and weighs 2.0 instead of 0.5; load reports count half at 200 ms instead of 500; wait weighs 0.8; the rate behind replication covers all routers. The score avoids divisions.

--- a/crates/prefix/src/placement.rs
+++ b/crates/prefix/src/placement.rs
@@ -43,7 +43,8 @@
 }
 
 impl Replication {
-    /// Returns the number of homes for a prefix requested `rate` times a second, at least one.
+    /// Returns the number of homes for a prefix requested `rate` times a second over all routers,
+    /// at least one.
     pub fn homes(&self, rate: f64) -> u32 {
         let wanted = (rate / self.rate_per_home).ceil();
         (wanted as u32).clamp(1, self.max_homes.max(1))
--- /dev/null
+++ b/crates/route/examples/decision_cost.rs
@@ -0,0 +1,100 @@
+//! Times one routing decision at the size to design for: 1,800 endpoints that serve 7 models.
+
+use std::time::{Duration, Instant};
+
+use base::{ByteCount, EndpointId, Incarnation, MonotonicTime, TokenCount};
+use prefix::{BlockBytes, Chain, IndexSettings, Salt, Slot, WarmIndex, Warmth, rank};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+use route::{Candidate, Policy as _, Request, Warm};
+
+const ENDPOINTS: usize = 1_800;
+const MODELS: usize = 7;
+const BLOCKS: usize = 64;
+const PROMPTS: usize = 2_000;
+const DECISIONS: usize = 20_000;
+
+/// Times of the parts of one decision.
+#[derive(Clone, Copy)]
+struct Parts {
+    walk: Duration,
+    rank: Duration,
+    choose: Duration,
+}
+
+fn main() {
+    for (name, serving) in [("one of 7 models", ENDPOINTS / MODELS), ("every model", ENDPOINTS)] {
+        let parts = decision_times(serving);
+        println!("{serving} candidates (endpoints serve {name})");
+        print_times("walk over the index", parts.iter().map(|parts| parts.walk));
+        print_times("ranks", parts.iter().map(|parts| parts.rank));
+        print_times("choice", parts.iter().map(|parts| parts.choose));
+        print_times("all", parts.iter().map(|parts| parts.walk + parts.rank + parts.choose));
+    }
+}
+
+fn print_times(name: &str, times: impl Iterator<Item = Duration>) {
+    let mut times: Vec<Duration> = times.collect();
+    times.sort_unstable();
+    let at = |share: usize| times[(times.len() - 1) * share / 100];
+    println!("  {name}: median {:?}, p99 {:?}", at(50), at(99));
+}
+
+/// Times walks over the index, ranks and choices among `serving` candidates.
+fn decision_times(serving: usize) -> Vec<Parts> {
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let memory = ByteCount::new(64 << 20);
+    let mut index = WarmIndex::new(IndexSettings { memory, ..IndexSettings::default() });
+    let endpoints: Vec<(EndpointId, Slot)> = (0..ENDPOINTS)
+        .map(|n| {
+            let id: EndpointId = format!("region-1/engine-{n}").parse().expect("a valid id");
+            let slot = index.bind(&id, Incarnation::new(1)).expect("a free slot");
+            (id, slot)
+        })
+        .collect();
+    let prompts: Vec<Chain> = (0..PROMPTS).map(prompt).collect();
+    let now = MonotonicTime::from_millis(1_000);
+    for chain in &prompts {
+        for _ in 0..16 {
+            let (_, slot) = endpoints[rng.random_range(0..serving)];
+            index.learn_sent(now, slot, chain);
+        }
+    }
+    let mut policy = Warm::default();
+    let mut warmth = Warmth::default();
+    let mut candidates = Vec::new();
+    let mut time = || {
+        let chain = &prompts[rng.random_range(0..PROMPTS)];
+        let start = Instant::now();
+        index.warm_blocks(now, chain, &mut warmth);
+        let walk = start.elapsed();
+        let home = chain.blocks()[BLOCKS / 2];
+        candidates.clear();
+        candidates.extend(endpoints[..serving].iter().map(|(id, slot)| Candidate {
+            rank: rank(home, id),
+            warm_tokens: TokenCount::new(warmth.blocks(*slot) as u64 * 16),
+            ..Candidate::default()
+        }));
+        let rank = start.elapsed() - walk;
+        let req = Request { prompt_tokens: TokenCount::new(1_024), homes: 2 };
+        let chosen = policy.choose(&req, &candidates, &mut rng);
+        assert!(chosen.is_some());
+        Parts { walk, rank, choose: start.elapsed() - walk - rank }
+    };
+    (0..DECISIONS).map(|_| time()).collect()
+}
+
+/// Returns the chain of a prompt that shares its first half with a hundred others.
+fn prompt(n: usize) -> Chain {
+    let text: Vec<u8> = (0..BLOCKS)
+        .flat_map(|block| {
+            let id = if block < BLOCKS / 2 { n / 100 } else { n + PROMPTS };
+            ((id * BLOCKS + block) as u64).to_le_bytes()
+        })
+        .collect();
+    let id = "x".parse().expect("a valid id");
+    let model = "m".parse().expect("a valid id");
+    let weights = "v1".parse().expect("a valid id");
+    let size = BlockBytes::new(8).expect("not zero");
+    Chain::of(Salt::new(&id, &model, &weights, None), size, &text)
+}
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -17,7 +17,7 @@
     /// Weight of the time that the request waits behind others.
     pub wait: f64,
     /// Weight of the time to compute tokens away from the prefix's homes, where later requests
-    /// will not find them.
+    /// will not find them; it counts less for the candidates next by rank.
     pub away: f64,
     /// Age at which a load report counts half, and the mean of all reports the other half.
     pub report_half_life: Duration,
@@ -35,9 +35,9 @@
             prefill_rate: TokenRate::new(20_000),
             request_time: Duration::from_millis(2),
             warmth: 1.0,
-            wait: 1.0,
-            away: 0.5,
-            report_half_life: Duration::from_millis(500),
+            wait: 0.8,
+            away: 2.0,
+            report_half_life: Duration::from_millis(200),
             load_slack: 0.25,
             free_requests: 4,
             margin: Duration::from_millis(1),
@@ -73,17 +73,11 @@
 
     /// Estimates the load of each candidate from own work and aged reports.
     fn estimate_loads(&mut self, candidates: &[Candidate]) {
-        let half_life = self.settings.report_half_life.as_secs_f64();
-        let count = candidates.len() as f64;
-        let mut mean = Load::default();
-        for reported in candidates.iter().map(Load::of_others) {
-            mean.requests += reported.requests / count;
-            mean.prefill_tokens += reported.prefill_tokens / count;
-        }
+        let half_life = self.settings.report_half_life.as_secs_f64().max(f64::MIN_POSITIVE);
+        let mean = Load::mean_of_others(candidates);
         self.loads.clear();
         self.loads.extend(candidates.iter().map(|candidate| {
-            let age = candidate.report_age.as_secs_f64();
-            let freshness = half_life / (half_life + age).max(f64::MIN_POSITIVE);
+            let freshness = half_life / (half_life + seconds(candidate.report_age));
             let others = Load::of_others(candidate).blend(mean, freshness);
             Load {
                 requests: f64::from(candidate.in_flight) + others.requests,
@@ -93,32 +87,37 @@
         }));
     }
 
-    /// Returns the lowest rank that makes a candidate a home; one above its bound is none.
-    fn lowest_home_rank(&self, req: &Request, candidates: &[Candidate]) -> u64 {
+    /// Finds the homes; a candidate above its bound on load is none.
+    fn find_homes(&self, req: &Request, candidates: &[Candidate]) -> Homes {
         let total: f64 = self.loads.iter().map(|load| load.requests).sum();
         let mean = total / candidates.len() as f64;
         let slack = 1.0 + self.settings.load_slack;
         let bound = (mean * slack + 1.0).max(self.settings.free_requests.into());
-        let mut top = TopRanks::new(req.homes);
+        let mut homes = Homes::new(req.homes);
         for (candidate, load) in candidates.iter().zip(&self.loads) {
             if load.requests <= bound {
-                top.add(candidate.rank);
+                homes.add(candidate.rank);
             }
         }
-        top.lowest()
+        homes
     }
 
-    /// Estimates the time to first token at a candidate, in weighted seconds.
-    fn score(&self, req: &Request, candidate: &Candidate, load: Load, lowest_home: u64) -> f64 {
+    /// Estimates the time to first token at each candidate, in weighted seconds.
+    fn score(&mut self, req: &Request, candidates: &[Candidate], homes: &Homes) {
         let settings = &self.settings;
-        let rate = (settings.prefill_rate.as_u64() as f64).max(1.0);
-        let cold = req.prompt_tokens.as_u64().saturating_sub(candidate.warm_tokens.as_u64());
-        let compute = cold as f64 / rate;
-        let wait = load.prefill_tokens / rate + load.requests * settings.request_time.as_secs_f64();
-        let away = if candidate.rank < lowest_home { settings.away } else { 0.0 };
-        compute * (settings.warmth + away)
-            + wait * settings.wait
-            + candidate.round_trip.as_secs_f64()
+        let token_time = 1.0 / (settings.prefill_rate.as_u64() as f64).max(1.0);
+        let request_time = settings.request_time.as_secs_f64();
+        let prompt = req.prompt_tokens.as_u64();
+        let scores = candidates.iter().zip(&self.loads).map(|(candidate, load)| {
+            let cold = prompt.saturating_sub(candidate.warm_tokens.as_u64()) as f64;
+            let away = settings.away * homes.distance(candidate.rank);
+            let wait = load.prefill_tokens * token_time + load.requests * request_time;
+            cold * token_time * (settings.warmth + away)
+                + wait * settings.wait
+                + seconds(candidate.round_trip)
+        });
+        self.scores.clear();
+        self.scores.extend(scores);
     }
 }
 
@@ -130,22 +129,28 @@
         rng: &mut R,
     ) -> Option<usize> {
         self.estimate_loads(candidates);
-        let lowest_home = self.lowest_home_rank(req, candidates);
-        let mut scores = std::mem::take(&mut self.scores);
-        scores.clear();
-        let scored = candidates.iter().zip(&self.loads);
-        scores.extend(scored.map(|(c, &load)| self.score(req, c, load, lowest_home)));
-        self.scores = scores;
+        let homes = self.find_homes(req, candidates);
+        self.score(req, candidates, &homes);
         choose_among_least(&self.scores, self.settings.margin, rng)
     }
 }
 
 impl Load {
+    /// Returns the mean of what others cause at the candidates.
+    fn mean_of_others(candidates: &[Candidate]) -> Self {
+        let (mut requests, mut prefill_tokens) = (0_u64, 0_u64);
+        for candidate in candidates {
+            let (of_candidate, tokens) = reported_by_others(candidate);
+            requests = requests.saturating_add(of_candidate.into());
+            prefill_tokens = prefill_tokens.saturating_add(tokens);
+        }
+        let count = candidates.len() as f64;
+        Self { requests: requests as f64 / count, prefill_tokens: prefill_tokens as f64 / count }
+    }
+
     /// Returns the reported load without this router's part of it.
     fn of_others(candidate: &Candidate) -> Self {
-        let requests = candidate.reported_requests.saturating_sub(candidate.in_flight);
-        let reported = candidate.reported_prefill_tokens.as_u64();
-        let tokens = reported.saturating_sub(candidate.own_prefill_tokens.as_u64());
+        let (requests, tokens) = reported_by_others(candidate);
         Self { requests: f64::from(requests), prefill_tokens: tokens as f64 }
     }
 
@@ -159,13 +164,27 @@
     }
 }
 
+/// Returns the reported requests and tokens that this router did not send.
+fn reported_by_others(candidate: &Candidate) -> (u32, u64) {
+    let own = candidate.own_prefill_tokens.as_u64();
+    let tokens = candidate.reported_prefill_tokens.as_u64().saturating_sub(own);
+    (candidate.reported_requests.saturating_sub(candidate.in_flight), tokens)
+}
+
+/// Returns a span in seconds; unlike `as_secs_f64` it does not divide.
+fn seconds(span: Duration) -> f64 {
+    const NANOSECOND: f64 = 1e-9;
+    span.as_secs() as f64 + f64::from(span.subsec_nanos()) * NANOSECOND
+}
+
 /// Chooses at random among the positions whose score is within `margin` of the least.
 fn choose_among_least<R: Rng>(scores: &[f64], margin: Duration, rng: &mut R) -> Option<usize> {
-    let least = scores.iter().copied().min_by(f64::total_cmp)?;
+    let least = scores.iter().copied().fold(f64::INFINITY, f64::min);
     let bound = least + margin.as_secs_f64();
     let equals = || (0..scores.len()).filter(|&i| scores[i] <= bound);
     match equals().count() {
         0 => None,
+        1 => equals().next(),
         count => equals().nth(rng.random_range(0..count)),
     }
 }
@@ -173,29 +192,39 @@
 /// Most homes that a prefix can have.
 const MAX_HOMES: usize = 16;
 
-/// The highest ranks seen, in descending order.
-struct TopRanks {
-    ranks: [u64; MAX_HOMES],
-    len: usize,
+/// Candidates next by rank after the homes, which take their place first.
+const NEXT_HOMES: usize = 2;
+
+/// The highest ranks, in descending order.
+#[derive(Clone, Copy, Debug)]
+struct Homes {
+    ranks: [u64; MAX_HOMES + NEXT_HOMES],
+    homes: usize,
 }
 
-impl TopRanks {
-    fn new(len: u32) -> Self {
-        let len = (len as usize).clamp(1, MAX_HOMES);
-        Self { ranks: [0; MAX_HOMES], len }
+impl Homes {
+    fn new(homes: u32) -> Self {
+        let homes = (homes as usize).clamp(1, MAX_HOMES);
+        Self { ranks: [0; MAX_HOMES + NEXT_HOMES], homes }
     }
 
     fn add(&mut self, rank: u64) {
-        let last = self.len - 1;
+        let last = self.homes + NEXT_HOMES - 1;
         if rank <= self.ranks[last] {
             return;
         }
         let place = self.ranks[..last].partition_point(|&higher| rank <= higher);
-        self.ranks[place..self.len].rotate_right(1);
+        self.ranks[place..=last].rotate_right(1);
         self.ranks[place] = rank;
     }
 
-    fn lowest(&self) -> u64 {
-        self.ranks[self.len - 1]
+    /// Returns how far a candidate is from being a home: 0 for one, 1 for one far down by rank.
+    fn distance(&self, rank: u64) -> f64 {
+        let ranks = &self.ranks[self.homes - 1..self.homes + NEXT_HOMES];
+        if rank < ranks[NEXT_HOMES] {
+            return 1.0;
+        }
+        let further = ranks.iter().filter(|&&higher| rank < higher).count();
+        further as f64 / (NEXT_HOMES + 1) as f64
     }
 }
--- a/crates/route/tests/policies.rs
+++ b/crates/route/tests/policies.rs
@@ -83,8 +83,8 @@
     own_load_is_not_counted_twice: Warm, with(|c| {
         c[2].in_flight = 2;
         c[2].reported_requests = 2;
-        c[2].own_prefill_tokens = tokens(700);
-        c[2].reported_prefill_tokens = tokens(700);
+        c[2].own_prefill_tokens = tokens(900);
+        c[2].reported_prefill_tokens = tokens(900);
     }) => 2,
 }
 
--- a/crates/route/tests/trace.rs
+++ b/crates/route/tests/trace.rs
@@ -110,7 +110,8 @@
         let router = &mut routers[load_rng.random_range(0..ROUTERS)];
         let time = MonotonicTime::new(Duration::from_secs_f64(now));
         let home = chain.at_level(HOME_LEVEL).unwrap();
-        let homes = Replication::default().homes(router.hot.record(time, home));
+        let rate = router.hot.record(time, home) * ROUTERS as f64;
+        let homes = Replication::default().homes(rate);
         router.index.warm_blocks(time, &chain, &mut warmth);
         let candidates: Vec<_> = (0..ENGINES)
             .map(|e| {
@@ -157,7 +158,8 @@
         println!("{kind:16} hit rate {hits:.3}, p99 {p99:.3} s");
         (hits, p99)
     };
-    let [round_robin, least, hash, _, warm] = PolicyKind::ALL.map(mean);
-    assert!(round_robin.0 < warm.0 && least.0 < warm.0);
-    assert!(warm.1 < round_robin.1 && warm.1 < least.1 && warm.1 < hash.1);
+    let [round_robin, least, hash, warm_v1, warm] = PolicyKind::ALL.map(mean);
+    assert!([round_robin, least, warm_v1].iter().all(|other| other.0 < warm.0));
+    assert!([round_robin, least, hash, warm_v1].iter().all(|other| warm.1 < other.1));
+    assert!(hash.0 * 0.95 < warm.0);
 }
