prefix: bind what is learnt to the incarnation it was learnt of

Cause: an answer of a dead incarnation that arrived after its endpoint restarted taught the index what the new one does not hold. Ruled out: checking the incarnation at each caller. Change: a slot names an incarnation; learning under an earlier one is ignored. Conclusion: late_answer_of_a_dead_incarnation_teaches_nothing in tests/index.rs covers it.

--- a/crates/prefix/src/index.rs
+++ b/crates/prefix/src/index.rs
@@ -66,15 +66,15 @@
     /// An older incarnation than the one bound changes nothing. Returns `None` when 65,536
     /// endpoints are bound.
     pub fn bind(&mut self, endpoint: &EndpointId, incarnation: Incarnation) -> Option<Slot> {
-        let trust = self.settings.max_trust;
+        let trust = span_millis(self.settings.max_trust);
         let Some(slot) = self.slots.of(endpoint) else {
             return self.slots.add(endpoint, incarnation, trust);
         };
-        let state = self.slots.state_mut(slot)?;
+        let state = self.slots.live_mut(slot)?;
         if state.incarnation < incarnation {
             state.restart(incarnation, trust);
         }
-        Some(slot)
+        self.slots.of(endpoint)
     }
 
     /// Returns the slot of `endpoint`.
@@ -89,7 +89,7 @@
 
     /// Voids what was learnt of the endpoint, as when it loads new weights.
     pub fn void(&mut self, slot: Slot) {
-        if let Some(state) = self.slots.state_mut(slot) {
+        if let Some(state) = self.slots.live_mut(slot) {
             state.void();
         }
     }
@@ -118,11 +118,12 @@
         believed: usize,
         cached: usize,
     ) {
-        let IndexSettings { min_trust, max_trust, .. } = self.settings;
-        let Some(state) = self.slots.state_mut(slot) else { return };
+        let min_trust = span_millis(self.settings.min_trust);
+        let max_trust = span_millis(self.settings.max_trust);
+        let Some(state) = self.slots.live_mut(slot) else { return };
         let trust = match (cached < believed, believed == 0) {
-            (true, _) => state.trust * 3 / 4,
-            (false, false) => state.trust + max_trust / 64,
+            (true, _) => state.trust / 4 * 3,
+            (false, false) => state.trust.saturating_add(max_trust / 64),
             (false, true) => state.trust,
         };
         state.trust = trust.min(max_trust).max(min_trust);
@@ -138,7 +139,7 @@
         sequence: Sequence,
         event: &CacheEvent,
     ) -> Applied {
-        let Some(state) = self.slots.state_mut(slot) else { return Applied::Stale };
+        let Some(state) = self.slots.live_mut(slot) else { return Applied::Stale };
         let is_old = state.sequence.is_some_and(|last| sequence <= last);
         if state.incarnation != incarnation || is_old {
             return Applied::Stale;
@@ -146,7 +147,7 @@
         let in_order = state.sequence.is_none_or(|last| last.next() == sequence);
         state.sequence = Some(sequence);
         if !in_order {
-            state.doubted_until = Some(now);
+            state.doubted_until = Some(millis(now));
         }
         match event {
             CacheEvent::Stored(blocks) => self.store(now, slot, blocks),
@@ -160,11 +161,13 @@
     pub fn warm_blocks(&self, now: MonotonicTime, chain: &Chain, warmth: &mut Warmth) {
         warmth.reset(self.slots.states().len());
         let now = millis(now);
+        let min_trust = span_millis(self.settings.min_trust);
         for (depth, &block) in (0..).zip(chain.blocks()) {
             let mut extended = false;
             for holding in self.table.holders(block) {
-                if self.believes(now, &holding) {
-                    extended |= warmth.extend(Slot(holding.slot), depth);
+                let state = &self.slots.states()[usize::from(holding.slot)];
+                if state.believes(now, &holding, min_trust) {
+                    extended |= warmth.extend(holding.slot, depth);
                 }
             }
             if !extended {
@@ -175,7 +178,7 @@
 
     /// Returns how long a holding of the endpoint is believed.
     pub fn trust(&self, slot: Slot) -> Option<Duration> {
-        self.slots.state(slot).map(|state| state.trust)
+        self.slots.live(slot).map(|state| Duration::from_millis(state.trust.into()))
     }
 
     /// Returns the number of holdings, void ones that were not evicted yet included.
@@ -194,7 +197,7 @@
     }
 
     fn store(&mut self, now: MonotonicTime, slot: Slot, blocks: &[BlockHash]) {
-        let Some(&State { generation, .. }) = self.slots.state(slot) else { return };
+        let Some(&State { generation, .. }) = self.slots.live(slot) else { return };
         for &block in blocks {
             self.table.insert(block, slot, generation, millis(now));
         }
@@ -205,19 +208,18 @@
             self.table.remove(block, slot);
         }
     }
+}
 
-    fn believes(&self, now: u32, holding: &Holding) -> bool {
-        let Some(state) = self.slots.state(Slot(holding.slot)) else { return false };
-        if state.generation != holding.generation {
+impl State {
+    /// Returns whether the endpoint is believed to hold the block at `now`.
+    fn believes(&self, now: u32, holding: &Holding, min_trust: u32) -> bool {
+        if self.generation != holding.generation {
             return false;
         }
         let age = now.wrapping_sub(holding.learnt);
-        let is_doubted = state.doubted_until.is_some_and(|until| {
-            let since_gap = now.wrapping_sub(millis(until));
-            since_gap < age
-        });
-        let trust = if is_doubted { self.settings.min_trust } else { state.trust };
-        Duration::from_millis(age.into()) < trust
+        let is_doubted = self.doubted_until.is_some_and(|until| now.wrapping_sub(until) < age);
+        let trust = if is_doubted { min_trust } else { self.trust };
+        age < trust
     }
 }
 
@@ -239,8 +241,8 @@
     }
 
     /// Counts the block at `depth` if all before it are held.
-    fn extend(&mut self, slot: Slot, depth: u32) -> bool {
-        let blocks = &mut self.blocks[slot.as_usize()];
+    fn extend(&mut self, number: u16, depth: u32) -> bool {
+        let blocks = &mut self.blocks[usize::from(number)];
         let extends = *blocks == depth;
         if extends {
             *blocks += 1;
@@ -253,3 +255,8 @@
 fn millis(time: MonotonicTime) -> u32 {
     time.since_origin().as_millis() as u32
 }
+
+/// Returns a span in milliseconds, at most 2^32 - 1.
+fn span_millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/prefix/src/slot.rs
+++ b/crates/prefix/src/slot.rs
@@ -1,21 +1,26 @@
-use std::{collections::HashMap, fmt, time::Duration};
+use std::{collections::HashMap, fmt};
 
-use base::{EndpointId, Incarnation, MonotonicTime, Sequence};
+use base::{EndpointId, Incarnation, Sequence};
 
-/// The compact number that the index uses for an endpoint.
+/// The compact name that the index uses for an endpoint's incarnation.
+///
+/// What is learnt under the slot of an earlier incarnation is ignored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Slot(pub(crate) u16);
+pub struct Slot {
+    pub(crate) number: u16,
+    pub(crate) life: u16,
+}
 
 impl Slot {
-    /// Returns the slot as an index.
+    /// Returns the slot's number, the same for all incarnations of an endpoint.
     pub const fn as_usize(self) -> usize {
-        self.0 as usize
+        self.number as usize
     }
 }
 
 impl fmt::Display for Slot {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
+        self.number.fmt(f)
     }
 }
 
@@ -23,37 +28,44 @@
 #[derive(Clone, Debug)]
 pub(crate) struct State {
     pub(crate) incarnation: Incarnation,
-    /// Holdings with another generation are void.
-    pub(crate) generation: u16,
     /// The last cache event applied, if any.
     pub(crate) sequence: Option<Sequence>,
-    /// Holdings learnt before this time may have been removed in a lost event.
-    pub(crate) doubted_until: Option<MonotonicTime>,
-    /// How long a holding is believed after it was learnt.
-    pub(crate) trust: Duration,
+    /// Holdings learnt before this time, in milliseconds, may have been removed in a lost event.
+    pub(crate) doubted_until: Option<u32>,
+    /// How long a holding is believed after it was learnt, in milliseconds.
+    pub(crate) trust: u32,
+    /// Holdings with another generation are void.
+    pub(crate) generation: u16,
+    /// Slots with another life name an earlier incarnation.
+    pub(crate) life: u16,
 }
 
 /// Maps endpoints to slots.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Slots {
-    by_endpoint: HashMap<EndpointId, Slot>,
+    by_endpoint: HashMap<EndpointId, u16>,
     states: Vec<State>,
-    free: Vec<Slot>,
+    free: Vec<u16>,
 }
 
 impl Slots {
     pub(crate) fn of(&self, endpoint: &EndpointId) -> Option<Slot> {
-        self.by_endpoint.get(endpoint).copied()
+        let number = *self.by_endpoint.get(endpoint)?;
+        let state = self.states.get(usize::from(number))?;
+        Some(Slot { number, life: state.life })
     }
 
-    pub(crate) fn state(&self, slot: Slot) -> Option<&State> {
-        self.states.get(slot.as_usize())
+    /// Returns the state of the incarnation that `slot` names, `None` if it is over.
+    pub(crate) fn live(&self, slot: Slot) -> Option<&State> {
+        self.states.get(slot.as_usize()).filter(|state| state.life == slot.life)
     }
 
-    pub(crate) fn state_mut(&mut self, slot: Slot) -> Option<&mut State> {
-        self.states.get_mut(slot.as_usize())
+    /// Returns the state of the incarnation that `slot` names, `None` if it is over.
+    pub(crate) fn live_mut(&mut self, slot: Slot) -> Option<&mut State> {
+        self.states.get_mut(slot.as_usize()).filter(|state| state.life == slot.life)
     }
 
+    /// Returns the states by number.
     pub(crate) fn states(&self) -> &[State] {
         &self.states
     }
@@ -63,27 +75,35 @@
         &mut self,
         endpoint: &EndpointId,
         incarnation: Incarnation,
-        trust: Duration,
+        trust: u32,
     ) -> Option<Slot> {
-        let slot = match self.free.pop() {
-            Some(slot) => slot,
-            None => Slot(u16::try_from(self.states.len()).ok()?),
+        let number = match self.free.pop() {
+            Some(number) => number,
+            None => self.add_state()?,
         };
-        self.by_endpoint.insert(endpoint.clone(), slot);
-        let generation = self.state(slot).map_or(0, |state| state.generation);
-        let state = State { incarnation, generation, sequence: None, doubted_until: None, trust };
-        match self.states.get_mut(slot.as_usize()) {
-            Some(old) => *old = state,
-            None => self.states.push(state),
-        }
-        Some(slot)
+        self.by_endpoint.insert(endpoint.clone(), number);
+        self.states[usize::from(number)].restart(incarnation, trust);
+        self.of(endpoint)
     }
 
     /// Frees the slot of `endpoint` and voids what was held under it.
     pub(crate) fn remove(&mut self, endpoint: &EndpointId) {
-        let Some(slot) = self.by_endpoint.remove(endpoint) else { return };
-        self.states[slot.as_usize()].void();
-        self.free.push(slot);
+        let Some(number) = self.by_endpoint.remove(endpoint) else { return };
+        self.states[usize::from(number)].restart(Incarnation::ZERO, 0);
+        self.free.push(number);
+    }
+
+    fn add_state(&mut self) -> Option<u16> {
+        let number = u16::try_from(self.states.len()).ok()?;
+        self.states.push(State {
+            incarnation: Incarnation::ZERO,
+            sequence: None,
+            doubted_until: None,
+            trust: 0,
+            generation: 0,
+            life: 0,
+        });
+        Some(number)
     }
 }
 
@@ -95,8 +115,9 @@
     }
 
     /// Starts a new incarnation.
-    pub(crate) fn restart(&mut self, incarnation: Incarnation, trust: Duration) {
+    pub(crate) fn restart(&mut self, incarnation: Incarnation, trust: u32) {
         self.void();
+        self.life = self.life.wrapping_add(1);
         self.incarnation = incarnation;
         self.sequence = None;
         self.trust = trust;
--- a/crates/prefix/src/table.rs
+++ b/crates/prefix/src/table.rs
@@ -76,11 +76,11 @@
 
     /// Stores or renews the holding of `block` by `slot`.
     pub(crate) fn insert(&mut self, block: BlockHash, slot: Slot, generation: u16, learnt: u32) {
-        let renewed = self.places(block).find(|&place| self.holdings[place].slot == slot.0);
+        let renewed = self.places(block).find(|&place| self.holdings[place].slot == slot.number);
         let crowded = || self.places(block).nth(MAX_HOLDERS - 1);
         if let Some(place) = renewed.or_else(crowded) {
             let holding = &mut self.holdings[place];
-            holding.slot = slot.0;
+            holding.slot = slot.number;
             holding.generation = generation;
             holding.learnt = learnt;
             self.move_to_front(place);
@@ -89,7 +89,8 @@
         let place = self.vacant_place(learnt);
         let bucket = self.bucket(block.as_u64());
         let next = self.heads[bucket];
-        let holding = Holding { block: block.as_u64(), learnt, slot: slot.0, generation, next };
+        let holding =
+            Holding { block: block.as_u64(), learnt, slot: slot.number, generation, next };
         match self.holdings.get_mut(place) {
             Some(old) => *old = holding,
             None => self.holdings.push(holding),
@@ -100,7 +101,7 @@
 
     /// Removes the holding of `block` by `slot`.
     pub(crate) fn remove(&mut self, block: BlockHash, slot: Slot) {
-        let found = self.places(block).find(|&place| self.holdings[place].slot == slot.0);
+        let found = self.places(block).find(|&place| self.holdings[place].slot == slot.number);
         let Some(place) = found else { return };
         self.unlink(place);
         self.holdings[place].next = self.free;
--- a/crates/prefix/tests/index.rs
+++ b/crates/prefix/tests/index.rs
@@ -47,7 +47,7 @@
 
     fn restart(mut self, incarnation: u64) -> Self {
         let endpoint = "e1".parse().unwrap();
-        self.index.bind(&endpoint, Incarnation::new(incarnation)).unwrap();
+        self.slot = self.index.bind(&endpoint, Incarnation::new(incarnation)).unwrap();
         self
     }
 
@@ -137,12 +137,30 @@
     assert_eq!(fixture.index.trust(fixture.slot), Some(start));
 }
 
+#[test]
+fn late_answer_of_a_dead_incarnation_teaches_nothing() {
+    let before = Fixture::new().sent();
+    let dead = before.slot;
+    let mut after = before.restart(2);
+    after.index.learn_sent(at(1), dead, &chain());
+    after.index.learn_answer(at(1), dead, &chain(), 0, 8);
+    assert_eq!(after.warm(2), 0);
+}
+
+#[test]
+fn new_weights_void_but_keep_the_slot() {
+    let mut fixture = Fixture::new().sent();
+    fixture.index.void(fixture.slot);
+    assert_eq!(fixture.warm(1), 0);
+    assert_eq!(fixture.sent().warm(1), BLOCKS);
+}
+
 #[test]
 fn reused_slot_inherits_nothing() {
     let mut fixture = Fixture::new().sent();
     fixture.index.unbind(&"e1".parse().unwrap());
     let slot = fixture.index.bind(&"e2".parse().unwrap(), Incarnation::new(1)).unwrap();
-    assert_eq!((slot, fixture.warm(1)), (fixture.slot, 0));
+    assert_eq!((slot.as_usize(), fixture.warm(1)), (fixture.slot.as_usize(), 0));
 }
 
 #[test]
--- a/crates/route/tests/trace.rs
+++ b/crates/route/tests/trace.rs
@@ -19,6 +19,10 @@
 const REPORT_LAG: f64 = 0.5;
 const DECODE: f64 = 0.5;
 
+fn tokens(blocks: usize) -> TokenCount {
+    TokenCount::new(blocks as u64 * BLOCK_TOKENS)
+}
+
 /// An engine: its cache by block with the time of last use, and when its prefill queue ends.
 #[derive(Default)]
 struct Engine {
@@ -26,7 +30,7 @@
     by_use: BTreeMap<u64, u64>,
     uses: u64,
     free_at: f64,
-    reported: (u32, f64, f64),
+    reported: (f64, u32, u64),
     ends: Vec<f64>,
 }
 
@@ -52,10 +56,11 @@
         (cached, self.free_at - now)
     }
 
-    fn report(&mut self, now: f64) -> (u32, f64, f64) {
+    fn report(&mut self, now: f64) -> (f64, u32, u64) {
         self.ends.retain(|&end| now < end);
-        if self.reported.2 + REPORT_LAG <= now {
-            self.reported = (self.ends.len() as u32, (self.free_at - now).max(0.0), now);
+        if self.reported.0 + REPORT_LAG <= now {
+            let prefill = (self.free_at - now).max(0.0) * PREFILL_RATE as f64;
+            self.reported = (now, self.ends.len() as u32, prefill as u64);
         }
         self.reported
     }
@@ -66,8 +71,8 @@
     slots: Vec<Slot>,
     hot: HotPrefixes,
     policy: AnyPolicy,
-    /// Ends of prefill and of the answer of own requests, for each engine.
-    own: Vec<Vec<(f64, f64, u64)>>,
+    /// End of prefill, end of the answer and cold blocks of own requests, for each engine.
+    own: Vec<Vec<(f64, f64, usize)>>,
 }
 
 fn router(kind: PolicyKind, ids: &[EndpointId]) -> Router {
@@ -116,32 +121,27 @@
         let candidates: Vec<_> = (0..ENGINES)
             .map(|e| {
                 router.own[e].retain(|own| now < own.1);
-                let (requests, prefill, at) = engines[e].report(now);
+                let (at, requests, prefill) = engines[e].report(now);
                 let queued = router.own[e].iter().filter(|own| now < own.0).map(|own| own.2).sum();
                 Candidate {
                     rank: rank(home, &ids[e]),
-                    warm_tokens: TokenCount::new(
-                        warmth.blocks(router.slots[e]) as u64 * BLOCK_TOKENS,
-                    ),
+                    warm_tokens: tokens(warmth.blocks(router.slots[e])),
                     in_flight: router.own[e].len() as u32,
-                    own_prefill_tokens: TokenCount::new(queued),
+                    own_prefill_tokens: tokens(queued),
                     reported_requests: requests,
-                    reported_prefill_tokens: TokenCount::new(
-                        (prefill * PREFILL_RATE as f64) as u64,
-                    ),
+                    reported_prefill_tokens: TokenCount::new(prefill),
                     report_age: Duration::from_secs_f64(now - at),
                     round_trip: Duration::from_millis(if e % 3 == 0 { 0 } else { 10 }),
                 }
             })
             .collect();
         let blocks = chain.blocks().len();
-        let req = Request { prompt_tokens: TokenCount::new(blocks as u64 * BLOCK_TOKENS), homes };
+        let req = Request { prompt_tokens: tokens(blocks), homes };
         let e = router.policy.choose(&req, &candidates, &mut rng).unwrap();
         let (hits, wait) = engines[e].run(now, &chain);
         let believed = warmth.blocks(router.slots[e]);
         router.index.learn_answer(time, router.slots[e], &chain, believed, hits);
-        let cold = (blocks - believed) as u64 * BLOCK_TOKENS;
-        router.own[e].push((now + wait, now + wait + DECODE, cold));
+        router.own[e].push((now + wait, now + wait + DECODE, blocks - believed));
         (cached, all) = (cached + hits, all + blocks);
         ttft.push(wait + candidates[e].round_trip.as_secs_f64());
     }
