--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -1,42 +1,123 @@
-use rand::Rng;
+use std::time::Duration;
+
+use base::TokenRate;
+use rand::{Rng, RngExt as _};
 
 use crate::{Candidate, Policy, Request};
 
-/// How much each part of the score counts.
+/// What the score of [`Warm`] counts, and how much.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Weights {
-    /// Cost of a token that must be prefilled, against a token that waits.
-    pub recompute: f64,
-    /// Cost of a token that waits for prefill.
+pub struct WarmSettings {
+    /// Rate at which an engine computes a prompt's tokens.
+    pub prefill_rate: TokenRate,
+    /// What a request under way adds to the time to first token of the next.
+    pub request_time: Duration,
+    /// Weight of the time to compute the tokens that are not warm.
+    pub warmth: f64,
+    /// Weight of the time that the request waits behind others.
     pub wait: f64,
-    /// Cost of a request already under way, in tokens.
-    pub request_tokens: f64,
+    /// Weight of the time to compute tokens away from the prefix's homes, where later requests
+    /// will not find them; it counts less for the candidates next by rank.
+    pub away: f64,
+    /// Age at which a load report counts half, and the mean of all reports the other half.
+    pub report_half_life: Duration,
+    /// Share by which a home's load may exceed the mean before the next by rank takes its place.
+    pub load_slack: f64,
+    /// Requests up to which a home's load never exceeds its bound.
+    pub free_requests: u32,
+    /// Candidates whose score is no further from the best are equals.
+    pub margin: Duration,
 }
 
-impl Default for Weights {
+impl Default for WarmSettings {
     fn default() -> Self {
-        Self { recompute: 1.0, wait: 1.0, request_tokens: 32.0 }
+        Self {
+            prefill_rate: TokenRate::new(20_000),
+            request_time: Duration::from_millis(2),
+            warmth: 1.0,
+            wait: 0.8,
+            away: 2.0,
+            report_half_life: Duration::from_millis(200),
+            load_slack: 0.25,
+            free_requests: 4,
+            margin: Duration::from_millis(1),
+        }
     }
 }
 
-/// Weighs the tokens to recompute against the wait, and prefers the prefix's home among equals.
-#[derive(Clone, Copy, Debug, Default)]
+/// Takes the least estimated time to first token, and a random one among equals.
+///
+/// The estimate adds, in seconds, the time to compute the tokens that are not warm, the wait behind
+/// own and reported load, and the round trip. Reported load counts less the older it is, so that
+/// routers that saw one low report do not all follow it. Where nothing is known to be warm the
+/// prefix's home wins, unless its load exceeds its bound.
+#[derive(Clone, Debug, Default)]
 pub struct Warm {
-    weights: Weights,
+    settings: WarmSettings,
+    loads: Vec<Load>,
+    scores: Vec<f64>,
+}
+
+/// The estimated load of a candidate.
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    requests: f64,
+    prefill_tokens: f64,
 }
 
 impl Warm {
     /// Creates the policy.
-    pub fn new(weights: Weights) -> Self {
-        Self { weights }
+    pub fn new(settings: WarmSettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Estimates the load of each candidate from own work and aged reports.
+    fn estimate_loads(&mut self, candidates: &[Candidate]) {
+        let half_life = self.settings.report_half_life.as_secs_f64().max(f64::MIN_POSITIVE);
+        let mean = Load::mean_of_others(candidates);
+        self.loads.clear();
+        self.loads.extend(candidates.iter().map(|candidate| {
+            let freshness = half_life / (half_life + seconds(candidate.report_age));
+            let others = Load::of_others(candidate).blend(mean, freshness);
+            Load {
+                requests: f64::from(candidate.in_flight) + others.requests,
+                prefill_tokens: candidate.own_prefill_tokens.as_u64() as f64
+                    + others.prefill_tokens,
+            }
+        }));
+    }
+
+    /// Finds the homes; a candidate above its bound on load is none.
+    fn find_homes(&self, req: &Request, candidates: &[Candidate]) -> Homes {
+        let total: f64 = self.loads.iter().map(|load| load.requests).sum();
+        let mean = total / candidates.len() as f64;
+        let slack = 1.0 + self.settings.load_slack;
+        let bound = (mean * slack + 1.0).max(self.settings.free_requests.into());
+        let mut homes = Homes::new(req.homes);
+        for (candidate, load) in candidates.iter().zip(&self.loads) {
+            if load.requests <= bound {
+                homes.add(candidate.rank);
+            }
+        }
+        homes
     }
 
-    fn cost(&self, req: &Request, candidate: &Candidate) -> f64 {
+    /// Estimates the time to first token at each candidate, in weighted seconds.
+    fn score(&mut self, req: &Request, candidates: &[Candidate], homes: &Homes) {
+        let settings = &self.settings;
+        let token_time = 1.0 / (settings.prefill_rate.as_u64() as f64).max(1.0);
+        let request_time = settings.request_time.as_secs_f64();
         let prompt = req.prompt_tokens.as_u64();
-        let cold = prompt.saturating_sub(candidate.warm_tokens.as_u64()) as f64;
-        let queued = candidate.own_prefill_tokens.as_u64() as f64;
-        let busy = f64::from(candidate.in_flight) * self.weights.request_tokens;
-        cold * self.weights.recompute + (queued + busy) * self.weights.wait
+        let scores = candidates.iter().zip(&self.loads).map(|(candidate, load)| {
+            let cold = prompt.saturating_sub(candidate.warm_tokens.as_u64()) as f64;
+            let away = settings.away * homes.distance(candidate.rank);
+            let wait = load.prefill_tokens * token_time + load.requests * request_time;
+            cold * token_time * (settings.warmth + away)
+                + wait * settings.wait
+                + seconds(candidate.round_trip)
+        });
+        self.scores.clear();
+        self.scores.extend(scores);
     }
 }
 
@@ -45,11 +126,105 @@
         &mut self,
         req: &Request,
         candidates: &[Candidate],
-        _rng: &mut R,
+        rng: &mut R,
     ) -> Option<usize> {
-        (0..candidates.len()).min_by(|&a, &b| {
-            let by_cost = self.cost(req, &candidates[a]).total_cmp(&self.cost(req, &candidates[b]));
-            by_cost.then_with(|| candidates[b].rank.cmp(&candidates[a].rank))
-        })
+        self.estimate_loads(candidates);
+        let homes = self.find_homes(req, candidates);
+        self.score(req, candidates, &homes);
+        choose_among_least(&self.scores, self.settings.margin, rng)
+    }
+}
+
+impl Load {
+    /// Returns the mean of what others cause at the candidates.
+    fn mean_of_others(candidates: &[Candidate]) -> Self {
+        let (mut requests, mut prefill_tokens) = (0_u64, 0_u64);
+        for candidate in candidates {
+            let (of_candidate, tokens) = reported_by_others(candidate);
+            requests = requests.saturating_add(of_candidate.into());
+            prefill_tokens = prefill_tokens.saturating_add(tokens);
+        }
+        let count = candidates.len() as f64;
+        Self { requests: requests as f64 / count, prefill_tokens: prefill_tokens as f64 / count }
+    }
+
+    /// Returns the reported load without this router's part of it.
+    fn of_others(candidate: &Candidate) -> Self {
+        let (requests, tokens) = reported_by_others(candidate);
+        Self { requests: f64::from(requests), prefill_tokens: tokens as f64 }
+    }
+
+    /// Moves from `mean` towards `self` by `share`.
+    fn blend(self, mean: Self, share: f64) -> Self {
+        let between = |from: f64, to: f64| from + (to - from) * share;
+        Self {
+            requests: between(mean.requests, self.requests),
+            prefill_tokens: between(mean.prefill_tokens, self.prefill_tokens),
+        }
+    }
+}
+
+/// Returns the reported requests and tokens that this router did not send.
+fn reported_by_others(candidate: &Candidate) -> (u32, u64) {
+    let own = candidate.own_prefill_tokens.as_u64();
+    let tokens = candidate.reported_prefill_tokens.as_u64().saturating_sub(own);
+    (candidate.reported_requests.saturating_sub(candidate.in_flight), tokens)
+}
+
+/// Returns a span in seconds; unlike `as_secs_f64` it does not divide.
+fn seconds(span: Duration) -> f64 {
+    const NANOSECOND: f64 = 1e-9;
+    span.as_secs() as f64 + f64::from(span.subsec_nanos()) * NANOSECOND
+}
+
+/// Chooses at random among the positions whose score is within `margin` of the least.
+fn choose_among_least<R: Rng>(scores: &[f64], margin: Duration, rng: &mut R) -> Option<usize> {
+    let least = scores.iter().copied().fold(f64::INFINITY, f64::min);
+    let bound = least + margin.as_secs_f64();
+    let equals = || (0..scores.len()).filter(|&i| scores[i] <= bound);
+    match equals().count() {
+        0 => None,
+        1 => equals().next(),
+        count => equals().nth(rng.random_range(0..count)),
+    }
+}
+
+/// Most homes that a prefix can have.
+const MAX_HOMES: usize = 16;
+
+/// Candidates next by rank after the homes, which take their place first.
+const NEXT_HOMES: usize = 2;
+
+/// The highest ranks, in descending order.
+#[derive(Clone, Copy, Debug)]
+struct Homes {
+    ranks: [u64; MAX_HOMES + NEXT_HOMES],
+    homes: usize,
+}
+
+impl Homes {
+    fn new(homes: u32) -> Self {
+        let homes = (homes as usize).clamp(1, MAX_HOMES);
+        Self { ranks: [0; MAX_HOMES + NEXT_HOMES], homes }
+    }
+
+    fn add(&mut self, rank: u64) {
+        let last = self.homes + NEXT_HOMES - 1;
+        if rank <= self.ranks[last] {
+            return;
+        }
+        let place = self.ranks[..last].partition_point(|&higher| rank <= higher);
+        self.ranks[place..=last].rotate_right(1);
+        self.ranks[place] = rank;
+    }
+
+    /// Returns how far a candidate is from being a home: 0 for one, 1 for one far down by rank.
+    fn distance(&self, rank: u64) -> f64 {
+        let ranks = &self.ranks[self.homes - 1..self.homes + NEXT_HOMES];
+        if rank < ranks[NEXT_HOMES] {
+            return 1.0;
+        }
+        let further = ranks.iter().filter(|&&higher| rank < higher).count();
+        further as f64 / (NEXT_HOMES + 1) as f64
     }
 }
