wire: add the operator's bodies and problem responses

Cause: the operator's page and the command-line tool need one set of types. Ruled out: one type for requests and answers; unknown fields are ignored in answers and refused in requests.

--- /dev/null
+++ b/crates/wire/src/operator.rs
@@ -0,0 +1,40 @@
+//! Bodies of the operator's HTTP interface.
+//!
+//! Unknown fields are ignored in answers, so that an older tool reads a newer router, and refused
+//! in requests, so that no part of an order is dropped unseen. Errors are a
+//! [`Problem`](crate::problem::Problem).
+
+mod calls;
+mod change;
+mod explain;
+mod status;
+
+pub use self::{
+    calls::{Call, CallPath, CallState, Resolution, ResolveRequest, ResolvedVerdict},
+    change::{
+        ChangeAnswer, ChangeRequest, CurrentDeclaration, History, HistoryEntry, VoterChange,
+        VoterChangeRequest, Voters,
+    },
+    explain::{ExplainRequest, ExplainedCandidate, Explanation, PromptPart, ScorePart},
+    status::{
+        Counts, EndpointState, EndpointStatus, Endpoints, Peer, PeerState, QuorumRole,
+        QuorumStatus, ServedModel, ServingState, Status, Voter,
+    },
+};
+
+/// Path of [`Status`].
+pub const STATUS_PATH: &str = "/operator/status";
+/// Path of [`Endpoints`].
+pub const ENDPOINTS_PATH: &str = "/operator/endpoints";
+/// Path of [`CurrentDeclaration`] and, for `POST`, of [`ChangeRequest`].
+pub const DECLARATION_PATH: &str = "/operator/declaration";
+/// Path of [`History`].
+pub const HISTORY_PATH: &str = "/operator/history";
+/// Path of [`ExplainRequest`].
+pub const EXPLAIN_PATH: &str = "/operator/explain";
+/// Path of [`Voters`] and, for `POST`, of [`VoterChangeRequest`].
+pub const VOTERS_PATH: &str = "/operator/voters";
+/// Start of each [`CallPath`].
+pub const CALLS_PATH: &str = "/operator/calls";
+/// What follows a [`CallPath`] for `POST` of [`ResolveRequest`].
+pub const RESOLVE_SUFFIX: &str = "/resolve";
