--- /dev/null
+++ b/crates/telemetry/src/metrics.rs
@@ -0,0 +1,155 @@
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, PoisonError, RwLock},
+    time::Duration,
+};
+
+use base::{ByteCount, OrganisationId, Revision, Term};
+use eyre::WrapErr as _;
+use opentelemetry::{KeyValue, metrics::MeterProvider as _};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::{Recorder, instruments::Instruments, recorder::Labels};
+
+/// Organisations that get a label of their own, those of the configuration first.
+pub const MAX_LABELLED_ORGANISATIONS: usize = 64;
+/// The label of all other organisations.
+pub const OTHER_ORGANISATION: &str = "other";
+
+const NAMESPACE: &str = "dotterelreach";
+
+/// A part in the quorum, as a label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuorumRole {
+    /// Holds no vote.
+    Observer,
+    /// Follows the leader.
+    Follower,
+    /// Asks for votes.
+    Candidate,
+    /// Writes the log.
+    Leader,
+}
+
+impl QuorumRole {
+    const ALL: [Self; 4] = [Self::Observer, Self::Follower, Self::Candidate, Self::Leader];
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Observer => "observer",
+            Self::Follower => "follower",
+            Self::Candidate => "candidate",
+            Self::Leader => "leader",
+        }
+    }
+}
+
+/// Every metric of a router.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    // Held since its drop ends the recording.
+    _provider: SdkMeterProvider,
+    instruments: Arc<Instruments>,
+    organisations: RwLock<BTreeMap<OrganisationId, Arc<Labels>>>,
+    other: Arc<Labels>,
+    sent: [KeyValue; 1],
+    received: [KeyValue; 1],
+    roles: [[KeyValue; 1]; QuorumRole::ALL.len()],
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the registry refuses them.
+    pub fn new() -> eyre::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(NAMESPACE)
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .wrap_err("cannot start metrics")?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let instruments = Arc::new(Instruments::new(&provider.meter(NAMESPACE)));
+        Ok(Self {
+            registry,
+            _provider: provider,
+            instruments,
+            organisations: RwLock::default(),
+            other: Arc::new(Labels::new(OTHER_ORGANISATION)),
+            sent: [KeyValue::new("direction", "sent")],
+            received: [KeyValue::new("direction", "received")],
+            roles: QuorumRole::ALL.map(|role| [KeyValue::new("role", role.as_str())]),
+        })
+    }
+
+    /// Gives organisations labels of their own, up to [`MAX_LABELLED_ORGANISATIONS`] in all.
+    ///
+    /// A label once given stays, so that no series changes its meaning.
+    pub fn label_organisations<'a>(
+        &self,
+        organisations: impl IntoIterator<Item = &'a OrganisationId>,
+    ) {
+        let mut known = self.organisations.write().unwrap_or_else(PoisonError::into_inner);
+        for organisation in organisations {
+            if known.len() < MAX_LABELLED_ORGANISATIONS && !known.contains_key(organisation) {
+                let labels = Labels::new(organisation.as_str());
+                known.insert(organisation.clone(), Arc::new(labels));
+            }
+        }
+    }
+
+    /// Returns the recorder of an organisation's requests.
+    pub fn recorder(&self, organisation: &OrganisationId) -> Recorder {
+        let known = self.organisations.read().unwrap_or_else(PoisonError::into_inner);
+        let labels = known.get(organisation).unwrap_or(&self.other);
+        Recorder::new(Arc::clone(&self.instruments), Arc::clone(labels))
+    }
+
+    /// Returns the recorder of requests whose organisation is not known.
+    pub fn unknown_recorder(&self) -> Recorder {
+        Recorder::new(Arc::clone(&self.instruments), Arc::clone(&self.other))
+    }
+
+    /// Counts gossip sent.
+    pub fn gossip_sent(&self, bytes: ByteCount) {
+        self.instruments.gossip_bytes.add(bytes.as_u64(), &self.sent);
+    }
+
+    /// Counts gossip received.
+    pub fn gossip_received(&self, bytes: ByteCount) {
+        self.instruments.gossip_bytes.add(bytes.as_u64(), &self.received);
+    }
+
+    /// Sets the revision of the configuration in force.
+    pub fn revision(&self, revision: Revision) {
+        self.instruments.revision.record(revision.as_u64(), &[]);
+    }
+
+    /// Sets the part in the quorum.
+    pub fn quorum(&self, role: QuorumRole, term: Term) {
+        self.instruments.quorum_term.record(term.as_u64(), &[]);
+        for (candidate, labels) in QuorumRole::ALL.into_iter().zip(&self.roles) {
+            self.instruments.quorum_role.record(u64::from(candidate == role), labels);
+        }
+    }
+
+    /// Records the time from a proposal to its commit.
+    pub fn commit_latency(&self, time: Duration) {
+        self.instruments.commit_latency.record(time.as_secs_f64(), &[]);
+    }
+
+    /// Returns all metrics in Prometheus' text format.
+    pub fn render(&self) -> String {
+        let encoded = TextEncoder::new().encode_to_string(&self.registry.gather());
+        encoded.unwrap_or_else(|e| {
+            log::error!(error:% = e; "metrics could not be rendered");
+            String::new()
+        })
+    }
+}
