telemetry: prove the links of spans against a fake collector

Cause: traces were not tested yet. Change: a collector of the tests that reads the spans it is sent; refusing, absent and silent collectors.

--- /dev/null
+++ b/crates/telemetry/tests/collector/mod.rs
@@ -0,0 +1,108 @@
+//! A fake OTLP collector that keeps the spans it is sent.
+
+use std::{
+    io::{BufRead as _, BufReader, Read as _, Write as _},
+    net::{TcpListener, TcpStream},
+    thread,
+};
+
+/// A span as it was received.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Received {
+    pub trace: Vec<u8>,
+    pub span: Vec<u8>,
+    pub parent: Vec<u8>,
+    pub name: String,
+}
+
+/// Answers each export with `status` and passes its spans on.
+pub fn start(status: u16) -> (String, flume::Receiver<Received>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}/v1/traces", listener.local_addr().unwrap());
+    let (tx, rx) = flume::unbounded();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let body = read_body(stream.unwrap(), status);
+            for span in spans(&body) {
+                if tx.send(span).is_err() {
+                    return;
+                }
+            }
+        }
+    });
+    (url, rx)
+}
+
+fn read_body(stream: TcpStream, status: u16) -> Vec<u8> {
+    let mut reader = BufReader::new(stream);
+    let mut length = 0;
+    let mut line = String::new();
+    while 2 < reader.read_line(&mut line).unwrap() {
+        let lower = line.to_ascii_lowercase();
+        if let Some(value) = lower.strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap();
+        }
+        line.clear();
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    reader.into_inner().write_all(answer.as_bytes()).unwrap();
+    body
+}
+
+fn spans(request: &[u8]) -> Vec<Received> {
+    let resources = fields(request).into_iter().filter(|field| field.0 == 1);
+    let scopes = resources.flat_map(|field| fields(field.1)).filter(|field| field.0 == 2);
+    let spans = scopes.flat_map(|field| fields(field.1)).filter(|field| field.0 == 2);
+    spans.map(|field| span(field.1)).collect()
+}
+
+fn span(bytes: &[u8]) -> Received {
+    let mut span = Received::default();
+    for (number, value) in fields(bytes) {
+        match number {
+            1 => span.trace = value.to_vec(),
+            2 => span.span = value.to_vec(),
+            4 => span.parent = value.to_vec(),
+            5 => span.name = String::from_utf8(value.to_vec()).unwrap(),
+            _ => {}
+        }
+    }
+    span
+}
+
+/// Reads a protobuf message's fields; numbers have no bytes.
+fn fields(mut bytes: &[u8]) -> Vec<(u64, &[u8])> {
+    let mut found = Vec::new();
+    while !bytes.is_empty() {
+        let tag = varint(&mut bytes);
+        let length = match tag & 7 {
+            0 => {
+                varint(&mut bytes);
+                0
+            }
+            1 => 8,
+            2 => usize::try_from(varint(&mut bytes)).unwrap(),
+            5 => 4,
+            other => panic!("wire type {other}"),
+        };
+        let (value, rest) = bytes.split_at(length);
+        found.push((tag >> 3, value));
+        bytes = rest;
+    }
+    found
+}
+
+fn varint(bytes: &mut &[u8]) -> u64 {
+    let mut value = 0;
+    for shift in (0..).step_by(7) {
+        let (byte, rest) = bytes.split_first().unwrap();
+        *bytes = rest;
+        value |= u64::from(byte & 0x7f) << shift;
+        if byte & 0x80 == 0 {
+            break;
+        }
+    }
+    value
+}
--- /dev/null
+++ b/crates/telemetry/tests/traces.rs
@@ -0,0 +1,163 @@
+//! Spans reach the collector with their links, and a bad collector does no harm.
+
+mod collector;
+
+use std::{
+    net::TcpListener,
+    time::{Duration, Instant},
+};
+
+use base::Verdict;
+use proptest::{prelude::*, test_runner::RngSeed};
+use telemetry::{ExportCounts, Flush, Hop, SampleRatio, TraceConfig, TraceContext, Tracer};
+use yare::parameterized;
+
+const CALLER: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+const LONG: Duration = Duration::from_secs(20);
+
+fn config(endpoint: String) -> TraceConfig {
+    TraceConfig { endpoint, sample: SampleRatio::ALL, host: "host-1".into() }
+}
+
+#[test]
+fn each_hop_reaches_the_collector_below_its_parent() {
+    let (url, rx) = collector::start(200);
+    let (tracer, exporter) = Tracer::start(config(url)).unwrap();
+    let accept = tracer.accept(Some(CALLER.parse().unwrap()));
+    for hop in &Hop::ALL[1..] {
+        let mut span = accept.child(*hop);
+        span.set("endpoint", "engine-1");
+        span.fail(Verdict::NotRun);
+    }
+    let own = accept.context().unwrap();
+    drop(accept);
+    assert_eq!(exporter.flush(LONG), Flush::Done);
+    assert_eq!(exporter.counts(), ExportCounts { exported: 7, ..ExportCounts::default() });
+    let spans: Vec<_> = rx.drain().collect();
+    let mut names: Vec<_> = spans.iter().map(|span| span.name.as_str()).collect();
+    names.sort_unstable();
+    let mut expected = Hop::ALL.map(Hop::as_str);
+    expected.sort_unstable();
+    assert_eq!(names, expected);
+    for span in spans {
+        let caller: TraceContext = CALLER.parse().unwrap();
+        let parent = if span.name == "accept" { caller } else { own };
+        assert_eq!(span.trace, caller.trace_id().to_be_bytes());
+        assert_eq!(span.parent, parent.span_id().to_be_bytes());
+    }
+}
+
+#[test]
+fn request_without_a_caller_starts_a_trace() {
+    let (url, rx) = collector::start(200);
+    let (tracer, exporter) = Tracer::start(config(url)).unwrap();
+    drop(tracer.accept(None));
+    drop(tracer.accept(None));
+    assert_eq!(exporter.flush(LONG), Flush::Done);
+    let spans: Vec<_> = rx.drain().collect();
+    assert_eq!(spans.len(), 2);
+    assert_ne!(spans[0].trace, spans[1].trace);
+    assert!(spans[0].parent.is_empty());
+}
+
+#[test]
+fn unsampled_caller_is_not_recorded() {
+    let (url, rx) = collector::start(200);
+    let (tracer, exporter) = Tracer::start(config(url)).unwrap();
+    let accept = tracer.accept(Some(CALLER.replace("-01", "-00").parse().unwrap()));
+    assert!(!accept.context().unwrap().is_sampled());
+    drop(accept);
+    assert_eq!(exporter.flush(LONG), Flush::Done);
+    assert!(rx.is_empty());
+}
+
+#[test]
+fn tracer_that_is_off_passes_the_context_on() {
+    let tracer = Tracer::off();
+    let caller = CALLER.parse().unwrap();
+    assert_eq!(tracer.accept(Some(caller)).child(Hop::Connect).context(), Some(caller));
+    assert_eq!(tracer.accept(None).context(), None);
+}
+
+#[test]
+fn refusing_collector_fails_spans_only() {
+    let (url, _rx) = collector::start(400);
+    let (tracer, exporter) = Tracer::start(config(url)).unwrap();
+    drop(tracer.accept(None));
+    assert_eq!(exporter.flush(LONG), Flush::Done);
+    assert_eq!(exporter.counts(), ExportCounts { failed: 1, ..ExportCounts::default() });
+}
+
+#[test]
+fn absent_collector_fails_spans_only() {
+    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (tracer, exporter) = Tracer::start(config(format!("http://{address}/"))).unwrap();
+    drop(tracer.accept(None));
+    assert_eq!(exporter.flush(LONG), Flush::Done);
+    assert_eq!(exporter.counts(), ExportCounts { failed: 1, ..ExportCounts::default() });
+}
+
+#[test]
+fn silent_collector_fills_the_ring_and_holds_nothing() {
+    const SPANS: u64 = 20_000;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let url = format!("http://{}/", listener.local_addr().unwrap());
+    let (tracer, exporter) = Tracer::start(config(url)).unwrap();
+    (0..SPANS).for_each(|_| drop(tracer.accept(None)));
+    let bound = Duration::from_millis(50);
+    let began = Instant::now();
+    assert_eq!(exporter.flush(bound), Flush::TimedOut);
+    assert!(bound <= began.elapsed());
+    assert!(0 < exporter.counts().dropped);
+    assert_eq!(exporter.counts().exported, 0);
+}
+
+#[test]
+fn endpoint_must_be_plain_http() {
+    let message = Tracer::start(config("https://collector/".into())).unwrap_err().to_string();
+    assert_eq!(message, r#"trace endpoint "https://collector/" does not start with http://"#);
+}
+
+#[parameterized(
+    empty = { "" },
+    short = { "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7" },
+    zero_trace = { "00-00000000000000000000000000000000-00f067aa0ba902b7-01" },
+    zero_span = { "00-4bf92f3577b34da6a3ce929d0e0e4736-0000000000000000-01" },
+    upper_case = { "00-4BF92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01" },
+    signed = { "00-+bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01" },
+    forbidden_version = { "ff-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01" },
+    long_version_0 = { "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01-x" },
+    misplaced_dash = { "00-4bf92f3577b34da6a3ce929d0e0e47360-0f067aa0ba902b7-01" },
+    not_ascii = { "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-é" },
+)]
+fn malformed_header(text: &str) {
+    assert!(text.parse::<TraceContext>().is_err());
+}
+
+#[test]
+fn later_version_is_read_as_version_0() {
+    let text = "01-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-03-more";
+    assert_eq!(text.parse::<TraceContext>().unwrap().to_string(), CALLER);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn context_round_trip(trace in 1..u128::MAX, span in 1..u64::MAX, sampled: bool) {
+        let context = TraceContext::new(trace, span, sampled).unwrap();
+        prop_assert_eq!(context.to_string().parse::<TraceContext>().unwrap(), context);
+    }
+
+    #[test]
+    fn any_text_is_taken(text in "(?s).{0,80}", hex in "[0-9a-f-]{50,60}") {
+        let _ = text.parse::<TraceContext>();
+        let _ = hex.parse::<TraceContext>();
+        let _ = text.parse::<SampleRatio>();
+    }
+}
