cli: add the operator's command-line tool

Cause: operators steer the fleet by defaults and exceptions alone. Ruled out: the client library's own check of an answer's length, since a cut answer passes for a whole one; bpaf's variable for the operator's key, since help would print its value.

--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,185 @@
+use std::{
+    io::{self, Read as _},
+    net::TcpStream,
+    time::Duration,
+};
+
+use attohttpc::{Method, ProxySettings, RequestBuilder, Response};
+use serde::{Serialize, de::DeserializeOwned};
+use wire::problem::Problem;
+
+use crate::{Error, RouterAddress, settings::Settings};
+
+/// Longest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: u64 = 64 * 1024 * 1024;
+/// Longest time to connect to one router.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Asks routers in turn until one answers.
+pub(crate) struct Client<'a> {
+    settings: &'a Settings,
+}
+
+/// An answer that arrived whole.
+pub(crate) struct Answer {
+    status: u16,
+    body: Vec<u8>,
+}
+
+/// Why a router gave no answer.
+enum Failure {
+    /// It cannot have taken the request.
+    NotSent(String),
+    /// It may have taken the request.
+    Lost(String),
+}
+
+impl<'a> Client<'a> {
+    pub(crate) fn new(settings: &'a Settings) -> Self {
+        Self { settings }
+    }
+
+    /// Reads from the first router that answers.
+    pub(crate) fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        let answer = self.ask(&Method::GET, path, &[]);
+        answer.map_err(|(e, _)| Error::unreachable(e))?.decode()
+    }
+
+    /// Reads from the first router that answers a body.
+    pub(crate) fn query<Q: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        query: &Q,
+    ) -> Result<T, Error> {
+        let answer = self.ask(&Method::POST, path, &encode(query)?);
+        answer.map_err(|(e, _)| Error::unreachable(e))?.decode()
+    }
+
+    /// Sends an idempotent change, the same to each router until one answers.
+    pub(crate) fn change<Q: Serialize>(&self, path: &str, change: &Q) -> Result<Answer, Error> {
+        let answer = self.ask(&Method::POST, path, &encode(change)?);
+        answer.map_err(|(e, lost)| if lost { Error::unknown(e) } else { Error::unreachable(e) })
+    }
+
+    /// Asks each router in turn; a failure says whether one may have taken the request.
+    fn ask(&self, method: &Method, path: &str, body: &[u8]) -> Result<Answer, (String, bool)> {
+        let mut faults = Vec::new();
+        let mut lost = false;
+        for router in self.settings.routers.iter() {
+            match self.ask_one(router, method, path, body) {
+                Ok(answer) if answer.settles(lost) => return Ok(answer),
+                Ok(answer) => {
+                    lost |= answer.may_have_run();
+                    faults.push(format!("{router}: {}", answer.problem_text()));
+                }
+                Err(Failure::NotSent(e)) => faults.push(format!("{router}: not sent: {e}")),
+                Err(Failure::Lost(e)) => {
+                    lost = true;
+                    faults.push(format!("{router}: answer lost: {e}"));
+                }
+            }
+        }
+        Err((faults.join("\n"), lost))
+    }
+
+    fn ask_one(
+        &self,
+        router: RouterAddress,
+        method: &Method,
+        path: &str,
+        body: &[u8],
+    ) -> Result<Answer, Failure> {
+        // The HTTP client does not say whether it sent anything; a connection of its own does.
+        TcpStream::connect_timeout(&router.socket(), CONNECT_TIMEOUT.min(self.settings.timeout))
+            .map_err(|e| Failure::NotSent(e.to_string()))?;
+        let lost = |e: attohttpc::Error| Failure::Lost(e.to_string());
+        let url = format!("http://{router}{path}");
+        let mut req = RequestBuilder::try_new(method.clone(), url)
+            .map_err(|e| Failure::NotSent(e.to_string()))?
+            .connect_timeout(CONNECT_TIMEOUT)
+            .read_timeout(self.settings.timeout)
+            .timeout(self.settings.timeout)
+            .follow_redirects(false)
+            .proxy_settings(ProxySettings::builder().build())
+            .header("content-type", "application/json");
+        if let Some(key) = &self.settings.key {
+            req = req.bearer_auth(key);
+        }
+        let response = req.bytes(body).send().map_err(lost)?;
+        read_whole(response).map_err(|e| Failure::Lost(e.to_string()))
+    }
+}
+
+/// Reads an answer and refuses one that is shorter than announced.
+fn read_whole(response: Response) -> io::Result<Answer> {
+    let (status, headers, reader) = response.split();
+    let length = headers.get("content-length").map(|length| length.to_str());
+    let announced = length.and_then(Result::ok).and_then(|length| length.parse::<u64>().ok());
+    let mut body = Vec::new();
+    reader.take(MAX_ANSWER_BYTES + 1).read_to_end(&mut body)?;
+    let read = body.len() as u64;
+    if MAX_ANSWER_BYTES < read {
+        return Err(io::Error::other("the answer is too long"));
+    }
+    let chunked = headers.contains_key("transfer-encoding");
+    match announced {
+        Some(announced) if announced != read => {
+            let message = format!("{read} of {announced} bytes arrived");
+            Err(io::Error::new(io::ErrorKind::UnexpectedEof, message))
+        }
+        None if !chunked => Err(io::Error::other("the answer does not say how long it is")),
+        _ => Ok(Answer { status: status.as_u16(), body }),
+    }
+}
+
+fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, Error> {
+    serde_json::to_vec(value).map_err(|e| Error::usage(e.to_string()))
+}
+
+impl Answer {
+    /// Reads the body of a successful answer.
+    pub(crate) fn decode<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        if !(200..300).contains(&self.status) {
+            return Err(self.refusal());
+        }
+        self.parse().ok_or_else(|| Error::unreachable("the router's answer cannot be read"))
+    }
+
+    /// Reads the body whatever the status.
+    pub(crate) fn parse<T: DeserializeOwned>(&self) -> Option<T> {
+        serde_json::from_slice(&self.body).ok()
+    }
+
+    /// Returns the answer as an error.
+    pub(crate) fn refusal(&self) -> Error {
+        self.parse::<Problem>().map_or_else(
+            || Error::refused(format!("status {}", self.status)),
+            |problem| Error::problem(&problem),
+        )
+    }
+
+    /// Returns whether the answer is one of success.
+    pub(crate) fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
+    /// Returns whether no other router needs to be asked.
+    ///
+    /// After a lost answer only one that concerns the change itself tells what became of it.
+    fn settles(&self, lost: bool) -> bool {
+        let of_change = self.is_success() || matches!(self.status, 409 | 422);
+        self.status < 500 && (!lost || of_change)
+    }
+
+    fn may_have_run(&self) -> bool {
+        if self.status < 500 {
+            return false;
+        }
+        let verdict = self.parse::<Problem>().and_then(|problem| problem.verdict);
+        verdict != Some(base::Verdict::NotRun)
+    }
+
+    fn problem_text(&self) -> String {
+        self.refusal().to_string()
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,265 @@
+use std::{fs, path::Path};
+
+use base::{Author, ParseError, Revision};
+use bpaf::ParseFailure;
+use serde::Serialize;
+use toml::{Table, Value};
+use wire::operator::{
+    Call, CallPath, CurrentDeclaration, DECLARATION_PATH, ENDPOINTS_PATH, EXPLAIN_PATH, Endpoints,
+    ExplainRequest, Explanation, HISTORY_PATH, History, PromptPart, RESOLVE_SUFFIX, ResolveRequest,
+    ResolvedVerdict, STATUS_PATH, Status, VOTERS_PATH, VoterChange, VoterChangeRequest, Voters,
+};
+
+use crate::{
+    Edit, Error, Exit, NewException,
+    client::Client,
+    line_diff,
+    options::{self, Action, Approval, ExceptionOptions, Input, Outcome},
+    output::Output,
+    settings::Settings,
+    submit::submit,
+    view,
+};
+
+const HELP_COLUMNS: usize = 100;
+
+/// Runs the tool on this process's arguments.
+pub fn main() -> Exit {
+    let invocation = match options::parser().run_inner(bpaf::Args::current_args()) {
+        Ok(invocation) => invocation,
+        Err(failure) => {
+            failure.print_message(HELP_COLUMNS);
+            let usage = matches!(failure, ParseFailure::Stderr(_));
+            return if usage { Exit::Usage } else { Exit::Done };
+        }
+    };
+    let done = Settings::check(invocation.common).and_then(|settings| {
+        let session = Session { client: Client::new(&settings), settings: &settings };
+        session.run(invocation.action)
+    });
+    done.unwrap_or_else(|e| {
+        eprintln!("{e}");
+        e.exit()
+    })
+}
+
+struct Session<'a> {
+    client: Client<'a>,
+    settings: &'a Settings,
+}
+
+/// How a file differs from the declaration in force.
+#[derive(Serialize)]
+struct Difference {
+    revision: Revision,
+    differs: bool,
+    diff: String,
+}
+
+impl Session<'_> {
+    fn run(&self, action: Action) -> Result<Exit, Error> {
+        match action {
+            Action::Diff { file } => return self.diff(&file),
+            Action::Status => self.show::<Status>(STATUS_PATH, view::status)?,
+            Action::Endpoints => self.show::<Endpoints>(ENDPOINTS_PATH, view::endpoints)?,
+            Action::History => self.show::<History>(HISTORY_PATH, view::history)?,
+            Action::VotersList => self.show::<Voters>(VOTERS_PATH, view::voters)?,
+            Action::DefaultsGet { key } => self.defaults(key.as_deref())?,
+            Action::DefaultsSet { approval, key, value } => {
+                self.edit(&approval, |edit| {
+                    edit.set_default(&key, &value);
+                    Ok(())
+                })?;
+            }
+            Action::ExceptionsList => self.exceptions()?,
+            Action::ExceptionsAdd { exception, approval, id } => {
+                let exception = new_exception(exception, &approval, &id)?;
+                self.edit(&approval, |edit| edit.add_exception(exception))?;
+            }
+            Action::ExceptionsRemove { approval, id } => {
+                let id = argument("ID", &id)?;
+                self.edit(&approval, |edit| {
+                    edit.remove_exception(&id);
+                    Ok(())
+                })?;
+            }
+            Action::Explain { organisation, model, adapter, input } => {
+                self.explain(&organisation, &model, adapter.as_deref(), input)?;
+            }
+            Action::Apply { approval, file } => {
+                let toml = read(&file)?;
+                submit(self.settings, &self.current()?, toml, &approval)?;
+            }
+            Action::CallsShow { organisation, key } => {
+                let path = call_path(&organisation, &key)?.to_string();
+                self.show::<Call>(&path, view::call)?;
+            }
+            Action::CallsResolve { outcome, organisation, reason, key } => {
+                self.resolve(&call_path(&organisation, &key)?, outcome, reason)?;
+            }
+            Action::VotersAdd { folder, reason, host } => {
+                let host = argument("HOST", &host)?;
+                self.change_voters(VoterChange::Add { host, folder: folder.into() }, reason)?;
+            }
+            Action::VotersRemove { reason, host } => {
+                let host = argument("HOST", &host)?;
+                self.change_voters(VoterChange::Remove { host }, reason)?;
+            }
+        }
+        Ok(Exit::Done)
+    }
+
+    fn show<T>(&self, path: &str, text: fn(&T) -> String) -> Result<(), Error>
+    where
+        T: Serialize + serde::de::DeserializeOwned,
+    {
+        let value: T = self.client.get(path)?;
+        self.output().print(&value, || text(&value));
+        Ok(())
+    }
+
+    fn output(&self) -> Output {
+        Output::new(self.settings.json)
+    }
+
+    fn current(&self) -> Result<CurrentDeclaration, Error> {
+        self.client.get(DECLARATION_PATH)
+    }
+
+    fn edit(
+        &self,
+        approval: &Approval,
+        change: impl FnOnce(&mut Edit) -> Result<(), Error>,
+    ) -> Result<(), Error> {
+        let current = self.current()?;
+        let mut edit = Edit::parse(&current.toml)?;
+        change(&mut edit)?;
+        submit(self.settings, &current, edit.to_toml(), approval)
+    }
+
+    fn diff(&self, file: &Path) -> Result<Exit, Error> {
+        let toml = read(file)?;
+        let current = self.current()?;
+        let differs = Edit::parse(&toml)? != Edit::parse(&current.toml)?;
+        let diff = if differs { line_diff(&current.toml, &toml) } else { String::new() };
+        let difference = Difference { revision: current.revision, differs, diff };
+        self.output().print(&difference, || view::difference(differs, &difference.diff));
+        Ok(if differs { Exit::Differs } else { Exit::Done })
+    }
+
+    fn defaults(&self, key: Option<&str>) -> Result<(), Error> {
+        let edit = Edit::parse(&self.current()?.toml)?;
+        let chosen = edit.defaults().filter(|(name, _)| key.is_none_or(|key| key == *name));
+        let chosen: Table = chosen.map(|(key, value)| (key.to_owned(), value.clone())).collect();
+        if let (true, Some(key)) = (chosen.is_empty(), key) {
+            let message = format!("{key} is not in the declaration; its built-in value holds");
+            return Err(Error::refused(message));
+        }
+        self.output().print(&chosen, || view::settings(&chosen));
+        Ok(())
+    }
+
+    fn exceptions(&self) -> Result<(), Error> {
+        let edit = Edit::parse(&self.current()?.toml)?;
+        let exceptions: Vec<&Table> = edit.exceptions().collect();
+        self.output().print(&exceptions, || view::exceptions(&exceptions));
+        Ok(())
+    }
+
+    fn explain(
+        &self,
+        organisation: &str,
+        model: &str,
+        adapter: Option<&str>,
+        input: Input,
+    ) -> Result<(), Error> {
+        let req = ExplainRequest {
+            organisation: argument("--organisation", organisation)?,
+            model: argument("--model", model)?,
+            adapter: adapter.map(|adapter| argument("--adapter", adapter)).transpose()?,
+            input: match input {
+                Input::Prompt(text) => PromptPart::Prompt(text.into()),
+                Input::Prefix(text) => PromptPart::Prefix(text.into()),
+            },
+        };
+        let explanation: Explanation = self.client.query(EXPLAIN_PATH, &req)?;
+        self.output().print(&explanation, || view::explanation(&explanation));
+        Ok(())
+    }
+
+    fn resolve(&self, path: &CallPath, outcome: Outcome, reason: String) -> Result<(), Error> {
+        let verdict = match outcome {
+            Outcome::Ran => ResolvedVerdict::Ran,
+            Outcome::NotRun => ResolvedVerdict::NotRun,
+        };
+        let req = ResolveRequest { verdict, author: self.author(), reason: reason.into() };
+        let answer = self.client.change(&format!("{path}{RESOLVE_SUFFIX}"), &req)?;
+        let call: Call = answer.decode()?;
+        self.output().print(&call, || view::call(&call));
+        Ok(())
+    }
+
+    fn change_voters(&self, change: VoterChange, reason: String) -> Result<(), Error> {
+        let req = VoterChangeRequest { change, author: self.author(), reason: reason.into() };
+        let voters: Voters = self.client.change(VOTERS_PATH, &req)?.decode()?;
+        self.output().print(&voters, || view::voters(&voters));
+        Ok(())
+    }
+
+    fn author(&self) -> Author {
+        self.settings.author.clone()
+    }
+}
+
+fn call_path(organisation: &str, key: &str) -> Result<CallPath, Error> {
+    Ok(CallPath {
+        organisation: argument("--organisation", organisation)?,
+        key: argument("KEY", key)?,
+    })
+}
+
+fn new_exception(
+    exception: ExceptionOptions,
+    approval: &Approval,
+    id: &str,
+) -> Result<NewException, Error> {
+    Ok(NewException {
+        id: argument("ID", id)?,
+        reason: approval.reason.clone(),
+        until: exception.until.map(end).transpose()?,
+        scope: pairs("--scope", &exception.scope)?,
+        set: pairs("--set", &exception.set)?,
+    })
+}
+
+fn end(text: String) -> Result<String, Error> {
+    const RULE: &str = "a time in UTC such as 2027-02-01T00:00:00Z";
+    match humantime::parse_rfc3339(&text) {
+        Ok(_) => Ok(text),
+        Err(_) => Err(Error::usage(format!("--until: {}", ParseError::new("time", &text, RULE)))),
+    }
+}
+
+fn pairs(name: &str, texts: &[String]) -> Result<Vec<(String, String)>, Error> {
+    let pair = |text: &String| {
+        let (key, value) = text.split_once('=').filter(|(key, _)| !key.is_empty())?;
+        Some((key.to_owned(), value.to_owned()))
+    };
+    let invalid = |text: &str| ParseError::new("pair", text, "KEY=VALUE");
+    let checked =
+        |text| pair(text).ok_or_else(|| Error::usage(format!("{name}: {}", invalid(text))));
+    texts.iter().map(checked).collect()
+}
+
+fn argument<T: std::str::FromStr<Err = ParseError>>(name: &str, text: &str) -> Result<T, Error> {
+    text.parse().map_err(|e| Error::usage(format!("{name}: {e}")))
+}
+
+fn read(file: &Path) -> Result<String, Error> {
+    fs::read_to_string(file).map_err(|e| Error::usage(format!("FILE: {}: {e}", file.display())))
+}
+
+/// Returns a TOML value as an operator writes it on the command line.
+pub(crate) fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
--- /dev/null
+++ b/crates/cli/src/edit.rs
@@ -0,0 +1,131 @@
+use base::ExceptionId;
+use toml::{Table, Value};
+
+use crate::Error;
+
+const DEFAULTS: &str = "defaults";
+const EXCEPTIONS: &str = "exceptions";
+
+/// A declaration under edit; comments and order are not kept.
+///
+/// It keeps the text valid TOML and leaves the check of settings to the router.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Edit(Table);
+
+/// An exception to add.
+#[derive(Clone, Debug)]
+pub struct NewException {
+    /// Its name.
+    pub id: ExceptionId,
+    /// Why it exists.
+    pub reason: String,
+    /// When it ends, if it does.
+    pub until: Option<String>,
+    /// The traffic that it holds for.
+    pub scope: Vec<(String, String)>,
+    /// The settings that it changes.
+    pub set: Vec<(String, String)>,
+}
+
+impl Edit {
+    /// Reads a declaration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the line if `text` is not TOML, or if `defaults` is no table or
+    /// `exceptions` no list of tables.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let table: Table =
+            text.parse().map_err(|e| Error::usage(format!("declaration is not TOML: {e}")))?;
+        if table.get(DEFAULTS).is_some_and(|defaults| !defaults.is_table()) {
+            return Err(Error::usage("declaration: defaults is not a table"));
+        }
+        let is_list =
+            |value: &Value| value.as_array().is_some_and(|list| list.iter().all(Value::is_table));
+        if table.get(EXCEPTIONS).is_some_and(|exceptions| !is_list(exceptions)) {
+            return Err(Error::usage("declaration: exceptions is not a list of tables"));
+        }
+        Ok(Self(table))
+    }
+
+    /// Returns the declaration's text.
+    pub fn to_toml(&self) -> String {
+        // A parsed table holds nothing that TOML cannot.
+        toml::to_string(&self.0).unwrap_or_default()
+    }
+
+    /// Returns the defaults that the declaration gives.
+    pub fn defaults(&self) -> impl Iterator<Item = (&str, &Value)> {
+        let defaults = self.0.get(DEFAULTS).and_then(Value::as_table);
+        defaults.into_iter().flatten().map(|(key, value)| (key.as_str(), value))
+    }
+
+    /// Returns the exceptions that the declaration gives.
+    pub fn exceptions(&self) -> impl Iterator<Item = &Table> {
+        let exceptions = self.0.get(EXCEPTIONS).and_then(Value::as_array);
+        exceptions.into_iter().flatten().filter_map(Value::as_table)
+    }
+
+    /// Sets a default to a TOML value, or to a string if `value` is none.
+    pub fn set_default(&mut self, key: &str, value: &str) {
+        let defaults = self.0.entry(DEFAULTS).or_insert_with(|| Table::new().into());
+        if let Some(defaults) = defaults.as_table_mut() {
+            defaults.insert(key.to_owned(), parse_value(value));
+        }
+    }
+
+    /// Adds an exception; the same one again changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if another exception has the same id.
+    pub fn add_exception(&mut self, exception: NewException) -> Result<(), Error> {
+        let new = exception.into_table();
+        if let Some(known) = self.exceptions().find(|known| known.get("id") == new.get("id")) {
+            if *known == new {
+                return Ok(());
+            }
+            let id = new.get("id").and_then(Value::as_str).unwrap_or_default();
+            let message = format!("exception {id} exists and differs; remove it first");
+            return Err(Error::refused(message));
+        }
+        let exceptions = self.0.entry(EXCEPTIONS).or_insert_with(|| Vec::<Value>::new().into());
+        if let Some(exceptions) = exceptions.as_array_mut() {
+            exceptions.push(new.into());
+        }
+        Ok(())
+    }
+
+    /// Removes an exception; without one of this id it changes nothing.
+    pub fn remove_exception(&mut self, id: &ExceptionId) {
+        let exceptions = self.0.get_mut(EXCEPTIONS).and_then(Value::as_array_mut);
+        let Some(exceptions) = exceptions else { return };
+        exceptions.retain(|known| known.get("id").and_then(Value::as_str) != Some(id.as_str()));
+        if exceptions.is_empty() {
+            self.0.remove(EXCEPTIONS);
+        }
+    }
+}
+
+impl NewException {
+    fn into_table(self) -> Table {
+        let strings = self.scope.into_iter().map(|(key, value)| (key, Value::String(value)));
+        let set = self.set.into_iter().map(|(key, value)| (key, parse_value(&value)));
+        let mut table = Table::new();
+        table.insert("id".into(), self.id.as_str().into());
+        table.insert("reason".into(), self.reason.into());
+        if let Some(until) = self.until {
+            table.insert("until".into(), until.into());
+        }
+        table.insert("scope".into(), strings.collect::<Table>().into());
+        table.insert("set".into(), set.collect::<Table>().into());
+        table
+    }
+}
+
+fn parse_value(text: &str) -> Value {
+    // A whole document is parsed, so text that would add a second line or key is a string.
+    let table = format!("value = {text}").parse::<Table>().ok();
+    let value = table.filter(|table| table.len() == 1).and_then(|mut table| table.remove("value"));
+    value.unwrap_or_else(|| text.into())
+}
--- /dev/null
+++ b/crates/cli/src/options.rs
@@ -0,0 +1,269 @@
+use std::path::PathBuf;
+
+use bpaf::{OptionParser, Parser, construct, long, positional};
+
+const EXIT_CODES: &str = "Exit codes: 0 done or nothing to do; 1 refused, or another change came \
+    first; 2 wrong command line or setting, nothing sent; 3 no router answered, nothing changed; \
+    4 answer lost, the change may be in force and the same command is safe to send again; \
+    5 diff found a difference. Shell completion: dotterelreach --bpaf-complete-style-bash (or \
+    -zsh, -fish, -elvish) prints a script to source. The operator's key is best given as \
+    DOTTERELREACH_OPERATOR_KEY.";
+
+/// A parsed command line.
+#[derive(Clone, Debug)]
+pub(crate) struct Invocation {
+    pub(crate) common: Common,
+    pub(crate) action: Action,
+}
+
+/// Settings of every command, not yet checked.
+#[derive(Clone, Debug)]
+pub(crate) struct Common {
+    pub(crate) routers: String,
+    pub(crate) operator_key: Option<String>,
+    pub(crate) timeout: String,
+    pub(crate) author: String,
+    pub(crate) json: bool,
+}
+
+/// What to do.
+#[derive(Clone, Debug)]
+pub(crate) enum Action {
+    Status,
+    Endpoints,
+    History,
+    DefaultsGet { key: Option<String> },
+    DefaultsSet { approval: Approval, key: String, value: String },
+    ExceptionsList,
+    ExceptionsAdd { exception: ExceptionOptions, approval: Approval, id: String },
+    ExceptionsRemove { approval: Approval, id: String },
+    Explain { organisation: String, model: String, adapter: Option<String>, input: Input },
+    Diff { file: PathBuf },
+    Apply { approval: Approval, file: PathBuf },
+    CallsShow { organisation: String, key: String },
+    CallsResolve { outcome: Outcome, organisation: String, reason: String, key: String },
+    VotersList,
+    VotersAdd { folder: String, reason: String, host: String },
+    VotersRemove { reason: String, host: String },
+}
+
+/// Why a change is made, and whether it was agreed to.
+#[derive(Clone, Debug)]
+pub(crate) struct Approval {
+    pub(crate) reason: String,
+    pub(crate) yes: bool,
+}
+
+/// What an exception says.
+#[derive(Clone, Debug)]
+pub(crate) struct ExceptionOptions {
+    pub(crate) scope: Vec<String>,
+    pub(crate) set: Vec<String>,
+    pub(crate) until: Option<String>,
+}
+
+/// The text to explain.
+#[derive(Clone, Debug)]
+pub(crate) enum Input {
+    Prompt(String),
+    Prefix(String),
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Outcome {
+    Ran,
+    NotRun,
+}
+
+/// Describes the whole command line.
+pub(crate) fn parser() -> OptionParser<Invocation> {
+    let status = leaf("status", "Shows a router, its peers and the quorum", status());
+    let endpoints =
+        leaf("endpoints", "Lists the endpoints that a router knows", bpaf::pure(Action::Endpoints));
+    let history =
+        leaf("history", "Lists the changes of the declaration", bpaf::pure(Action::History));
+    let defaults = defaults();
+    let exceptions = exceptions();
+    let explain = leaf("explain", "Shows where a request would go, and why", explain());
+    let diff = leaf("diff", "Compares a file with the declaration in force", diff());
+    let apply = leaf("apply", "Replaces the declaration by a file, as a whole", apply());
+    let calls = calls();
+    let voters = voters();
+    construct!([
+        status, endpoints, defaults, exceptions, explain, diff, apply, calls, voters, history
+    ])
+    .to_options()
+    .version(env!("CARGO_PKG_VERSION"))
+    .descr("Steers a fleet of dotterelreach routers")
+    .footer(EXIT_CODES)
+}
+
+fn status() -> impl Parser<Action> {
+    bpaf::pure(Action::Status)
+}
+
+fn defaults() -> impl Parser<Invocation> {
+    let key = positional("KEY").help("Name of the setting, such as wait-weight").optional();
+    let get = leaf("get", "Shows one default, or all", construct!(Action::DefaultsGet { key }));
+    let approval = approval();
+    let key = positional("KEY").help("Name of the setting, such as wait-weight");
+    let value = positional("VALUE").help("A TOML value; other text is taken as a string");
+    let set = construct!(Action::DefaultsSet { approval, key, value });
+    let set = leaf("set", "Changes one default", set);
+    group("defaults", "Shows and changes the defaults", construct!([get, set]))
+}
+
+fn exceptions() -> impl Parser<Invocation> {
+    let list = leaf("list", "Lists the exceptions", bpaf::pure(Action::ExceptionsList));
+    let (exception, approval_add) = (exception(), approval());
+    let id = positional("ID").help("Name of the exception");
+    let add = construct!(exception, approval_add, id)
+        .map(|(exception, approval, id)| Action::ExceptionsAdd { exception, approval, id });
+    let add = leaf("add", "Adds an exception", add);
+    let approval = approval();
+    let id = positional("ID").help("Name of the exception");
+    let remove = construct!(Action::ExceptionsRemove { approval, id });
+    let remove = leaf("remove", "Removes an exception", remove);
+    group("exceptions", "Shows and changes the exceptions", construct!([list, add, remove]))
+}
+
+fn exception() -> impl Parser<ExceptionOptions> {
+    let scope = long("scope")
+        .help("Traffic that it holds for, such as organisation=north-press; may be repeated")
+        .argument("KEY=VALUE")
+        .some("an exception needs a --scope");
+    let set = long("set")
+        .help("Setting that it changes, such as priority=2; may be repeated")
+        .argument("KEY=VALUE")
+        .some("an exception needs a --set");
+    let until = long("until")
+        .help("When it ends, such as 2027-02-01T00:00:00Z; without it, never")
+        .argument("TIME")
+        .optional();
+    construct!(ExceptionOptions { scope, set, until })
+}
+
+fn explain() -> impl Parser<Action> {
+    let organisation = organisation();
+    let model = long("model").help("Model that the request names").argument("MODEL");
+    let adapter =
+        long("adapter").help("Adapter that the request names").argument("ADAPTER").optional();
+    let prompt =
+        long("prompt").help("The whole prompt").argument::<String>("TEXT").map(Input::Prompt);
+    let prefix = long("prefix")
+        .help("The start that prompts share")
+        .argument::<String>("TEXT")
+        .map(Input::Prefix);
+    let input = construct!([prompt, prefix]);
+    construct!(Action::Explain { organisation, model, adapter, input })
+}
+
+fn diff() -> impl Parser<Action> {
+    let file = file();
+    construct!(Action::Diff { file })
+}
+
+fn apply() -> impl Parser<Action> {
+    let (approval, file) = (approval(), file());
+    construct!(Action::Apply { approval, file })
+}
+
+fn calls() -> impl Parser<Invocation> {
+    let (organisation_show, key) = (organisation(), positional("KEY").help("Idempotency key"));
+    let show = construct!(organisation_show, key)
+        .map(|(organisation, key)| Action::CallsShow { organisation, key });
+    let show = leaf("show", "Shows a call that may not be repeated", show);
+    let ran = long("ran").help("The call ran").req_flag(Outcome::Ran);
+    let not_run =
+        long("not-run").help("The call did not run and never will").req_flag(Outcome::NotRun);
+    let outcome = construct!([ran, not_run]);
+    let (organisation, reason) = (organisation(), reason());
+    let key = positional("KEY").help("Idempotency key");
+    let resolve = construct!(Action::CallsResolve { outcome, organisation, reason, key });
+    let resolve = leaf("resolve", "Settles a call whose outcome stayed open", resolve);
+    group("calls", "Shows and settles calls that may not be repeated", construct!([show, resolve]))
+}
+
+fn voters() -> impl Parser<Invocation> {
+    let list = leaf("list", "Lists the voters", bpaf::pure(Action::VotersList));
+    let folder = long("folder").help("Identity of the host's data folder").argument("ID");
+    let why = reason();
+    let host = positional("HOST").help("Host to admit");
+    let add = construct!(folder, why, host).map(|(folder, reason, host)| Action::VotersAdd {
+        folder,
+        reason,
+        host,
+    });
+    let add = leaf("add", "Admits one voter", add);
+    let reason = reason();
+    let host = positional("HOST").help("Host to remove");
+    let remove = construct!(Action::VotersRemove { reason, host });
+    let remove = leaf("remove", "Removes one voter", remove);
+    group("voters", "Shows and changes the voters", construct!([list, add, remove]))
+}
+
+fn leaf(
+    name: &'static str,
+    about: &'static str,
+    action: impl Parser<Action> + 'static,
+) -> impl Parser<Invocation> {
+    let common = common();
+    construct!(Invocation { common, action }).to_options().descr(about).command(name).help(about)
+}
+
+fn group(
+    name: &'static str,
+    about: &'static str,
+    commands: impl Parser<Invocation> + 'static,
+) -> impl Parser<Invocation> {
+    commands.to_options().descr(about).command(name).help(about)
+}
+
+fn common() -> impl Parser<Common> {
+    let routers = long("routers")
+        .short('r')
+        .long("router")
+        .env("DOTTERELREACH_ROUTERS")
+        .help("Routers' operator addresses, separated by commas, asked in turn")
+        .argument("ADDRESSES")
+        .fallback("127.0.0.1:7400".to_owned())
+        .display_fallback();
+    // Not by bpaf's own variables: its help would print the key.
+    let operator_key = long("operator-key")
+        .help("Operator's key (environment: DOTTERELREACH_OPERATOR_KEY)")
+        .argument("KEY")
+        .optional();
+    let timeout = long("timeout")
+        .env("DOTTERELREACH_TIMEOUT")
+        .help("Time for one answer")
+        .argument("DURATION")
+        .fallback("5s".to_owned())
+        .display_fallback();
+    let author = long("author")
+        .env("DOTTERELREACH_AUTHOR")
+        .help("Who makes a change")
+        .argument("NAME")
+        .fallback("operator".to_owned())
+        .display_fallback();
+    let json = long("json").help("Prints JSON instead of tables").switch();
+    construct!(Common { routers, operator_key, timeout, author, json })
+}
+
+fn approval() -> impl Parser<Approval> {
+    let reason = reason();
+    let yes = long("yes").short('y').help("Makes the change without asking").switch();
+    construct!(Approval { reason, yes })
+}
+
+fn reason() -> impl Parser<String> {
+    long("reason").help("Why; kept with the change").argument("TEXT")
+}
+
+fn organisation() -> impl Parser<String> {
+    long("organisation").short('o').help("Organisation that calls").argument("ORGANISATION")
+}
+
+fn file() -> impl Parser<PathBuf> {
+    positional("FILE").help("A whole declaration in TOML")
+}
--- /dev/null
+++ b/crates/cli/src/settings.rs
@@ -0,0 +1,115 @@
+use std::{env, fmt, net::SocketAddr, str::FromStr, time::Duration};
+
+use base::{Author, ParseError};
+
+use crate::{Error, options::Common};
+
+const KEY_VARIABLE: &str = "DOTTERELREACH_OPERATOR_KEY";
+
+/// Where a router serves operators.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouterAddress(SocketAddr);
+
+impl RouterAddress {
+    pub(crate) fn socket(self) -> SocketAddr {
+        self.0
+    }
+}
+
+impl fmt::Display for RouterAddress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for RouterAddress {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        const RULE: &str = "an IP number and port such as 10.0.0.1:7400 or [fd00::1]:7400";
+        text.parse().map(Self).map_err(|_| ParseError::new("router address", text, RULE))
+    }
+}
+
+/// Routers to ask, in turn until one answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Routers(Vec<RouterAddress>);
+
+impl Routers {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = RouterAddress> + '_ {
+        self.0.iter().copied()
+    }
+}
+
+impl fmt::Display for Routers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, router) in self.0.iter().enumerate() {
+            let separator = if i == 0 { "" } else { "," };
+            write!(f, "{separator}{router}")?;
+        }
+        Ok(())
+    }
+}
+
+impl FromStr for Routers {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        text.split(',').map(|part| part.trim().parse()).collect::<Result<_, _>>().map(Self)
+    }
+}
+
+/// The checked settings of a command.
+#[derive(Debug)]
+pub(crate) struct Settings {
+    pub(crate) routers: Routers,
+    pub(crate) key: Option<String>,
+    pub(crate) timeout: Duration,
+    pub(crate) author: Author,
+    pub(crate) json: bool,
+}
+
+impl Settings {
+    /// Checks every setting and names all faults at once.
+    pub(crate) fn check(common: Common) -> Result<Self, Error> {
+        let routers = named("--routers", "DOTTERELREACH_ROUTERS", || common.routers.parse());
+        let timeout = named("--timeout", "DOTTERELREACH_TIMEOUT", || timeout(&common.timeout));
+        let author = named("--author", "DOTTERELREACH_AUTHOR", || common.author.parse());
+        let key = common.operator_key.or_else(|| env::var(KEY_VARIABLE).ok());
+        let key = named("--operator-key", KEY_VARIABLE, || key.map(operator_key).transpose());
+        match (routers, timeout, author, key) {
+            (Ok(routers), Ok(timeout), Ok(author), Ok(key)) => {
+                Ok(Self { routers, key, timeout, author, json: common.json })
+            }
+            (routers, timeout, author, key) => {
+                let faults = [routers.err(), timeout.err(), author.err(), key.err()];
+                Err(Error::usage(faults.into_iter().flatten().collect::<Vec<_>>().join("\n")))
+            }
+        }
+    }
+}
+
+fn named<T>(
+    flag: &str,
+    variable: &str,
+    parse: impl FnOnce() -> Result<T, ParseError>,
+) -> Result<T, String> {
+    parse().map_err(|e| format!("{flag}: {e} (environment: {variable})"))
+}
+
+fn timeout(text: &str) -> Result<Duration, ParseError> {
+    const RULE: &str = "a duration of 1ms to 10min, with its unit, such as 800ms or 5s";
+    const ALLOWED: std::ops::RangeInclusive<Duration> =
+        Duration::from_millis(1)..=Duration::from_secs(600);
+    let parsed = humantime::parse_duration(text).ok();
+    parsed
+        .filter(|timeout| ALLOWED.contains(timeout))
+        .ok_or_else(|| ParseError::new("timeout", text, RULE))
+}
+
+fn operator_key(key: String) -> Result<String, ParseError> {
+    let fits = !key.is_empty() && key.bytes().all(|byte| byte.is_ascii_graphic());
+    // The key itself must not reach a terminal or a log.
+    let hidden = || ParseError::new("operator key", "***", "printable ASCII without spaces");
+    fits.then_some(key).ok_or_else(hidden)
+}
--- /dev/null
+++ b/crates/cli/src/view.rs
@@ -0,0 +1,204 @@
+use std::time::{Duration, SystemTime};
+
+use base::UnixMillis;
+use comfy_table::{Table, presets::NOTHING};
+use serde::Serialize;
+use toml::Value;
+use wire::operator::{
+    Call, EndpointStatus, Endpoints, Explanation, History, QuorumStatus, Status, Voter, Voters,
+};
+
+use crate::command::plain;
+
+pub(crate) fn status(status: &Status) -> String {
+    let counts = &status.counts;
+    let mut facts = table(&["HOST", &status.host.to_string()]);
+    facts
+        .add_row(["state", &name(&status.state)])
+        .add_row(["data centre", status.data_centre.as_str()])
+        .add_row(["incarnation", &status.incarnation.to_string()])
+        .add_row(["version", &status.version])
+        .add_row(["revision", &status.revision.to_string()])
+        .add_row(["in flight", &counts.in_flight.to_string()])
+        .add_row(["queued", &counts.queued.to_string()])
+        .add_row(["ready endpoints", &counts.ready_endpoints.to_string()])
+        .add_row(["open calls", &counts.open_calls.to_string()]);
+    format!("{facts}\n\n{}\n\n{}", quorum(&status.quorum), peers(status))
+}
+
+fn quorum(quorum: &QuorumStatus) -> String {
+    let leader = quorum.leader.as_ref().map_or_else(|| "none known".into(), ToString::to_string);
+    let mut facts = table(&["QUORUM", &name(&quorum.role)]);
+    facts
+        .add_row(["term", &quorum.term.to_string()])
+        .add_row(["leader", &leader])
+        .add_row(["committed", &quorum.commit.to_string()])
+        .add_row(["applied", &quorum.applied.to_string()]);
+    format!("{facts}\n\n{}", voter_table(&quorum.voters))
+}
+
+fn peers(status: &Status) -> Table {
+    let mut peers = table(&["PEER", "DATA CENTRE", "STATE", "REVISION", "HEARD"]);
+    for peer in &status.peers {
+        let laggard = if peer.laggard { " (laggard)" } else { "" };
+        peers.add_row([
+            peer.host.to_string(),
+            peer.data_centre.to_string(),
+            name(&peer.state),
+            format!("{}{laggard}", peer.revision),
+            format!("{} ago", span(peer.heard_ms)),
+        ]);
+    }
+    peers
+}
+
+pub(crate) fn voters(voters: &Voters) -> String {
+    voter_table(&voters.voters).to_string()
+}
+
+fn voter_table(voters: &[Voter]) -> Table {
+    let mut rows = table(&["VOTER", "FOLDER", "HOLDS"]);
+    for voter in voters {
+        let holds = voter.matched.map_or_else(|| "-".into(), |index| index.to_string());
+        rows.add_row([voter.host.as_str(), &voter.folder, &holds]);
+    }
+    rows
+}
+
+pub(crate) fn endpoints(endpoints: &Endpoints) -> String {
+    let mut rows = table(&[
+        "ENDPOINT",
+        "DATA CENTRE",
+        "ADDRESS",
+        "STATE",
+        "SERVES",
+        "LEASE",
+        "IN FLIGHT",
+        "WAITING",
+    ]);
+    for endpoint in &endpoints.endpoints {
+        rows.add_row([
+            endpoint.endpoint.to_string(),
+            endpoint.data_centre.to_string(),
+            endpoint.address.to_string(),
+            name(&endpoint.state),
+            serves(endpoint),
+            span(endpoint.lease_ms),
+            endpoint.in_flight.to_string(),
+            endpoint.waiting.to_string(),
+        ]);
+    }
+    rows.to_string()
+}
+
+fn serves(endpoint: &EndpointStatus) -> String {
+    let models = endpoint.models.iter().map(|served| {
+        let adapters = served.adapters.iter().map(|adapter| format!("+{adapter}"));
+        format!("{}@{}{}", served.model, served.weights, adapters.collect::<String>())
+    });
+    let service = endpoint.service.iter().map(|service| format!("service {service}"));
+    models.chain(service).collect::<Vec<_>>().join(" ")
+}
+
+pub(crate) fn history(history: &History) -> String {
+    let mut rows = table(&["REVISION", "TIME", "AUTHOR", "REASON"]);
+    for change in &history.changes {
+        rows.add_row([
+            change.revision.to_string(),
+            time(change.at),
+            change.author.to_string(),
+            printable(&change.reason),
+        ]);
+    }
+    rows.to_string()
+}
+
+pub(crate) fn explanation(explanation: &Explanation) -> String {
+    let mut rows = table(&["ENDPOINT", "DATA CENTRE", "HOME", "WARM TOKENS", "COST", "PARTS"]);
+    for candidate in &explanation.candidates {
+        let parts = candidate.parts.iter().map(|part| format!("{}={:.3}", part.name, part.cost));
+        rows.add_row([
+            candidate.endpoint.to_string(),
+            candidate.data_centre.to_string(),
+            if candidate.home { "yes" } else { "" }.into(),
+            candidate.warm_tokens.to_string(),
+            format!("{:.3}", candidate.cost),
+            parts.collect::<Vec<_>>().join(" "),
+        ]);
+    }
+    format!("{} prompt tokens\n{rows}", explanation.prompt_tokens)
+}
+
+pub(crate) fn call(call: &Call) -> String {
+    let status = call.status.map_or_else(|| "-".into(), |status| status.to_string());
+    let mut facts = table(&["CALL", call.key.as_str()]);
+    facts
+        .add_row(["organisation", call.organisation.as_str()])
+        .add_row(["state", &name(&call.state)])
+        .add_row(["verdict", call.verdict.as_str()])
+        .add_row(["owner", &format!("{} (incarnation {})", call.owner, call.owner_incarnation)])
+        .add_row(["claimed", &time(call.claimed_at)])
+        .add_row(["status", &status]);
+    if let Some(resolution) = &call.resolution {
+        let reason = printable(&resolution.reason);
+        let by = format!("by {} at {}: {reason}", resolution.author, time(resolution.at));
+        facts.add_row(["resolved", &by]);
+    }
+    facts.to_string()
+}
+
+pub(crate) fn settings(settings: &toml::Table) -> String {
+    let mut rows = table(&["SETTING", "VALUE"]);
+    for (key, value) in settings {
+        rows.add_row([key.clone(), plain(value)]);
+    }
+    rows.to_string()
+}
+
+pub(crate) fn exceptions(exceptions: &[&toml::Table]) -> String {
+    let mut rows = table(&["ID", "SCOPE", "SETS", "UNTIL", "REASON"]);
+    for exception in exceptions {
+        let field = |key| exception.get(key).map(flat).unwrap_or_default();
+        rows.add_row(["id", "scope", "set", "until", "reason"].map(field));
+    }
+    rows.to_string()
+}
+
+pub(crate) fn difference(differs: bool, diff: &str) -> String {
+    if differs { diff.to_owned() } else { "no difference".to_owned() }
+}
+
+fn flat(value: &Value) -> String {
+    let Some(table) = value.as_table() else { return printable(&plain(value)) };
+    let pairs = table.iter().map(|(key, value)| format!("{key}={}", plain(value)));
+    pairs.collect::<Vec<_>>().join(" ")
+}
+
+fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(NOTHING).set_header(header);
+    table
+}
+
+/// Returns a unit variant's name on the wire.
+fn name<T: Serialize>(state: &T) -> String {
+    let value = serde_json::to_value(state).ok();
+    value.as_ref().and_then(serde_json::Value::as_str).unwrap_or("unknown").to_owned()
+}
+
+fn span(millis: u64) -> String {
+    humantime::format_duration(Duration::from_millis(millis)).to_string()
+}
+
+fn time(at: UnixMillis) -> String {
+    // The last second that the format can show.
+    const END_MILLIS: u64 = 253_402_300_799_000;
+    let millis = at.as_u64().min(END_MILLIS);
+    humantime::format_rfc3339_seconds(SystemTime::UNIX_EPOCH + Duration::from_millis(millis))
+        .to_string()
+}
+
+/// Returns text that another operator wrote, without control characters.
+fn printable(text: &str) -> String {
+    text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect()
+}
