cli: prove changes and questions against a fake router

Cause: cut answers, conflicts and dead routers were not tested yet. Change: the tool runs as a process against a router of the tests.

--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -78,7 +78,8 @@
 
 /// Describes the whole command line.
 pub(crate) fn parser() -> OptionParser<Invocation> {
-    let status = leaf("status", "Shows a router, its peers and the quorum", status());
+    let status =
+        leaf("status", "Shows a router, its peers and the quorum", bpaf::pure(Action::Status));
     let endpoints =
         leaf("endpoints", "Lists the endpoints that a router knows", bpaf::pure(Action::Endpoints));
     let history =
@@ -99,10 +100,6 @@
     .footer(EXIT_CODES)
 }
 
-fn status() -> impl Parser<Action> {
-    bpaf::pure(Action::Status)
-}
-
 fn defaults() -> impl Parser<Invocation> {
     let key = positional("KEY").help("Name of the setting, such as wait-weight").optional();
     let get = leaf("get", "Shows one default, or all", construct!(Action::DefaultsGet { key }));
--- /dev/null
+++ b/crates/cli/tests/edit.rs
@@ -0,0 +1,63 @@
+//! Edits keep the declaration valid.
+
+use cli::{Edit, NewException, line_diff};
+use proptest::{prelude::*, test_runner::RngSeed};
+use yare::parameterized;
+
+fn exception(reason: &str) -> NewException {
+    NewException {
+        id: "e-1".parse().unwrap(),
+        reason: reason.into(),
+        until: None,
+        scope: vec![("model".into(), "m".into())],
+        set: vec![("drain".into(), "true".into())],
+    }
+}
+
+#[test]
+fn exception_added_twice_is_one() {
+    let mut edit = Edit::default();
+    edit.add_exception(exception("r")).unwrap();
+    edit.add_exception(exception("r")).unwrap();
+    assert_eq!(edit.exceptions().count(), 1);
+    assert!(edit.add_exception(exception("other")).is_err());
+    edit.remove_exception(&"e-1".parse().unwrap());
+    assert_eq!(edit, Edit::default());
+}
+
+#[parameterized(
+    not_toml = { "[" },
+    defaults_list = { "defaults = []" },
+    exceptions_table = { "[exceptions]" },
+    exceptions_of_numbers = { "exceptions = [1]" },
+)]
+fn unusable_declaration(text: &str) {
+    assert!(Edit::parse(text).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn edited_text_is_read_back(key in "(?s).{0,20}", value in "(?s).{0,20}|[0-9\\[\\]\"{}=, ]{0,9}") {
+        let mut edit = Edit::parse("[defaults]\na = 1\n").unwrap();
+        edit.set_default(&key, &value);
+        prop_assert_eq!(Edit::parse(&edit.to_toml()).unwrap(), edit);
+    }
+
+    #[test]
+    fn diff_holds_both_texts(old in "[abc\n]{0,30}", new in "[abc\n]{0,30}") {
+        let diff = line_diff(&old, &new);
+        let side = |marks: [&str; 2]| -> Vec<String> {
+            let lines = diff.lines().filter(|line| marks.contains(&&line[..2]));
+            lines.map(|line| line[2..].to_owned()).collect()
+        };
+        prop_assert_eq!(side(["  ", "- "]), old.lines().collect::<Vec<_>>());
+        prop_assert_eq!(side(["  ", "+ "]), new.lines().collect::<Vec<_>>());
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/tool/fake.rs
@@ -0,0 +1,118 @@
+//! A fake router and the tool run against it.
+
+use std::{
+    fs,
+    io::{BufRead as _, BufReader, Read as _, Write as _},
+    net::{TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Command, Output, Stdio},
+    sync::mpsc,
+    thread,
+};
+
+use tempfile::TempDir;
+
+/// A request as the fake router received it.
+#[derive(Debug)]
+pub struct Received {
+    pub method: String,
+    pub path: String,
+    pub authorization: Option<String>,
+    pub body: String,
+}
+
+/// What the fake router sends.
+pub enum Reply {
+    Whole(u16, String),
+    /// Only half of the announced bytes.
+    Cut(u16, String),
+    /// Nothing.
+    Close,
+}
+
+pub struct Router {
+    pub address: String,
+    pub received: mpsc::Receiver<Received>,
+}
+
+/// Starts a router that answers each request by `reply`.
+pub fn router(reply: impl Fn(&Received) -> Reply + Send + 'static) -> Router {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (tx, received) = mpsc::channel();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let Some(req) = receive(&stream) else { continue };
+            let reply = reply(&req);
+            // Known to the test before the tool can end; a test may not ask for it.
+            let _ = tx.send(req);
+            send(&mut stream, reply);
+        }
+    });
+    Router { address, received }
+}
+
+/// An address that refuses connections: no listener of a test can be given its port.
+pub const CLOSED_ADDRESS: &str = "127.0.0.1:1";
+
+fn receive(stream: &TcpStream) -> Option<Received> {
+    let mut reader = BufReader::new(stream);
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let mut words = line.split_whitespace().map(str::to_owned);
+    let (method, path) = (words.next()?, words.next()?);
+    let (mut length, mut authorization) = (0, None);
+    loop {
+        line.clear();
+        reader.read_line(&mut line).ok()?;
+        let Some((name, value)) = line.trim().split_once(": ") else { break };
+        match name.to_ascii_lowercase().as_str() {
+            "content-length" => length = value.parse().unwrap(),
+            "authorization" => authorization = Some(value.to_owned()),
+            _ => {}
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Received { method, path, authorization, body: String::from_utf8(body).unwrap() })
+}
+
+fn send(stream: &mut TcpStream, reply: Reply) {
+    let (status, body, sent) = match reply {
+        Reply::Whole(status, body) => (status, body.clone(), body),
+        Reply::Cut(status, body) => (status, body.clone(), body[..body.len() / 2].to_owned()),
+        Reply::Close => return,
+    };
+    let length = body.len();
+    let head =
+        format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n");
+    stream.write_all(format!("{head}{sent}").as_bytes()).unwrap();
+}
+
+/// Runs the tool without any variables of this process.
+pub fn run(args: &[&str], variables: &[(&str, &str)]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_dotterelreach"))
+        .env_clear()
+        .envs(variables.iter().copied())
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .unwrap()
+}
+
+/// Writes a file that lives as long as the folder.
+pub fn file(text: &str) -> (TempDir, PathBuf) {
+    let folder = TempDir::new().unwrap();
+    let path = folder.path().join("declaration.toml");
+    fs::write(&path, text).unwrap();
+    (folder, path)
+}
+
+pub fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+pub fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
--- /dev/null
+++ b/crates/cli/tests/tool/main.rs
@@ -0,0 +1,5 @@
+//! The tool as a process, against a fake router.
+
+mod changes;
+mod fake;
+mod queries;
--- a/crates/telemetry/tests/collector/mod.rs
+++ b/crates/telemetry/tests/collector/mod.rs
@@ -22,19 +22,18 @@
     let (tx, rx) = flume::unbounded();
     thread::spawn(move || {
         for stream in listener.incoming() {
-            let body = read_body(stream.unwrap(), status);
-            for span in spans(&body) {
-                if tx.send(span).is_err() {
-                    return;
-                }
+            let mut reader = BufReader::new(stream.unwrap());
+            for span in spans(&read_body(&mut reader)) {
+                // Known to the test before the exporter is; a test may not ask for it.
+                let _ = tx.send(span);
             }
+            answer(reader.into_inner(), status);
         }
     });
     (url, rx)
 }
 
-fn read_body(stream: TcpStream, status: u16) -> Vec<u8> {
-    let mut reader = BufReader::new(stream);
+fn read_body(reader: &mut BufReader<TcpStream>) -> Vec<u8> {
     let mut length = 0;
     let mut line = String::new();
     while 2 < reader.read_line(&mut line).unwrap() {
@@ -46,11 +45,14 @@
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body).unwrap();
-    let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
-    reader.into_inner().write_all(answer.as_bytes()).unwrap();
     body
 }
 
+fn answer(mut stream: TcpStream, status: u16) {
+    let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    stream.write_all(answer.as_bytes()).unwrap();
+}
+
 fn spans(request: &[u8]) -> Vec<Received> {
     let resources = fields(request).into_iter().filter(|field| field.0 == 1);
     let scopes = resources.flat_map(|field| fields(field.1)).filter(|field| field.0 == 2);
--- a/crates/telemetry/tests/traces.rs
+++ b/crates/telemetry/tests/traces.rs
@@ -90,8 +90,8 @@
 
 #[test]
 fn absent_collector_fails_spans_only() {
-    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let (tracer, exporter) = Tracer::start(config(format!("http://{address}/"))).unwrap();
+    // No listener of a test can be given this port.
+    let (tracer, exporter) = Tracer::start(config("http://127.0.0.1:1/".into())).unwrap();
     drop(tracer.accept(None));
     assert_eq!(exporter.flush(LONG), Flush::Done);
     assert_eq!(exporter.counts(), ExportCounts { failed: 1, ..ExportCounts::default() });
