docs: describe the command-line tool, metrics and traces to operators

Cause: operators had no page. Change: commands, exit codes, completion, declarations under version control and an example for each site; spans that were dropped are a metric; text from elsewhere cannot steer the terminal.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -15,7 +15,7 @@
     client::Client,
     line_diff,
     options::{self, Action, Approval, ExceptionOptions, Input, Outcome},
-    output::Output,
+    output::{Output, printable},
     settings::Settings,
     submit::submit,
     view,
@@ -38,7 +38,7 @@
         session.run(invocation.action)
     });
     done.unwrap_or_else(|e| {
-        eprintln!("{e}");
+        eprintln!("{}", printable(&e.to_string()));
         e.exit()
     })
 }
@@ -143,7 +143,8 @@
         let differs = Edit::parse(&toml)? != Edit::parse(&current.toml)?;
         let diff = if differs { line_diff(&current.toml, &toml) } else { String::new() };
         let difference = Difference { revision: current.revision, differs, diff };
-        self.output().print(&difference, || view::difference(differs, &difference.diff));
+        self.output()
+            .print(&difference, || view::difference(differs, &printable(&difference.diff)));
         Ok(if differs { Exit::Differs } else { Exit::Done })
     }
 
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -20,6 +20,12 @@
     }
 }
 
+/// Returns text from elsewhere without what a terminal would obey.
+pub(crate) fn printable(text: &str) -> String {
+    let is_plain = |c: char| c == '\n' || !c.is_control();
+    text.chars().map(|c| if is_plain(c) { c } else { ' ' }).collect()
+}
+
 fn to_json<T: Serialize>(value: &T) -> String {
     serde_json::to_string_pretty(value).expect("results have string keys and finite numbers")
 }
--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -5,7 +5,12 @@
 use wire::operator::{ChangeAnswer, ChangeRequest, CurrentDeclaration, DECLARATION_PATH};
 
 use crate::{
-    Edit, Error, client::Client, line_diff, options::Approval, output::Output, settings::Settings,
+    Edit, Error,
+    client::Client,
+    line_diff,
+    options::Approval,
+    output::{Output, printable},
+    settings::Settings,
 };
 
 const CHANGE_ID_DIGITS: usize = 32;
@@ -34,7 +39,7 @@
     if approval.reason.trim().is_empty() {
         return Err(Error::usage(r#"--reason: "" is no reason; write why the change is made"#));
     }
-    eprint!("{}", line_diff(&current.toml, &toml));
+    eprint!("{}", printable(&line_diff(&current.toml, &toml)));
     if !approval.yes {
         confirm()?;
     }
--- a/crates/cli/src/view.rs
+++ b/crates/cli/src/view.rs
@@ -8,7 +8,7 @@
     Call, EndpointStatus, Endpoints, Explanation, History, QuorumStatus, Status, Voter, Voters,
 };
 
-use crate::command::plain;
+use crate::{command::plain, output::printable};
 
 pub(crate) fn status(status: &Status) -> String {
     let counts = &status.counts;
@@ -197,8 +197,3 @@
     humantime::format_rfc3339_seconds(SystemTime::UNIX_EPOCH + Duration::from_millis(millis))
         .to_string()
 }
-
-/// Returns text that another operator wrote, without control characters.
-fn printable(text: &str) -> String {
-    text.chars().map(|c| if c.is_control() { ' ' } else { c }).collect()
-}
--- a/crates/cli/tests/edit.rs
+++ b/crates/cli/tests/edit.rs
@@ -25,6 +25,17 @@
     assert_eq!(edit, Edit::default());
 }
 
+#[test]
+fn declarations_of_the_operators_page_are_read() {
+    let page = include_str!("../../../docs/OPERATIONS.md");
+    let blocks = page.split("```toml\n").skip(1).filter_map(|rest| rest.split("```").next());
+    let declarations: Vec<Edit> = blocks.map(|block| Edit::parse(block).unwrap()).collect();
+    assert_eq!(declarations.len(), 2);
+    for declaration in declarations {
+        assert_eq!(declaration.exceptions().count(), 3);
+    }
+}
+
 #[parameterized(
     not_toml = { "[" },
     defaults_list = { "defaults = []" },
--- a/crates/cli/tests/tool/queries.rs
+++ b/crates/cli/tests/tool/queries.rs
@@ -82,6 +82,14 @@
     assert_eq!(run(&["status", "-r", &router.address], &[]).status.code(), Some(code));
 }
 
+#[test]
+fn answer_cannot_steer_the_terminal() {
+    let title = r#"{"status": 404, "title": "\u001b[2Jgone"}"#;
+    let router = router(move |_| Reply::Whole(404, title.into()));
+    let output = run(&["status", "-r", &router.address], &[]);
+    assert_eq!(stderr(&output), " [2Jgone (status 404): no detail given\n");
+}
+
 #[test]
 fn unreachable() {
     assert_eq!(run(&["status", "-r", CLOSED_ADDRESS], &[]).status.code(), Some(3));
--- a/crates/telemetry/src/export.rs
+++ b/crates/telemetry/src/export.rs
@@ -71,6 +71,10 @@
     pub fn counts(&self) -> ExportCounts {
         self.counters.read()
     }
+
+    pub(crate) fn counters(&self) -> Arc<Counters> {
+        Arc::clone(&self.counters)
+    }
 }
 
 impl Drop for Exporter {
@@ -126,14 +130,14 @@
 }
 
 #[derive(Debug, Default)]
-struct Counters {
+pub(crate) struct Counters {
     exported: AtomicU64,
     failed: AtomicU64,
     dropped: AtomicU64,
 }
 
 impl Counters {
-    fn read(&self) -> ExportCounts {
+    pub(crate) fn read(&self) -> ExportCounts {
         ExportCounts {
             exported: self.exported.load(Ordering::Relaxed),
             failed: self.failed.load(Ordering::Relaxed),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -10,7 +10,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use crate::{Recorder, instruments::Instruments, recorder::Labels};
+use crate::{Exporter, Recorder, instruments::Instruments, recorder::Labels};
 
 /// Organisations that get a label of their own, those of the configuration first.
 pub const MAX_LABELLED_ORGANISATIONS: usize = 64;
@@ -49,8 +49,7 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    // Held since its drop ends the recording.
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
     instruments: Arc<Instruments>,
     organisations: RwLock<BTreeMap<OrganisationId, Arc<Labels>>>,
     other: Arc<Labels>,
@@ -78,7 +77,7 @@
         let instruments = Arc::new(Instruments::new(&provider.meter(NAMESPACE)));
         Ok(Self {
             registry,
-            _provider: provider,
+            provider,
             instruments,
             organisations: RwLock::default(),
             other: Arc::new(Labels::new(OTHER_ORGANISATION)),
@@ -144,6 +143,23 @@
         self.instruments.commit_latency.record(time.as_secs_f64(), &[]);
     }
 
+    /// Counts what becomes of the spans of `exporter` from now on.
+    pub fn watch_exporter(&self, exporter: &Exporter) {
+        let counters = exporter.counters();
+        let outcomes = ["exported", "failed", "dropped"].map(|o| [KeyValue::new("outcome", o)]);
+        let meter = self.provider.meter(NAMESPACE);
+        meter
+            .u64_observable_counter("spans")
+            .with_description("Spans by what became of them.")
+            .with_callback(move |observer| {
+                let counts = counters.read();
+                observer.observe(counts.exported, &outcomes[0]);
+                observer.observe(counts.failed, &outcomes[1]);
+                observer.observe(counts.dropped, &outcomes[2]);
+            })
+            .build();
+    }
+
     /// Returns all metrics in Prometheus' text format.
     pub fn render(&self) -> String {
         let encoded = TextEncoder::new().encode_to_string(&self.registry.gather());
--- a/crates/telemetry/tests/traces.rs
+++ b/crates/telemetry/tests/traces.rs
@@ -9,7 +9,9 @@
 
 use base::Verdict;
 use proptest::{prelude::*, test_runner::RngSeed};
-use telemetry::{ExportCounts, Flush, Hop, SampleRatio, TraceConfig, TraceContext, Tracer};
+use telemetry::{
+    ExportCounts, Flush, Hop, Metrics, SampleRatio, TraceConfig, TraceContext, Tracer,
+};
 use yare::parameterized;
 
 const CALLER: &str = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
@@ -110,6 +112,11 @@
     assert!(bound <= began.elapsed());
     assert!(0 < exporter.counts().dropped);
     assert_eq!(exporter.counts().exported, 0);
+    let metrics = Metrics::new().unwrap();
+    metrics.watch_exporter(&exporter);
+    let line =
+        format!("dotterelreach_spans_total{{outcome=\"dropped\"}} {}\n", exporter.counts().dropped);
+    assert!(metrics.render().contains(&line), "{}", metrics.render());
 }
 
 #[test]
