--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use wire::{
     chunk::{Chunk, DONE},
-    problem::Problem,
+    problem::{self, Problem},
     sse::{Event, Parser},
 };
 
@@ -173,7 +173,7 @@
     /// Returns the verdict that the caller was given, if any.
     pub fn verdict(&self) -> Option<Verdict> {
         match self {
-            Self::Failed(problem) => Some(problem.verdict),
+            Self::Failed(problem) => problem.verdict,
             Self::Answered { .. } => Some(Verdict::Ran),
             Self::Unknown(_) => None,
         }
@@ -181,7 +181,7 @@
 }
 
 fn is_problem(content_type: &hyper::header::HeaderValue) -> bool {
-    content_type == "application/problem+json"
+    content_type == problem::CONTENT_TYPE
 }
 
 /// Sends a request over a connection of its own.
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -58,11 +58,12 @@
 }
 
 impl Counts {
-    /// Counts a failure by its verdict.
-    pub fn fail(&mut self, verdict: Verdict) {
+    /// Counts a failure by its verdict; a failure without one ends in silence.
+    pub fn fail(&mut self, verdict: Option<Verdict>) {
         match verdict {
-            Verdict::NotRun => self.not_run += 1,
-            Verdict::MayHaveRun | Verdict::Ran => self.may_have_run += 1,
+            Some(Verdict::NotRun) => self.not_run += 1,
+            Some(Verdict::MayHaveRun | Verdict::Ran) => self.may_have_run += 1,
+            None => self.incomplete += 1,
         }
     }
 }
--- a/crates/daemon/src/edge/failure.rs
+++ b/crates/daemon/src/edge/failure.rs
@@ -3,9 +3,9 @@
 use base::Verdict;
 use hyper::{
     Response, StatusCode,
-    header::{CONTENT_TYPE, RETRY_AFTER},
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
-use wire::problem::Problem;
+use wire::problem::{self, Problem};
 
 use super::body::Body;
 
@@ -78,7 +78,9 @@
     }
 
     pub(super) fn to_problem(&self) -> Problem {
-        Problem::new(self.status.as_u16(), self.title, &self.detail, self.verdict)
+        Problem::new(self.status.as_u16(), self.title)
+            .with_detail(self.detail.as_str())
+            .with_verdict(self.verdict)
     }
 
     pub(super) fn to_response(&self) -> Response<Body> {
@@ -86,7 +88,7 @@
         let mut response = Response::new(Body::whole(body));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
-        headers.insert(CONTENT_TYPE, "application/problem+json".parse().expect("a valid header"));
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(problem::CONTENT_TYPE));
         if let Some(after) = self.retry_after {
             headers.insert(RETRY_AFTER, whole_seconds(after).into());
         }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod chunk;
 pub mod completion;
 mod error;
+pub mod operator;
 pub mod peer;
 pub mod problem;
 pub mod sse;
