daemon: hold a part in the quorum and bring requests to its leader

Cause: claims and configuration need the replicated log behind the daemon. Change: the replica thread drives quorum, store and fleet; LeaderClient finds the leader; Configurations lets revisions only rise. Not yet joined to the edge.

--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -118,7 +118,7 @@
                 ..Candidate::default()
             });
         }
-        let req = Request { prompt_tokens: wanted.prompt_tokens() };
+        let req = Request { prompt_tokens: wanted.prompt_tokens(), homes: 1 };
         let chosen = self.policy.choose(&req, &candidates, &mut self.rng);
         let (id, target, served) = &untried[chosen.ok_or(NoEndpoint::AllTried)?];
         let salt = chains.iter().find(|(weights, ..)| *weights == served.weights);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,9 +20,13 @@
 
 mod admin;
 mod clock;
+mod configurations;
+mod directory;
 mod edge;
+mod leader_client;
 mod net;
 mod peers;
+mod replica;
 mod roster;
 mod run;
 mod settings;
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -167,9 +167,9 @@
                 req.get().set_message(&message);
                 Self::Quorum(req.send().promise)
             }
-            Outgoing::Submit { command, reply } => {
+            Outgoing::Submit { request, reply } => {
                 let mut req = router.submit_request();
-                req.get().set_command(&command);
+                req.get().set_request(&request);
                 Self::Submit(req.send().promise, reply)
             }
             Outgoing::Configuration { above, reply } => {
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -16,6 +16,8 @@
 
 use base::{HostId, Revision};
 
+use crate::replica::ReplicaInput;
+
 use handshake::FleetSecret;
 
 /// Version of the messages between routers.
@@ -40,10 +42,8 @@
 pub(crate) struct Inbox {
     /// Gossip, each message answered.
     pub gossip: flume::Sender<GossipCall>,
-    /// Messages of the quorum.
-    pub quorum: flume::Sender<QuorumCall>,
-    /// Commands for the leader.
-    pub submissions: flume::Sender<SubmitCall>,
+    /// Messages of the quorum and requests to the leader; absent on a host without a vote.
+    pub replica: Option<flume::Sender<ReplicaInput>>,
     /// Questions for a newer configuration.
     pub configurations: flume::Sender<ConfigurationCall>,
 }
@@ -64,10 +64,10 @@
     pub message: Vec<u8>,
 }
 
-/// A command from another router.
+/// A request to the leader.
 pub(crate) struct SubmitCall {
-    /// The command.
-    pub command: Vec<u8>,
+    /// The request.
+    pub request: Vec<u8>,
     /// Takes what became of it.
     pub reply: flume::Sender<Submitted>,
 }
@@ -80,10 +80,10 @@
     pub reply: flume::Sender<Option<wire::peer::Configuration>>,
 }
 
-/// What became of a submitted command.
+/// What became of a request to the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Submitted {
-    /// It was committed and applied, with this reply.
+    /// The leader answered.
     Reply(Vec<u8>),
     /// It was not written, and won't be; the leader may be another host.
     NotWritten {
@@ -108,10 +108,10 @@
         /// The message.
         message: Vec<u8>,
     },
-    /// A command for the leader.
+    /// A request to the leader.
     Submit {
-        /// The command.
-        command: Vec<u8>,
+        /// The request.
+        request: Vec<u8>,
         /// Takes what became of it.
         reply: flume::Sender<Submitted>,
     },
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -7,6 +7,8 @@
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
 use wire::peer_capnp::{gate, router};
 
+use crate::replica::ReplicaInput;
+
 use super::{
     ConfigurationCall, GossipCall, Inbox, PROTOCOL_VERSION, QuorumCall, SubmitCall, Submitted,
     handshake::{FleetSecret, Nonces, Side, new_nonce, read_nonce},
@@ -128,7 +130,9 @@
     ) -> Result<(), capnp::Error> {
         let message = params.get()?.get_message()?.to_vec();
         let call = QuorumCall { from: self.host.clone(), message };
-        self.inbox.quorum.try_send(call).map_err(|_| overloaded())
+        let replica =
+            self.inbox.replica.as_ref().ok_or_else(|| refused("this host has no vote"))?;
+        replica.try_send(ReplicaInput::Quorum(call)).map_err(|_| overloaded())
     }
 
     async fn submit(
@@ -136,12 +140,13 @@
         params: router::SubmitParams,
         mut results: router::SubmitResults,
     ) -> Result<(), capnp::Error> {
-        let command = params.get()?.get_command()?.to_vec();
+        let request = params.get()?.get_request()?.to_vec();
         let (reply, answer) = flume::bounded(1);
-        let sent = self.inbox.submissions.try_send(SubmitCall { command, reply });
-        let submitted = match sent {
-            Ok(()) => answer.recv_async().await.unwrap_or(Submitted::Unknown),
-            Err(_) => Submitted::NotWritten { leader: None },
+        let input = ReplicaInput::Submit(SubmitCall { request, reply });
+        let replica = self.inbox.replica.as_ref();
+        let submitted = match replica.map(|replica| replica.try_send(input)) {
+            Some(Ok(())) => answer.recv_async().await.unwrap_or(Submitted::Unknown),
+            Some(Err(_)) | None => Submitted::NotWritten { leader: None },
         };
         let mut result = results.get().init_submitted();
         match submitted {
--- /dev/null
+++ b/crates/daemon/src/replica/driver.rs
@@ -0,0 +1,346 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use base::{HostId, LogIndex, UnixMillis};
+use fleet::{Command, Fleet};
+use quorum::{Action, Config, Entry, Input, Message, Node, Payload, Restored, Snapshot, VoterSet};
+use rand_pcg::Pcg64Mcg;
+use store::{Disk, Log};
+use wire::{
+    leader::{LeaderAnswer, LeaderRequest, UnsettledCall},
+    peer::{quorum_from_bytes, quorum_to_bytes},
+};
+
+use crate::{
+    clock::Clock,
+    configurations::Configuration,
+    peers::{Addressed, Outgoing, QuorumCall, SubmitCall},
+};
+
+use super::{
+    ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaView,
+    waiting::{Reading, Reply, Waiting},
+};
+
+/// Time between looks at the clock; a third of a heartbeat.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Most inputs taken before one sync.
+const MAX_BATCH: usize = 512;
+
+/// Entries applied after which a snapshot replaces the log.
+const SNAPSHOT_ENTRIES: u64 = 4096;
+
+/// Changes shown to operators.
+const SHOWN_CHANGES: usize = 1_000;
+
+/// Carries out what the node says.
+pub(super) struct Driver<D> {
+    clock: Clock,
+    node: Node<Pcg64Mcg>,
+    log: Log<D>,
+    fleet: Fleet,
+    snapshot_at: LogIndex,
+    waiting: Waiting,
+    actions: Vec<Action>,
+    rings: ReplicaRings,
+    failure: Option<String>,
+}
+
+impl<D: Disk> Driver<D> {
+    pub(super) fn new(
+        cfg: ReplicaConfig,
+        clock: Clock,
+        rng: Pcg64Mcg,
+        log: Log<D>,
+        restored: Restored,
+        rings: ReplicaRings,
+    ) -> eyre::Result<Self> {
+        let fleet = match &restored.snapshot {
+            Some(snapshot) => Fleet::from_snapshot(&snapshot.data)?,
+            None => Fleet::default(),
+        };
+        let node_cfg = Config { founders: cfg.founders, ..Config::new(cfg.host) };
+        let snapshot_at = fleet.applied();
+        let node = Node::new(node_cfg, restored, clock.now(), rng);
+        Ok(Self {
+            clock,
+            node,
+            log,
+            fleet,
+            snapshot_at,
+            waiting: Waiting::default(),
+            actions: Vec::new(),
+            rings,
+            failure: None,
+        })
+    }
+
+    /// Runs until every sender of inputs is gone.
+    pub(super) fn run(mut self) {
+        loop {
+            match self.rings.inputs.recv_timeout(TICK) {
+                Ok(input) => self.take(input),
+                Err(flume::RecvTimeoutError::Timeout) => {}
+                Err(flume::RecvTimeoutError::Disconnected) => return,
+            }
+            for _ in 0..MAX_BATCH {
+                let Ok(input) = self.rings.inputs.try_recv() else { break };
+                self.take(input);
+            }
+            self.step(Input::Tick);
+            self.carry_out();
+            self.compact();
+            self.publish();
+        }
+    }
+
+    fn take(&mut self, input: ReplicaInput) {
+        match input {
+            ReplicaInput::Quorum(call) => self.take_message(call),
+            ReplicaInput::Submit(call) => self.take_request(call),
+            ReplicaInput::Learners(hosts) => self.step(Input::Learners(hosts)),
+            ReplicaInput::HandOver => self.step(Input::Transfer),
+        }
+    }
+
+    fn take_message(&mut self, call: QuorumCall) {
+        match quorum_from_bytes(&call.message) {
+            Ok(message) => self.step(Input::Message { from: call.from, message }),
+            Err(e) => log::warn!("peer={} sent a message that can't be read: {e}", call.from),
+        }
+    }
+
+    fn take_request(&mut self, call: SubmitCall) {
+        let reply = Reply::new(call.reply);
+        if self.failure.is_some() {
+            return reply.not_written(None);
+        }
+        match LeaderRequest::from_bytes(&call.request) {
+            Ok(LeaderRequest::Command(command)) => {
+                let id = self.waiting.propose(reply);
+                let command = stamped(command, now()).to_bytes().into();
+                self.step(Input::Propose { id, command });
+            }
+            Ok(LeaderRequest::AddVoter { host, folder }) => {
+                self.change_voters(reply, |voters| {
+                    voters.folders.insert(host, folder);
+                });
+            }
+            Ok(LeaderRequest::RemoveVoter { host }) => {
+                self.change_voters(reply, |voters| {
+                    voters.folders.remove(&host);
+                });
+            }
+            Ok(request @ (LeaderRequest::ReadCall(_) | LeaderRequest::ReadUnsettled)) => {
+                let id = self.waiting.read(Reading { request, reply });
+                self.step(Input::Read { id });
+            }
+            Err(e) => reply.answer(&LeaderAnswer::Refused(e.to_string())),
+        }
+    }
+
+    fn change_voters(&mut self, reply: Reply, change: impl FnOnce(&mut VoterSet)) {
+        let status = self.node.status();
+        let mut voters = status.voters.clone();
+        change(&mut voters);
+        if voters == status.voters && status.voters_committed {
+            return reply.answer(&LeaderAnswer::Voters(voters));
+        }
+        let id = self.waiting.propose(reply);
+        self.step(Input::ProposeVoters { id, voters });
+    }
+
+    fn step(&mut self, input: Input) {
+        if self.failure.is_none() {
+            self.node.step(self.clock.now(), input, &mut self.actions);
+        }
+    }
+
+    /// Makes durable what must be, then carries out the other actions.
+    fn carry_out(&mut self) {
+        let actions = std::mem::take(&mut self.actions);
+        if let Err(e) = self.persist(&actions) {
+            log::error!("the data folder failed; this host acknowledges nothing any more: {e}");
+            self.failure = Some(e.to_string());
+            return;
+        }
+        for action in actions {
+            self.act(action);
+        }
+        for reading in self.waiting.readable(self.fleet.applied()) {
+            self.answer_read(reading);
+        }
+    }
+
+    fn persist(&mut self, actions: &[Action]) -> store::Result<()> {
+        let mut staged = false;
+        for action in actions {
+            match action {
+                Action::Persist { hard_state, entries } => {
+                    self.log.stage(hard_state.as_ref(), entries);
+                    staged = true;
+                }
+                Action::SaveSnapshot(snapshot) => {
+                    if std::mem::take(&mut staged) {
+                        self.log.sync()?;
+                    }
+                    self.log.save_snapshot(snapshot)?;
+                }
+                _ => {}
+            }
+        }
+        if staged { self.log.sync() } else { Ok(()) }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Persist { .. } | Action::SaveSnapshot(_) => {}
+            Action::Restore(snapshot) => self.restore(&snapshot),
+            Action::Send { to, message } => self.send(&to, &message),
+            Action::Apply(entries) => entries.into_iter().for_each(|entry| self.apply(entry)),
+            Action::Accepted { id, index, term } => self.waiting.accepted(id, index, term),
+            Action::Refused { id, leader, refusal } => {
+                let Some(reply) = self.waiting.refused(id) else { return };
+                match refusal {
+                    quorum::Refusal::NotLeader | quorum::Refusal::Transferring => {
+                        reply.not_written(leader);
+                    }
+                    _ => reply.answer(&LeaderAnswer::Refused(refusal.to_string())),
+                }
+            }
+            Action::ReadReady { id, index } => self.waiting.read_ready(id, index),
+            Action::ReadRefused { id, leader } => {
+                if let Some(reply) = self.waiting.read_refused(id) {
+                    reply.not_written(leader);
+                }
+            }
+        }
+    }
+
+    fn send(&self, to: &HostId, message: &Message) {
+        let Some(to) = self.rings.directory.address(to) else { return };
+        let message = Outgoing::Quorum { message: quorum_to_bytes(message) };
+        let _ = self.rings.outbox.try_send(Addressed { to, message });
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) {
+        match Fleet::from_snapshot(&snapshot.data) {
+            Ok(fleet) => {
+                self.fleet = fleet;
+                self.snapshot_at = snapshot.last_index;
+                self.offer_configuration();
+            }
+            Err(e) => {
+                log::error!("a snapshot from the leader can't be read: {e}");
+                self.failure = Some(e.to_string());
+            }
+        }
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        let waiting = self.waiting.committed(entry.index, entry.term);
+        let answer = match &entry.payload {
+            Payload::Empty => {
+                self.fleet.skip(entry.index);
+                return;
+            }
+            Payload::Voters(voters) => {
+                self.fleet.skip(entry.index);
+                LeaderAnswer::Voters(voters.clone())
+            }
+            Payload::Command(command) => self.apply_command(entry.index, command),
+        };
+        if let Some(reply) = waiting {
+            reply.answer(&answer);
+        }
+    }
+
+    fn apply_command(&mut self, index: LogIndex, command: &[u8]) -> LeaderAnswer {
+        match Command::from_bytes(command) {
+            Ok(command) => {
+                let reply = self.fleet.apply(index, &command);
+                if matches!(command, Command::Change(_)) {
+                    self.offer_configuration();
+                }
+                LeaderAnswer::Reply(reply)
+            }
+            Err(e) => {
+                self.fleet.skip(index);
+                LeaderAnswer::Refused(e.to_string())
+            }
+        }
+    }
+
+    fn offer_configuration(&self) {
+        let configuration = self.fleet.configuration();
+        let Some(last) = configuration.history().next_back() else { return };
+        self.rings.configurations.offer(Configuration {
+            revision: configuration.revision(),
+            declaration: configuration.text().clone(),
+            author: last.author.clone(),
+            reason: last.reason.clone(),
+            change: last.id.clone(),
+            at: last.at,
+        });
+    }
+
+    fn answer_read(&self, reading: Reading) {
+        let answer = match &reading.request {
+            LeaderRequest::ReadCall(key) => {
+                LeaderAnswer::Call(self.fleet.ledger().call(key).cloned().map(Box::new))
+            }
+            LeaderRequest::ReadUnsettled => LeaderAnswer::Unsettled(
+                self.fleet
+                    .ledger()
+                    .unsettled()
+                    .map(|(key, call)| UnsettledCall { key, call: call.clone() })
+                    .collect(),
+            ),
+            _ => return,
+        };
+        reading.reply.answer(&answer);
+    }
+
+    fn compact(&mut self) {
+        let applied = self.fleet.applied();
+        let since = applied.as_u64().saturating_sub(self.snapshot_at.as_u64());
+        if since < SNAPSHOT_ENTRIES || self.failure.is_some() {
+            return;
+        }
+        self.snapshot_at = applied;
+        let data = self.fleet.to_snapshot().into();
+        self.step(Input::Snapshot { through: applied, data });
+        self.carry_out();
+    }
+
+    fn publish(&self) {
+        let history = self.fleet.configuration().history();
+        let skipped = history.size_hint().0.saturating_sub(SHOWN_CHANGES);
+        self.rings.state.store(ReplicaView {
+            node: self.node.status(),
+            folder: self.node.folder(),
+            history: self.fleet.configuration().history().skip(skipped).cloned().collect(),
+            unsettled: self.fleet.ledger().unsettled().count(),
+            failure: self.failure.clone(),
+        });
+    }
+}
+
+fn now() -> UnixMillis {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    UnixMillis::new(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Gives a command the leader's time.
+fn stamped(mut command: Command, now: UnixMillis) -> Command {
+    let at = match &mut command {
+        Command::Change(change) => &mut change.at,
+        Command::Claim(claim) => &mut claim.at,
+        Command::Finish(finish) => &mut finish.at,
+        Command::Release(release) => &mut release.at,
+        Command::Resolve(resolve) => &mut resolve.at,
+        Command::OwnerGone(gone) => &mut gone.at,
+    };
+    *at = now;
+    command
+}
--- /dev/null
+++ b/crates/daemon/src/replica/mod.rs
@@ -0,0 +1,117 @@
+//! The thread that holds this host's part in the quorum and the replicated state.
+
+mod driver;
+mod waiting;
+
+use std::{
+    io,
+    path::PathBuf,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use base::HostId;
+use eyre::WrapErr as _;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use store::{Log, RealDisk};
+
+use crate::{
+    clock::Clock,
+    configurations::Configurations,
+    directory::Directory,
+    peers::{Addressed, QuorumCall, SubmitCall},
+};
+
+use driver::Driver;
+
+/// Folder of the log and the snapshots, under the data folder.
+const LOG_FOLDER: &str = "quorum";
+
+/// What other threads tell the replica thread.
+pub(crate) enum ReplicaInput {
+    /// A message of the quorum.
+    Quorum(QuorumCall),
+    /// A request to the leader.
+    Submit(SubmitCall),
+    /// Hosts that may become voters, and so follow the log.
+    Learners(Vec<HostId>),
+    /// The process is about to end; a leader hands over.
+    HandOver,
+}
+
+/// What the thread needs.
+pub(crate) struct ReplicaConfig {
+    /// This host.
+    pub host: HostId,
+    /// The hosts that found the log, the same list on each.
+    pub founders: Vec<HostId>,
+    /// The data folder.
+    pub data_dir: PathBuf,
+}
+
+/// What joins the thread to the others.
+pub(crate) struct ReplicaRings {
+    /// What others tell it.
+    pub inputs: flume::Receiver<ReplicaInput>,
+    /// Messages to other routers.
+    pub outbox: flume::Sender<Addressed>,
+    /// Where other routers listen.
+    pub directory: Directory,
+    /// Takes each configuration that is committed.
+    pub configurations: Configurations,
+    /// Shows the thread's state.
+    pub state: ReplicaState,
+}
+
+/// The thread's state, as operators see it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ReplicaState(Arc<Mutex<Option<ReplicaView>>>);
+
+/// A view of the thread's state.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplicaView {
+    /// The node's state.
+    pub node: quorum::Status,
+    /// The folder that this host votes from.
+    pub folder: quorum::FolderId,
+    /// The latest changes of configuration, the oldest first.
+    pub history: Vec<fleet::ChangeRecord>,
+    /// Calls that are open or whose outcome is unknown.
+    pub unsettled: usize,
+    /// Why the thread acknowledges nothing any more, if so.
+    pub failure: Option<String>,
+}
+
+impl ReplicaState {
+    pub(crate) fn load(&self) -> Option<ReplicaView> {
+        self.lock().clone()
+    }
+
+    fn store(&self, view: ReplicaView) {
+        *self.lock() = Some(view);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<ReplicaView>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Opens the data folder and starts the thread.
+///
+/// # Errors
+///
+/// Returns an error if the folder is damaged or in use, or the thread can't be made.
+pub(crate) fn spawn(cfg: ReplicaConfig, clock: Clock, rings: ReplicaRings) -> eyre::Result<()> {
+    let folder = cfg.data_dir.join(LOG_FOLDER);
+    let fresh = quorum::FolderId::new(rand::random());
+    let (log, restored) =
+        Log::open(&folder, RealDisk, fresh).wrap_err("the data folder can't be used")?;
+    let rng = Pcg64Mcg::seed_from_u64(rand::random());
+    let driver = Driver::new(cfg, clock, rng, log, restored, rings)?;
+    spawn_thread(driver).wrap_err("could not start the replica thread")
+}
+
+fn spawn_thread(driver: Driver<RealDisk>) -> io::Result<()> {
+    std::thread::Builder::new().name("replica".into()).spawn(move || driver.run())?;
+    Ok(())
+}
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -18,9 +18,9 @@
 struct Submitted {
   union {
     reply @0 :Data;
-    # The command was not written; the text names the leader, if known.
+    # The request was not taken; the text names the leader, if known.
     notLeader @1 :Text;
-    # The command may or may not have been written.
+    # The request may or may not have been carried out.
     unknown @2 :Void;
   }
 }
@@ -33,6 +33,6 @@
 interface Router {
   gossip @0 (message :Data) -> (reply :Data);
   quorum @1 (message :Data) -> ();
-  submit @2 (command :Data) -> (submitted :Submitted);
+  submit @2 (request :Data) -> (submitted :Submitted);
   configuration @3 (above :UInt64) -> (newer :Configuration);
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod chunk;
 pub mod completion;
 mod error;
+pub mod leader;
 pub mod operator;
 pub mod peer;
 pub mod problem;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -4,7 +4,7 @@
 
 use base::{Author, ChangeId, ParseError, Revision, UnixMillis};
 
-use crate::peer_capnp::configuration;
+use crate::{BodyError, peer_capnp::configuration};
 
 /// A configuration, as one router gives it to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,3 +54,17 @@
 fn malformed(e: ParseError) -> capnp::Error {
     capnp::Error::failed(e.to_string())
 }
+
+/// Writes a message of the quorum.
+pub fn quorum_to_bytes(message: &quorum::Message) -> Vec<u8> {
+    crate::leader::to_bytes(message)
+}
+
+/// Reads a message of the quorum.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are damaged.
+pub fn quorum_from_bytes(bytes: &[u8]) -> Result<quorum::Message, BodyError> {
+    crate::leader::from_bytes(bytes)
+}
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -3928,14 +3928,14 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_command(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            pub fn get_request(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_command(&self) -> bool {
+            pub fn has_request(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -4022,22 +4022,22 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_command(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            pub fn get_request(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_command(&mut self, value: ::capnp::data::Reader<'_>) {
+            pub fn set_request(&mut self, value: ::capnp::data::Reader<'_>) {
                 self.builder.reborrow().get_pointer_field(0).set_data(value);
             }
             #[inline]
-            pub fn init_command(self, size: u32) -> ::capnp::data::Builder<'a> {
+            pub fn init_request(self, size: u32) -> ::capnp::data::Builder<'a> {
                 self.builder.get_pointer_field(0).init_data(size)
             }
             #[inline]
-            pub fn has_command(&self) -> bool {
+            pub fn has_request(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -4077,7 +4077,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(99, 111, 109, 109, 97, 110, 100, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
                 ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
