--- a/crates/fleet/tests/declaration.rs
+++ b/crates/fleet/tests/declaration.rs
@@ -140,13 +140,13 @@
 reason = 'fan repair'
 until = '1970-01-01T00:01:40Z'
 scope = { endpoint = 'engine-3' }
-set = { drain = true, connect-timeout = '1s' }
+set = { drain = true, connect-timeout = '1s', request-timeout = '60s' }
 
 [[exceptions]]
 id = 'move'
 reason = 'the rack moves'
 scope = { data-centre = 'hobart' }
-set = { drain = true }
+set = { drain = true, request-timeout = '70s' }
 ";
 
 macro_rules! effective_cases {
@@ -170,6 +170,10 @@
     more_dimensions_win: "{ organisation = 'large', model = 'm' }" at 0, request_timeout => "50s",
     narrower_dimension_wins_after_the_end:
         "{ organisation = 'large', model = 'm' }" at 100000, request_timeout => "40s",
+    two_dimensions_over_a_narrower_one:
+        "{ organisation = 'large', model = 'm', endpoint = 'engine-3' }" at 0, request_timeout => "50s",
+    narrower_dimension_over_a_later_entry:
+        "{ organisation = 'large', data-centre = 'hobart' }" at 0, request_timeout => "40s",
     later_wins_a_tie: "{ model = 'n' }" at 0, request_timeout => "32s",
     exception_over_entry: "{ organisation = 'large' }" at 0, share => "9",
     methods_of_a_service: "{ service = 'desk' }" at 0, idempotent_methods => "GET POST",
