--- a/crates/member/src/budget.rs
+++ b/crates/member/src/budget.rs
@@ -13,7 +13,7 @@
 /// Number of times that a router sends the same renewal.
 pub(crate) const RENEWAL_COPIES: u32 = 3;
 
-const SHORTEST_SPACING: Duration = Duration::from_millis(500);
+const SHORTEST_SPACING: Duration = Duration::from_secs(1);
 const LONGEST_LOAD_SPACING: Duration = Duration::from_secs(5);
 
 /// Bytes that a router may spend on gossip, as encoded without the transport's own overhead.
@@ -38,7 +38,7 @@
 impl Default for Budget {
     fn default() -> Self {
         Self {
-            send: ByteRate::new(3_200),
+            send: ByteRate::new(3_600),
             renewals: ByteRate::new(1_500),
             message: ByteCount::new(1_000),
             catch_up_message: ByteCount::new(16_000),
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -74,7 +74,7 @@
     pub(crate) fn may_spread(&mut self, now: MonotonicTime) -> bool {
         let head = head_bytes(self.peers.me(), &self.newest);
         head * 2 <= self.steady.left(now)
-            || (self.has_backlog() && head * 2 <= self.reserve.left(now))
+            || (self.has_backlog() && head * 2 <= self.backlog_room(now))
     }
 
     /// Returns the checksums that are next in turn.
@@ -157,7 +157,7 @@
         let mut room = steady_room;
         if backlog && message.pull_next.is_none() {
             let most = self.budget.message.as_u64() as usize * 4;
-            room = room.max(self.reserve.left(now).min(most).saturating_sub(fixed));
+            room = room.max(self.backlog_room(now).min(most).saturating_sub(fixed));
         }
         let from_reserve = steady_room < room;
         let before = room;
@@ -307,6 +307,12 @@
         self.steady.left(now).min(self.budget.message.as_u64() as usize)
     }
 
+    /// Returns the part of the reserve that a backlog may use; the rest is kept for pulls.
+    fn backlog_room(&mut self, now: MonotonicTime) -> usize {
+        let kept = self.budget.reserve.as_u64() as usize / 2;
+        self.reserve.left(now).saturating_sub(kept)
+    }
+
     fn has_backlog(&self) -> bool {
         BACKLOG < self.queues.joined.len() + self.queues.leaving.len() + self.peers.spread.len()
     }
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -260,7 +260,7 @@
 
     /// Queues a renewal; one that the endpoint made here only if others had none for a while.
     fn relay_renewal(&mut self, known: &Known, life: LifeKey) {
-        let spacing = self.budget.renewal_spacing(self.endpoints.live_count());
+        let spacing = self.budget.renewal_spacing(self.endpoints.live_count()) * 3 / 4;
         let last = self.relayed.get(&life);
         let is_early = last.is_some_and(|&last| known.written.saturating_since(last) < spacing);
         if is_early && known.relayed_by.is_none() {
@@ -270,7 +270,14 @@
         self.queues.renewed.push(life);
     }
 
+    /// Ends leases; a router that hears from nobody stretches none.
     fn expire(&mut self, now: MonotonicTime) {
+        let routers = self.peers.live().count() + 1;
+        let floor = match self.peers.is_isolated(now) {
+            true => Duration::ZERO,
+            false => self.budget.lease_floor(routers, self.endpoints.live_count()),
+        };
+        self.endpoints.set_lease_floor(floor);
         let ended = self.endpoints.tick(now);
         if ended.is_empty() {
             return;
@@ -309,9 +316,6 @@
     }
 
     fn probe_due(&mut self, now: MonotonicTime, rng: &mut impl Rng) -> Vec<Outgoing> {
-        let routers = self.peers.live().count() + 1;
-        let floor = self.budget.lease_floor(routers, self.endpoints.live_count());
-        self.endpoints.set_lease_floor(floor);
         self.want_low_leases(now);
         let mut out: Vec<_> =
             self.peers.due(rng).into_iter().filter_map(|host| self.probe(now, &host)).collect();
@@ -341,7 +345,7 @@
 
     fn spread_news(&mut self, now: MonotonicTime, rng: &mut impl Rng) -> Vec<Outgoing> {
         const FANOUT: usize = 3;
-        const FANOUT_OF_RENEWALS: usize = 2;
+        const FANOUT_OF_RENEWALS: usize = 1;
         let urgent = !self.peers.spread.is_empty()
             || !self.queues.leaving.is_empty()
             || !self.queues.joined.is_empty()
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -140,13 +140,13 @@
 
 /// Bounds the encoded length of a message without its lists, in bytes.
 pub(crate) fn head_bytes(from: &PeerUpdate, newest: &Rumour) -> usize {
-    const MARKS: usize = 16;
-    peer_bytes(from) + newest.host.as_str().len() + 11 + MARKS
+    const MARKS: usize = 12;
+    peer_bytes(from) + newest.host.as_str().len() + 5 + MARKS
 }
 
 /// Bounds the encoded length of news of a router, in bytes.
 pub(crate) fn peer_bytes(peer: &PeerUpdate) -> usize {
-    const FIXED: usize = 60;
+    const FIXED: usize = 42;
     let leader = peer.leader.as_ref().map_or(0, |host| host.as_str().len() + 1);
     FIXED + peer.host.as_str().len() + peer.data_centre.as_str().len() + leader
 }
