--- a/crates/member/src/catch_up.rs
+++ b/crates/member/src/catch_up.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 
 use crate::{
-    EndpointState, EndpointUpdate, Gossip, Membership, Outgoing, PeerState, PeerUpdate,
+    EndpointState, EndpointUpdate, Gossip, Membership, Outgoing, PeerState, PeerUpdate, Pull,
     checksum::{BUCKETS, bucket},
     message::{endpoint_bytes, peer_bytes},
 };
@@ -20,12 +20,13 @@
 pub(crate) struct CatchUp {
     started: MonotonicTime,
     next: u16,
+    known: u32,
     asked: Option<(HostId, MonotonicTime)>,
 }
 
 impl CatchUp {
     pub(crate) fn new(now: MonotonicTime) -> Self {
-        Self { started: now, next: 0, asked: None }
+        Self { started: now, next: 0, known: 0, asked: None }
     }
 }
 
@@ -54,6 +55,10 @@
             return None;
         }
         let host = self.peers.sample(1, rng).pop()?;
+        let known = self.record_count();
+        if let Some(pull) = self.catch_up.as_mut().filter(|pull| pull.next == 0) {
+            pull.known = known;
+        }
         self.pull_from(now, &host)
     }
 
@@ -80,10 +85,16 @@
         self.pull_from(now, host)
     }
 
-    /// Answers a pull that starts at bucket `first`, and returns where to go on.
-    pub(crate) fn pulled(&self, now: MonotonicTime, first: u16, room: usize) -> (Records, u16) {
-        let fits_whole = self.budget.catch_up_message.as_u64() as usize / 2;
-        if self.catch_up.is_some() || room < fits_whole {
+    /// Answers a pull, and returns where to go on: at the same bucket if this router can't help.
+    ///
+    /// A router that still catches up helps only one that knows far less.
+    pub(crate) fn pulled(&self, now: MonotonicTime, pull: Pull, room: usize) -> (Records, u16) {
+        const FAR_MORE: u32 = 2;
+        let first = pull.first;
+        let smallest = self.budget.catch_up_message.as_u64() as usize / 2;
+        let knows_more = pull.known.saturating_mul(FAR_MORE) < self.record_count();
+        let is_ready = self.catch_up.is_none() || knows_more;
+        if !is_ready || room < smallest {
             return (Records::default(), first);
         }
         let mut all = Records::default();
@@ -109,8 +120,14 @@
     fn pull_from(&mut self, now: MonotonicTime, host: &HostId) -> Option<Outgoing> {
         let pull = self.catch_up.as_mut()?;
         pull.asked = Some((host.clone(), now));
-        let next = pull.next;
-        self.send(now, host, |message| message.pull = Some(next))
+        let first = pull.next;
+        let known = pull.known;
+        self.send(now, host, |message| message.pull = Some(Pull { first, known }))
+    }
+
+    fn record_count(&self) -> u32 {
+        let count = self.peers.live().count() + self.endpoints.live_count();
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 
     fn by_bucket(&self, now: MonotonicTime, is_wanted: impl Fn(u16) -> bool) -> Vec<Records> {
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -105,9 +105,9 @@
                 records.move_into(&mut answer);
             }
         }
-        if let Some(first) = asked.pull {
+        if let Some(pull) = asked.pull {
             let room = self.reserve.left(now).min(self.budget.catch_up_message.as_u64() as usize);
-            let (records, next) = self.pulled(now, first, room);
+            let (records, next) = self.pulled(now, pull, room);
             self.reserve.spend(records.bytes());
             self.steady.give_back(records.bytes());
             records.move_into(&mut answer);
@@ -138,6 +138,7 @@
         Gossip {
             from: self.peers.me().clone(),
             newest: self.newest.clone(),
+            endpoint_count: u32::try_from(self.endpoints.live_count()).unwrap_or(u32::MAX),
             peers: doubt.cloned().into_iter().collect(),
             endpoints: Vec::new(),
             renewals: Vec::new(),
@@ -194,7 +195,7 @@
         }));
         self.peers.spread = peer_news;
         message.endpoints.extend(self.queues.joined.take(room, JOIN_COPIES, update));
-        let with_load = self.budget.relays_load(endpoints.live_count());
+        let with_load = self.budget.relays_load(self.endpoint_count());
         message.renewals.extend(self.queues.renewed.take(room, RENEWAL_COPIES, |life| {
             let renewal = renewal(endpoints, now, life, with_load)?;
             let bytes = renewal_bytes(&renewal);
@@ -209,6 +210,8 @@
         }
         let mut news = self.peers.heard(now, message.from);
         self.hear_rumour(&message.newest);
+        self.hear_count(message.endpoint_count);
+        self.refresh_lease_floor(now);
         let is_pulled = message.pull_next.is_some();
         for update in message.peers {
             let host = update.host.clone();
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -65,7 +65,8 @@
     },
     membership::{Membership, Outgoing, Roster, TICK},
     message::{
-        Checksums, EndpointUpdate, Gossip, LifeKey, PeerState, PeerUpdate, Renewal, Rumour, Want,
+        Checksums, EndpointUpdate, Gossip, LifeKey, PeerState, PeerUpdate, Pull, Renewal, Rumour,
+        Want,
     },
     peers::{DEAD_TIME, MAX_PEERS, PROBE_PERIOD, Peer, Peers},
 };
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -9,9 +9,9 @@
 use rand::{Rng, seq::IndexedRandom};
 
 use crate::{
-    Announcement, Budget, Change, Endpoints, Gossip, Known, LifeKey, PROBE_PERIOD, Peer,
-    PeerUpdate, Peers, Rumour, Stale, Want, budget::Allowance, catch_up::CatchUp, checksum::Sums,
-    spread::Spread,
+    Announcement, Budget, Change, Endpoints, Gossip, Known, LifeKey, MAX_ENDPOINTS, PROBE_PERIOD,
+    Peer, PeerUpdate, Peers, Rumour, Stale, Want, budget::Allowance, catch_up::CatchUp,
+    checksum::Sums, spread::Spread,
 };
 
 /// Time between two calls of [`Membership::tick`].
@@ -20,6 +20,9 @@
 /// A pause between two ticks after which this process was frozen and judges nobody by it.
 const FREEZE: Duration = Duration::from_secs(3);
 
+/// Number of periods over which a count heard from a peer fades.
+const COUNT_MEMORY_PERIODS: u32 = 30;
+
 /// Number of lives that a message asks for.
 const MAX_WANTED: usize = 16;
 
@@ -39,6 +42,7 @@
     pub(crate) sums: Option<Sums>,
     pub(crate) next_sums: u16,
     pub(crate) catch_up: Option<CatchUp>,
+    heard_count: u32,
     relayed: BTreeMap<LifeKey, MonotonicTime>,
     seeds: Vec<SocketAddr>,
     ticked: MonotonicTime,
@@ -111,6 +115,7 @@
             sums: None,
             next_sums: 0,
             catch_up: Some(CatchUp::new(now)),
+            heard_count: 0,
             relayed: BTreeMap::new(),
             seeds,
             ticked: now,
@@ -150,6 +155,7 @@
         out.extend(self.vouch_probes(now));
         if self.next_period <= now {
             self.next_period = now + PROBE_PERIOD;
+            self.heard_count -= self.heard_count.div_ceil(COUNT_MEMORY_PERIODS);
             out.extend(self.probe_due(now, rng));
         }
         out.extend(self.pull_from_random(now, rng));
@@ -216,6 +222,17 @@
         })
     }
 
+    /// Returns the number of endpoints that the fleet is thought to have, so that a router that
+    /// knows few yet does not end leases sooner than the others renew them.
+    pub(crate) fn endpoint_count(&self) -> usize {
+        self.endpoints.live_count().max(self.heard_count as usize)
+    }
+
+    pub(crate) fn hear_count(&mut self, count: u32) {
+        let most = u32::try_from(MAX_ENDPOINTS).unwrap_or(u32::MAX);
+        self.heard_count = self.heard_count.max(count.min(most));
+    }
+
     pub(crate) fn hear_rumour(&mut self, rumour: &Rumour) {
         if rumour.revision <= self.newest.revision {
             return;
@@ -260,7 +277,7 @@
 
     /// Queues a renewal; one that the endpoint made here only if others had none for a while.
     fn relay_renewal(&mut self, known: &Known, life: LifeKey) {
-        let spacing = self.budget.renewal_spacing(self.endpoints.live_count()) * 3 / 4;
+        let spacing = self.budget.renewal_spacing(self.endpoint_count()) * 3 / 4;
         let last = self.relayed.get(&life);
         let is_early = last.is_some_and(|&last| known.written.saturating_since(last) < spacing);
         if is_early && known.relayed_by.is_none() {
@@ -270,14 +287,18 @@
         self.queues.renewed.push(life);
     }
 
-    /// Ends leases; a router that hears from nobody stretches none.
-    fn expire(&mut self, now: MonotonicTime) {
+    /// Sets the shortest lease; a router that hears from nobody stretches none.
+    pub(crate) fn refresh_lease_floor(&mut self, now: MonotonicTime) {
         let routers = self.peers.live().count() + 1;
         let floor = match self.peers.is_isolated(now) {
             true => Duration::ZERO,
-            false => self.budget.lease_floor(routers, self.endpoints.live_count()),
+            false => self.budget.lease_floor(routers, self.endpoint_count()),
         };
         self.endpoints.set_lease_floor(floor);
+    }
+
+    fn expire(&mut self, now: MonotonicTime) {
+        self.refresh_lease_floor(now);
         let ended = self.endpoints.tick(now);
         if ended.is_empty() {
             return;
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -15,6 +15,8 @@
     pub from: PeerUpdate,
     /// The highest revision of the configuration that the sender knows of.
     pub newest: Rumour,
+    /// The number of endpoints whose lease runs at the sender, which sets the shortest lease.
+    pub endpoint_count: u32,
     /// News of other routers, and of the receiver if it is doubted.
     pub peers: Vec<PeerUpdate>,
     /// News of endpoints.
@@ -27,8 +29,8 @@
     pub wanted: Vec<Want>,
     /// Routers that the receiver should probe on the sender's behalf.
     pub probe: Vec<HostId>,
-    /// The first bucket that the sender wants in full.
-    pub pull: Option<u16>,
+    /// The buckets that the sender wants in full.
+    pub pull: Option<Pull>,
     /// Answers a pull: the bucket to go on from, or the number of buckets when all were sent.
     pub pull_next: Option<u16>,
 }
@@ -102,6 +104,15 @@
     pub load: Option<Load>,
 }
 
+/// A question for all records from one bucket on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pull {
+    /// The first bucket wanted.
+    pub first: u16,
+    /// The number of records that the sender has already.
+    pub known: u32,
+}
+
 /// A question for news of a life that is newer than the sender's.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Want {
@@ -140,7 +151,7 @@
 
 /// Bounds the encoded length of a message without its lists, in bytes.
 pub(crate) fn head_bytes(from: &PeerUpdate, newest: &Rumour) -> usize {
-    const MARKS: usize = 12;
+    const MARKS: usize = 15;
     peer_bytes(from) + newest.host.as_str().len() + 5 + MARKS
 }
 
