--- a/crates/member/src/catch_up.rs
+++ b/crates/member/src/catch_up.rs
@@ -10,7 +10,10 @@
 };
 
 /// Time after which a router no longer looks for a peer with the whole roster.
-const GIVE_UP: Duration = Duration::from_secs(30);
+const GIVE_UP: Duration = Duration::from_secs(5);
+
+/// Time between two pulls of a router that still knows too few endpoints.
+const REPEAT: Duration = Duration::from_secs(10);
 
 /// Time after which an unanswered pull is tried at another peer.
 const RETRY: Duration = Duration::from_secs(1);
@@ -62,6 +65,18 @@
         self.pull_from(now, &host)
     }
 
+    /// Starts another pull if a peer knows clearly more endpoints than this router.
+    pub(crate) fn pull_again(&mut self, now: MonotonicTime) {
+        const MISSING_ONE_IN: usize = 32;
+        let missing = self.endpoint_count() - self.endpoints.live_count();
+        let is_due = REPEAT <= now.saturating_since(self.pulled_at);
+        if self.catch_up.is_some() || !is_due || missing <= self.endpoint_count() / MISSING_ONE_IN {
+            return;
+        }
+        self.pulled_at = now;
+        self.catch_up = Some(CatchUp::new(now));
+    }
+
     /// Goes on with the pull at the peer whose answer says that there is more.
     pub(crate) fn pull_on(
         &mut self,
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -42,6 +42,7 @@
     pub(crate) sums: Option<Sums>,
     pub(crate) next_sums: u16,
     pub(crate) catch_up: Option<CatchUp>,
+    pub(crate) pulled_at: MonotonicTime,
     heard_count: u32,
     relayed: BTreeMap<LifeKey, MonotonicTime>,
     seeds: Vec<SocketAddr>,
@@ -115,6 +116,7 @@
             sums: None,
             next_sums: 0,
             catch_up: Some(CatchUp::new(now)),
+            pulled_at: now,
             heard_count: 0,
             relayed: BTreeMap::new(),
             seeds,
@@ -156,6 +158,7 @@
         if self.next_period <= now {
             self.next_period = now + PROBE_PERIOD;
             self.heard_count -= self.heard_count.div_ceil(COUNT_MEMORY_PERIODS);
+            self.pull_again(now);
             out.extend(self.probe_due(now, rng));
         }
         out.extend(self.pull_from_random(now, rng));
--- a/crates/member/tests/net/mod.rs
+++ b/crates/member/tests/net/mod.rs
@@ -124,13 +124,13 @@
         self.routers[index].ready().count()
     }
 
-    /// Announces services, each to a random router that runs.
+    /// Announces services, each to a random one of the routers that run.
     pub fn announce(&mut self, ids: Range<usize>, incarnation: u64, sequence: u64) {
+        let running: Vec<_> =
+            (0..self.routers.len()).filter(|&index| !self.stopped[index]).collect();
         for id in ids {
-            let at = self.rng.random_range(0..self.routers.len());
-            if !self.stopped[at] {
-                let _ = self.routers[at].announce(self.now, service(id, incarnation, sequence));
-            }
+            let at = running[self.rng.random_range(0..running.len())];
+            let _ = self.routers[at].announce(self.now, service(id, incarnation, sequence));
         }
     }
 
