--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -38,6 +38,11 @@
         self.lock().leader = leader;
     }
 
+    /// Returns the host that was last said to lead.
+    pub(crate) fn leader(&self) -> Option<HostId> {
+        self.lock().leader.clone()
+    }
+
     /// Returns the hosts that may take a request to the leader, the likeliest first.
     pub(crate) fn voters(&self) -> Vec<HostId> {
         let known = self.lock();
--- a/crates/daemon/src/edge/announce.rs
+++ b/crates/daemon/src/edge/announce.rs
@@ -4,6 +4,8 @@
 use member::Announcement;
 use wire::announcement::AnnouncementBody;
 
+use crate::roster::RosterInput;
+
 use super::{
     Edge,
     body::{self, Body},
@@ -20,7 +22,7 @@
     let announcement = AnnouncementBody::from_slice(&body)
         .and_then(Announcement::try_from)
         .map_err(|e| Failure::bad_request(e.to_string()))?;
-    if edge.announcements.send_async(announcement).await.is_err() {
+    if edge.announcements.send_async(RosterInput::Announced(announcement)).await.is_err() {
         return Err(Failure::unavailable("the router is ending", std::time::Duration::ZERO));
     }
     let mut response = Response::new(Body::empty());
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -18,11 +18,11 @@
     thread::JoinHandle,
 };
 
-use member::Announcement;
+use member::Roster;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
 
-use crate::{Settings, roster::Roster};
+use crate::{Settings, roster::RosterInput};
 
 use auth::Keys;
 use router::Router;
@@ -32,7 +32,7 @@
     /// Newest view of the endpoints.
     pub rosters: flume::Receiver<Arc<Roster>>,
     /// Announcements that endpoints posted here.
-    pub announcements: flume::Sender<Announcement>,
+    pub announcements: flume::Sender<RosterInput>,
     /// Orders to drain or to end.
     pub control: flume::Receiver<Control>,
 }
@@ -60,7 +60,7 @@
     router: RefCell<Router>,
     active: Cell<u64>,
     next_request: Cell<u64>,
-    announcements: flume::Sender<Announcement>,
+    announcements: flume::Sender<RosterInput>,
 }
 
 /// Counts a request as active; ends on drop.
@@ -69,7 +69,7 @@
 }
 
 impl Edge {
-    fn new(cfg: Arc<Settings>, announcements: flume::Sender<Announcement>) -> Self {
+    fn new(cfg: Arc<Settings>, announcements: flume::Sender<RosterInput>) -> Self {
         let seed = rand::random();
         Self {
             keys: Keys::new(&cfg),
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -1,13 +1,11 @@
-use std::{borrow::Cow, collections::BTreeMap, net::IpAddr, rc::Rc};
+use std::{borrow::Cow, collections::BTreeMap, net::IpAddr, rc::Rc, sync::Arc};
 
 use base::{AdapterId, EndpointId, ModelId, OrganisationId, ServiceId, TokenCount, WeightsVersion};
-use member::{EndpointKind, ServedModel};
+use member::{EndpointKind, EndpointState, Roster, ServedModel};
 use prefix::{BlockBytes, Chain, Salt};
 use rand_pcg::Pcg64Mcg;
 use route::{Candidate, LeastInFlight, Policy as _, Request, Warm};
 
-use crate::roster::Roster;
-
 use super::targets::{InFlight, Target};
 
 /// Bytes of prompt taken as one token.
@@ -63,11 +61,12 @@
     /// Takes a newer view of the endpoints.
     pub(super) fn update(&mut self, roster: &Roster) {
         let mut old = std::mem::take(&mut self.targets);
-        for announcement in &roster.endpoints {
+        let ready = roster.endpoints.iter().filter(|known| known.state == EndpointState::Ready);
+        for announcement in ready.map(|known| &known.announcement) {
             let known = old.remove(&announcement.endpoint);
             let target = known
                 .filter(|target| target.renew(announcement))
-                .unwrap_or_else(|| Rc::new(Target::new(self.source, announcement.clone())));
+                .unwrap_or_else(|| Rc::new(Target::new(self.source, Arc::clone(announcement))));
             self.targets.insert(announcement.endpoint.clone(), target);
         }
     }
--- a/crates/daemon/src/edge/targets.rs
+++ b/crates/daemon/src/edge/targets.rs
@@ -2,6 +2,7 @@
     cell::{Cell, Ref, RefCell},
     net::IpAddr,
     rc::Rc,
+    sync::Arc,
 };
 
 use member::{Announcement, EndpointKind, ServedModel};
@@ -10,7 +11,7 @@
 
 /// An endpoint as this router uses it.
 pub(super) struct Target {
-    announcement: RefCell<Announcement>,
+    announcement: RefCell<Arc<Announcement>>,
     in_flight: Cell<u32>,
     pool: Pool,
 }
@@ -21,12 +22,12 @@
 }
 
 impl Target {
-    pub(super) fn new(source: IpAddr, announcement: Announcement) -> Self {
+    pub(super) fn new(source: IpAddr, announcement: Arc<Announcement>) -> Self {
         let pool = Pool::new(source, announcement.address);
         Self { announcement: RefCell::new(announcement), in_flight: Cell::new(0), pool }
     }
 
-    pub(super) fn announcement(&self) -> Ref<'_, Announcement> {
+    pub(super) fn announcement(&self) -> Ref<'_, Arc<Announcement>> {
         self.announcement.borrow()
     }
 
@@ -39,7 +40,7 @@
     }
 
     /// Takes a newer announcement; returns whether it is of the same process.
-    pub(super) fn renew(&self, announcement: &Announcement) -> bool {
+    pub(super) fn renew(&self, announcement: &Arc<Announcement>) -> bool {
         let mut known = self.announcement.borrow_mut();
         let same =
             known.incarnation == announcement.incarnation && known.address == announcement.address;
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -1,13 +1,16 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use base::HostId;
+use base::{HostId, MonotonicTime};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side as RpcSide, twoparty::VatNetwork};
 use futures_util::AsyncReadExt as _;
 use tokio::task::JoinHandle;
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
-use wire::peer_capnp::{gate, router, submitted};
+use wire::{
+    peer::Configuration,
+    peer_capnp::{gate, router, submitted},
+};
 
-use crate::net;
+use crate::{net, roster::RosterInput};
 
 use super::{
     Outgoing, PROTOCOL_VERSION, PeersConfig, Submitted,
@@ -130,9 +133,10 @@
     /// Sends a message; calls on one connection arrive in the order in which they were sent.
     fn send(&self, message: Outgoing) {
         let broken = Rc::clone(&self.broken);
+        let timeout = message.timeout();
         let call = Call::new(&self.router, message);
         tokio::task::spawn_local(async move {
-            match tokio::time::timeout(CALL_TIMEOUT, call.finish()).await {
+            match tokio::time::timeout(timeout, call.finish()).await {
                 Ok(Ok(())) => {}
                 Ok(Err(e)) if e.kind == capnp::ErrorKind::Overloaded => {}
                 Ok(Err(_)) | Err(_) => broken.set(true),
@@ -141,15 +145,26 @@
     }
 }
 
+impl Outgoing {
+    /// Returns how long the answer may take before the connection counts as broken.
+    fn timeout(&self) -> Duration {
+        match self {
+            Self::Gossip { timeout, .. } => *timeout,
+            _ => CALL_TIMEOUT,
+        }
+    }
+}
+
 /// A call that has been sent.
 enum Call {
-    Gossip(Sent<router::gossip_results::Owned>, flume::Sender<Vec<u8>>),
+    Gossip {
+        answer: Sent<router::gossip_results::Owned>,
+        sent: MonotonicTime,
+        reply: flume::Sender<RosterInput>,
+    },
     Quorum(Sent<router::quorum_results::Owned>),
     Submit(Sent<router::submit_results::Owned>, flume::Sender<Submitted>),
-    Configuration(
-        Sent<router::configuration_results::Owned>,
-        flume::Sender<Option<wire::peer::Configuration>>,
-    ),
+    Configuration(Sent<router::configuration_results::Owned>, flume::Sender<RosterInput>),
 }
 
 type Sent<T> = capnp::capability::Promise<capnp::capability::Response<T>, capnp::Error>;
@@ -157,10 +172,10 @@
 impl Call {
     fn new(router: &router::Client, message: Outgoing) -> Self {
         match message {
-            Outgoing::Gossip { message, reply } => {
+            Outgoing::Gossip { message, sent, reply, .. } => {
                 let mut req = router.gossip_request();
                 req.get().set_message(&message);
-                Self::Gossip(req.send().promise, reply)
+                Self::Gossip { answer: req.send().promise, sent, reply }
             }
             Outgoing::Quorum { message } => {
                 let mut req = router.quorum_request();
@@ -182,9 +197,10 @@
 
     async fn finish(self) -> Result<(), capnp::Error> {
         match self {
-            Self::Gossip(sent, reply) => {
-                let answer = sent.await?;
-                let _ = reply.try_send(answer.get()?.get_reply()?.to_vec());
+            Self::Gossip { answer, sent, reply } => {
+                let answer = answer.await?;
+                let message = answer.get()?.get_reply()?.to_vec();
+                let _ = reply.try_send(RosterInput::Answer { sent, message });
             }
             Self::Quorum(sent) => {
                 sent.await?;
@@ -202,11 +218,10 @@
             Self::Configuration(sent, reply) => {
                 let answer = sent.await?;
                 let answer = answer.get()?;
-                let newer = match answer.has_newer() {
-                    true => Some(wire::peer::Configuration::read(answer.get_newer()?)?),
-                    false => None,
-                };
-                let _ = reply.try_send(newer);
+                if answer.has_newer() {
+                    let newer = Configuration::read(answer.get_newer()?)?;
+                    let _ = reply.try_send(RosterInput::Configuration(newer));
+                }
             }
         }
         Ok(())
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -12,11 +12,12 @@
     net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
-use base::{HostId, Revision};
+use base::{HostId, MonotonicTime, Revision};
 
-use crate::replica::ReplicaInput;
+use crate::{configurations::Configurations, replica::ReplicaInput, roster::RosterInput};
 
 use handshake::FleetSecret;
 
@@ -37,15 +38,15 @@
     pub fleet_key: Arc<str>,
 }
 
-/// Rings to the threads that answer other routers.
+/// What answers other routers.
 #[derive(Clone)]
 pub(crate) struct Inbox {
     /// Gossip, each message answered.
-    pub gossip: flume::Sender<GossipCall>,
+    pub roster: flume::Sender<RosterInput>,
     /// Messages of the quorum and requests to the leader; absent on a host without a vote.
     pub replica: Option<flume::Sender<ReplicaInput>>,
     /// Questions for a newer configuration.
-    pub configurations: flume::Sender<ConfigurationCall>,
+    pub configurations: Configurations,
 }
 
 /// Gossip from another router.
@@ -72,14 +73,6 @@
     pub reply: flume::Sender<Submitted>,
 }
 
-/// Another router's question for a configuration above a revision.
-pub(crate) struct ConfigurationCall {
-    /// The revision that it has.
-    pub above: Revision,
-    /// Takes a newer one, if there is one.
-    pub reply: flume::Sender<Option<wire::peer::Configuration>>,
-}
-
 /// What became of a request to the leader.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Submitted {
@@ -100,8 +93,12 @@
     Gossip {
         /// The message.
         message: Vec<u8>,
-        /// Takes the answer; dropped if there is none.
-        reply: flume::Sender<Vec<u8>>,
+        /// When it was sent.
+        sent: MonotonicTime,
+        /// How long the answer may take.
+        timeout: Duration,
+        /// Takes the answer, if there is one.
+        reply: flume::Sender<RosterInput>,
     },
     /// A message of the quorum.
     Quorum {
@@ -120,7 +117,7 @@
         /// The revision that this router has.
         above: Revision,
         /// Takes a newer one, if there is one.
-        reply: flume::Sender<Option<wire::peer::Configuration>>,
+        reply: flume::Sender<RosterInput>,
     },
 }
 
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -7,10 +7,10 @@
 use tokio_util::compat::TokioAsyncReadCompatExt as _;
 use wire::peer_capnp::{gate, router};
 
-use crate::replica::ReplicaInput;
+use crate::{replica::ReplicaInput, roster::RosterInput};
 
 use super::{
-    ConfigurationCall, GossipCall, Inbox, PROTOCOL_VERSION, QuorumCall, SubmitCall, Submitted,
+    GossipCall, Inbox, PROTOCOL_VERSION, QuorumCall, SubmitCall, Submitted,
     handshake::{FleetSecret, Nonces, Side, new_nonce, read_nonce},
 };
 
@@ -116,8 +116,8 @@
     ) -> Result<(), capnp::Error> {
         let message = params.get()?.get_message()?.to_vec();
         let (reply, answer) = flume::bounded(1);
-        let call = GossipCall { message, reply };
-        self.inbox.gossip.try_send(call).map_err(|_| overloaded())?;
+        let call = RosterInput::Gossip(GossipCall { message, reply });
+        self.inbox.roster.try_send(call).map_err(|_| overloaded())?;
         let answer = answer.recv_async().await.map_err(|_| overloaded())?;
         results.get().set_reply(&answer);
         Ok(())
@@ -165,12 +165,10 @@
         mut results: router::ConfigurationResults,
     ) -> Result<(), capnp::Error> {
         let above = Revision::new(params.get()?.get_above());
-        let (reply, answer) = flume::bounded(1);
-        let call = ConfigurationCall { above, reply };
-        self.inbox.configurations.try_send(call).map_err(|_| overloaded())?;
-        let newer = answer.recv_async().await.map_err(|_| overloaded())?;
+        let newer = self.inbox.configurations.in_force();
+        let newer = newer.filter(|held| above < held.configuration.revision);
         if let Some(newer) = newer {
-            newer.write(results.get().init_newer());
+            newer.configuration.write(results.get().init_newer());
         }
         Ok(())
     }
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -4,77 +4,268 @@
     time::Duration,
 };
 
-use member::{Announcement, Endpoints};
+use base::{HostId, MonotonicTime, Revision};
+use member::{Announcement, Budget, Change, Membership, PeerUpdate, Roster, TICK};
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use wire::peer::{gossip_from_bytes, gossip_to_bytes};
 
-use crate::clock::Clock;
+use crate::{
+    clock::Clock,
+    configurations::{Configuration, Configurations},
+    directory::Directory,
+    peers::{Addressed, GossipCall, Outgoing},
+    replica::{ReplicaInput, ReplicaState},
+};
 
-/// Time between looks at which leases have ended.
-const TICK: Duration = Duration::from_millis(100);
+/// Time to wait for a newer configuration before asking for it again.
+const CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
 
-/// A view of the endpoints that may get new work.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Roster {
-    /// The endpoints.
-    pub endpoints: Vec<Announcement>,
+/// Time between looks at which hosts may become voters.
+const LEARNERS_PERIOD: Duration = Duration::from_millis(500);
+
+/// What other threads tell the roster thread.
+pub(crate) enum RosterInput {
+    /// An endpoint announced itself here.
+    Announced(Announcement),
+    /// Another router gossips.
+    Gossip(GossipCall),
+    /// Another router answered gossip.
+    Answer {
+        /// When the message that it answers was sent.
+        sent: MonotonicTime,
+        /// The answer.
+        message: Vec<u8>,
+    },
+    /// Another router has a newer configuration.
+    Configuration(Configuration),
+    /// This router takes no new requests.
+    Draining,
 }
 
 /// The newest roster, for threads that only look now and then.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Latest(Arc<Mutex<Arc<Roster>>>);
+pub(crate) struct Latest(Arc<Mutex<Option<Arc<Roster>>>>);
 
 impl Latest {
-    pub(crate) fn load(&self) -> Arc<Roster> {
-        Arc::clone(&self.lock())
+    pub(crate) fn load(&self) -> Option<Arc<Roster>> {
+        self.lock().clone()
     }
 
     fn store(&self, roster: Arc<Roster>) {
-        *self.lock() = roster;
+        *self.lock() = Some(roster);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Arc<Roster>> {
+    fn lock(&self) -> MutexGuard<'_, Option<Arc<Roster>>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Starts the thread that keeps the endpoints' leases.
+/// What joins the roster thread to the others.
+pub(crate) struct RosterRings {
+    /// What others tell it.
+    pub inputs: flume::Receiver<RosterInput>,
+    /// The other end of `inputs`, for answers.
+    pub answers: flume::Sender<RosterInput>,
+    /// Takes each roster; a full ring is passed over.
+    pub rosters: flume::Sender<Arc<Roster>>,
+    /// Shows the newest roster.
+    pub latest: Latest,
+    /// Messages to other routers.
+    pub outbox: flume::Sender<Addressed>,
+    /// Learns where other routers listen.
+    pub directory: Directory,
+    /// The configuration in force.
+    pub configurations: Configurations,
+    /// The replica thread, on a host with a vote.
+    pub replica: Option<flume::Sender<ReplicaInput>>,
+    /// The replica thread's state.
+    pub replica_state: ReplicaState,
+}
+
+/// Starts the thread that keeps the membership of routers and the leases of endpoints.
 ///
 /// # Errors
 ///
 /// Returns an error if the thread can't be made.
 pub(crate) fn spawn(
     clock: Clock,
-    announcements: flume::Receiver<Announcement>,
-    rosters: flume::Sender<Arc<Roster>>,
-    latest: Latest,
+    me: PeerUpdate,
+    seeds: Vec<std::net::SocketAddr>,
+    rings: RosterRings,
 ) -> io::Result<()> {
-    std::thread::Builder::new().name("roster".into()).spawn(move || {
-        let mut endpoints = Endpoints::default();
+    let membership = Membership::new(clock.now(), me, seeds, Budget::default());
+    let rng = Pcg64Mcg::seed_from_u64(rand::random());
+    let driver = Driver {
+        clock,
+        membership,
+        rng,
+        rings,
+        next_tick: clock.now(),
+        asked: MonotonicTime::ZERO,
+        learners_told: MonotonicTime::ZERO,
+    };
+    std::thread::Builder::new().name("roster".into()).spawn(move || driver.run())?;
+    Ok(())
+}
+
+struct Driver {
+    clock: Clock,
+    membership: Membership,
+    rng: Pcg64Mcg,
+    rings: RosterRings,
+    next_tick: MonotonicTime,
+    asked: MonotonicTime,
+    learners_told: MonotonicTime,
+}
+
+impl Driver {
+    fn run(mut self) {
         loop {
-            match announcements.recv_timeout(TICK) {
-                Ok(announcement) => announce(&mut endpoints, clock, announcement),
+            let wait = self.next_tick.saturating_since(self.clock.now());
+            match self.rings.inputs.recv_timeout(wait) {
+                Ok(input) => self.take(input),
                 Err(flume::RecvTimeoutError::Timeout) => {}
                 Err(flume::RecvTimeoutError::Disconnected) => return,
             }
-            for announcement in announcements.try_iter() {
-                announce(&mut endpoints, clock, announcement);
+            while let Ok(input) = self.rings.inputs.try_recv() {
+                self.take(input);
             }
-            for change in endpoints.tick(clock.now()) {
-                log::info!("endpoint change: {change:?}");
+            let now = self.clock.now();
+            let ticked = self.next_tick <= now;
+            if ticked {
+                self.next_tick = now + TICK;
+                self.tick(now);
             }
-            let roster = Arc::new(Roster { endpoints: endpoints.ready().cloned().collect() });
-            latest.store(Arc::clone(&roster));
-            if rosters.send(roster).is_err() {
-                return;
+            if self.log_changes() || ticked {
+                self.publish();
             }
         }
-    })?;
-    Ok(())
-}
+    }
+
+    fn take(&mut self, input: RosterInput) {
+        let now = self.clock.now();
+        match input {
+            RosterInput::Announced(announcement) => {
+                if let Err(stale) = self.membership.announce(now, announcement) {
+                    log::debug!("endpoint={} announcement dropped: {stale}", stale.endpoint);
+                }
+            }
+            RosterInput::Gossip(call) => match gossip_from_bytes(&call.message) {
+                Ok(message) => {
+                    let answer = self.membership.request(now, message);
+                    let _ = call.reply.try_send(gossip_to_bytes(&answer));
+                }
+                Err(e) => log::warn!("gossip dropped: {e}"),
+            },
+            RosterInput::Answer { sent, message } => match gossip_from_bytes(&message) {
+                Ok(message) => {
+                    let follow_ups = self.membership.response(now, sent, message);
+                    self.send(now, follow_ups);
+                }
+                Err(e) => log::warn!("answer to gossip dropped: {e}"),
+            },
+            RosterInput::Configuration(configuration) => {
+                self.rings.configurations.offer(configuration);
+            }
+            RosterInput::Draining => self.membership.set_draining(true),
+        }
+        self.ask_for_configuration(now);
+    }
+
+    fn tick(&mut self, now: MonotonicTime) {
+        self.membership.set_revision(self.rings.configurations.revision());
+        if let Some(view) = self.rings.replica_state.load() {
+            self.membership.set_leader(view.node.leader.clone());
+            self.tell_learners(now, &view.node.voters);
+        }
+        let messages = self.membership.tick(now, &mut self.rng);
+        self.send(now, messages);
+        self.ask_for_configuration(now);
+        self.note_peers();
+    }
+
+    fn send(&self, now: MonotonicTime, messages: Vec<member::Outgoing>) {
+        for outgoing in messages {
+            let message = Outgoing::Gossip {
+                message: gossip_to_bytes(&outgoing.message),
+                sent: now,
+                timeout: outgoing.timeout,
+                reply: self.rings.answers.clone(),
+            };
+            let _ = self.rings.outbox.try_send(Addressed { to: outgoing.to, message });
+        }
+    }
 
-fn announce(endpoints: &mut Endpoints, clock: Clock, announcement: Announcement) {
-    match endpoints.announce(clock.now(), announcement, Duration::ZERO) {
-        Ok(member::Change::Renewed(_)) => {}
-        Ok(change) => log::info!("endpoint change: {change:?}"),
-        Err(stale) => log::debug!("announcement dropped: {stale}"),
+    /// Asks the router that has the newest configuration for it, if it isn't in force here.
+    fn ask_for_configuration(&mut self, now: MonotonicTime) {
+        let in_force = self.rings.configurations.revision();
+        let newest = self.membership.newest_revision();
+        let asked_lately = now.saturating_since(self.asked) < CONFIGURATION_RETRY;
+        let never_asked = self.asked == MonotonicTime::ZERO;
+        if newest.revision <= in_force || (asked_lately && !never_asked) {
+            return;
+        }
+        let Some(peer) = self.membership.peers().find(&newest.host) else { return };
+        let to = peer.update.address;
+        let message =
+            Outgoing::Configuration { above: in_force, reply: self.rings.answers.clone() };
+        if self.rings.outbox.try_send(Addressed { to, message }).is_ok() {
+            self.asked = now;
+        }
     }
+
+    fn note_peers(&self) {
+        let directory = &self.rings.directory;
+        let me = self.membership.peers().me();
+        directory.insert(me.host.clone(), me.address, me.votes);
+        for peer in self.membership.peers().live() {
+            let update = &peer.update;
+            directory.insert(update.host.clone(), update.address, update.votes);
+            if directory.leader().is_none() && update.leader.is_some() {
+                directory.set_leader(update.leader.clone());
+            }
+        }
+    }
+
+    /// Tells the replica thread which hosts may become voters.
+    fn tell_learners(&mut self, now: MonotonicTime, voters: &quorum::VoterSet) {
+        let Some(replica) = &self.rings.replica else { return };
+        if now.saturating_since(self.learners_told) < LEARNERS_PERIOD {
+            return;
+        }
+        self.learners_told = now;
+        let live = self.membership.peers().live().map(|peer| &peer.update);
+        let learners: Vec<HostId> = live
+            .filter(|peer| peer.votes && !voters.folders.contains_key(&peer.host))
+            .map(|peer| peer.host.clone())
+            .collect();
+        let _ = replica.try_send(ReplicaInput::Learners(learners));
+    }
+
+    /// Logs what changed; returns whether endpoints may now be chosen differently.
+    fn log_changes(&mut self) -> bool {
+        let mut changed = false;
+        for change in self.membership.take_changes() {
+            match change {
+                Change::Renewed(_) => continue,
+                Change::Joined(endpoint) => log::info!("endpoint={endpoint} joined"),
+                Change::Leaving(endpoint) => log::info!("endpoint={endpoint} is leaving"),
+                Change::Expired(endpoint) => log::info!("endpoint={endpoint} lease ended"),
+            }
+            changed = true;
+        }
+        changed
+    }
+
+    fn publish(&self) {
+        let roster = self.membership.roster(self.clock.now());
+        self.rings.latest.store(Arc::clone(&roster));
+        let _ = self.rings.rosters.try_send(roster);
+    }
+}
+
+/// Returns whether a peer stays behind the newest revision.
+pub(crate) fn is_laggard(peer: &member::Peer, newest: Revision) -> bool {
+    peer.update.revision < newest
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -2,23 +2,31 @@
     net::{SocketAddr, TcpListener},
     process::ExitCode,
     sync::Arc,
+    time::{SystemTime, UNIX_EPOCH},
 };
 
+use base::{Incarnation, Revision, Sequence};
 use eyre::WrapErr as _;
+use member::{PeerState, PeerUpdate};
 
 use crate::{
     Settings, SettingsError,
     admin::{self, Pages, Readiness},
     clock::Clock,
+    configurations::Configurations,
+    directory::Directory,
     edge::{self, Control, EdgeEnd, Rings},
-    roster,
+    leader_client::LeaderClient,
+    peers::{self, Inbox, PeersConfig},
+    replica::{self, ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaState},
+    roster::{self, Latest, RosterInput, RosterRings},
     signals::{self, Termination},
 };
 
 /// Messages in a ring between two threads.
-const RING: usize = 1024;
+const RING: usize = 4096;
 
-/// Rosters in the ring to the edge thread; a full ring holds the roster thread back.
+/// Rosters in the ring to the edge thread.
 const ROSTER_RING: usize = 1;
 
 const EXIT_FAILED: u8 = 1;
@@ -64,40 +72,159 @@
 ///
 /// # Errors
 ///
-/// Returns an error if an address can't be bound or a thread can't be made.
+/// Returns an error if an address can't be bound, the data folder can't be used, or a thread can't
+/// be made.
 pub fn run(cfg: Settings) -> eyre::Result<EdgeEnd> {
     let cfg = Arc::new(cfg);
-    let clock = Clock::start();
     let (signal_tx, signal_rx) = flume::bounded(RING);
-    let (announce_tx, announce_rx) = flume::bounded(RING);
-    let (roster_tx, roster_rx) = flume::bounded(ROSTER_RING);
-    let (control_tx, control_rx) = flume::bounded(RING);
-
     signals::spawn(signal_tx).wrap_err("could not watch signals")?;
-    let latest = roster::Latest::default();
-    roster::spawn(clock, announce_rx, roster_tx, latest.clone())?;
-    let listener = bind(cfg.listen)?;
-    let readiness = Readiness::default();
-    let pages = Pages { readiness: readiness.clone(), roster: latest };
-    admin::spawn(cfg.admin_listen, pages).wrap_err("could not serve the operator's pages")?;
-    let rings = Rings { rosters: roster_rx, announcements: announce_tx, control: control_rx };
-    let edge = edge::spawn(Arc::clone(&cfg), listener, rings)?;
-    readiness.set(true);
+    let process = Process::start(&cfg)?;
     log::info!("host={} serving callers on {}", cfg.host, cfg.listen);
 
     let signal = signal_rx.recv().wrap_err("the signals thread ended")?;
-    readiness.set(false);
-    log::info!("host={} draining after a {signal:?} termination signal", cfg.host);
-    if signal_rx.recv_timeout(cfg.timeouts.drain_notice) == Ok(Termination::Immediate) {
-        let _ = control_tx.send(Control::Abort);
+    log::info!("host={} draining after a termination signal", cfg.host);
+    process.readiness.set(false);
+    let _ = process.roster.send(RosterInput::Draining);
+    let notice = match signal {
+        Termination::Graceful => signal_rx.recv_timeout(cfg.timeouts.drain_notice),
+        Termination::Immediate => Ok(signal),
+    };
+    if notice.is_ok() {
+        let _ = process.control.send(Control::Abort);
     }
-    let _ = control_tx.send(Control::Drain);
+    let _ = process.control.send(Control::Drain);
+    let control = process.control.clone();
     std::thread::spawn(move || {
         if signal_rx.recv().is_ok() {
-            let _ = control_tx.send(Control::Abort);
+            let _ = control.send(Control::Abort);
         }
     });
-    edge.join().map_err(|_| eyre::eyre!("the edge thread panicked"))
+    let end = process.edge.join().map_err(|_| eyre::eyre!("the edge thread panicked"))?;
+    if let Some(replica) = &process.replica {
+        let _ = replica.send(ReplicaInput::HandOver);
+    }
+    Ok(end)
+}
+
+/// The process's threads, as far as its end needs them.
+struct Process {
+    edge: std::thread::JoinHandle<EdgeEnd>,
+    control: flume::Sender<Control>,
+    readiness: Readiness,
+    roster: flume::Sender<RosterInput>,
+    replica: Option<flume::Sender<ReplicaInput>>,
+}
+
+impl Process {
+    fn start(cfg: &Arc<Settings>) -> eyre::Result<Self> {
+        let clock = Clock::start();
+        let incarnation = new_incarnation();
+        let (outbox_tx, outbox_rx) = flume::bounded(RING);
+        let (roster_input_tx, roster_input_rx) = flume::bounded(RING);
+        let (roster_tx, roster_rx) = flume::bounded(ROSTER_RING);
+        let (control_tx, control_rx) = flume::bounded(RING);
+        let directory = Directory::default();
+        let configurations = Configurations::default();
+        let replica_state = ReplicaState::default();
+        let latest = Latest::default();
+
+        let edge_listener = bind(cfg.listen)?;
+        let peer_listener = bind(cfg.peer_listen)?;
+        let replica = match (&cfg.data_dir, cfg.voter) {
+            (Some(data_dir), true) => {
+                let (tx, rx) = flume::bounded(RING);
+                let replica_cfg = ReplicaConfig {
+                    host: cfg.host.clone(),
+                    founders: cfg.founders.clone(),
+                    data_dir: data_dir.clone(),
+                };
+                let rings = ReplicaRings {
+                    inputs: rx,
+                    outbox: outbox_tx.clone(),
+                    directory: directory.clone(),
+                    configurations: configurations.clone(),
+                    state: replica_state.clone(),
+                };
+                replica::spawn(replica_cfg, clock, rings)?;
+                Some(tx)
+            }
+            _ => None,
+        };
+        let leader = LeaderClient::new(
+            cfg.host.clone(),
+            replica.clone(),
+            outbox_tx.clone(),
+            directory.clone(),
+        );
+        let rings = RosterRings {
+            inputs: roster_input_rx,
+            answers: roster_input_tx.clone(),
+            rosters: roster_tx,
+            latest: latest.clone(),
+            outbox: outbox_tx,
+            directory,
+            configurations: configurations.clone(),
+            replica: replica.clone(),
+            replica_state: replica_state.clone(),
+        };
+        let me = myself(cfg, incarnation, replica.is_some());
+        roster::spawn(clock, me, cfg.seeds.clone(), rings)?;
+        let inbox = Inbox {
+            roster: roster_input_tx.clone(),
+            replica: replica.clone(),
+            configurations: configurations.clone(),
+        };
+        let peers_cfg = PeersConfig {
+            host: cfg.host.clone(),
+            source: cfg.listen.ip(),
+            fleet_key: cfg.fleet_key.clone(),
+        };
+        peers::spawn(peers_cfg, peer_listener, inbox, outbox_rx)?;
+        let readiness = Readiness::default();
+        let pages = Pages {
+            cfg: Arc::clone(cfg),
+            incarnation,
+            readiness: readiness.clone(),
+            roster: latest,
+            replica: replica_state,
+            configurations: configurations.clone(),
+            leader: leader.clone(),
+        };
+        admin::spawn(cfg.admin_listen, pages).wrap_err("could not serve the operator's pages")?;
+        let rings = Rings {
+            rosters: roster_rx,
+            announcements: roster_input_tx.clone(),
+            control: control_rx,
+            configurations,
+            leader,
+            incarnation,
+        };
+        let edge = edge::spawn(Arc::clone(cfg), clock, edge_listener, rings)?;
+        readiness.set(true);
+        Ok(Self { edge, control: control_tx, readiness, roster: roster_input_tx, replica })
+    }
+}
+
+fn myself(cfg: &Settings, incarnation: Incarnation, votes: bool) -> PeerUpdate {
+    PeerUpdate {
+        host: cfg.host.clone(),
+        data_centre: cfg.data_centre.clone(),
+        address: cfg.peer_advertise,
+        incarnation,
+        sequence: Sequence::ZERO,
+        heartbeat: Sequence::ZERO,
+        revision: Revision::ZERO,
+        leader: None,
+        votes,
+        draining: false,
+        state: PeerState::Alive,
+    }
+}
+
+/// Returns a number higher than that of any earlier process on this host.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation::new(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
 }
 
 fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -28,17 +28,20 @@
 
 pub(super) fn check(raw: Raw) -> Result<Settings, Faults> {
     let mut faults = Faults::default();
+    let peer_listen = address(&raw.addresses.peer_listen, DEFAULT_PEER_PORT, &mut faults);
     let settings = Settings {
         host: parsed(&raw.identity.host, &mut faults)
             .unwrap_or_else(|| DEFAULT_HOST.parse().expect("the default is valid")),
         data_centre: parsed(&raw.identity.data_centre, &mut faults)
             .unwrap_or_else(|| DEFAULT_DATA_CENTRE.parse().expect("the default is valid")),
         listen: address(&raw.addresses.listen, DEFAULT_LISTEN_PORT, &mut faults),
-        peer_listen: address(&raw.addresses.peer_listen, DEFAULT_PEER_PORT, &mut faults),
+        peer_listen,
+        peer_advertise: parsed(&raw.addresses.peer_advertise, &mut faults).unwrap_or(peer_listen),
         admin_listen: address(&raw.addresses.admin_listen, DEFAULT_ADMIN_PORT, &mut faults),
         seeds: all_parsed(&raw.addresses.seeds, &mut faults),
         data_dir: raw.state.data_dir.text.clone().map(Into::into),
         voter: raw.state.voter,
+        founders: all_parsed(&raw.state.founders, &mut faults),
         fleet_key: fleet_key(&raw.keys.fleet_key, &mut faults),
         operator_keys: all_parsed(&raw.keys.operator_keys, &mut faults),
         organisation_keys: all_parsed(&raw.keys.organisation_keys, &mut faults),
@@ -49,6 +52,9 @@
     if settings.voter && settings.data_dir.is_none() {
         faults.add("--voter", "DOTTERELREACH_DATA_DIR", "a voter needs --data-dir");
     }
+    if !settings.founders.is_empty() && !settings.voter {
+        faults.add("--founder", "DOTTERELREACH_FOUNDERS", "only a voter can be given founders");
+    }
     if !faults.lines().is_empty() {
         return Err(faults);
     }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -16,6 +16,8 @@
     pub listen: SocketAddr,
     /// Where other routers connect.
     pub peer_listen: SocketAddr,
+    /// The peer address that other routers are told.
+    pub peer_advertise: SocketAddr,
     /// Where operators and monitoring connect.
     pub admin_listen: SocketAddr,
     /// Peer addresses of some other routers.
@@ -24,6 +26,8 @@
     pub data_dir: Option<PathBuf>,
     /// Whether this host votes in the quorum.
     pub voter: bool,
+    /// The voters that found the quorum's log, in the same order on each.
+    pub founders: Vec<HostId>,
     /// Secret that routers and endpoints of the fleet share.
     pub fleet_key: Arc<str>,
     /// Digests of the operators' keys.
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -35,6 +35,7 @@
 pub(super) struct RawAddresses {
     pub listen: One,
     pub peer_listen: One,
+    pub peer_advertise: One,
     pub admin_listen: One,
     pub seeds: Many,
 }
@@ -43,6 +44,7 @@
 pub(super) struct RawState {
     pub data_dir: One,
     pub voter: bool,
+    pub founders: Many,
 }
 
 #[derive(Clone, Debug)]
@@ -152,6 +154,12 @@
         "ADDRESS",
         "Where other routers connect (default: 127.0.0.1:8081)"
     );
+    let peer_advertise = one!(
+        "peer-advertise",
+        "DOTTERELREACH_PEER_ADVERTISE",
+        "ADDRESS",
+        "The peer address that other routers are told (default: that of --peer-listen)"
+    );
     let admin_listen = one!(
         "admin-listen",
         "DOTTERELREACH_ADMIN_LISTEN",
@@ -164,7 +172,8 @@
         "ADDRESS",
         "Peer address of another router; may be given several times"
     );
-    construct!(RawAddresses { listen, peer_listen, admin_listen, seeds }).group_help("Addresses")
+    construct!(RawAddresses { listen, peer_listen, peer_advertise, admin_listen, seeds })
+        .group_help("Addresses")
 }
 
 fn state() -> impl Parser<RawState> {
@@ -175,7 +184,14 @@
         "Folder for the state that must survive, on hosts with a disk"
     );
     let voter = long("voter").help("Vote in the quorum; needs --data-dir").switch();
-    construct!(RawState { data_dir, voter }).group_help("State")
+    let founders = many!(
+        "founder",
+        "DOTTERELREACH_FOUNDERS",
+        "HOST",
+        "A voter that founds the quorum's log, the same list in the same order on every voter; \
+         may be given several times"
+    );
+    construct!(RawState { data_dir, voter, founders }).group_help("State")
 }
 
 fn keys() -> impl Parser<RawKeys> {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -68,3 +68,17 @@
 pub fn quorum_from_bytes(bytes: &[u8]) -> Result<quorum::Message, BodyError> {
     crate::leader::from_bytes(bytes)
 }
+
+/// Writes gossip.
+pub fn gossip_to_bytes(message: &member::Gossip) -> Vec<u8> {
+    crate::leader::to_bytes(message)
+}
+
+/// Reads gossip.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are damaged.
+pub fn gossip_from_bytes(bytes: &[u8]) -> Result<member::Gossip, BodyError> {
+    crate::leader::from_bytes(bytes)
+}
