cli: answer a question after a lost answer by the next router

Cause: a refusal of a question was taken for one that hides a lost change. Change: a request says whether it asks or changes; a router that stays silent is tested as well.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -26,6 +26,33 @@
     body: Vec<u8>,
 }
 
+/// What a request is for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    /// To learn something; asking twice does no harm.
+    Question,
+    /// To change something, under an identity that makes the change idempotent.
+    Change,
+}
+
+/// A request to any router.
+struct Request<'a> {
+    purpose: Purpose,
+    method: Method,
+    path: &'a str,
+    body: Vec<u8>,
+}
+
+impl<'a> Request<'a> {
+    fn question(method: Method, path: &'a str, body: Vec<u8>) -> Self {
+        Self { purpose: Purpose::Question, method, path, body }
+    }
+
+    fn change(path: &'a str, body: Vec<u8>) -> Self {
+        Self { purpose: Purpose::Change, method: Method::POST, path, body }
+    }
+}
+
 /// Why a router gave no answer.
 enum Failure {
     /// It cannot have taken the request.
@@ -41,7 +68,7 @@
 
     /// Reads from the first router that answers.
     pub(crate) fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
-        let answer = self.ask(&Method::GET, path, &[]);
+        let answer = self.ask(&Request::question(Method::GET, path, Vec::new()));
         answer.map_err(|(e, _)| Error::unreachable(e))?.decode()
     }
 
@@ -51,23 +78,23 @@
         path: &str,
         query: &Q,
     ) -> Result<T, Error> {
-        let answer = self.ask(&Method::POST, path, &encode(query)?);
+        let answer = self.ask(&Request::question(Method::POST, path, encode(query)?));
         answer.map_err(|(e, _)| Error::unreachable(e))?.decode()
     }
 
     /// Sends an idempotent change, the same to each router until one answers.
     pub(crate) fn change<Q: Serialize>(&self, path: &str, change: &Q) -> Result<Answer, Error> {
-        let answer = self.ask(&Method::POST, path, &encode(change)?);
+        let answer = self.ask(&Request::change(path, encode(change)?));
         answer.map_err(|(e, lost)| if lost { Error::unknown(e) } else { Error::unreachable(e) })
     }
 
     /// Asks each router in turn; a failure says whether one may have taken the request.
-    fn ask(&self, method: &Method, path: &str, body: &[u8]) -> Result<Answer, (String, bool)> {
+    fn ask(&self, req: &Request<'_>) -> Result<Answer, (String, bool)> {
         let mut faults = Vec::new();
         let mut lost = false;
         for router in self.settings.routers.iter() {
-            match self.ask_one(router, method, path, body) {
-                Ok(answer) if answer.settles(lost) => return Ok(answer),
+            match self.ask_one(router, req) {
+                Ok(answer) if answer.settles(req.purpose, lost) => return Ok(answer),
                 Ok(answer) => {
                     lost |= answer.may_have_run();
                     faults.push(format!("{router}: {}", answer.problem_text()));
@@ -82,19 +109,13 @@
         Err((faults.join("\n"), lost))
     }
 
-    fn ask_one(
-        &self,
-        router: RouterAddress,
-        method: &Method,
-        path: &str,
-        body: &[u8],
-    ) -> Result<Answer, Failure> {
+    fn ask_one(&self, router: RouterAddress, req: &Request<'_>) -> Result<Answer, Failure> {
         // The HTTP client does not say whether it sent anything; a connection of its own does.
         TcpStream::connect_timeout(&router.socket(), CONNECT_TIMEOUT.min(self.settings.timeout))
             .map_err(|e| Failure::NotSent(e.to_string()))?;
         let lost = |e: attohttpc::Error| Failure::Lost(e.to_string());
-        let url = format!("http://{router}{path}");
-        let mut req = RequestBuilder::try_new(method.clone(), url)
+        let url = format!("http://{router}{}", req.path);
+        let mut call = RequestBuilder::try_new(req.method.clone(), url)
             .map_err(|e| Failure::NotSent(e.to_string()))?
             .connect_timeout(CONNECT_TIMEOUT)
             .read_timeout(self.settings.timeout)
@@ -103,9 +124,9 @@
             .proxy_settings(ProxySettings::builder().build())
             .header("content-type", "application/json");
         if let Some(key) = &self.settings.key {
-            req = req.bearer_auth(key);
+            call = call.bearer_auth(key);
         }
-        let response = req.bytes(body).send().map_err(lost)?;
+        let response = call.bytes(&req.body).send().map_err(lost)?;
         read_whole(response).map_err(|e| Failure::Lost(e.to_string()))
     }
 }
@@ -166,9 +187,9 @@
     /// Returns whether no other router needs to be asked.
     ///
     /// After a lost answer only one that concerns the change itself tells what became of it.
-    fn settles(&self, lost: bool) -> bool {
+    fn settles(&self, purpose: Purpose, lost: bool) -> bool {
         let of_change = self.is_success() || matches!(self.status, 409 | 422);
-        self.status < 500 && (!lost || of_change)
+        self.status < 500 && (purpose == Purpose::Question || !lost || of_change)
     }
 
     fn may_have_run(&self) -> bool {
--- a/crates/cli/tests/tool/changes.rs
+++ b/crates/cli/tests/tool/changes.rs
@@ -74,6 +74,13 @@
     assert_eq!((&sent[0], &sent[0]), (&sent[1], &sent[2]));
 }
 
+#[test]
+fn silent_router_ends_in_a_timeout() {
+    let router = router(on_change(|| Reply::Silence));
+    let output = apply(&router.address, NEW, &["--yes", "--timeout", "200ms"]);
+    assert_eq!(output.status.code(), Some(4), "{}", stderr(&output));
+}
+
 #[test]
 fn refusal_after_a_lost_answer_does_not_hide_it() {
     let first = router(on_change(|| Reply::Close));
--- a/crates/cli/tests/tool/fake.rs
+++ b/crates/cli/tests/tool/fake.rs
@@ -26,8 +26,10 @@
     Whole(u16, String),
     /// Only half of the announced bytes.
     Cut(u16, String),
-    /// Nothing.
+    /// Nothing, and closes.
     Close,
+    /// Nothing, and keeps the connection.
+    Silence,
 }
 
 pub struct Router {
@@ -83,6 +85,11 @@
         Reply::Whole(status, body) => (status, body.clone(), body),
         Reply::Cut(status, body) => (status, body.clone(), body[..body.len() / 2].to_owned()),
         Reply::Close => return,
+        Reply::Silence => {
+            // Open until the test's process ends.
+            std::mem::forget(stream.try_clone().unwrap());
+            return;
+        }
     };
     let length = body.len();
     let head =
--- a/crates/cli/tests/tool/queries.rs
+++ b/crates/cli/tests/tool/queries.rs
@@ -90,6 +90,14 @@
     assert_eq!(stderr(&output), " [2Jgone (status 404): no detail given\n");
 }
 
+#[test]
+fn question_after_a_lost_answer_is_answered() {
+    let first = router(|_| Reply::Close);
+    let second = router(|_| Reply::Whole(404, r#"{"status": 404, "title": "none"}"#.into()));
+    let both = format!("{},{}", first.address, second.address);
+    assert_eq!(run(&["status", "-r", &both], &[]).status.code(), Some(1));
+}
+
 #[test]
 fn unreachable() {
     assert_eq!(run(&["status", "-r", CLOSED_ADDRESS], &[]).status.code(), Some(3));
