cli: call an unreadable answer to a change an unknown outcome

Cause: calls resolve and voters said that nothing was changed when a router's answer of success could not be read. Change: changes and questions read answers by functions of their own.

--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -53,6 +53,19 @@
     }
 }
 
+/// A request that no router settled.
+struct Unanswered {
+    faults: String,
+    /// Whether a router may have taken the request.
+    lost: bool,
+}
+
+impl Unanswered {
+    fn of_change(self) -> Error {
+        if self.lost { Error::unknown(self.faults) } else { Error::unreachable(self.faults) }
+    }
+}
+
 /// Why a router gave no answer.
 enum Failure {
     /// It cannot have taken the request.
@@ -69,7 +82,7 @@
     /// Reads from the first router that answers.
     pub(crate) fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
         let answer = self.ask(&Request::question(Method::GET, path, Vec::new()));
-        answer.map_err(|(e, _)| Error::unreachable(e))?.decode()
+        answer.map_err(|e| Error::unreachable(e.faults))?.decode()
     }
 
     /// Reads from the first router that answers a body.
@@ -79,17 +92,17 @@
         query: &Q,
     ) -> Result<T, Error> {
         let answer = self.ask(&Request::question(Method::POST, path, encode(query)?));
-        answer.map_err(|(e, _)| Error::unreachable(e))?.decode()
+        answer.map_err(|e| Error::unreachable(e.faults))?.decode()
     }
 
     /// Sends an idempotent change, the same to each router until one answers.
     pub(crate) fn change<Q: Serialize>(&self, path: &str, change: &Q) -> Result<Answer, Error> {
         let answer = self.ask(&Request::change(path, encode(change)?));
-        answer.map_err(|(e, lost)| if lost { Error::unknown(e) } else { Error::unreachable(e) })
+        answer.map_err(Unanswered::of_change)
     }
 
-    /// Asks each router in turn; a failure says whether one may have taken the request.
-    fn ask(&self, req: &Request<'_>) -> Result<Answer, (String, bool)> {
+    /// Asks each router in turn.
+    fn ask(&self, req: &Request<'_>) -> Result<Answer, Unanswered> {
         let mut faults = Vec::new();
         let mut lost = false;
         for router in self.settings.routers.iter() {
@@ -106,7 +119,7 @@
                 }
             }
         }
-        Err((faults.join("\n"), lost))
+        Err(Unanswered { faults: faults.join("\n"), lost })
     }
 
     fn ask_one(&self, router: RouterAddress, req: &Request<'_>) -> Result<Answer, Failure> {
@@ -158,29 +171,38 @@
 }
 
 impl Answer {
-    /// Reads the body of a successful answer.
-    pub(crate) fn decode<T: DeserializeOwned>(&self) -> Result<T, Error> {
-        if !(200..300).contains(&self.status) {
+    /// Reads the outcome of a change, successful or not.
+    pub(crate) fn outcome<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        self.parse().ok_or_else(|| {
+            if self.is_success() {
+                return Error::unknown(
+                    "the router's answer cannot be read; the change may be in force",
+                );
+            }
+            self.refusal()
+        })
+    }
+
+    /// Reads the body of a successful answer to a question.
+    fn decode<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        if !self.is_success() {
             return Err(self.refusal());
         }
         self.parse().ok_or_else(|| Error::unreachable("the router's answer cannot be read"))
     }
 
-    /// Reads the body whatever the status.
-    pub(crate) fn parse<T: DeserializeOwned>(&self) -> Option<T> {
+    fn parse<T: DeserializeOwned>(&self) -> Option<T> {
         serde_json::from_slice(&self.body).ok()
     }
 
-    /// Returns the answer as an error.
-    pub(crate) fn refusal(&self) -> Error {
+    fn refusal(&self) -> Error {
         self.parse::<Problem>().map_or_else(
             || Error::refused(format!("status {}", self.status)),
             |problem| Error::problem(&problem),
         )
     }
 
-    /// Returns whether the answer is one of success.
-    pub(crate) fn is_success(&self) -> bool {
+    fn is_success(&self) -> bool {
         (200..300).contains(&self.status)
     }
 
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -195,14 +195,14 @@
         };
         let req = ResolveRequest { verdict, author: self.author(), reason: reason.into() };
         let answer = self.client.change(&format!("{path}{RESOLVE_SUFFIX}"), &req)?;
-        let call: Call = answer.decode()?;
+        let call: Call = answer.outcome()?;
         self.output().print(&call, || view::call(&call));
         Ok(())
     }
 
     fn change_voters(&self, change: VoterChange, reason: String) -> Result<(), Error> {
         let req = VoterChangeRequest { change, author: self.author(), reason: reason.into() };
-        let voters: Voters = self.client.change(VOTERS_PATH, &req)?.decode()?;
+        let voters: Voters = self.client.change(VOTERS_PATH, &req)?.outcome()?;
         self.output().print(&voters, || view::voters(&voters));
         Ok(())
     }
--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -45,10 +45,7 @@
     }
     let answer = Client::new(settings)
         .change(DECLARATION_PATH, &change_request(settings, current, toml, approval))?;
-    let Some(change) = answer.parse::<ChangeAnswer>() else {
-        return Err(unreadable(answer.is_success(), answer.refusal()));
-    };
-    let revision = applied(change)?;
+    let revision = applied(answer.outcome()?)?;
     output.print(&Submitted::Applied { revision }, || format!("applied; revision {revision}"));
     Ok(())
 }
@@ -101,13 +98,6 @@
     }
 }
 
-fn unreadable(success: bool, refusal: Error) -> Error {
-    if success {
-        return Error::unknown("the router's answer cannot be read; the change may be in force");
-    }
-    refusal
-}
-
 fn confirm() -> Result<(), Error> {
     let stdin = io::stdin();
     if !stdin.is_terminal() {
--- a/crates/cli/tests/tool/queries.rs
+++ b/crates/cli/tests/tool/queries.rs
@@ -72,6 +72,19 @@
     assert_eq!((output.status.code(), stdout(&output).as_str()), (Some(code), text));
 }
 
+#[parameterized(
+    unreadable = { || Reply::Whole(200, "{}".into()), 4 },
+    refused = { || Reply::Whole(409, r#"{"status": 409, "title": "settled"}"#.into()), 1 },
+    wrong_key = { || Reply::Whole(401, String::new()), 1 },
+    cut = { || Reply::Cut(200, CALL.into()), 4 },
+)]
+fn resolution_without_an_answer(reply: fn() -> Reply, code: i32) {
+    let router = router(move |_| reply());
+    let args = ["calls", "resolve", "-r", &router.address, "--ran", "--reason", "r"];
+    let output = run(&[&args[..], &["-o", "north-press", "order/7"]].concat(), &[]);
+    assert_eq!(output.status.code(), Some(code), "{}", stderr(&output));
+}
+
 #[parameterized(
     refused = { || Reply::Whole(404, r#"{"status": 404, "title": "none"}"#.into()), 1 },
     cut = { || Reply::Cut(200, STATUS.into()), 3 },
