Run calls that may not be repeated at most once, through the quorum

Cause: a resent order could run twice, or at two hosts at once. Change: choose, connect, commit the claim, then send; the outcome after. A second arrival waits for the first's answer. Gossip carries announcements, so an endpoint announces to one router.

--- a/crates/bench/src/fake/announcer.rs
+++ b/crates/bench/src/fake/announcer.rs
@@ -12,8 +12,9 @@
 /// Time for one announcement.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// A thread that announces an endpoint to routers until it is dropped.
+/// A thread that announces an endpoint until it is dropped.
 ///
+/// It posts to one router, and to the next one when that fails.
 pub struct Announcer {
     tx: flume::Sender<Message>,
 }
@@ -72,6 +73,7 @@
         std::thread::spawn(move || {
             let mut sequence = Sequence::ZERO;
             let mut leaving = false;
+            let mut router = first_router(&announced, routers.len());
             loop {
                 sequence = sequence.next();
                 let (engine, service) = describe();
@@ -86,8 +88,11 @@
                     engine,
                     service,
                 };
-                for router in &routers {
-                    let _ = post(*router, &fleet_key, &body);
+                for _ in 0..routers.len() {
+                    if post(routers[router], &fleet_key, &body).is_ok() {
+                        break;
+                    }
+                    router = (router + 1) % routers.len();
                 }
                 match rx.recv_timeout(PERIOD) {
                     Ok(Message::Leave) => leaving = true,
@@ -106,6 +111,12 @@
     }
 }
 
+/// Spreads the endpoints over the routers.
+fn first_router(announced: &Announced, routers: usize) -> usize {
+    let bytes = announced.id.as_str().bytes();
+    bytes.map(usize::from).sum::<usize>() % routers.max(1)
+}
+
 fn post(router: SocketAddr, fleet_key: &str, body: &AnnouncementBody) -> eyre::Result<()> {
     let response = attohttpc::post(format!("http://{router}/announce"))
         .timeout(TIMEOUT)
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -61,6 +61,13 @@
         self
     }
 
+    /// Adds a flag without a value.
+    #[must_use]
+    pub fn switch(mut self, name: &str) -> Self {
+        self.flags.push(name.to_owned());
+        self
+    }
+
     fn command(&self, program: &Program) -> Command {
         let mut command = Command::new(&program.path);
         command
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -1,9 +1,11 @@
 //! A site on one machine: daemons, fakes, and proxies before the endpoints.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::Path, time::Duration};
 
 use base::{Digest, EndpointId, Incarnation, ModelId, OrganisationId, ServiceId, WeightsVersion};
 
+use tempfile::TempDir;
+
 use crate::{
     Proxy,
     fake::{Announced, Announcer, Engine, EngineConfig, Service, ServiceCounts, SharedTally},
@@ -16,6 +18,9 @@
 /// Time for a site to come up.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Peers that a daemon is told of at its start.
+const SEEDS: usize = 3;
+
 /// Time that a service takes for a call.
 const SERVICE_SPAN: Duration = Duration::from_millis(5);
 
@@ -24,6 +29,8 @@
 pub struct SiteSpec {
     /// Data centre of each daemon.
     pub daemons: Vec<&'static str>,
+    /// How many daemons, from the first, vote in the quorum.
+    pub voters: usize,
     /// Data centre of each engine.
     pub engines: Vec<&'static str>,
     /// Data centre of each endpoint of the plain service.
@@ -46,6 +53,10 @@
 pub struct Site {
     /// The daemons.
     pub daemons: Vec<Daemon>,
+    /// The proxy before the peer address of each daemon.
+    pub peer_proxies: Vec<Proxy>,
+    /// The folder of the voters' data folders.
+    pub data: TempDir,
     /// The engines.
     pub engines: Vec<EngineNode>,
     /// The endpoints of the plain service.
@@ -89,6 +100,7 @@
         let id = |text: &str| text.parse().expect("a valid id");
         Self {
             daemons: vec!["a", "b", "c"],
+            voters: 3,
             engines: vec!["a", "b", "c"],
             services: vec!["a", "b"],
             model: id_model("diary-8b"),
@@ -112,14 +124,21 @@
     ///
     /// Returns an error if a process can't be started or the site doesn't come up in time.
     pub fn start(program: &Program, spec: SiteSpec) -> eyre::Result<Self> {
-        let mut daemons = Vec::new();
+        let data = tempfile::tempdir()?;
         let specs: Vec<_> = spec
             .daemons
             .iter()
             .enumerate()
-            .map(|(i, data_centre)| DaemonSpec::new(&format!("host-{}", i + 1), data_centre))
+            .map(|(i, data_centre)| DaemonSpec::new(&host(i), data_centre))
             .collect();
-        for daemon in specs {
+        let peer_proxies: Vec<_> = specs
+            .iter()
+            .enumerate()
+            .map(|(i, daemon)| Proxy::start(daemon.peer_listen, spec.seed.wrapping_add(i as u64)))
+            .collect();
+        let mut daemons = Vec::new();
+        for (i, daemon) in specs.into_iter().enumerate() {
+            let daemon = with_peers(daemon, i, &peer_proxies, &spec, data.path());
             daemons.push(Daemon::start(program, with_flags(daemon, &spec))?);
         }
         for daemon in &mut daemons {
@@ -127,6 +146,8 @@
         }
         let mut site = Self {
             daemons,
+            peer_proxies,
+            data,
             engines: Vec::new(),
             services: Vec::new(),
             tally: SharedTally::default(),
@@ -202,6 +223,30 @@
     }
 }
 
+fn host(i: usize) -> String {
+    format!("host-{}", i + 1)
+}
+
+/// Adds what the daemon with number `i` needs to know of the others, and its vote.
+fn with_peers(
+    mut daemon: DaemonSpec,
+    i: usize,
+    peer_proxies: &[Proxy],
+    spec: &SiteSpec,
+    data: &Path,
+) -> DaemonSpec {
+    daemon = daemon.flag("--peer-advertise", peer_proxies[i].address());
+    let seeds = peer_proxies.iter().enumerate().filter(|(seed, _)| *seed != i).take(SEEDS);
+    for (_, proxy) in seeds {
+        daemon = daemon.flag("--seed", proxy.address());
+    }
+    if spec.voters <= i {
+        return daemon;
+    }
+    daemon = daemon.flag("--data-dir", data.join(host(i)).display()).switch("--voter");
+    (0..spec.voters).fold(daemon, |daemon, founder| daemon.flag("--founder", host(founder)))
+}
+
 fn with_flags(mut daemon: DaemonSpec, spec: &SiteSpec) -> DaemonSpec {
     daemon = daemon.flag("--fleet-key", FLEET_KEY);
     for organisation in &spec.organisations {
--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -1,6 +1,5 @@
 use std::{
     io,
-    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -8,9 +7,14 @@
     time::Duration,
 };
 
+use base::Incarnation;
+use member::EndpointState;
 use rouille::{Request, Response};
 
-use crate::roster::Latest;
+use crate::{
+    Settings, configurations::Configurations, leader_client::LeaderClient, replica::ReplicaState,
+    roster::Latest,
+};
 
 /// Threads that serve the pages.
 const POOL_THREADS: usize = 4;
@@ -32,11 +36,16 @@
     }
 }
 
-/// What the pages show.
-#[derive(Clone, Debug)]
+/// What the pages show and change.
+#[derive(Clone)]
 pub(crate) struct Pages {
+    pub cfg: Arc<Settings>,
+    pub incarnation: Incarnation,
     pub readiness: Readiness,
     pub roster: Latest,
+    pub replica: ReplicaState,
+    pub configurations: Configurations,
+    pub leader: LeaderClient,
 }
 
 /// Starts the thread that serves the operator, health and metrics pages.
@@ -44,7 +53,7 @@
 /// # Errors
 ///
 /// Returns an error if the address can't be bound or the thread can't be made.
-pub(crate) fn spawn(address: SocketAddr, pages: Pages) -> io::Result<()> {
+pub(crate) fn spawn(address: std::net::SocketAddr, pages: Pages) -> io::Result<()> {
     let server = rouille::Server::new(address, move |req| answer(&pages, req))
         .map_err(|e| io::Error::other(format!("{address}: {e}")))?
         .pool_size(POOL_THREADS);
@@ -61,11 +70,14 @@
         ("GET", "/healthz") => Response::text("alive\n"),
         ("GET", "/readyz") if pages.readiness.is_ready() => Response::text("ready\n"),
         ("GET", "/readyz") => Response::text("draining\n").with_status_code(503),
-        ("GET", "/operator/endpoints") => {
-            let roster = pages.roster.load();
-            let ids: Vec<_> = roster.endpoints.iter().map(|e| e.endpoint.clone()).collect();
-            Response::json(&ids)
-        }
+        ("GET", "/operator/endpoints") => endpoints(pages),
         _ => Response::empty_404(),
     }
 }
+
+fn endpoints(pages: &Pages) -> Response {
+    let Some(roster) = pages.roster.load() else { return Response::json(&()) };
+    let ready = roster.endpoints.iter().filter(|known| known.state == EndpointState::Ready);
+    let ids: Vec<_> = ready.map(|known| known.announcement.endpoint.clone()).collect();
+    Response::json(&ids)
+}
--- a/crates/daemon/src/configurations.rs
+++ b/crates/daemon/src/configurations.rs
@@ -16,14 +16,21 @@
 }
 
 /// A configuration with its declaration read.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct InForce {
-    /// As it came.
-    pub configuration: Configuration,
+    /// As it came; none for the built-in one.
+    pub configuration: Option<Configuration>,
     /// What it declares.
     pub declaration: Declaration,
 }
 
+impl InForce {
+    /// Returns the revision.
+    pub(crate) fn revision(&self) -> Revision {
+        self.configuration.as_ref().map_or(Revision::ZERO, |held| held.revision)
+    }
+}
+
 impl Configurations {
     /// Takes a configuration, unless one as new is in force; returns whether it was taken.
     pub(crate) fn offer(&self, configuration: Configuration) -> bool {
@@ -42,7 +49,7 @@
             return false;
         }
         log::info!("revision={} in force", configuration.revision);
-        let in_force = Arc::new(InForce { configuration, declaration });
+        let in_force = Arc::new(InForce { configuration: Some(configuration), declaration });
         held.subscribers.retain(|tx| tx.send(Arc::clone(&in_force)).is_ok());
         held.in_force = Some(in_force);
         true
@@ -76,6 +83,6 @@
 
 impl Held {
     fn revision(&self) -> Revision {
-        self.in_force.as_ref().map_or(Revision::ZERO, |held| held.configuration.revision)
+        self.in_force.as_ref().map_or(Revision::ZERO, |held| held.revision())
     }
 }
--- a/crates/daemon/src/edge/failure.rs
+++ b/crates/daemon/src/edge/failure.rs
@@ -51,6 +51,20 @@
         Self::refused(StatusCode::METHOD_NOT_ALLOWED, "method not allowed", detail)
     }
 
+    pub(super) fn conflict(detail: impl Into<String>) -> Self {
+        Self::refused(StatusCode::CONFLICT, "conflict", detail)
+    }
+
+    pub(super) fn unprocessable(detail: impl Into<String>) -> Self {
+        Self::refused(StatusCode::UNPROCESSABLE_ENTITY, "request refused", detail)
+    }
+
+    pub(super) fn too_many(detail: impl Into<String>, retry_after: Duration) -> Self {
+        let mut failure = Self::refused(StatusCode::TOO_MANY_REQUESTS, "too many requests", detail);
+        failure.retry_after = Some(retry_after);
+        failure
+    }
+
     pub(super) fn body_too_large(max_bytes: usize) -> Self {
         let detail = format!("the body is over {max_bytes} bytes");
         Self::refused(StatusCode::PAYLOAD_TOO_LARGE, "body too large", detail)
--- a/crates/daemon/src/edge/listen.rs
+++ b/crates/daemon/src/edge/listen.rs
@@ -106,7 +106,9 @@
         }
         (&Method::GET, "/v1/models") => completions::models(&edge, &req),
         (&Method::POST, "/announce") => announce::handle(&edge, req).await,
-        (_, path) if path.starts_with(services::PATH_PREFIX) => services::handle(&edge, req).await,
+        (_, path) if path.starts_with(services::PATH_PREFIX) => {
+            services::handle(&edge, req, active).await
+        }
         (_, "/v1/completions" | "/v1/chat/completions" | "/v1/models" | "/announce") => {
             Err(Failure::method_not_allowed())
         }
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -1,6 +1,7 @@
 mod announce;
 mod auth;
 mod body;
+mod claims;
 mod completions;
 mod failure;
 mod listen;
@@ -18,11 +19,19 @@
     thread::JoinHandle,
 };
 
+use base::Incarnation;
+use fleet::{Owner, Scope};
 use member::Roster;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
 
-use crate::{Settings, roster::RosterInput};
+use crate::{
+    Settings,
+    clock::Clock,
+    configurations::{Configurations, InForce},
+    leader_client::LeaderClient,
+    roster::RosterInput,
+};
 
 use auth::Keys;
 use router::Router;
@@ -35,6 +44,12 @@
     pub announcements: flume::Sender<RosterInput>,
     /// Orders to drain or to end.
     pub control: flume::Receiver<Control>,
+    /// The configuration in force.
+    pub configurations: Configurations,
+    /// The way to the quorum's leader.
+    pub leader: LeaderClient,
+    /// The life of this process.
+    pub incarnation: Incarnation,
 }
 
 /// An order to the edge thread.
@@ -61,6 +76,11 @@
     active: Cell<u64>,
     next_request: Cell<u64>,
     announcements: flume::Sender<RosterInput>,
+    configurations: Configurations,
+    in_force: RefCell<Arc<InForce>>,
+    leader: LeaderClient,
+    owner: Owner,
+    clock: Clock,
 }
 
 /// Counts a request as active; ends on drop.
@@ -69,18 +89,29 @@
 }
 
 impl Edge {
-    fn new(cfg: Arc<Settings>, announcements: flume::Sender<RosterInput>) -> Self {
+    fn new(cfg: Arc<Settings>, clock: Clock, rings: &Rings) -> Self {
         let seed = rand::random();
+        let owner = Owner { host: cfg.host.clone(), incarnation: rings.incarnation };
         Self {
             keys: Keys::new(&cfg),
             router: RefCell::new(Router::new(cfg.listen.ip(), Pcg64Mcg::seed_from_u64(seed))),
             cfg,
             active: Cell::new(0),
             next_request: Cell::new(seed),
-            announcements,
+            announcements: rings.announcements.clone(),
+            configurations: rings.configurations.clone(),
+            in_force: RefCell::new(rings.configurations.in_force().unwrap_or_default()),
+            leader: rings.leader.clone(),
+            owner,
+            clock,
         }
     }
 
+    /// Returns the settings in force for `scope`.
+    fn settings(&self, scope: &Scope) -> fleet::Settings {
+        self.in_force.borrow().declaration.effective(scope, self.clock.wall())
+    }
+
     fn begin(self: &Rc<Self>) -> ActiveRequest {
         self.active.set(self.active.get() + 1);
         ActiveRequest { edge: Rc::clone(self) }
@@ -107,6 +138,7 @@
 /// Returns an error if the thread or its runtime can't be made.
 pub(crate) fn spawn(
     cfg: Arc<Settings>,
+    clock: Clock,
     listener: std::net::TcpListener,
     rings: Rings,
 ) -> io::Result<JoinHandle<EdgeEnd>> {
@@ -115,8 +147,10 @@
     std::thread::Builder::new().name("edge".into()).spawn(move || {
         let tasks = tokio::task::LocalSet::new();
         tasks.block_on(&runtime, async move {
-            let edge = Rc::new(Edge::new(cfg, rings.announcements));
+            let edge = Rc::new(Edge::new(cfg, clock, &rings));
             tokio::task::spawn_local(follow_rosters(Rc::clone(&edge), rings.rosters));
+            tokio::task::spawn_local(follow_configurations(Rc::clone(&edge)));
+            tokio::task::spawn_local(claims::end_earlier_lives(Rc::clone(&edge)));
             listen::run(edge, listener, rings.control).await
         })
     })
@@ -127,3 +161,10 @@
         edge.router.borrow_mut().update(&roster);
     }
 }
+
+async fn follow_configurations(edge: Rc<Edge>) {
+    let configurations = edge.configurations.subscribe();
+    while let Ok(in_force) = configurations.recv_async().await {
+        edge.in_force.replace(in_force);
+    }
+}
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -1,18 +1,20 @@
 use std::{rc::Rc, time::Duration};
 
-use base::{OrganisationId, ServiceId, Verdict};
+use base::{Hasher, IdempotencyKey, OrganisationId, ParseError, ServiceId, Verdict};
 use bytes::Bytes;
+use fleet::{Answer, CallKey, Scope};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Response,
+    HeaderMap, Request, Response, StatusCode,
     body::Incoming,
-    header::{ACCEPT, AUTHORIZATION, CONTENT_TYPE, HOST},
+    header::{ACCEPT, AUTHORIZATION, CONTENT_TYPE, HOST, HeaderValue},
     http::request::Parts,
 };
 
 use super::{
-    Edge,
+    ActiveRequest, Edge,
     body::{self, Body},
+    claims::{Claimed, Keyed},
     failure::Failure,
     router::NoEndpoint,
     targets::InFlight,
@@ -40,24 +42,54 @@
     path: String,
     parts: Parts,
     body: Bytes,
+    settings: fleet::Settings,
 }
 
 /// Answers calls to plain services.
 pub(super) async fn handle(
     edge: &Rc<Edge>,
     req: Request<Incoming>,
+    active: ActiveRequest,
 ) -> Result<Response<Body>, Failure> {
     let organisation = edge.keys.organisation(req.headers())?;
     let (parts, body) = req.into_parts();
     let (service, path) = split_path(&parts)?;
     let body = body::read(edge, body).await?;
-    let call = Call { organisation, service, path, parts, body };
-    let idempotent = matches!(call.parts.method, Method::GET | Method::HEAD);
-    let timeout = edge.cfg.timeouts.request;
+    let scope = Scope {
+        organisation: Some(organisation.clone()),
+        service: Some(service.clone()),
+        ..Scope::default()
+    };
+    let settings = edge.settings(&scope);
+    let call = Call { organisation, service, path, parts, body, settings };
+    let call = Rc::new(call);
+    // A task of its own, so that a caller who hangs up cuts no call that may not be repeated.
+    let sending = tokio::task::spawn_local(send(Rc::clone(edge), call, active));
+    sending.await.unwrap_or_else(|_| {
+        Err(Failure::broken("the call ended without an answer", Verdict::MayHaveRun))
+    })
+}
+
+async fn send(
+    edge: Rc<Edge>,
+    call: Rc<Call>,
+    _active: ActiveRequest,
+) -> Result<Response<Body>, Failure> {
+    let settings = &call.settings;
     let sending = async {
-        if idempotent { send_idempotent(edge, &call).await } else { send_once(edge, &call).await }
+        if settings.may_repeat(call.parts.method.as_str()) {
+            return send_idempotent(&edge, &call).await;
+        }
+        match call.keyed()? {
+            Some(keyed) => send_claimed(&edge, &call, &keyed).await,
+            None if settings.require_idempotency_key => {
+                Err(Failure::bad_request("expected an \"Idempotency-Key\" header"))
+            }
+            None => send_once(&edge, &call).await,
+        }
     };
-    tokio::time::timeout(timeout, sending).await.unwrap_or_else(|_| {
+    let timeout = tokio::time::timeout(settings.request_timeout.as_duration(), sending).await;
+    timeout.unwrap_or_else(|_| {
         Err(Failure::timed_out("the service did not answer in time", Verdict::MayHaveRun))
     })
 }
@@ -95,15 +127,53 @@
             Err(failure) => Err(failure),
         };
         match answer {
-            Ok(answer) => return Ok(answer),
+            Ok(answer) => return Ok(answer.into_response()),
             Err(failure) => last = Some(failure),
         }
     }
     Err(last.expect("the loop ran at least once"))
 }
 
-/// Sends a call that may not be repeated over a connection of its own.
+/// Sends a call without a key over a connection of its own.
 async fn send_once(edge: &Rc<Edge>, call: &Call) -> Result<Response<Body>, Failure> {
+    let Connected { mut connection, in_flight } = connect(edge, call).await?;
+    let response = upstream::send_once(&mut connection, call.request(&in_flight)).await?;
+    read_answer(edge, response).await.map(ServiceAnswer::into_response)
+}
+
+/// Sends a call under a claim, so that it runs at most once whoever else sends it.
+///
+/// The claim is committed between the connection and the first byte: a failed connection leaves
+/// nothing in doubt, and is still told the outcome of an earlier arrival.
+async fn send_claimed(
+    edge: &Rc<Edge>,
+    call: &Call,
+    keyed: &Keyed,
+) -> Result<Response<Body>, Failure> {
+    let connected = connect(edge, call).await;
+    let claim_timeout = call.settings.claim_send_deadline.as_duration();
+    let wait = call.settings.claim_wait.as_duration();
+    let permit = match keyed.claim(edge, claim_timeout, wait).await? {
+        Claimed::Send(permit) => permit,
+        Claimed::Answered(answer) => return Ok(answer),
+    };
+    let Connected { mut connection, in_flight } = connected?;
+    let request = call.request(&in_flight);
+    let sent = permit.redeem()?;
+    let response = upstream::send_once(&mut connection, request).await?;
+    let answer = read_answer(edge, response).await?;
+    sent.answered(answer.kept(call.settings.max_answer_bytes.as_u32() as usize));
+    Ok(answer.into_response())
+}
+
+/// A fresh connection to an endpoint of a service.
+struct Connected {
+    connection: upstream::Connection,
+    in_flight: InFlight,
+}
+
+async fn connect(edge: &Rc<Edge>, call: &Call) -> Result<Connected, Failure> {
+    let timeout = call.settings.connect_timeout.as_duration();
     let mut tried = Vec::new();
     let mut last = None;
     for _ in 0..MAX_CONNECTS {
@@ -113,12 +183,8 @@
             Err(why) => return Err(last.unwrap_or_else(|| no_endpoint(call, why))),
         };
         tried.push(endpoint);
-        match in_flight.target().pool().connect(edge.cfg.timeouts.connect).await {
-            Ok(mut connection) => {
-                let response =
-                    upstream::send_once(&mut connection, call.request(&in_flight)).await?;
-                return read_answer(edge, response).await;
-            }
+        match in_flight.target().pool().connect(timeout).await {
+            Ok(connection) => return Ok(Connected { connection, in_flight }),
             Err(failure) => last = Some(failure),
         }
     }
@@ -135,6 +201,24 @@
 }
 
 impl Call {
+    /// Returns the call with its caller's key, if it has one.
+    fn keyed(&self) -> Result<Option<Keyed>, Failure> {
+        let Some(key) = self.parts.headers.get("idempotency-key") else { return Ok(None) };
+        let key: IdempotencyKey = key
+            .to_str()
+            .map_err(|_| Failure::bad_request("the idempotency key is no text"))?
+            .parse()
+            .map_err(|e: ParseError| Failure::bad_request(e.to_string()))?;
+        let request = Hasher::default()
+            .field(self.parts.method.as_str().as_bytes())
+            .field(self.service.as_str().as_bytes())
+            .field(self.path.as_bytes())
+            .field(&self.body)
+            .finish();
+        let call = CallKey { organisation: self.organisation.clone(), key };
+        Ok(Some(Keyed { call, request }))
+    }
+
     fn request(&self, in_flight: &InFlight) -> Request<Full<Bytes>> {
         let target = in_flight.target();
         let mut req = Request::new(Full::new(self.body.clone()));
@@ -164,17 +248,41 @@
     to.remove(AUTHORIZATION);
 }
 
+/// A service's whole answer.
+struct ServiceAnswer {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+    body: Bytes,
+}
+
 /// Reads a service's whole answer, so that a cut one never passes as whole.
-async fn read_answer(edge: &Edge, response: Response<Incoming>) -> Result<Response<Body>, Failure> {
+async fn read_answer(edge: &Edge, response: Response<Incoming>) -> Result<ServiceAnswer, Failure> {
     let (parts, body) = response.into_parts();
     let max_bytes = usize::try_from(edge.cfg.limits.body_bytes.as_u64()).unwrap_or(usize::MAX);
     let body = Limited::new(body, max_bytes).collect().await.map_err(|e| {
         Failure::broken(format!("the service's answer was cut: {e}"), Verdict::MayHaveRun)
     })?;
-    let mut answer = Response::new(Body::whole(body.to_bytes()));
-    *answer.status_mut() = parts.status;
-    if let Some(content_type) = parts.headers.get(CONTENT_TYPE) {
-        answer.headers_mut().insert(CONTENT_TYPE, content_type.clone());
+    Ok(ServiceAnswer {
+        status: parts.status,
+        content_type: parts.headers.get(CONTENT_TYPE).cloned(),
+        body: body.to_bytes(),
+    })
+}
+
+impl ServiceAnswer {
+    /// Returns what the ledger keeps; a body over `max_bytes` is left out.
+    fn kept(&self, max_bytes: usize) -> Answer {
+        let content_type = self.content_type.as_ref().and_then(|text| text.to_str().ok());
+        let body = (self.body.len() <= max_bytes).then(|| self.body.as_ref().into());
+        Answer { status: self.status.as_u16(), content_type: content_type.map(Into::into), body }
+    }
+
+    fn into_response(self) -> Response<Body> {
+        let mut response = Response::new(Body::whole(self.body));
+        *response.status_mut() = self.status;
+        if let Some(content_type) = self.content_type {
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
+        }
+        response
     }
-    Ok(answer)
 }
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -1,4 +1,4 @@
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use base::{HostId, LogIndex, UnixMillis};
 use fleet::{Command, Fleet};
@@ -118,7 +118,7 @@
         match LeaderRequest::from_bytes(&call.request) {
             Ok(LeaderRequest::Command(command)) => {
                 let id = self.waiting.propose(reply);
-                let command = stamped(command, now()).to_bytes().into();
+                let command = stamped(command, self.clock.wall()).to_bytes().into();
                 self.step(Input::Propose { id, command });
             }
             Ok(LeaderRequest::AddVoter { host, folder }) => {
@@ -326,11 +326,6 @@
     }
 }
 
-fn now() -> UnixMillis {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    UnixMillis::new(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
-}
-
 /// Gives a command the leader's time.
 fn stamped(mut command: Command, now: UnixMillis) -> Command {
     let at = match &mut command {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -2,7 +2,6 @@
     net::{SocketAddr, TcpListener},
     process::ExitCode,
     sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
 };
 
 use base::{Incarnation, Revision, Sequence};
@@ -118,7 +117,7 @@
 impl Process {
     fn start(cfg: &Arc<Settings>) -> eyre::Result<Self> {
         let clock = Clock::start();
-        let incarnation = new_incarnation();
+        let incarnation = new_incarnation(clock);
         let (outbox_tx, outbox_rx) = flume::bounded(RING);
         let (roster_input_tx, roster_input_rx) = flume::bounded(RING);
         let (roster_tx, roster_rx) = flume::bounded(ROSTER_RING);
@@ -222,9 +221,8 @@
 }
 
 /// Returns a number higher than that of any earlier process on this host.
-fn new_incarnation() -> Incarnation {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Incarnation::new(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+fn new_incarnation(clock: Clock) -> Incarnation {
+    Incarnation::new(clock.wall().as_u64())
 }
 
 fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -17,7 +17,7 @@
 const DEFAULT_DATA_CENTRE: &str = "local";
 const DEFAULT_LISTEN_PORT: u16 = 8080;
 const DEFAULT_PEER_PORT: u16 = 8081;
-const DEFAULT_ADMIN_PORT: u16 = 8082;
+const DEFAULT_ADMIN_PORT: u16 = 7400;
 
 /// Shortest and longest time that a timeout may be set to.
 const TIMEOUT_RANGE: RangeInclusive<Duration> =
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -164,7 +164,7 @@
         "admin-listen",
         "DOTTERELREACH_ADMIN_LISTEN",
         "ADDRESS",
-        "Where operators and monitoring connect (default: 127.0.0.1:8082)"
+        "Where operators and monitoring connect (default: 127.0.0.1:7400)"
     );
     let seeds = many!(
         "seed",
