quorum: recover from restarts in the middle of a voter change

A change to a smaller set needs the removed voter's acknowledgement, but nobody sent it the entry; when it restarted, nobody confirmed its folder; and a voter whose log doesn't name it yet didn't answer the candidate that needed it. Change: the leader follows the old voters until the change is committed, and their starts are confirmed until then. A request for a vote names the folder that the candidate's log admits, and the receiver votes if that is its own; an empty or swapped folder is named by nobody.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -17,7 +17,7 @@
     /// Asks the other voters whether an election could be won.
     pub(crate) fn start_election(&mut self, actions: &mut Vec<Action>) {
         self.defer_election();
-        if !self.may_vote() {
+        if !self.may_campaign() {
             return;
         }
         self.leader = None;
@@ -26,13 +26,15 @@
 
     /// Campaigns on the word of a leader that gave up its lease.
     pub(crate) fn campaign_at_once(&mut self, actions: &mut Vec<Action>) {
-        if !self.may_vote() || self.leading.is_some() {
+        if !self.may_campaign() || self.leading.is_some() {
             return;
         }
         self.campaign_in_next_term(Ballot::Transfer, actions);
     }
 
-    /// Answers a candidate whose last entry is `candidate`.
+    /// Answers a candidate whose last entry is `candidate` and whose log names this folder.
+    ///
+    /// This node's own log may not name it yet.
     pub(crate) fn vote(
         &mut self,
         from: Sender<'_>,
@@ -41,9 +43,6 @@
         candidate: (Term, LogIndex),
         actions: &mut Vec<Action>,
     ) {
-        if !self.may_vote() {
-            return;
-        }
         if ballot != Ballot::Transfer && self.hears_leader() {
             return;
         }
@@ -85,8 +84,8 @@
         self.finish_campaign(actions);
     }
 
-    /// Returns whether this node may vote and campaign from its folder.
-    pub(crate) fn may_vote(&self) -> bool {
+    /// Returns whether this node may campaign from its folder.
+    fn may_campaign(&self) -> bool {
         self.registration == Registration::Done && self.is_voter()
     }
 
@@ -116,9 +115,12 @@
         let granted_by = BTreeSet::from([self.cfg.host.clone()]);
         self.campaign = Some(Campaign { term, ballot, granted_by });
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
-        for host in self.other_voters() {
-            let body = Body::Vote { campaign: term, ballot, last_index, last_term };
-            self.send(&host, body, actions);
+        for (host, named) in &self.log.voters().folders {
+            let named = *named;
+            if *host != self.cfg.host {
+                let body = Body::Vote { campaign: term, ballot, named, last_index, last_term };
+                self.send(host, body, actions);
+            }
         }
         self.finish_campaign(actions);
     }
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -152,13 +152,14 @@
             return;
         }
         let changed_at = self.log.voters_index();
-        let left_office = self.commit < changed_at && changed_at <= held && !self.is_voter();
+        let voters_changed = self.commit < changed_at && changed_at <= held;
         self.commit = held;
         self.apply_committed(actions);
         self.answer_reads(actions);
-        if left_office {
+        if voters_changed {
             self.heartbeat(actions);
-            self.follow(self.hard.term, None, actions);
+            self.track_followers();
+            self.leave_office_if_removed(actions);
         }
     }
 
@@ -179,6 +180,9 @@
         let next = self.log.last_index().next();
         let mut followers = self.other_voters();
         followers.extend(self.learners.iter().cloned());
+        if let Some(old) = self.voters_before_change() {
+            followers.extend(old.folders.into_keys().filter(|host| *host != self.cfg.host));
+        }
         let Some(leading) = &mut self.leading else { return };
         leading.progress.retain(|host, _| followers.contains(host));
         for host in followers {
@@ -186,6 +190,12 @@
         }
     }
 
+    fn leave_office_if_removed(&mut self, actions: &mut Vec<Action>) {
+        if !self.is_voter() {
+            self.follow(self.hard.term, None, actions);
+        }
+    }
+
     fn hears_majority(&self) -> bool {
         let Some(leading) = &self.leading else { return false };
         let heard = self.majority_heard(self.now).unwrap_or_default().max(leading.elected_at);
@@ -196,10 +206,9 @@
         let held = |host: &HostId, folder| self.held_by(leading, host, folder);
         let agreed = self.log.voters().agreed(held);
         let changed_at = self.log.voters_index();
-        if changed_at <= self.commit || agreed < changed_at {
+        let Some(old) = self.voters_before_change().filter(|_| changed_at <= agreed) else {
             return agreed;
-        }
-        let old = self.log.voters_at(before(changed_at));
+        };
         let confirmed = old.folders.is_empty() || changed_at <= old.agreed(held);
         if confirmed { agreed } else { before(changed_at) }
     }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -21,8 +21,8 @@
 //!
 //! # Lost, swapped and older folders
 //!
-//! A voter is a host together with its folder. Votes and acknowledgements from another folder
-//! count for nothing until the voters are changed: remove the host, then add it with the new
+//! A voter is a host together with its folder. A node votes only if the candidate's log names its
+//! folder. Votes and acknowledgements from another folder count for nothing until the voters are changed: remove the host, then add it with the new
 //! folder. A change commits with a majority of the old voters and of the new ones.
 //!
 //! An older copy of the right folder is caught by registration. A voter that starts stays silent
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -35,6 +35,8 @@
         campaign: Term,
         /// How binding the vote is.
         ballot: Ballot,
+        /// The folder from which the candidate's log lets the receiver vote.
+        named: FolderId,
         /// The candidate's last entry.
         last_index: LogIndex,
         /// That entry's term.
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -12,7 +12,7 @@
     election::Campaign,
     follower::{Incoming, Part},
     leader::Leading,
-    log::Log,
+    log::{Log, before},
     message::Sender,
     registration,
 };
@@ -250,8 +250,11 @@
         if self.registration != Registration::Done {
             return;
         }
-        if let Body::Vote { campaign, ballot, last_index, last_term } = body {
+        if let Body::Vote { campaign, ballot, named, last_index, last_term } = body {
             let candidate = (last_term, last_index);
+            if named != self.folder {
+                return;
+            }
             return self.vote(sender, campaign, ballot, candidate, actions);
         }
         if term < self.hard.term {
@@ -323,6 +326,12 @@
         self.log.voters().admits(&self.cfg.host, self.folder)
     }
 
+    /// Returns the voters before the last change, until that is known to be committed.
+    pub(crate) fn voters_before_change(&self) -> Option<VoterSet> {
+        let changed_at = self.log.voters_index();
+        (self.commit < changed_at).then(|| self.log.voters_at(before(changed_at)))
+    }
+
     /// Returns the other voters' hosts.
     pub(crate) fn other_voters(&self) -> Vec<HostId> {
         let hosts = self.log.voters().folders.keys();
--- a/crates/quorum/src/registration.rs
+++ b/crates/quorum/src/registration.rs
@@ -53,7 +53,7 @@
         last_index: LogIndex,
         actions: &mut Vec<Action>,
     ) {
-        let admitted = self.log.voters().admits(from.host, from.folder);
+        let admitted = self.is_admitted(from.host, from.folder);
         if self.registration == Registration::Refused || !admitted {
             return;
         }
@@ -91,7 +91,7 @@
 
     /// Remembers that a voter's folder voted or acknowledged in `term`.
     pub(crate) fn note_promise(&mut self, from: Sender<'_>, term: Term, matched: LogIndex) {
-        if !self.log.voters().admits(from.host, from.folder) {
+        if !self.is_admitted(from.host, from.folder) {
             return;
         }
         let mut standing = self.standing(from.host, from.folder);
@@ -104,7 +104,7 @@
 
     pub(crate) fn merge_standings(&mut self, standings: &[(HostId, Standing)]) {
         for (host, heard) in standings {
-            if !self.log.voters().admits(host, heard.folder) || *host == self.cfg.host {
+            if !self.is_admitted(host, heard.folder) || *host == self.cfg.host {
                 continue;
             }
             let mut standing = self.standing(host, heard.folder);
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Returns whether a folder is a voter's, or was until a change that may not be committed.
+    fn is_admitted(&self, host: &HostId, folder: FolderId) -> bool {
+        self.log.voters().admits(host, folder)
+            || self.voters_before_change().is_some_and(|voters| voters.admits(host, folder))
+    }
+
     fn next_start(&self) -> StartCount {
         StartCount(self.hard.starts.0 + 1)
     }
