quorum: let a voter campaign until its removal is committed

Cause: random runs that mend all at their end found a leader that restarted while it left: its log was the longest, and it neither led nor let others lead. Change: such a voter campaigns, without counting its own vote.

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -85,8 +85,14 @@
     }
 
     /// Returns whether this node may campaign from its folder.
+    ///
+    /// A voter whose removal may not be committed may hold the only log that can win.
     fn may_campaign(&self) -> bool {
-        self.registration == Registration::Done && self.is_voter()
+        let leaving = || {
+            let voters = self.voters_before_change();
+            voters.is_some_and(|voters| voters.admits(&self.cfg.host, self.folder))
+        };
+        self.registration == Registration::Done && (self.is_voter() || leaving())
     }
 
     fn grant(&mut self, candidate: Sender<'_>, actions: &mut Vec<Action>) {
@@ -112,7 +118,8 @@
     }
 
     fn ask_votes(&mut self, term: Term, ballot: Ballot, actions: &mut Vec<Action>) {
-        let granted_by = BTreeSet::from([self.cfg.host.clone()]);
+        let own = self.is_voter().then(|| self.cfg.host.clone());
+        let granted_by = BTreeSet::from_iter(own);
         self.campaign = Some(Campaign { term, ballot, granted_by });
         let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
         for (host, named) in &self.log.voters().folders {
--- a/crates/quorum/tests/voters.rs
+++ b/crates/quorum/tests/voters.rs
@@ -136,3 +136,15 @@
     cluster.run(2000);
     assert!(cluster.leader().is_some_and(|i| cluster.status(i).voters_committed));
 }
+
+#[test]
+fn leader_that_restarts_while_it_leaves_finishes_the_change() {
+    let (mut cluster, leader) = Cluster::led(2, 0);
+    let other = cluster.other(&[leader]);
+    cluster.propose_voters(leader, without(&cluster, leader, leader));
+    cluster.drop_all();
+    cluster.restart(leader);
+    cluster.run(2000);
+    assert_eq!(cluster.leader(), Some(other));
+    assert_eq!(cluster.status(other).voters.folders.len(), 1);
+}
