--- a/crates/quorum/tests/messages.rs
+++ b/crates/quorum/tests/messages.rs
@@ -87,6 +87,15 @@
         self.node.status().commit.as_u64()
     }
 
+    /// Returns the term and vote that were written last.
+    fn written(&self) -> HardState {
+        let written = self.actions.iter().rev().find_map(|action| match action {
+            Action::Persist { hard_state, .. } => hard_state.clone(),
+            _ => None,
+        });
+        written.expect("a written term")
+    }
+
     fn sent(&self, wanted: &HostId) -> impl Iterator<Item = &Body> {
         self.actions.iter().filter_map(move |action| match action {
             Action::Send { to, message } if to == wanted => Some(&message.body),
@@ -196,3 +205,18 @@
         .collect();
     assert_eq!(replies, [true, true]);
 }
+
+#[test]
+fn vote_and_term_are_written() {
+    let mut bench = Bench::new(3, &[]);
+    bench.wait(700);
+    let (campaign, ballot, named) = (Term::new(5), Ballot::Vote, folder(0));
+    let (last_index, last_term) = (LogIndex::new(1), Term::new(1));
+    let vote = Body::Vote { campaign, ballot, named, last_index, last_term };
+    bench.receive(1, folder(1), vote);
+    let written = bench.written();
+    assert_eq!((written.term, written.voted_for), (campaign, Some(host(1))));
+    bench.receive_in(Term::new(7), StartCount(1), 2, folder(2), heartbeat(1, 1, 0));
+    let written = bench.written();
+    assert_eq!((written.term, written.voted_for), (Term::new(7), None));
+}
