--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -9,7 +9,14 @@
 //! [`Action::SaveSnapshot`] returned durable, in order, before it carries out any other action of
 //! those steps. If that fails it stops the node. Messages may be lost, doubled and reordered.
 //! The driver steps the node with [`Input::Tick`] several times a heartbeat, and reads the clock
-//! anew before it trusts [`Node::holds_lease`].
+//! anew before it trusts [`Node::holds_lease`]. The clock must go on while the host is suspended.
+//!
+//! # Changes of voters
+//!
+//! A host is taken in after the leader has sent it the log, as one of [`Input::Learners`]; its
+//! folder is then in [`Status::progress`]. [`Input::ProposeVoters`] adds or removes one voter. A
+//! host that was removed while it was away finds nobody who confirms its folder, and needs an empty
+//! one before it is added again.
 //!
 //! # Founding
 //!
@@ -31,8 +38,9 @@
 //! entry that it acknowledged then. They learn this from the votes, from the leader's heartbeats
 //! and from earlier registrations, and keep it with their vote. Not caught are: a copy taken since
 //! the last start that lacks only what the confirming voters had not heard of (the latest
-//! acknowledgements when the leader of that time is away), a copy taken before the folder became a
-//! voter, and older copies on a majority at once.
+//! acknowledgements when the leader of that time is away), a copy in which the folder is not a
+//! voter's yet, and older copies on a majority at once. One refusal keeps the node silent until
+//! its process ends.
 //!
 //! # Example
 //!
@@ -61,6 +69,7 @@
 //! ```
 
 mod action;
+mod config;
 mod election;
 mod follower;
 mod founding;
@@ -71,14 +80,17 @@
 mod progress;
 mod registration;
 mod replication;
+mod status;
 mod types;
 
 pub use crate::{
     action::{Action, Input, Refusal},
+    config::Config,
     message::{AppendOutcome, Ballot, Body, Founding, Message},
-    node::{Config, Node, Role, Status},
+    node::Node,
     progress::Progress,
     registration::Registration,
+    status::{Role, Status},
     types::{
         Entry, FolderId, HardState, Payload, ProposalId, ReadId, Restored, Snapshot, Standing,
         StartCount, VoterSet,
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -7,8 +7,8 @@
 use rand::{Rng, RngExt};
 
 use crate::{
-    Action, Body, Entry, FolderId, HardState, Input, Message, Progress, Refusal, Registration,
-    Restored, VoterSet,
+    Action, Body, Config, Entry, FolderId, HardState, Input, Message, Refusal, Registration,
+    Restored, Role, Status, VoterSet,
     election::Campaign,
     follower::{Incoming, Part},
     leader::Leading,
@@ -17,78 +17,6 @@
     registration,
 };
 
-/// A node's settings.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// This host.
-    pub host: HostId,
-    /// The hosts that found the log, the same list on each; the first writes the first entry.
-    pub founders: Vec<HostId>,
-    /// Shortest time without a leader before an election; each draw is up to twice as long.
-    pub election_timeout: Duration,
-    /// Time between a leader's heartbeats.
-    pub heartbeat: Duration,
-    /// How much two hosts' clocks may drift apart within an election timeout.
-    pub drift_margin: Duration,
-    /// Size of a batch of entries, in bytes; a larger entry travels alone.
-    pub max_batch: usize,
-    /// Size of a part of a snapshot, in bytes.
-    pub max_chunk: usize,
-}
-
-impl Config {
-    /// Creates the settings of `host`, which founds no log.
-    pub fn new(host: HostId) -> Self {
-        Self {
-            host,
-            founders: Vec::new(),
-            election_timeout: Duration::from_millis(300),
-            heartbeat: Duration::from_millis(60),
-            drift_margin: Duration::from_millis(30),
-            max_batch: 256 << 10,
-            max_chunk: 256 << 10,
-        }
-    }
-}
-
-/// What a node does in its term.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// Follows a leader, or waits for one.
-    Follower,
-    /// Asks for votes.
-    Candidate,
-    /// Writes the log.
-    Leader,
-}
-
-/// A node's state as operators see it.
-#[derive(Clone, Debug)]
-pub struct Status {
-    /// The term.
-    pub term: Term,
-    /// The role in it.
-    pub role: Role,
-    /// The leader, if known.
-    pub leader: Option<HostId>,
-    /// The last entry known to be committed.
-    pub commit: LogIndex,
-    /// The last entry handed out to be applied.
-    pub applied: LogIndex,
-    /// The last entry of the log.
-    pub last: LogIndex,
-    /// The last entry that the snapshot covers.
-    pub snapshot: LogIndex,
-    /// The voters after the last entry.
-    pub voters: VoterSet,
-    /// Whether the last change of voters is committed.
-    pub voters_committed: bool,
-    /// Whether this node may vote from its folder.
-    pub registration: Registration,
-    /// What a leader knows of each voter and learner.
-    pub progress: BTreeMap<HostId, Progress>,
-}
-
 /// A voter's or follower's part in the replicated log.
 #[derive(Debug)]
 pub struct Node<R> {
--- a/crates/quorum/tests/main.rs
+++ b/crates/quorum/tests/main.rs
@@ -7,6 +7,7 @@
 mod lost_disk;
 mod messages;
 mod model;
+mod regression;
 mod replication;
 mod snapshot;
 mod voters;
--- /dev/null
+++ b/crates/quorum/tests/regression/leader_restarts_while_adding.rs
@@ -0,0 +1,17 @@
+//! A voter whose own log did not name it yet ignored the candidate that needed it.
+
+use crate::{
+    cluster::Cluster,
+    voters::{follow, with},
+};
+
+#[test]
+fn leader_that_restarts_while_it_takes_in_a_second_voter_leads_again() {
+    let (mut cluster, leader) = Cluster::led(1, 1);
+    follow(&mut cluster, leader, 1);
+    cluster.propose_voters(leader, with(&cluster, leader, 1));
+    cluster.drop_all();
+    cluster.restart(leader);
+    cluster.run(2000);
+    assert!(cluster.leader().is_some_and(|i| cluster.status(i).voters_committed));
+}
