route: test the load's spread and a restart of all routers

Cause: the trace compared hit rate and p99 only. Change: the trace counts requests at the busiest engine and can restart all routers at once. Conclusion: placement by rank carries a restart.

--- a/crates/route/tests/trace.rs
+++ b/crates/route/tests/trace.rs
@@ -105,17 +105,29 @@
     Chain::of(salt, BlockBytes::new(8).unwrap(), &text)
 }
 
-/// Hit rate and the 99th percentile of the time to first token, in seconds.
-fn trace(kind: PolicyKind, rate: f64, seed: u64) -> (f64, f64) {
+/// Results of a trace.
+struct Outcome {
+    hit_rate: f64,
+    /// The 99th percentile of the time to first token, in seconds.
+    p99: f64,
+    /// Requests at the busiest engine against the mean.
+    spread: f64,
+}
+
+/// Runs 30 seconds of load; all routers restart after `restart` seconds.
+fn trace(kind: PolicyKind, rate: f64, seed: u64, restart: f64) -> Outcome {
     let ids: Vec<EndpointId> = (0..ENGINES).map(|n| format!("e{n}").parse().unwrap()).collect();
     let mut engines: Vec<_> = (0..ENGINES).map(|_| Engine::default()).collect();
     let mut routers: Vec<_> = (0..ROUTERS).map(|_| router(kind, &ids)).collect();
     let (mut load_rng, mut rng) = (Pcg64Mcg::seed_from_u64(seed), Pcg64Mcg::seed_from_u64(!seed));
     let (mut now, mut cached, mut all, mut ttft) = (0.0, 0, 0, Vec::new());
-    let mut warmth = Warmth::default();
+    let (mut warmth, mut served) = (Warmth::default(), [0; ENGINES]);
     for n in 0..(rate * 30.0) as usize {
         now -= (1.0 - load_rng.random::<f64>()).ln() / rate;
         let chain = prompt(now, n, &mut load_rng);
+        if n == (rate * restart) as usize {
+            routers = (0..ROUTERS).map(|_| router(kind, &ids)).collect();
+        }
         let router = &mut routers[load_rng.random_range(0..ROUTERS)];
         let time = MonotonicTime::new(Duration::from_secs_f64(now));
         let home = chain.at_level(HOME_LEVEL).unwrap();
@@ -145,24 +157,41 @@
         let believed = warmth.blocks(router.slots[e]);
         router.index.learn_answer(time, router.slots[e], &chain, believed, hits);
         router.own[e].push((now + wait, now + wait + DECODE, blocks - believed));
+        served[e] += 1;
         (cached, all) = (cached + hits, all + blocks);
         ttft.push(wait + candidates[e].round_trip.as_secs_f64());
     }
     ttft.sort_by(f64::total_cmp);
-    (cached as f64 / all as f64, ttft[ttft.len() * 99 / 100])
+    Outcome {
+        hit_rate: cached as f64 / all as f64,
+        p99: ttft[ttft.len() * 99 / 100],
+        spread: f64::from(*served.iter().max().unwrap()) * ENGINES as f64 / ttft.len() as f64,
+    }
+}
+
+fn mean_of_seeds(kind: PolicyKind, restart: f64) -> Outcome {
+    let runs = [1, 2, 3].map(|seed| trace(kind, 150.0, seed, restart));
+    let mean = |f: fn(&Outcome) -> f64| runs.iter().map(f).sum::<f64>() / 3.0;
+    let (hit_rate, p99, spread) = (mean(|o| o.hit_rate), mean(|o| o.p99), mean(|o| o.spread));
+    println!("{kind:16} hit rate {hit_rate:.3}, p99 {p99:.3} s, spread {spread:.2}");
+    Outcome { hit_rate, p99, spread }
 }
 
+const NEVER: f64 = 99.0;
+
 #[test]
 fn warm_beats_the_baselines() {
-    let mean = |kind| {
-        let runs = [1, 2, 3].map(|seed| trace(kind, 150.0, seed));
-        let mean = |f: fn(&(f64, f64)) -> f64| runs.iter().map(f).sum::<f64>() / 3.0;
-        let (hits, p99) = (mean(|run| run.0), mean(|run| run.1));
-        println!("{kind:16} hit rate {hits:.3}, p99 {p99:.3} s");
-        (hits, p99)
-    };
-    let [round_robin, least, hash, warm_v1, warm] = PolicyKind::ALL.map(mean);
-    assert!([round_robin, least, warm_v1].iter().all(|other| other.0 < warm.0));
-    assert!([round_robin, least, hash, warm_v1].iter().all(|other| warm.1 < other.1));
-    assert!(hash.0 * 0.95 < warm.0);
+    let [round_robin, least, hash, warm_v1, warm] =
+        PolicyKind::ALL.map(|kind| mean_of_seeds(kind, NEVER));
+    assert!([&round_robin, &least, &warm_v1].iter().all(|other| other.hit_rate < warm.hit_rate));
+    assert!([&round_robin, &least, &hash, &warm_v1].iter().all(|other| warm.p99 < other.p99));
+    assert!(hash.hit_rate * 0.95 < warm.hit_rate);
+    assert!(warm.spread < hash.spread);
+}
+
+#[test]
+fn restarted_routers_route_as_before() {
+    let before = mean_of_seeds(PolicyKind::Warm, NEVER);
+    let restarted = mean_of_seeds(PolicyKind::Warm, 15.0);
+    assert!(before.hit_rate - 0.01 < restarted.hit_rate);
 }
