route: refuse waiting requests early once their share shrinks

Ruled out: counting every known organisation into the share on arrival (refuses requests that would have been served). Change: tick refuses the last of a queue while they would wait 1.5 times as long as their deadline allows; a first hold time bounds queues before any request has ended.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -16,11 +16,18 @@
     pub max_waiting: usize,
     /// Weight of an organisation that was given none.
     pub default_weight: u32,
+    /// How long a request is taken to hold its place until one has ended.
+    pub first_hold_time: Duration,
 }
 
 impl Default for AdmissionSettings {
     fn default() -> Self {
-        Self { capacity: 64, max_waiting: 1_024, default_weight: 1 }
+        Self {
+            capacity: 64,
+            max_waiting: 1_024,
+            default_weight: 1,
+            first_hold_time: Duration::from_millis(100),
+        }
     }
 }
 
@@ -30,7 +37,7 @@
 /// that was charged the least for its weight goes first (start-time fair queueing), so that none
 /// is starved and no capacity lies idle. Within an organisation the lower priority number goes
 /// first, then the earlier arrival. A request that would wait beyond its deadline is refused on
-/// arrival.
+/// arrival, or later once its organisation's share has shrunk.
 #[derive(Clone, Debug)]
 pub struct Admission {
     settings: AdmissionSettings,
@@ -59,6 +66,10 @@
 /// Part of the average that one request makes up.
 const HOLD_TIME_PARTS: u32 = 16;
 
+/// Factor by which the estimated wait exceeds the time to the deadline before a request that
+/// already waits is refused.
+const HOPELESS_FACTOR: f64 = 1.5;
+
 impl Admission {
     /// Creates an admission with nothing under way.
     pub fn new(settings: AdmissionSettings) -> Self {
@@ -120,7 +131,8 @@
         self.dequeue(ticket);
     }
 
-    /// Refuses requests whose deadline passed, and starts those for which there is room.
+    /// Refuses requests whose deadline passed or can no longer be met, and starts those for which
+    /// there is room.
     pub fn tick(&mut self, now: MonotonicTime) -> Vec<Action> {
         let mut actions = Vec::new();
         while let Some(&(deadline, ticket)) = self.deadlines.first()
@@ -131,6 +143,9 @@
             let refusal = self.refusal(RefusalReason::DeadlinePassed, retry_after);
             actions.push(Action::Refuse(ticket, refusal));
         }
+        for organisation in self.shares.queued_organisations() {
+            self.refuse_hopeless(now, &organisation, &mut actions);
+        }
         self.shares.forget_idle();
         actions.extend(self.start_waiting(now));
         actions
@@ -175,22 +190,46 @@
         Ok(())
     }
 
+    /// Refuses the organisation's last requests while they would wait far beyond their deadline.
+    fn refuse_hopeless(
+        &mut self,
+        now: MonotonicTime,
+        organisation: &OrganisationId,
+        actions: &mut Vec<Action>,
+    ) {
+        while let Some(ticket) = self.shares.last_of(organisation)
+            && let Some(waiting) = self.waiting.get(&ticket)
+        {
+            let patience = waiting.deadline.saturating_since(now);
+            let wait = self.estimate_wait(organisation, self.shares.queued(organisation) - 1);
+            if wait.as_secs_f64() <= patience.as_secs_f64() * HOPELESS_FACTOR {
+                return;
+            }
+            self.dequeue(ticket);
+            let refusal = self.refusal(RefusalReason::Overloaded, wait.saturating_sub(patience));
+            actions.push(Action::Refuse(ticket, refusal));
+        }
+    }
+
     /// Estimates how long a request with `ahead` others of its organisation before it waits.
     fn estimate_wait(&self, organisation: &OrganisationId, ahead: usize) -> Duration {
-        let Some(hold_time) = self.hold_time else { return Duration::ZERO };
         let capacity = f64::from(self.settings.capacity.max(1));
         let share = self.shares.share_of(organisation);
-        let wait = hold_time.as_secs_f64() * (ahead + 1) as f64 / (capacity * share);
+        let wait = self.hold_time().as_secs_f64() * (ahead + 1) as f64 / (capacity * share);
         Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
     }
 
+    fn hold_time(&self) -> Duration {
+        self.hold_time.unwrap_or(self.settings.first_hold_time)
+    }
+
     fn wait_of(&self, ticket: Ticket) -> Duration {
         let Some(waiting) = self.waiting.get(&ticket) else { return Duration::ZERO };
         self.estimate_wait(&waiting.organisation, 0)
     }
 
     fn refusal(&self, reason: RefusalReason, retry_after: Duration) -> Refusal {
-        let least = self.hold_time.unwrap_or_default() / self.settings.capacity.max(1);
+        let least = self.hold_time() / self.settings.capacity.max(1);
         Refusal { reason, retry_after: retry_after.max(least) }
     }
 
--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -67,6 +67,17 @@
         Some(*ticket)
     }
 
+    /// Returns the ticket that goes last among the organisation's.
+    pub(crate) fn last_of(&self, organisation: &OrganisationId) -> Option<Ticket> {
+        let (_, ticket) = self.active.get(organisation)?.queue.last()?;
+        Some(*ticket)
+    }
+
+    /// Returns the organisations with a queue.
+    pub(crate) fn queued_organisations(&self) -> Vec<OrganisationId> {
+        self.queued.iter().map(|(_, organisation)| organisation.clone()).collect()
+    }
+
     pub(crate) fn push(
         &mut self,
         organisation: &OrganisationId,
--- a/crates/route/tests/admission.rs
+++ b/crates/route/tests/admission.rs
@@ -27,7 +27,8 @@
 }
 
 fn admission(capacity: u32) -> Admission {
-    Admission::new(AdmissionSettings { capacity, ..AdmissionSettings::default() })
+    let first_hold_time = Duration::ZERO;
+    Admission::new(AdmissionSettings { capacity, first_hold_time, ..AdmissionSettings::default() })
 }
 
 fn run(decision: Decision) -> Ticket {
@@ -54,6 +55,8 @@
     owners: HashMap<Ticket, usize>,
     ends: Vec<(u64, Ticket)>,
     ran: Vec<u64>,
+    /// Requests that waited in vain until their deadline.
+    late: u64,
     max_running: usize,
 }
 
@@ -61,7 +64,15 @@
     fn new(rates: &[u64]) -> Self {
         let ran = vec![0; rates.len()];
         let (owners, ends) = (HashMap::new(), Vec::new());
-        Self { admission: admission(8), rates: rates.to_vec(), owners, ends, ran, max_running: 0 }
+        Self {
+            admission: admission(8),
+            rates: rates.to_vec(),
+            owners,
+            ends,
+            ran,
+            late: 0,
+            max_running: 0,
+        }
     }
 
     /// Runs for `seconds` and returns the requests that ran, for each organisation.
@@ -80,6 +91,7 @@
             self.max_running = self.max_running.max(self.admission.running());
         }
         assert!(self.max_running <= 8);
+        assert!(self.late * 50 <= self.ran.iter().sum(), "{} refused late", self.late);
         self.ran
     }
 
@@ -100,7 +112,13 @@
 
     fn apply(&mut self, now: u64, actions: Vec<Action>) {
         for action in actions {
-            let Action::Run(ticket) = action else { continue };
+            let ticket = match action {
+                Action::Run(ticket) => ticket,
+                Action::Refuse(_, refusal) => {
+                    self.late += u64::from(refusal.reason == RefusalReason::DeadlinePassed);
+                    continue;
+                }
+            };
             let owner = self.owners.remove(&ticket).unwrap();
             self.start(now, owner, ticket);
         }
@@ -196,9 +214,35 @@
     assert!(Duration::from_millis(500) <= refusal.retry_after);
 }
 
+#[test]
+fn request_without_a_deadline_waits() {
+    let mut admission = admission(1);
+    run(admission.admit(at(0), arrival(0, 60_000)));
+    let deadline = MonotonicTime::new(Duration::MAX);
+    wait(admission.admit(at(0), Arrival { deadline, ..arrival(0, 0) }));
+    assert_eq!(admission.tick(at(1)), []);
+}
+
+#[test]
+fn queue_that_outgrew_its_share_is_refused_before_the_deadline() {
+    let mut admission = admission(1);
+    let first = run(admission.admit(at(0), arrival(0, 60_000)));
+    admission.release(at(100), first);
+    run(admission.admit(at(100), arrival(0, 60_000)));
+    for _ in 0..9 {
+        wait(admission.admit(at(100), arrival(0, 1_100)));
+    }
+    assert_eq!(admission.tick(at(101)), []);
+    wait(admission.admit(at(101), arrival(1, 60_000)));
+    let actions = admission.tick(at(102));
+    let is_early = |action: &Action| matches!(action, Action::Refuse(_, refusal) if refusal.reason == RefusalReason::Overloaded);
+    assert_eq!(actions.iter().filter(|action| is_early(action)).count(), 2);
+}
+
 #[test]
 fn queue_of_an_organisation_is_bounded() {
-    let settings = AdmissionSettings { capacity: 1, max_waiting: 1, default_weight: 1 };
+    let settings =
+        AdmissionSettings { capacity: 1, max_waiting: 1, ..AdmissionSettings::default() };
     let mut admission = Admission::new(settings);
     run(admission.admit(at(0), arrival(0, 60_000)));
     wait(admission.admit(at(0), arrival(0, 60_000)));
