route: explain the parts of a score

Cause: an operator who asks why an endpoint was chosen saw no reason. Change: Warm::explain returns an Estimate a candidate, from which the choice is made as well.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -23,6 +23,7 @@
 mod admission;
 mod baseline;
 mod capacity;
+mod estimate;
 mod hedge;
 mod kind;
 mod outlier;
@@ -38,6 +39,7 @@
     admission::{Admission, AdmissionSettings},
     baseline::{Hash, LeastInFlight, RoundRobin},
     capacity::{Capacity, CapacitySettings},
+    estimate::Estimate,
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
     kind::{AnyPolicy, PolicyKind},
     outlier::{Outcome, OutlierSettings, Outliers, Standing, StandingChange},
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -1,9 +1,9 @@
-use std::time::Duration;
+use std::{mem, time::Duration};
 
 use base::TokenRate;
 use rand::{Rng, RngExt as _};
 
-use crate::{Candidate, Policy, Request};
+use crate::{Candidate, Estimate, Policy, Request};
 
 /// What the score of [`Warm`] counts, and how much.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -71,6 +71,29 @@
         Self { settings, ..Self::default() }
     }
 
+    /// Returns the parts of each candidate's score, for an operator who asks why one was chosen.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use base::TokenCount;
+    /// use route::{Candidate, Request, Warm};
+    ///
+    /// let req = Request { prompt_tokens: TokenCount::new(1_000), homes: 1 };
+    /// let home = Candidate { rank: 9, ..Candidate::default() };
+    /// let warm = Candidate { warm_tokens: TokenCount::new(900), ..Candidate::default() };
+    /// let [home, warm] = Warm::default().explain(&req, &[home, warm])[..] else { panic!() };
+    /// assert!(warm.total() < home.total());
+    /// assert_eq!(
+    ///     home.to_string(),
+    ///     "50.0 ms (compute 50.0, away from home 0.0, wait 0.0, round trip 0.0)"
+    /// );
+    /// ```
+    pub fn explain(&mut self, req: &Request, candidates: &[Candidate]) -> Vec<Estimate> {
+        self.estimate_loads(candidates);
+        self.estimates(req, candidates).collect()
+    }
+
     /// Estimates the load of each candidate from own work and aged reports.
     fn estimate_loads(&mut self, candidates: &[Candidate]) {
         let half_life = self.settings.report_half_life.as_secs_f64().max(f64::MIN_POSITIVE);
@@ -102,22 +125,28 @@
         homes
     }
 
-    /// Estimates the time to first token at each candidate, in weighted seconds.
-    fn score(&mut self, req: &Request, candidates: &[Candidate], homes: &Homes) {
+    /// Estimates the time to first token at each candidate.
+    fn estimates<'a>(
+        &'a self,
+        req: &Request,
+        candidates: &'a [Candidate],
+    ) -> impl Iterator<Item = Estimate> + 'a {
         let settings = &self.settings;
+        let homes = self.find_homes(req, candidates);
         let token_time = 1.0 / (settings.prefill_rate.as_u64() as f64).max(1.0);
         let request_time = settings.request_time.as_secs_f64();
         let prompt = req.prompt_tokens.as_u64();
-        let scores = candidates.iter().zip(&self.loads).map(|(candidate, load)| {
+        candidates.iter().zip(&self.loads).map(move |(candidate, load)| {
             let cold = prompt.saturating_sub(candidate.warm_tokens.as_u64()) as f64;
-            let away = settings.away * homes.distance(candidate.rank);
+            let compute = cold * token_time;
             let wait = load.prefill_tokens * token_time + load.requests * request_time;
-            cold * token_time * (settings.warmth + away)
-                + wait * settings.wait
-                + seconds(candidate.round_trip)
-        });
-        self.scores.clear();
-        self.scores.extend(scores);
+            Estimate {
+                compute: compute * settings.warmth,
+                away: compute * settings.away * homes.distance(candidate.rank),
+                wait: wait * settings.wait,
+                round_trip: seconds(candidate.round_trip),
+            }
+        })
     }
 }
 
@@ -129,8 +158,10 @@
         rng: &mut R,
     ) -> Option<usize> {
         self.estimate_loads(candidates);
-        let homes = self.find_homes(req, candidates);
-        self.score(req, candidates, &homes);
+        let mut scores = mem::take(&mut self.scores);
+        scores.clear();
+        scores.extend(self.estimates(req, candidates).map(|estimate| estimate.total()));
+        self.scores = scores;
         choose_among_least(&self.scores, self.settings.margin, rng)
     }
 }
