route, prefix: keep found faults as regression tests; time cache events

Cause: two faults found while building had their tests among the themes; the cost of following an engine's events was unknown. Change: tests/regression/ holds one module a fault; the example times a stored block.

--- /dev/null
+++ b/crates/prefix/tests/regression/dead_incarnation.rs
@@ -0,0 +1,18 @@
+use base::{Incarnation, MonotonicTime};
+use prefix::{BlockBytes, Chain, IndexSettings, Salt, WarmIndex, Warmth};
+
+#[test]
+fn late_answer_of_a_dead_incarnation_teaches_nothing() {
+    let (id, model) = ("x".parse().unwrap(), "m".parse().unwrap());
+    let salt = Salt::new(&id, &model, &"v1".parse().unwrap(), None);
+    let chain = Chain::of(salt, BlockBytes::new(4).unwrap(), b"house style");
+    let endpoint = "e1".parse().unwrap();
+    let mut index = WarmIndex::new(IndexSettings::default());
+    let dead = index.bind(&endpoint, Incarnation::new(1)).unwrap();
+    let live = index.bind(&endpoint, Incarnation::new(2)).unwrap();
+    index.learn_sent(MonotonicTime::ZERO, dead, &chain);
+    index.learn_answer(MonotonicTime::ZERO, dead, &chain, 0, 2);
+    let mut warmth = Warmth::default();
+    index.warm_blocks(MonotonicTime::ZERO, &chain, &mut warmth);
+    assert_eq!(warmth.blocks(live), 0);
+}
--- a/crates/route/examples/decision_cost.rs
+++ b/crates/route/examples/decision_cost.rs
@@ -1,9 +1,11 @@
-//! Times one routing decision at the size to design for: 1,800 endpoints that serve 7 models.
+//! Times one routing decision, and one block of a cache event, at the size to design for: 1,800 endpoints that serve 7 models.
 
 use std::time::{Duration, Instant};
 
-use base::{ByteCount, EndpointId, Incarnation, MonotonicTime, TokenCount};
-use prefix::{BlockBytes, Chain, IndexSettings, Salt, Slot, WarmIndex, Warmth, rank};
+use base::{ByteCount, EndpointId, Incarnation, MonotonicTime, Sequence, TokenCount};
+use prefix::{
+    BlockBytes, BlockHash, CacheEvent, Chain, IndexSettings, Salt, Slot, WarmIndex, Warmth, rank,
+};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use route::{Candidate, Policy as _, Request, Warm};
@@ -31,6 +33,40 @@
         print_times("choice", parts.iter().map(|parts| parts.choose));
         print_times("all", parts.iter().map(|parts| parts.walk + parts.rank + parts.choose));
     }
+    println!("one stored block of a cache event: mean {:?}", event_time());
+}
+
+/// Returns the mean time to apply one stored block to a full index.
+fn event_time() -> Duration {
+    const EVENTS: u64 = 100_000;
+    const EVENT_BLOCKS: u64 = 16;
+    let mut index = WarmIndex::new(IndexSettings::default());
+    let life = Incarnation::new(1);
+    let slots: Vec<Slot> = (0..ENDPOINTS)
+        .map(|n| {
+            let id = format!("engine-{n}").parse().expect("a valid id");
+            index.bind(&id, life).expect("a free slot")
+        })
+        .collect();
+    let mut rng = Pcg64Mcg::seed_from_u64(8);
+    let mut apply = |n: u64| {
+        let slot = slots[n as usize % ENDPOINTS];
+        let blocks = (0..EVENT_BLOCKS).map(|_| BlockHash::new(rng.random())).collect();
+        let event = CacheEvent::Stored(blocks);
+        let start = Instant::now();
+        index.apply(MonotonicTime::from_millis(n), slot, life, Sequence::new(n), &event);
+        start.elapsed()
+    };
+    let fill = index_capacity() / EVENT_BLOCKS + 1;
+    for n in 0..fill {
+        apply(n);
+    }
+    let total: Duration = (fill..fill + EVENTS).map(&mut apply).sum();
+    total / (EVENTS * EVENT_BLOCKS) as u32
+}
+
+fn index_capacity() -> u64 {
+    IndexSettings::default().memory.as_u64() / WarmIndex::HOLDING_BYTES as u64
 }
 
 fn print_times(name: &str, times: impl Iterator<Item = Duration>) {
--- a/crates/route/src/kind.rs
+++ b/crates/route/src/kind.rs
@@ -14,7 +14,7 @@
     RoundRobin,
     /// [`LeastInFlight`].
     LeastInFlight,
-    /// [`Hash`].
+    /// [`Hash`](struct@Hash).
     Hash,
     /// [`WarmV1`].
     WarmV1,
