route: add settings that favour hits

Cause: the two deployments weigh hit rate and tail time differently. Change: WarmSettings::favouring_hits waits longer and keeps closer to home.

--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -45,6 +45,16 @@
     }
 }
 
+impl WarmSettings {
+    /// Returns settings that accept a longer wait for a higher hit rate.
+    ///
+    /// They suit long prompts whose recomputation delays everybody behind; the default suits
+    /// callers that wait for each answer.
+    pub fn favouring_hits() -> Self {
+        Self { wait: 0.4, away: 3.0, ..Self::default() }
+    }
+}
+
 /// Takes the least estimated time to first token, and a random one among equals.
 ///
 /// The estimate adds, in seconds, the time to compute the tokens that are not warm, the wait behind
--- a/crates/route/tests/policies.rs
+++ b/crates/route/tests/policies.rs
@@ -113,6 +113,18 @@
     assert_eq!(chosen(Some(0)).count() + chosen(Some(3)).count(), 0);
 }
 
+#[test]
+fn settings_that_favour_hits_wait_longer_for_the_warm() {
+    let busy = with(|c| {
+        c[0].warm_tokens = tokens(2_000);
+        c[0].own_prefill_tokens = tokens(3_500);
+    });
+    let choose =
+        |settings| Warm::new(settings).choose(&request(), &busy, &mut Pcg64Mcg::seed_from_u64(1));
+    assert_eq!(choose(WarmSettings::default()), Some(2));
+    assert_eq!(choose(WarmSettings::favouring_hits()), Some(0));
+}
+
 #[test]
 fn one_stale_low_report_draws_no_herd() {
     const ROUTERS: u64 = 8;
