--- a/crates/route/tests/trace.rs
+++ b/crates/route/tests/trace.rs
@@ -7,8 +7,8 @@
 
 use base::{EndpointId, Incarnation, MonotonicTime, TokenCount, TokenRate};
 use prefix::{
-    BlockBytes, BlockHash, Chain, HotPrefixes, IndexSettings, Replication, Salt, Slot, WarmIndex,
-    Warmth, rank,
+    BlockBytes, BlockHash, Chain, HotPrefixes, IndexSettings, Replication, Salt, WarmIndex, Warmth,
+    rank,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -72,7 +72,6 @@
 
 struct Router {
     index: WarmIndex,
-    slots: Vec<Slot>,
     hot: HotPrefixes,
     policy: AnyPolicy,
     /// End of prefill, end of the answer and cold blocks of own requests, for each engine.
@@ -81,11 +80,11 @@
 
 fn router(kind: PolicyKind, ids: &[EndpointId]) -> Router {
     let mut index = WarmIndex::new(IndexSettings::default());
-    let slots = ids.iter().map(|id| index.bind(id, Incarnation::new(1)).unwrap()).collect();
+    ids.iter().for_each(|id| assert!(index.bind(id, Incarnation::new(1)).is_some()));
     let rate = TokenRate::new(PREFILL_RATE);
     let settings = WarmSettings { prefill_rate: rate, ..WarmSettings::default() };
     let hot = HotPrefixes::new(1_024, Duration::from_secs(5));
-    Router { index, slots, hot, policy: AnyPolicy::new(kind, settings), own: vec![vec![]; ENGINES] }
+    Router { index, hot, policy: AnyPolicy::new(kind, settings), own: vec![vec![]; ENGINES] }
 }
 
 /// Draws a prompt: organisation, school and page, each with a few that are hot for five seconds.
@@ -93,29 +92,40 @@
     let mut skewed = |count: usize| (rng.random::<f64>().powi(3) * count as f64) as usize;
     let shift = (now / 5.0) as usize * 7;
     let (org, school, page) = (skewed(8), (skewed(12) + shift) % 12, (skewed(30) + shift) % 30);
-    let levels =
-        [(16, vec![org]), (16, vec![org, school]), (8, vec![org, school, page]), (2, vec![n])];
+    let school = org * 12 + school;
+    let shared = [(16, org), (16, 100 + school), (8, 1_000 + school * 30 + page)];
     let mut text = Vec::new();
-    for (blocks, ids) in levels {
-        let id = ids.iter().fold(blocks as u64, |id, &n| id * 100_003 + n as u64);
-        text.extend((0..blocks).flat_map(|block| (id * 64 + block as u64).to_le_bytes()));
+    for (blocks, id) in shared.into_iter().chain([(2, 10_000 + n)]) {
+        text.extend((0..blocks).flat_map(|block| (id * 64 + block).to_le_bytes()));
     }
     let salt =
         Salt::new(&"x".parse().unwrap(), &"m".parse().unwrap(), &"v1".parse().unwrap(), None);
     Chain::of(salt, BlockBytes::new(8).unwrap(), &text)
 }
 
-/// Hit rate and the 99th percentile of the time to first token, in seconds.
-fn trace(kind: PolicyKind, rate: f64, seed: u64) -> (f64, f64) {
+/// Results of a trace.
+struct Outcome {
+    hit_rate: f64,
+    /// The 99th percentile of the time to first token, in seconds.
+    p99: f64,
+    /// Requests at the busiest engine against the mean.
+    spread: f64,
+}
+
+/// Runs 30 seconds of load; all routers restart after `restart` seconds.
+fn trace(kind: PolicyKind, rate: f64, seed: u64, restart: f64) -> Outcome {
     let ids: Vec<EndpointId> = (0..ENGINES).map(|n| format!("e{n}").parse().unwrap()).collect();
     let mut engines: Vec<_> = (0..ENGINES).map(|_| Engine::default()).collect();
     let mut routers: Vec<_> = (0..ROUTERS).map(|_| router(kind, &ids)).collect();
     let (mut load_rng, mut rng) = (Pcg64Mcg::seed_from_u64(seed), Pcg64Mcg::seed_from_u64(!seed));
     let (mut now, mut cached, mut all, mut ttft) = (0.0, 0, 0, Vec::new());
-    let mut warmth = Warmth::default();
+    let (mut warmth, mut served) = (Warmth::default(), [0; ENGINES]);
     for n in 0..(rate * 30.0) as usize {
         now -= (1.0 - load_rng.random::<f64>()).ln() / rate;
         let chain = prompt(now, n, &mut load_rng);
+        if n == (rate * restart) as usize {
+            routers = (0..ROUTERS).map(|_| router(kind, &ids)).collect();
+        }
         let router = &mut routers[load_rng.random_range(0..ROUTERS)];
         let time = MonotonicTime::new(Duration::from_secs_f64(now));
         let home = chain.at_level(HOME_LEVEL).unwrap();
@@ -128,7 +138,7 @@
                 let queued = router.own[e].iter().filter(|own| now < own.0).map(|own| own.2).sum();
                 Candidate {
                     rank: rank(home, &ids[e]),
-                    warm_tokens: tokens(warmth.blocks(router.slots[e])),
+                    warm_tokens: tokens(warmth.blocks(router.index.slot(&ids[e]).unwrap())),
                     in_flight: router.own[e].len() as u32,
                     own_prefill_tokens: tokens(queued),
                     reported_requests: requests,
@@ -142,27 +152,45 @@
         let req = Request { prompt_tokens: tokens(blocks), homes };
         let e = router.policy.choose(&req, &candidates, &mut rng).unwrap();
         let (hits, wait) = engines[e].run(now, &chain);
-        let believed = warmth.blocks(router.slots[e]);
-        router.index.learn_answer(time, router.slots[e], &chain, believed, hits);
+        let slot = router.index.slot(&ids[e]).unwrap();
+        let believed = warmth.blocks(slot);
+        router.index.learn_answer(time, slot, &chain, believed, hits);
         router.own[e].push((now + wait, now + wait + DECODE, blocks - believed));
+        served[e] += 1;
         (cached, all) = (cached + hits, all + blocks);
         ttft.push(wait + candidates[e].round_trip.as_secs_f64());
     }
     ttft.sort_by(f64::total_cmp);
-    (cached as f64 / all as f64, ttft[ttft.len() * 99 / 100])
+    Outcome {
+        hit_rate: cached as f64 / all as f64,
+        p99: ttft[ttft.len() * 99 / 100],
+        spread: f64::from(*served.iter().max().unwrap()) * ENGINES as f64 / ttft.len() as f64,
+    }
+}
+
+fn mean_of_seeds(kind: PolicyKind, restart: f64) -> Outcome {
+    let runs = [1, 2, 3].map(|seed| trace(kind, 150.0, seed, restart));
+    let mean = |f: fn(&Outcome) -> f64| runs.iter().map(f).sum::<f64>() / 3.0;
+    let (hit_rate, p99, spread) = (mean(|o| o.hit_rate), mean(|o| o.p99), mean(|o| o.spread));
+    println!("{kind:16} hit rate {hit_rate:.3}, p99 {p99:.3} s, spread {spread:.2}");
+    Outcome { hit_rate, p99, spread }
 }
 
+const NEVER: f64 = 99.0;
+
 #[test]
 fn warm_beats_the_baselines() {
-    let mean = |kind| {
-        let runs = [1, 2, 3].map(|seed| trace(kind, 150.0, seed));
-        let mean = |f: fn(&(f64, f64)) -> f64| runs.iter().map(f).sum::<f64>() / 3.0;
-        let (hits, p99) = (mean(|run| run.0), mean(|run| run.1));
-        println!("{kind:16} hit rate {hits:.3}, p99 {p99:.3} s");
-        (hits, p99)
-    };
-    let [round_robin, least, hash, warm_v1, warm] = PolicyKind::ALL.map(mean);
-    assert!([round_robin, least, warm_v1].iter().all(|other| other.0 < warm.0));
-    assert!([round_robin, least, hash, warm_v1].iter().all(|other| warm.1 < other.1));
-    assert!(hash.0 * 0.95 < warm.0);
+    let [round_robin, least, hash, warm_v1, warm] =
+        PolicyKind::ALL.map(|kind| mean_of_seeds(kind, NEVER));
+    assert!([&round_robin, &least, &warm_v1].iter().all(|other| other.hit_rate < warm.hit_rate));
+    assert!([&round_robin, &least, &hash, &warm_v1].iter().all(|other| warm.p99 < other.p99));
+    assert!(hash.hit_rate * 0.95 < warm.hit_rate);
+    assert!(warm.spread < hash.spread);
+}
+
+#[test]
+fn restarted_routers_route_as_before() {
+    let before = mean_of_seeds(PolicyKind::Warm, NEVER);
+    let restarted = mean_of_seeds(PolicyKind::Warm, 15.0);
+    assert!(before.hit_rate - 0.01 < restarted.hit_rate);
 }
