member: gossip between routers with leases, refutation and a traffic bound

Cause: routers had no way to find each other, and an announcement stayed at the router that got it. Ruled out: relaying every renewal (1,800 a second exceed 8 KB/s a node); vouching for endpoints by their first router (the balancer sends each announcement to another one); another's word that a router is dead (a router that was cut off would bury the rest when it comes back, so it only starts suspicion). Change: Membership joins Peers (probes, indirect probes, suspicion, refutation, timeouts learnt a data centre), Endpoints (lives, tombstones, aged leases), the rumour of the newest revision, checksums over buckets and a pull of the whole roster. Sending is held to an allowance; renewals are spaced, and the shortest lease is raised, by the number of endpoints.

--- a/crates/member/src/announcement.rs
+++ b/crates/member/src/announcement.rs
@@ -4,9 +4,10 @@
     AdapterId, BlockCount, DataCentreId, EndpointId, Incarnation, ModelId, Sequence, ServiceId,
     TokenCount, WeightsVersion,
 };
+use serde::{Deserialize, Serialize};
 
 /// What an endpoint says about itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Announcement {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -27,7 +28,7 @@
 }
 
 /// What an endpoint serves.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum EndpointKind {
     /// Completions of language models.
     Engine(Engine),
@@ -35,8 +36,23 @@
     Service(ServiceId),
 }
 
+impl EndpointKind {
+    /// Returns whether `other` serves the same, whatever its load.
+    pub fn is_same_service(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Engine(a), Self::Engine(b)) => {
+                a.models == b.models
+                    && a.checks_fencing == b.checks_fencing
+                    && a.block_tokens == b.block_tokens
+            }
+            (Self::Service(a), Self::Service(b)) => a == b,
+            _ => false,
+        }
+    }
+}
+
 /// What a model engine says about itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Engine {
     /// The models it has loaded.
     pub models: Vec<ServedModel>,
@@ -49,7 +65,7 @@
 }
 
 /// A model that an engine has loaded.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServedModel {
     /// The model.
     pub model: ModelId,
@@ -60,7 +76,7 @@
 }
 
 /// An engine's report of its load.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests in the running batch.
     pub running: u32,
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,22 +1,72 @@
 //! Membership of routers and leases of endpoints.
 //!
-//! [`Endpoints`] keeps what endpoints announced about themselves: the newest incarnation of each,
-//! until its lease ends or it leaves.
+//! [`Membership`] is one router's share in a gossip between all: [`Peers`] tells which routers are
+//! alive, [`Endpoints`] which endpoints may get new work, and a [`Rumour`] names the newest
+//! revision of the configuration. It is a state machine without sockets or clocks. The driver
+//! calls [`Membership::tick`] each [`TICK`] and sends what it returns; it passes each message that
+//! arrives to [`Membership::request`] and sends the answer back, and passes each answer that it
+//! gets to [`Membership::response`]. Messages may be lost, delayed, doubled and reordered.
 //!
 //! # Example
 //!
 //! ```
-//! use base::MonotonicTime;
-//! use member::Endpoints;
+//! use base::{Incarnation, MonotonicTime, Revision, Sequence};
+//! use member::{Budget, Membership, PeerState, PeerUpdate};
+//! use rand_pcg::{Pcg64, rand_core::SeedableRng};
 //!
-//! let endpoints = Endpoints::default();
-//! assert_eq!(endpoints.ready().count(), 0);
+//! let router = |host: &str, port: u16, seeds: &[u16]| {
+//!     let me = PeerUpdate {
+//!         host: host.parse().expect("a valid host id"),
+//!         data_centre: "north".parse().expect("a valid data centre id"),
+//!         address: ([127, 0, 0, 1], port).into(),
+//!         incarnation: Incarnation::new(1),
+//!         sequence: Sequence::ZERO,
+//!         heartbeat: Sequence::ZERO,
+//!         revision: Revision::ZERO,
+//!         leader: None,
+//!         votes: false,
+//!         draining: false,
+//!         state: PeerState::Alive,
+//!     };
+//!     let seeds = seeds.iter().map(|&port| ([127, 0, 0, 1], port).into()).collect();
+//!     Membership::new(MonotonicTime::ZERO, me, seeds, Budget::default())
+//! };
+//! let mut first = router("first", 7001, &[]);
+//! let mut second = router("second", 7002, &[7001]);
+//!
+//! let now = MonotonicTime::from_millis(200);
+//! for outgoing in second.tick(now, &mut Pcg64::seed_from_u64(1)) {
+//!     let answer = first.request(now, outgoing.message);
+//!     second.response(now, now, answer);
+//! }
+//! assert_eq!(first.peers().live().count(), 1);
+//! assert_eq!(second.peers().live().count(), 1);
 //! ```
 
 mod announcement;
+mod budget;
+mod catch_up;
+mod checksum;
+mod detector;
 mod endpoints;
+mod exchange;
+mod link;
+mod membership;
+mod message;
+mod peers;
+mod spread;
 
 pub use crate::{
     announcement::{Announcement, EndpointKind, Engine, Load, ServedModel},
-    endpoints::{Change, Endpoints, Stale},
+    budget::Budget,
+    endpoints::{
+        Change, EndpointState, Endpoints, Known, MAX_ENDPOINTS, MAX_TOMBSTONES, RenewedLife, Stale,
+        TOMBSTONE_TIME,
+    },
+    membership::{Membership, Outgoing, Roster, TICK},
+    message::{
+        Checksums, EndpointUpdate, Gossip, LifeKey, PeerState, PeerUpdate, Pull, Renewal, Rumour,
+        Want,
+    },
+    peers::{DEAD_TIME, MAX_PEERS, PROBE_PERIOD, Peer, Peers},
 };
--- /dev/null
+++ b/crates/member/tests/regression/catch_up_deadlock.rs
@@ -0,0 +1,13 @@
+use crate::net::Net;
+
+/// A router that had nobody to learn from refused to teach, so all waited for each other.
+#[test]
+fn first_router_teaches_although_it_never_caught_up_itself() {
+    let mut net = Net::new(8, 31);
+    net.stopped[1..].fill(true);
+    net.run(1_000, |net| net.announce(0..100, 1, net.now.since_origin().as_millis() as u64));
+    net.stopped.fill(false);
+    (1..8).for_each(|index| net.restart(index, 1));
+    net.run(4_000, |_| ());
+    (0..8).for_each(|index| assert_eq!(net.ready_at(index), 100, "router {index}"));
+}
