--- a/crates/member/src/catch_up.rs
+++ b/crates/member/src/catch_up.rs
@@ -10,7 +10,10 @@
 };
 
 /// Time after which a router no longer looks for a peer with the whole roster.
-const GIVE_UP: Duration = Duration::from_secs(5);
+const GIVE_UP: Duration = Duration::from_secs(30);
+
+/// Time after which a router that still catches up helps others with what it has.
+const HELP_ANYWAY: Duration = Duration::from_secs(5);
 
 /// Time between two pulls of a router that still knows too few endpoints.
 const REPEAT: Duration = Duration::from_secs(10);
@@ -68,9 +71,10 @@
     /// Starts another pull if a peer knows clearly more endpoints than this router.
     pub(crate) fn pull_again(&mut self, now: MonotonicTime) {
         const MISSING_ONE_IN: usize = 32;
-        let missing = self.endpoint_count() - self.endpoints.live_count();
+        let count = self.heard_count as usize;
+        let missing = count.saturating_sub(self.endpoints.live_count());
         let is_due = REPEAT <= now.saturating_since(self.pulled_at);
-        if self.catch_up.is_some() || !is_due || missing <= self.endpoint_count() / MISSING_ONE_IN {
+        if self.catch_up.is_some() || !is_due || missing <= count / MISSING_ONE_IN {
             return;
         }
         self.pulled_at = now;
@@ -108,9 +112,12 @@
         let first = pull.first;
         let smallest = self.budget.catch_up_message.as_u64() as usize / 2;
         let knows_more = pull.known.saturating_mul(FAR_MORE) < self.record_count();
-        let is_ready = self.catch_up.is_none() || knows_more;
-        if !is_ready || room < smallest {
-            return (Records::default(), first);
+        let is_settled = self
+            .catch_up
+            .as_ref()
+            .is_none_or(|own| HELP_ANYWAY <= now.saturating_since(own.started));
+        if !(is_settled || knows_more) || room < smallest {
+            return (self.some_peers(), first);
         }
         let mut all = Records::default();
         let buckets = self.by_bucket(now, |bucket| first <= bucket);
@@ -132,6 +139,19 @@
         all
     }
 
+    /// Returns a few routers, others each time, where a pull may be tried instead.
+    fn some_peers(&self) -> Records {
+        const SOME: usize = 8;
+        let mut records = Records::default();
+        let count = self.peers.live().count().max(1);
+        let start = self.peers.me().heartbeat.as_u64() as usize * SOME % count;
+        let turned = self.peers.live().skip(start).chain(self.peers.live().take(start));
+        for peer in turned.filter(|peer| peer.update.state == PeerState::Alive).take(SOME) {
+            records.add_peer(peer.update.clone());
+        }
+        records
+    }
+
     fn pull_from(&mut self, now: MonotonicTime, host: &HostId) -> Option<Outgoing> {
         let pull = self.catch_up.as_mut()?;
         pull.asked = Some((host.clone(), now));
--- a/crates/member/src/endpoints.rs
+++ b/crates/member/src/endpoints.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeMap, error, fmt, sync::Arc, time::Duration};
 
-use base::{EndpointId, HostId, Incarnation, MonotonicTime, Sequence};
+use base::{EndpointId, HostId, MonotonicTime, Sequence};
 
 use crate::{Announcement, EndpointKind, LifeKey, Load};
 
@@ -313,14 +313,11 @@
     pub relayed_by: HostId,
 }
 
-/// Keeps a leaving life's sequence number from going back.
-fn keep_newest_sequence(known: Option<&Known>, new: Arc<Announcement>) -> Arc<Announcement> {
-    let life = |a: &Announcement| -> Incarnation { a.incarnation };
-    let Some(old) = known.filter(|k| life(&k.announcement) == life(&new)) else { return new };
-    if old.announcement.sequence <= new.sequence {
-        return new;
+/// Keeps a life's sequence number from going back when an older word that it leaves arrives.
+fn keep_newest_sequence(known: Option<&Known>, mut new: Arc<Announcement>) -> Arc<Announcement> {
+    let Some(old) = known.map(|known| &known.announcement) else { return new };
+    if old.incarnation == new.incarnation && new.sequence < old.sequence {
+        Arc::make_mut(&mut new).sequence = old.sequence;
     }
-    let mut new = Arc::unwrap_or_clone(new);
-    new.sequence = old.announcement.sequence;
-    Arc::new(new)
+    new
 }
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -3,8 +3,8 @@
 use base::{HostId, MonotonicTime};
 
 use crate::{
-    Checksums, EndpointState, EndpointUpdate, Gossip, LifeKey, Membership, Outgoing, Renewal,
-    RenewedLife, Want,
+    Checksums, EndpointState, EndpointUpdate, Endpoints, Gossip, LifeKey, Membership, Outgoing,
+    Renewal, RenewedLife, Want,
     budget::{LOAD_BYTES, RENEWAL_COPIES},
     catch_up::CatchUp,
     checksum::Sums,
@@ -174,8 +174,9 @@
     }
 
     fn add_news(&mut self, now: MonotonicTime, message: &mut Gossip, room: &mut usize) {
-        const JOIN_COPIES: u32 = 4;
+        const COPIES_IN_BACKLOG: u32 = 4;
         let copies = self.copies_to_all();
+        let join_copies = if self.has_backlog() { COPIES_IN_BACKLOG } else { copies };
         let endpoints = &self.endpoints;
         let update = |endpoint: &_| {
             let known = endpoints.find(endpoint)?;
@@ -194,7 +195,7 @@
             Some((news, bytes))
         }));
         self.peers.spread = peer_news;
-        message.endpoints.extend(self.queues.joined.take(room, JOIN_COPIES, update));
+        message.endpoints.extend(self.queues.joined.take(room, join_copies, update));
         let with_load = self.budget.relays_load(self.endpoint_count());
         message.renewals.extend(self.queues.renewed.take(room, RENEWAL_COPIES, |life| {
             let renewal = renewal(endpoints, now, life, with_load)?;
@@ -210,8 +211,7 @@
         }
         let mut news = self.peers.heard(now, message.from);
         self.hear_rumour(&message.newest);
-        self.hear_count(message.endpoint_count);
-        self.refresh_lease_floor(now);
+        self.hear_count(now, message.endpoint_count);
         let is_pulled = message.pull_next.is_some();
         for update in message.peers {
             let host = update.host.clone();
@@ -348,7 +348,7 @@
 }
 
 fn renewal(
-    endpoints: &crate::Endpoints,
+    endpoints: &Endpoints,
     now: MonotonicTime,
     life: &LifeKey,
     with_load: bool,
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -43,7 +43,7 @@
     pub(crate) next_sums: u16,
     pub(crate) catch_up: Option<CatchUp>,
     pub(crate) pulled_at: MonotonicTime,
-    heard_count: u32,
+    pub(crate) heard_count: u32,
     relayed: BTreeMap<LifeKey, MonotonicTime>,
     seeds: Vec<SocketAddr>,
     ticked: MonotonicTime,
@@ -228,12 +228,18 @@
     /// Returns the number of endpoints that the fleet is thought to have, so that a router that
     /// knows few yet does not end leases sooner than the others renew them.
     pub(crate) fn endpoint_count(&self) -> usize {
-        self.endpoints.live_count().max(self.heard_count as usize)
+        const STEP: usize = 64;
+        let count = self.endpoints.live_count().max(self.heard_count as usize);
+        if STEP < count { count.next_multiple_of(STEP) } else { count }
     }
 
-    pub(crate) fn hear_count(&mut self, count: u32) {
+    pub(crate) fn hear_count(&mut self, now: MonotonicTime, count: u32) {
         let most = u32::try_from(MAX_ENDPOINTS).unwrap_or(u32::MAX);
-        self.heard_count = self.heard_count.max(count.min(most));
+        if count.min(most) <= self.heard_count {
+            return;
+        }
+        self.heard_count = count.min(most);
+        self.refresh_lease_floor(now);
     }
 
     pub(crate) fn hear_rumour(&mut self, rumour: &Rumour) {
@@ -291,7 +297,7 @@
     }
 
     /// Sets the shortest lease; a router that hears from nobody stretches none.
-    pub(crate) fn refresh_lease_floor(&mut self, now: MonotonicTime) {
+    fn refresh_lease_floor(&mut self, now: MonotonicTime) {
         let routers = self.peers.live().count() + 1;
         let floor = match self.peers.is_isolated(now) {
             true => Duration::ZERO,
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -92,10 +92,15 @@
         self.known.get(host)
     }
 
+    /// Returns how long an answer from each data centre may take, learnt from round trips.
+    pub fn timeouts(&self) -> impl Iterator<Item = (&DataCentreId, Duration)> {
+        self.detector.timeouts()
+    }
+
     /// Returns whether this router has heard from no other for so long that it judges none of them.
     pub fn is_isolated(&self, now: MonotonicTime) -> bool {
         const SILENCE: Duration = Duration::from_secs(3);
-        2 <= self.live().count() && SILENCE <= now.saturating_since(self.last_heard)
+        SILENCE <= now.saturating_since(self.last_heard) && 2 <= self.live().count()
     }
 
     pub(crate) fn set_revision(&mut self, revision: Revision) {
@@ -357,11 +362,6 @@
             self.known.remove(&host);
         }
     }
-
-    /// Returns the data centres with an estimate of their round-trip time.
-    pub fn timeouts(&self) -> impl Iterator<Item = (&DataCentreId, Duration)> {
-        self.detector.timeouts()
-    }
 }
 
 fn version(update: &PeerUpdate) -> (Incarnation, Sequence) {
--- a/crates/member/tests/peers.rs
+++ b/crates/member/tests/peers.rs
@@ -3,8 +3,9 @@
 mod net;
 
 use base::Revision;
-use member::PeerState;
+use member::{MAX_PEERS, PeerState};
 use net::Net;
+use rand_pcg::{Pcg64, rand_core::SeedableRng};
 
 macro_rules! sizes {
     ($($name:ident: $size:literal,)*) => {$(
@@ -139,3 +140,20 @@
         assert!(router.peers().find(&host).unwrap().update.draining);
     }
 }
+
+#[test]
+fn roster_is_bounded() {
+    let mut net = Net::new(1, 11);
+    for index in 1..MAX_PEERS + 100 {
+        let mut other = Net::new(1, 12).routers.remove(0).tick(net.now, &mut rng());
+        let Some(outgoing) = other.pop() else { panic!("no seed is probed") };
+        let mut message = outgoing.message;
+        message.from = net::peer(index, 1);
+        net.routers[0].request(net.now, message);
+    }
+    assert_eq!(net.routers[0].peers().iter().count(), MAX_PEERS);
+}
+
+fn rng() -> Pcg64 {
+    Pcg64::seed_from_u64(1)
+}
