--- a/crates/quorum/tests/regression/voter_fails_after_repair.rs
+++ b/crates/quorum/tests/regression/voter_fails_after_repair.rs
@@ -10,8 +10,10 @@
     let (mut cluster, leader) = Cluster::led(2, 1);
     follow(&mut cluster, leader, 2);
     cluster.propose_voters(leader, with(&cluster, leader, 2));
-    cluster.deliver_all();
-    assert!(cluster.status(leader).voters_committed);
+    while !cluster.status(leader).voters_committed {
+        cluster.deliver(0, None);
+    }
+    cluster.drop_all();
     cluster.lose_disk(leader);
     cluster.run(3000);
     let next = cluster.leader().expect("a leader");
--- a/crates/quorum/tests/voters.rs
+++ b/crates/quorum/tests/voters.rs
@@ -112,3 +112,14 @@
         voters.folders.insert(host(3), FolderId::new(1));
     } => Refusal::Lagging,
 }
+
+#[test]
+fn removed_voter_learns_of_it() {
+    let (mut cluster, leader) = Cluster::led(3, 0);
+    let gone = cluster.other(&[leader]);
+    cluster.propose_voters(leader, without(&cluster, leader, gone));
+    cluster.run(200);
+    assert_eq!(cluster.status(gone).voters, cluster.status(leader).voters);
+    cluster.restart(gone);
+    assert_eq!(cluster.registration(gone), quorum::Registration::Done);
+}
