--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -85,6 +85,9 @@
                 command.env_remove(name);
             }
         }
+        if let Some(level) = log_level() {
+            command.env("DOTTERELREACH_LOG_LEVEL", level);
+        }
         command
     }
 }
@@ -256,6 +259,12 @@
     if std::env::var_os("RUST_LOG").is_some() { Stdio::inherit() } else { Stdio::null() }
 }
 
+/// Returns the level that `RUST_LOG` names, if it is a plain one.
+fn log_level() -> Option<String> {
+    let level = std::env::var("RUST_LOG").ok()?;
+    level.parse::<log::LevelFilter>().is_ok().then_some(level)
+}
+
 /// Returns a loopback address that no other daemon of this process has.
 fn unused_loopback() -> IpAddr {
     static NEXT: AtomicU8 = AtomicU8::new(0);
--- a/crates/daemon/src/edge/auth.rs
+++ b/crates/daemon/src/edge/auth.rs
@@ -4,7 +4,7 @@
 use hyper::{HeaderMap, header::AUTHORIZATION};
 use subtle::ConstantTimeEq as _;
 
-use crate::Settings;
+use crate::{Settings, configurations::Configurations};
 
 use super::failure::Failure;
 
@@ -12,18 +12,31 @@
 pub(super) struct Keys {
     fleet: Digest,
     organisations: HashMap<Digest, OrganisationId>,
+    configurations: Configurations,
 }
 
 impl Keys {
-    pub(super) fn new(cfg: &Settings) -> Self {
+    pub(super) fn new(cfg: &Settings, configurations: Configurations) -> Self {
         let organisations =
             cfg.organisation_keys.iter().map(|key| (key.digest, key.organisation.clone()));
-        Self { fleet: Digest::of(cfg.fleet_key.as_bytes()), organisations: organisations.collect() }
+        Self {
+            fleet: Digest::of(cfg.fleet_key.as_bytes()),
+            organisations: organisations.collect(),
+            configurations,
+        }
     }
 
     /// Returns the organisation whose key the request shows.
+    ///
+    /// A key of the declaration in force counts before one of the settings.
     pub(super) fn organisation(&self, headers: &HeaderMap) -> Result<OrganisationId, Failure> {
         let shown = bearer(headers)?;
+        let in_force = self.configurations.in_force();
+        let declared =
+            in_force.as_ref().and_then(|held| held.declaration.organisation_of_key(&shown));
+        if let Some(declared) = declared {
+            return Ok(declared.id.clone());
+        }
         let found = self.organisations.get_key_value(&shown);
         let matching = found.filter(|(known, _)| same(known, &shown));
         matching.map(|(_, organisation)| organisation.clone()).ok_or_else(Failure::unauthorised)
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -24,6 +24,7 @@
 use member::Roster;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use telemetry::{Metrics, Tracer};
 
 use crate::{
     Settings,
@@ -50,6 +51,10 @@
     pub leader: LeaderClient,
     /// The life of this process.
     pub incarnation: Incarnation,
+    /// The process's metrics.
+    pub metrics: Arc<Metrics>,
+    /// Starts spans.
+    pub tracer: Tracer,
 }
 
 /// An order to the edge thread.
@@ -81,6 +86,9 @@
     leader: LeaderClient,
     owner: Owner,
     clock: Clock,
+    metrics: Arc<Metrics>,
+    #[expect(dead_code, reason = "requests record no spans yet")]
+    tracer: Tracer,
 }
 
 /// Counts a request as active; ends on drop.
@@ -93,7 +101,7 @@
         let seed = rand::random();
         let owner = Owner { host: cfg.host.clone(), incarnation: rings.incarnation };
         Self {
-            keys: Keys::new(&cfg),
+            keys: Keys::new(&cfg, rings.configurations.clone()),
             router: RefCell::new(Router::new(cfg.listen.ip(), Pcg64Mcg::seed_from_u64(seed))),
             cfg,
             active: Cell::new(0),
@@ -104,6 +112,8 @@
             leader: rings.leader.clone(),
             owner,
             clock,
+            metrics: Arc::clone(&rings.metrics),
+            tracer: rings.tracer.clone(),
         }
     }
 
@@ -164,7 +174,11 @@
 
 async fn follow_configurations(edge: Rc<Edge>) {
     let configurations = edge.configurations.subscribe();
+    let configured = edge.cfg.organisation_keys.iter().map(|key| &key.organisation);
+    edge.metrics.label_organisations(configured);
     while let Ok(in_force) = configurations.recv_async().await {
+        let declared = in_force.declaration.contents().organisations.iter();
+        edge.metrics.label_organisations(declared.map(|organisation| &organisation.id));
         edge.in_force.replace(in_force);
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -35,5 +35,7 @@
 pub use crate::{
     edge::EdgeEnd,
     run::{exit_code, main, run},
-    settings::{Faults, OrganisationKey, Settings, SettingsError},
+    settings::{
+        Faults, Limits, OrganisationKey, Settings, SettingsError, TelemetrySettings, Timeouts,
+    },
 };
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,6 +7,7 @@
 use base::{Incarnation, Revision, Sequence};
 use eyre::WrapErr as _;
 use member::{PeerState, PeerUpdate};
+use telemetry::{Exporter, Metrics, TraceConfig, Tracer, init_logs};
 
 use crate::{
     Settings, SettingsError,
@@ -53,15 +54,18 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    if let Err(e) = init_logs(cfg.telemetry.log_format, cfg.telemetry.log_level) {
+        eprintln!("{e:#}");
+        return ExitCode::from(EXIT_FAILED);
+    }
     match run(cfg) {
         Ok(EdgeEnd { cut: 0 }) => ExitCode::SUCCESS,
         Ok(EdgeEnd { cut }) => {
-            log::error!("ended by a second signal; requests cut: {cut}");
+            log::error!(cut; "ended by a second signal");
             ExitCode::from(EXIT_CUT)
         }
         Err(e) => {
-            log::error!("{e:#}");
+            log::error!(error:% = format!("{e:#}"); "failed");
             ExitCode::from(EXIT_FAILED)
         }
     }
@@ -78,10 +82,10 @@
     let (signal_tx, signal_rx) = flume::bounded(RING);
     signals::spawn(signal_tx).wrap_err("could not watch signals")?;
     let process = Process::start(&cfg)?;
-    log::info!("host={} serving callers on {}", cfg.host, cfg.listen);
+    log::info!(host:% = cfg.host, address:% = cfg.listen; "serving callers");
 
     let signal = signal_rx.recv().wrap_err("the signals thread ended")?;
-    log::info!("host={} draining after a termination signal", cfg.host);
+    log::info!(host:% = cfg.host; "draining after a termination signal");
     process.readiness.set(false);
     let _ = process.roster.send(RosterInput::Draining);
     let notice = match signal {
@@ -112,11 +116,15 @@
     readiness: Readiness,
     roster: flume::Sender<RosterInput>,
     replica: Option<flume::Sender<ReplicaInput>>,
+    /// Sends the last spans on drop.
+    _exporter: Option<Exporter>,
 }
 
 impl Process {
     fn start(cfg: &Arc<Settings>) -> eyre::Result<Self> {
         let clock = Clock::start();
+        let metrics = Arc::new(Metrics::new()?);
+        let (tracer, exporter) = tracing(cfg, &metrics)?;
         let incarnation = new_incarnation(clock);
         let (outbox_tx, outbox_rx) = flume::bounded(RING);
         let (roster_input_tx, roster_input_rx) = flume::bounded(RING);
@@ -197,13 +205,35 @@
             configurations,
             leader,
             incarnation,
+            metrics,
+            tracer,
         };
         let edge = edge::spawn(Arc::clone(cfg), clock, edge_listener, rings)?;
         readiness.set(true);
-        Ok(Self { edge, control: control_tx, readiness, roster: roster_input_tx, replica })
+        Ok(Self {
+            edge,
+            control: control_tx,
+            readiness,
+            roster: roster_input_tx,
+            replica,
+            _exporter: exporter,
+        })
     }
 }
 
+/// Starts the export of spans, if an endpoint is set.
+fn tracing(cfg: &Settings, metrics: &Metrics) -> eyre::Result<(Tracer, Option<Exporter>)> {
+    let Some(endpoint) = &cfg.telemetry.trace_endpoint else { return Ok((Tracer::off(), None)) };
+    let trace_cfg = TraceConfig {
+        endpoint: endpoint.to_string(),
+        sample: cfg.telemetry.trace_sample,
+        host: cfg.host.to_string(),
+    };
+    let (tracer, exporter) = Tracer::start(trace_cfg)?;
+    metrics.watch_exporter(&exporter);
+    Ok((tracer, Some(exporter)))
+}
+
 fn myself(cfg: &Settings, incarnation: Incarnation, votes: bool) -> PeerUpdate {
     PeerUpdate {
         host: cfg.host.clone(),
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -7,10 +7,12 @@
 };
 
 use base::ByteCount;
+use log::LevelFilter;
+use telemetry::{LogFormat, SampleRatio};
 
 use super::{
-    Faults, Limits, Settings, Timeouts,
-    raw::{Many, One, Raw, RawLimits, RawTimeouts, Setting},
+    Faults, Limits, Settings, TelemetrySettings, Timeouts,
+    raw::{Many, One, Raw, RawLimits, RawTelemetry, RawTimeouts, Setting},
 };
 
 const DEFAULT_HOST: &str = "host-1";
@@ -26,6 +28,12 @@
 /// Shortest fleet key, in bytes.
 const MIN_FLEET_KEY_BYTES: usize = 16;
 
+const OPERATOR_KEY_RULE: &str = "a BLAKE3 digest of 64 hexadecimal digits";
+const ORGANISATION_KEY_RULE: &str = "ORGANISATION=DIGEST, with 64 hexadecimal digits";
+
+/// Start of a collector's address; spans travel without encryption.
+const TRACE_SCHEME: &str = "http://";
+
 pub(super) fn check(raw: Raw) -> Result<Settings, Faults> {
     let mut faults = Faults::default();
     let peer_listen = address(&raw.addresses.peer_listen, DEFAULT_PEER_PORT, &mut faults);
@@ -40,13 +48,18 @@
         admin_listen: address(&raw.addresses.admin_listen, DEFAULT_ADMIN_PORT, &mut faults),
         seeds: all_parsed(&raw.addresses.seeds, &mut faults),
         data_dir: raw.state.data_dir.text.clone().map(Into::into),
-        voter: raw.state.voter,
+        voter: switch(&raw.state.voter, &mut faults),
         founders: all_parsed(&raw.state.founders, &mut faults),
         fleet_key: fleet_key(&raw.keys.fleet_key, &mut faults),
-        operator_keys: all_parsed(&raw.keys.operator_keys, &mut faults),
-        organisation_keys: all_parsed(&raw.keys.organisation_keys, &mut faults),
+        operator_keys: all_hidden(&raw.keys.operator_keys, OPERATOR_KEY_RULE, &mut faults),
+        organisation_keys: all_hidden(
+            &raw.keys.organisation_keys,
+            ORGANISATION_KEY_RULE,
+            &mut faults,
+        ),
         limits: limits(&raw.limits, &mut faults),
         timeouts: timeouts(&raw.timeouts, &mut faults),
+        telemetry: telemetry(&raw.telemetry, &mut faults),
         check_only: raw.check_only,
     };
     if settings.voter && settings.data_dir.is_none() {
@@ -69,6 +82,30 @@
     setting.text.iter().filter_map(|text| parse_text(setting, text, faults)).collect()
 }
 
+/// Parses values that must not reach a terminal or a log: a plain key may stand for its digest.
+fn all_hidden<T: FromStr>(setting: &Many, allowed: &str, faults: &mut Faults) -> Vec<T> {
+    let mut parsed = Vec::with_capacity(setting.text.len());
+    for (i, text) in setting.text.iter().enumerate() {
+        match text.parse() {
+            Ok(value) => parsed.push(value),
+            Err(_) => {
+                let message = format!("value {} (not shown) is not {allowed}", i + 1);
+                faults.add(setting.flag, setting.env, &message);
+            }
+        }
+    }
+    parsed
+}
+
+fn switch(setting: &One, faults: &mut Faults) -> bool {
+    let Some(text) = &setting.text else { return false };
+    text.parse().unwrap_or_else(|_| {
+        let message = format!("{text:?} is neither true nor false");
+        faults.add(setting.flag, setting.env, &message);
+        false
+    })
+}
+
 fn parse_text<S, T>(setting: &Setting<S>, text: &str, faults: &mut Faults) -> Option<T>
 where
     T: FromStr<Err: Display>,
@@ -163,3 +200,34 @@
     faults.add(setting.flag, setting.env, &message);
     default
 }
+
+fn telemetry(raw: &RawTelemetry, faults: &mut Faults) -> TelemetrySettings {
+    TelemetrySettings {
+        log_format: parsed(&raw.log_format, faults).unwrap_or(LogFormat::Text),
+        log_level: log_level(&raw.log_level, faults),
+        trace_endpoint: trace_endpoint(&raw.trace_endpoint, faults),
+        trace_sample: parsed(&raw.trace_sample, faults).unwrap_or(SampleRatio::ALL),
+    }
+}
+
+fn log_level(setting: &One, faults: &mut Faults) -> LevelFilter {
+    let Some(text) = &setting.text else { return LevelFilter::Info };
+    text.parse().unwrap_or_else(|_| {
+        let message =
+            format!("{text:?} is no log level; write off, error, warn, info, debug or trace");
+        faults.add(setting.flag, setting.env, &message);
+        LevelFilter::Info
+    })
+}
+
+fn trace_endpoint(setting: &One, faults: &mut Faults) -> Option<std::sync::Arc<str>> {
+    let text = setting.text.as_deref()?;
+    let host = text.strip_prefix(TRACE_SCHEME).filter(|host| !host.is_empty());
+    if host.is_none() || !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+        let message =
+            format!("{text:?} is no URL; write one such as http://127.0.0.1:4318/v1/traces");
+        faults.add(setting.flag, setting.env, &message);
+        return None;
+    }
+    Some(text.into())
+}
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -4,6 +4,8 @@
 use std::{error, fmt, net::SocketAddr, path::PathBuf, str::FromStr, sync::Arc, time::Duration};
 
 use base::{ByteCount, DataCentreId, Digest, HostId, OrganisationId, ParseError};
+use log::LevelFilter;
+use telemetry::{LogFormat, SampleRatio};
 
 /// The daemon's settings, checked.
 #[derive(Clone, Debug, PartialEq)]
@@ -38,6 +40,8 @@
     pub limits: Limits,
     /// How long steps may take.
     pub timeouts: Timeouts,
+    /// Logs and traces.
+    pub telemetry: TelemetrySettings,
     /// Whether to check the settings and exit.
     pub check_only: bool,
 }
@@ -64,6 +68,19 @@
     pub organisation_requests: u64,
 }
 
+/// Logs and traces.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TelemetrySettings {
+    /// How log lines are written.
+    pub log_format: LogFormat,
+    /// The least severe lines that are written.
+    pub log_level: LevelFilter,
+    /// The OTLP collector's URL for traces; none exports nothing.
+    pub trace_endpoint: Option<Arc<str>>,
+    /// The share of new traces that are recorded.
+    pub trace_sample: SampleRatio,
+}
+
 /// How long steps may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -1,3 +1,5 @@
+use std::env;
+
 use bpaf::{Args, OptionParser, ParseFailure, Parser, construct, long};
 
 use super::SettingsError;
@@ -22,6 +24,7 @@
     pub keys: RawKeys,
     pub limits: RawLimits,
     pub timeouts: RawTimeouts,
+    pub telemetry: RawTelemetry,
     pub check_only: bool,
 }
 
@@ -43,7 +46,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct RawState {
     pub data_dir: One,
-    pub voter: bool,
+    pub voter: One,
     pub founders: Many,
 }
 
@@ -72,6 +75,14 @@
     pub drain_notice: One,
 }
 
+#[derive(Clone, Debug)]
+pub(super) struct RawTelemetry {
+    pub log_format: One,
+    pub log_level: One,
+    pub trace_endpoint: One,
+    pub trace_sample: One,
+}
+
 pub(super) fn parse(args: &[&str]) -> Result<Raw, SettingsError> {
     options().run_inner(Args::from(args)).map_err(|failure| match failure {
         ParseFailure::Stdout(doc, full) => SettingsError::Print(doc.monochrome(full)),
@@ -87,8 +98,9 @@
     let keys = keys();
     let limits = limits();
     let timeouts = timeouts();
+    let telemetry = telemetry();
     let check_only = long("check").help("Check the settings, print every fault, and exit").switch();
-    construct!(Raw { identity, addresses, state, keys, limits, timeouts, check_only })
+    construct!(Raw { identity, addresses, state, keys, limits, timeouts, telemetry, check_only })
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Routes language-model traffic with long shared prompts to warm endpoints")
@@ -120,6 +132,40 @@
     };
 }
 
+/// Like `one!`, but its value isn't shown by the help.
+macro_rules! one_secret {
+    ($flag:literal, $env:literal, $value:literal, $help:literal) => {
+        long($flag)
+            .help(concat!($help, " (environment: ", $env, ")"))
+            .argument::<String>($value)
+            .optional()
+            .map(|text| Setting {
+                flag: concat!("--", $flag),
+                env: $env,
+                text: text.or_else(|| env::var($env).ok()),
+            })
+    };
+}
+
+/// Like `many!`, but its values aren't shown by the help.
+macro_rules! many_secret {
+    ($flag:literal, $env:literal, $value:literal, $help:literal) => {
+        long($flag)
+            .help(concat!($help, " (environment: ", $env, ")"))
+            .argument::<String>($value)
+            .many()
+            .map(|texts| Setting {
+                flag: concat!("--", $flag),
+                env: $env,
+                text: split_list(&or_variable(texts, $env)),
+            })
+    };
+}
+
+fn or_variable(texts: Vec<String>, variable: &str) -> Vec<String> {
+    if texts.is_empty() { env::var(variable).into_iter().collect() } else { texts }
+}
+
 fn split_list(texts: &[String]) -> Vec<String> {
     texts
         .iter()
@@ -181,9 +227,16 @@
         "data-dir",
         "DOTTERELREACH_DATA_DIR",
         "FOLDER",
-        "Folder for the state that must survive, on hosts with a disk"
+        "Folder for the state that must survive, on hosts with a disk; used by a voter"
     );
-    let voter = long("voter").help("Vote in the quorum; needs --data-dir").switch();
+    let voter = long("voter")
+        .help("Vote in the quorum; needs --data-dir (environment: DOTTERELREACH_VOTER, true or false)")
+        .switch()
+        .map(|set| Setting {
+            flag: "--voter",
+            env: "DOTTERELREACH_VOTER",
+            text: if set { Some("true".into()) } else { env::var("DOTTERELREACH_VOTER").ok() },
+        });
     let founders = many!(
         "founder",
         "DOTTERELREACH_FOUNDERS",
@@ -195,19 +248,20 @@
 }
 
 fn keys() -> impl Parser<RawKeys> {
-    let fleet_key = one!(
+    let fleet_key = one_secret!(
         "fleet-key",
         "DOTTERELREACH_FLEET_KEY",
         "SECRET",
         "Secret that routers and endpoints share; better set by the environment"
     );
-    let operator_keys = many!(
+    let operator_keys = many_secret!(
         "operator-key",
         "DOTTERELREACH_OPERATOR_KEYS",
         "DIGEST",
-        "BLAKE3 digest of an operator's key; may be given several times"
+        "BLAKE3 digest of an operator's key; may be given several times; without one the \
+         operator pages are closed"
     );
-    let organisation_keys = many!(
+    let organisation_keys = many_secret!(
         "organisation-key",
         "DOTTERELREACH_ORGANISATION_KEYS",
         "ORGANISATION=DIGEST",
@@ -286,3 +340,32 @@
     construct!(RawTimeouts { header, body, connect, idle, request, drain_notice })
         .group_help("Timeouts")
 }
+
+fn telemetry() -> impl Parser<RawTelemetry> {
+    let log_format = one!(
+        "log-format",
+        "DOTTERELREACH_LOG_FORMAT",
+        "FORMAT",
+        "How log lines are written: text or json (default: text)"
+    );
+    let log_level = one!(
+        "log-level",
+        "DOTTERELREACH_LOG_LEVEL",
+        "LEVEL",
+        "Least severe lines written: off, error, warn, info, debug or trace (default: info)"
+    );
+    let trace_endpoint = one!(
+        "trace-endpoint",
+        "DOTTERELREACH_TRACE_ENDPOINT",
+        "URL",
+        "OTLP collector such as http://127.0.0.1:4318/v1/traces; without it no span is exported"
+    );
+    let trace_sample = one!(
+        "trace-sample",
+        "DOTTERELREACH_TRACE_SAMPLE",
+        "RATIO",
+        "Share of new traces recorded, from 0 to 1 (default: 1)"
+    );
+    construct!(RawTelemetry { log_format, log_level, trace_endpoint, trace_sample })
+        .group_help("Logs and traces")
+}
