daemon: operator pages, readiness from peers' news, metrics; cli: end to end

Change: every path of wire::operator is served behind operator keys, changes go to the leader and end in a problem with may-have-run when no answer came. The edge answers inquiries over a bounded ring. /readyz turns ready on news from a peer, at most 1 s after the start. /metrics. calls list. The replica offers the restored configuration at its start and answers ReadHistory and ReadVoters. Shown by crates/bench/tests/operator (34 cases against three or four daemons).

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -25,6 +25,9 @@
     if args.first().is_some_and(|arg| arg == "daemon") {
         return run_daemon(&args[1..]);
     }
+    if args.first().is_some_and(|arg| arg == "operator") {
+        return run_operator(&args[1..]);
+    }
     match run(options().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -46,6 +49,12 @@
     }
 }
 
+/// Runs the operator's tool in this process.
+fn run_operator(args: &[String]) -> ExitCode {
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    cli::run(&args).into()
+}
+
 fn run(options: Options) -> eyre::Result<()> {
     let program = Program { path: std::env::current_exe()?, args: vec!["daemon".into()] };
     match options {
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -3,8 +3,8 @@
 use std::{net::SocketAddr, path::Path, time::Duration};
 
 use base::{Digest, EndpointId, Incarnation, ModelId, OrganisationId, ServiceId, WeightsVersion};
-
 use tempfile::TempDir;
+use wire::operator::{ENDPOINTS_PATH, EndpointState, Endpoints};
 
 use crate::{
     Proxy,
@@ -15,6 +15,9 @@
 /// The fleet's key in tests and demonstrations.
 pub const FLEET_KEY: &str = "fleet-key-for-tests-only";
 
+/// An operator's key in tests and demonstrations.
+pub const OPERATOR_KEY: &str = "operator-key-for-tests-only";
+
 /// Time for a site to come up.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -248,7 +251,8 @@
 }
 
 fn with_flags(mut daemon: DaemonSpec, spec: &SiteSpec) -> DaemonSpec {
-    daemon = daemon.flag("--fleet-key", FLEET_KEY);
+    let operator = Digest::of(OPERATOR_KEY.as_bytes());
+    daemon = daemon.flag("--fleet-key", FLEET_KEY).flag("--operator-key", operator);
     for organisation in &spec.organisations {
         let digest = Digest::of(organisation_key(organisation).as_bytes());
         daemon = daemon.flag("--organisation-key", format!("{organisation}={digest}"));
@@ -260,8 +264,8 @@
 }
 
 fn known_endpoints(admin: SocketAddr) -> Option<usize> {
-    let url = format!("http://{admin}/operator/endpoints");
-    let body = attohttpc::get(url).timeout(Duration::from_millis(500)).send().ok()?.text().ok()?;
-    let endpoints: Vec<serde_json::Value> = serde_json::from_str(&body).ok()?;
-    Some(endpoints.len())
+    let url = format!("http://{admin}{ENDPOINTS_PATH}");
+    let req = attohttpc::get(url).bearer_auth(OPERATOR_KEY).timeout(Duration::from_millis(500));
+    let known: Endpoints = serde_json::from_str(&req.send().ok()?.text().ok()?).ok()?;
+    Some(known.endpoints.iter().filter(|known| known.state == EndpointState::Ready).count())
 }
--- /dev/null
+++ b/crates/bench/tests/operator/main.rs
@@ -0,0 +1,9 @@
+//! Operators' commands and pages, end to end against real daemons.
+
+mod access;
+mod calls;
+mod changes;
+mod queries;
+mod readiness;
+mod tool;
+mod voters;
--- /dev/null
+++ b/crates/bench/tests/operator/readiness.rs
@@ -0,0 +1,57 @@
+use std::time::Duration;
+
+use base::{Digest, Revision};
+use bench::site::{Site, SiteSpec};
+use wire::operator::{CurrentDeclaration, DECLARATION_PATH, Status};
+
+use crate::tool::{admin, get, program, run};
+
+/// Host without a vote, which learns the configuration from its peers alone.
+const OBSERVER: usize = 3;
+
+fn site_with_observer() -> Site {
+    let spec = SiteSpec { daemons: vec!["a", "b", "c", "a"], ..SiteSpec::small() };
+    Site::start(&program(), spec).unwrap()
+}
+
+#[test]
+fn restarted_router_is_ready_with_the_configuration_in_force() {
+    let mut site = site_with_observer();
+    let set = ["defaults", "set", "wait-weight", "2.5", "--yes", "--reason", "waits are long"];
+    assert_eq!(run(&site, &set).code, Some(0));
+    for _ in 0..3 {
+        site.daemons[OBSERVER].restart().unwrap();
+        site.daemons[OBSERVER].wait_ready(Duration::from_secs(10)).unwrap();
+        let in_force: CurrentDeclaration = get(admin(&site, OBSERVER), DECLARATION_PATH);
+        assert_eq!(in_force.revision, Revision::new(1));
+    }
+    let status: Status = get(admin(&site, OBSERVER), "/operator/status");
+    assert_eq!(status.counts.open_calls, None);
+}
+
+#[test]
+fn key_of_the_declaration_is_taken_at_every_router_until_it_is_removed() {
+    let site = site_with_observer();
+    let digest = Digest::of(b"key-of-the-choir");
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("site.toml");
+    let apply = |text: &str| {
+        std::fs::write(&path, text).unwrap();
+        let args = ["apply", path.to_str().unwrap(), "--yes", "--reason", "a test"];
+        let applied = run(&site, &args);
+        assert_eq!(applied.code, Some(0), "{applied:?}");
+    };
+    let status = |daemon: &bench::process::Daemon| {
+        let url = format!("http://{}/v1/models", daemon.spec().listen);
+        attohttpc::get(url).bearer_auth("key-of-the-choir").send().unwrap().status().as_u16()
+    };
+    let all = |expected: u16| {
+        let settled = || site.daemons.iter().all(|daemon| status(daemon) == expected);
+        bench::process::wait_until("every router agrees", Duration::from_secs(5), settled).unwrap();
+    };
+    all(401);
+    apply(&format!("[[organisations]]\nid = \"choir\"\nkeys = [\"{digest}\"]\n"));
+    all(200);
+    apply("[defaults]\nretry-budget = 0.1\n");
+    all(401);
+}
--- /dev/null
+++ b/crates/bench/tests/operator/tool.rs
@@ -0,0 +1,92 @@
+//! The tool as a process, and the pages as plain HTTP.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Command, Output, Stdio},
+    time::Duration,
+};
+
+use bench::{
+    process::Program,
+    site::{OPERATOR_KEY, Site, SiteSpec},
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How the tool ended.
+#[derive(Debug)]
+pub struct Run {
+    pub code: Option<i32>,
+    pub stdout: String,
+    pub stderr: String,
+}
+
+impl Run {
+    pub fn json<T: DeserializeOwned>(&self) -> T {
+        assert_eq!(self.code, Some(0), "{self:?}");
+        serde_json::from_str(&self.stdout).unwrap_or_else(|e| panic!("{e}: {self:?}"))
+    }
+}
+
+pub fn program() -> Program {
+    Program { path: PathBuf::from(env!("CARGO_BIN_EXE_bench")), args: vec!["daemon".into()] }
+}
+
+pub fn site() -> Site {
+    Site::start(&program(), SiteSpec::small()).unwrap()
+}
+
+pub fn admin(site: &Site, host: usize) -> SocketAddr {
+    site.daemons[host].spec().admin_listen
+}
+
+/// Runs the tool against the first host.
+pub fn run(site: &Site, args: &[&str]) -> Run {
+    run_at(&[admin(site, 0)], args)
+}
+
+/// Runs the tool against some routers, in their order.
+pub fn run_at(routers: &[SocketAddr], args: &[&str]) -> Run {
+    let routers: Vec<_> = routers.iter().map(ToString::to_string).collect();
+    let output = Command::new(env!("CARGO_BIN_EXE_bench"))
+        .arg("operator")
+        .args(args)
+        .env_clear()
+        .env("DOTTERELREACH_ROUTERS", routers.join(","))
+        .env("DOTTERELREACH_OPERATOR_KEY", OPERATOR_KEY)
+        .stdin(Stdio::null())
+        .output()
+        .unwrap();
+    finished(output)
+}
+
+fn finished(output: Output) -> Run {
+    Run {
+        code: output.status.code(),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// Reads a page.
+pub fn get<T: DeserializeOwned>(router: SocketAddr, path: &str) -> T {
+    let url = format!("http://{router}{path}");
+    let response = attohttpc::get(url).bearer_auth(OPERATOR_KEY).timeout(TIMEOUT).send().unwrap();
+    serde_json::from_str(&response.text().unwrap()).unwrap()
+}
+
+/// Posts a body and returns the status and the answer.
+pub fn post<T: DeserializeOwned>(
+    router: SocketAddr,
+    path: &str,
+    body: &impl Serialize,
+) -> (u16, T) {
+    let url = format!("http://{router}{path}");
+    let body = serde_json::to_vec(body).unwrap();
+    let req = attohttpc::post(url).bearer_auth(OPERATOR_KEY).timeout(TIMEOUT);
+    let response = req.bytes(body).send().unwrap();
+    let status = response.status().as_u16();
+    (status, serde_json::from_str(&response.text().unwrap()).unwrap())
+}
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -5,9 +5,10 @@
 use serde::Serialize;
 use toml::{Table, Value};
 use wire::operator::{
-    Call, CallPath, CurrentDeclaration, DECLARATION_PATH, ENDPOINTS_PATH, EXPLAIN_PATH, Endpoints,
-    ExplainRequest, Explanation, HISTORY_PATH, History, PromptPart, RESOLVE_SUFFIX, ResolveRequest,
-    ResolvedVerdict, STATUS_PATH, Status, VOTERS_PATH, VoterChange, VoterChangeRequest, Voters,
+    CALLS_PATH, Call, CallPath, CurrentDeclaration, DECLARATION_PATH, ENDPOINTS_PATH, EXPLAIN_PATH,
+    Endpoints, ExplainRequest, Explanation, HISTORY_PATH, History, PromptPart, RESOLVE_SUFFIX,
+    ResolveRequest, ResolvedVerdict, STATUS_PATH, Status, UnsettledCalls, VOTERS_PATH, VoterChange,
+    VoterChangeRequest, Voters,
 };
 
 use crate::{
@@ -25,7 +26,16 @@
 
 /// Runs the tool on this process's arguments.
 pub fn main() -> Exit {
-    let invocation = match options::parser().run_inner(bpaf::Args::current_args()) {
+    run_args(bpaf::Args::current_args())
+}
+
+/// Runs the tool on the arguments that would follow its name.
+pub fn run(args: &[&str]) -> Exit {
+    run_args(bpaf::Args::from(args))
+}
+
+fn run_args(args: bpaf::Args<'_>) -> Exit {
+    let invocation = match options::parser().run_inner(args) {
         Ok(invocation) => invocation,
         Err(failure) => {
             failure.print_message(HELP_COLUMNS);
@@ -90,6 +100,7 @@
                 let toml = read(&file)?;
                 submit(self.settings, &self.current()?, toml, &approval)?;
             }
+            Action::CallsList => self.show::<UnsettledCalls>(CALLS_PATH, view::unsettled)?,
             Action::CallsShow { organisation, key } => {
                 let path = call_path(&organisation, &key)?.to_string();
                 self.show::<Call>(&path, view::call)?;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -27,7 +27,7 @@
 mod view;
 
 pub use crate::{
-    command::main,
+    command::{main, run},
     diff::line_diff,
     edit::{Edit, NewException},
     error::{Error, Exit},
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -40,6 +40,7 @@
     Explain { organisation: String, model: String, adapter: Option<String>, input: Input },
     Diff { file: PathBuf },
     Apply { approval: Approval, file: PathBuf },
+    CallsList,
     CallsShow { organisation: String, key: String },
     CallsResolve { outcome: Outcome, organisation: String, reason: String, key: String },
     VotersList,
@@ -167,6 +168,8 @@
 }
 
 fn calls() -> impl Parser<Invocation> {
+    let list = bpaf::pure(Action::CallsList);
+    let list = leaf("list", "Lists the calls that are open or whose outcome is unknown", list);
     let (organisation_show, key) = (organisation(), positional("KEY").help("Idempotency key"));
     let show = construct!(organisation_show, key)
         .map(|(organisation, key)| Action::CallsShow { organisation, key });
@@ -179,7 +182,8 @@
     let key = positional("KEY").help("Idempotency key");
     let resolve = construct!(Action::CallsResolve { outcome, organisation, reason, key });
     let resolve = leaf("resolve", "Settles a call whose outcome stayed open", resolve);
-    group("calls", "Shows and settles calls that may not be repeated", construct!([show, resolve]))
+    let commands = construct!([list, show, resolve]);
+    group("calls", "Shows and settles calls that may not be repeated", commands)
 }
 
 fn voters() -> impl Parser<Invocation> {
--- a/crates/cli/src/view.rs
+++ b/crates/cli/src/view.rs
@@ -5,7 +5,8 @@
 use serde::Serialize;
 use toml::Value;
 use wire::operator::{
-    Call, EndpointStatus, Endpoints, Explanation, History, QuorumStatus, Status, Voter, Voters,
+    Call, EndpointStatus, Endpoints, Explanation, History, QuorumStatus, Status, UnsettledCalls,
+    Voter, Voters,
 };
 
 use crate::{command::plain, output::printable};
@@ -19,10 +20,11 @@
         .add_row(["incarnation", &status.incarnation.to_string()])
         .add_row(["version", &status.version])
         .add_row(["revision", &status.revision.to_string()])
+        .add_row(["newest heard", &status.newest.to_string()])
         .add_row(["in flight", &counts.in_flight.to_string()])
         .add_row(["queued", &counts.queued.to_string()])
         .add_row(["ready endpoints", &counts.ready_endpoints.to_string()])
-        .add_row(["open calls", &counts.open_calls.to_string()]);
+        .add_row(["open calls", &or_dash(counts.open_calls)]);
     format!("{facts}\n\n{}\n\n{}", quorum(&status.quorum), peers(status))
 }
 
@@ -34,6 +36,15 @@
         .add_row(["leader", &leader])
         .add_row(["committed", &quorum.commit.to_string()])
         .add_row(["applied", &quorum.applied.to_string()]);
+    for (what, text) in [
+        ("own folder", &quorum.folder),
+        ("own vote", &quorum.registration),
+        ("failure", &quorum.failure),
+    ] {
+        if let Some(text) = text {
+            facts.add_row([what, &printable(text)]);
+        }
+    }
     format!("{facts}\n\n{}", voter_table(&quorum.voters))
 }
 
@@ -59,7 +70,7 @@
 fn voter_table(voters: &[Voter]) -> Table {
     let mut rows = table(&["VOTER", "FOLDER", "HOLDS"]);
     for voter in voters {
-        let holds = voter.matched.map_or_else(|| "-".into(), |index| index.to_string());
+        let holds = or_dash(voter.matched);
         rows.add_row([voter.host.as_str(), &voter.folder, &holds]);
     }
     rows
@@ -130,15 +141,21 @@
 }
 
 pub(crate) fn call(call: &Call) -> String {
-    let status = call.status.map_or_else(|| "-".into(), |status| status.to_string());
+    let owner = match (&call.owner, call.owner_incarnation) {
+        (Some(owner), Some(incarnation)) => format!("{owner} (incarnation {incarnation})"),
+        (owner, _) => or_dash(owner.as_ref()),
+    };
     let mut facts = table(&["CALL", call.key.as_str()]);
     facts
         .add_row(["organisation", call.organisation.as_str()])
         .add_row(["state", &name(&call.state)])
         .add_row(["verdict", call.verdict.as_str()])
-        .add_row(["owner", &format!("{} (incarnation {})", call.owner, call.owner_incarnation)])
-        .add_row(["claimed", &time(call.claimed_at)])
-        .add_row(["status", &status]);
+        .add_row(["owner", &owner])
+        .add_row(["claimed", &or_dash(call.claimed_at.map(time))])
+        .add_row(["status", &or_dash(call.status)]);
+    if let Some(status) = call.late_status {
+        facts.add_row(["answered later", &status.to_string()]);
+    }
     if let Some(resolution) = &call.resolution {
         let reason = printable(&resolution.reason);
         let by = format!("by {} at {}: {reason}", resolution.author, time(resolution.at));
@@ -147,6 +164,20 @@
     facts.to_string()
 }
 
+pub(crate) fn unsettled(unsettled: &UnsettledCalls) -> String {
+    let mut rows = table(&["ORGANISATION", "KEY", "STATE", "OWNER", "CLAIMED"]);
+    for call in &unsettled.calls {
+        rows.add_row([
+            call.organisation.to_string(),
+            call.key.to_string(),
+            name(&call.state),
+            or_dash(call.owner.as_ref()),
+            or_dash(call.claimed_at.map(time)),
+        ]);
+    }
+    rows.to_string()
+}
+
 pub(crate) fn settings(settings: &toml::Table) -> String {
     let mut rows = table(&["SETTING", "VALUE"]);
     for (key, value) in settings {
@@ -186,6 +217,10 @@
     value.as_ref().and_then(serde_json::Value::as_str).unwrap_or("unknown").to_owned()
 }
 
+fn or_dash<T: ToString>(value: Option<T>) -> String {
+    value.map_or_else(|| "-".into(), |value| value.to_string())
+}
+
 fn span(millis: u64) -> String {
     humantime::format_duration(Duration::from_millis(millis)).to_string()
 }
--- /dev/null
+++ b/crates/daemon/src/admin/auth.rs
@@ -0,0 +1,33 @@
+use base::Digest;
+use rouille::Request;
+use subtle::{Choice, ConstantTimeEq as _};
+
+use super::problems::Refused;
+
+/// The operators' keys, kept as digests.
+pub(super) struct OperatorKeys(Vec<Digest>);
+
+impl OperatorKeys {
+    pub(super) fn new(digests: &[Digest]) -> Self {
+        Self(digests.to_vec())
+    }
+
+    /// Checks that the request shows one of the keys, in a time that doesn't depend on which.
+    pub(super) fn check(&self, req: &Request) -> Result<(), Refused> {
+        if self.0.is_empty() {
+            return Err(Refused::closed());
+        }
+        let mut shown =
+            req.headers().filter(|(name, _)| name.eq_ignore_ascii_case("authorization"));
+        let (Some((_, shown)), None) = (shown.next(), shown.next()) else {
+            return Err(Refused::unauthorised());
+        };
+        let key = shown.strip_prefix("Bearer ").ok_or_else(Refused::unauthorised)?;
+        let shown = Digest::of(key.as_bytes());
+        let known = self
+            .0
+            .iter()
+            .fold(Choice::from(0), |known, key| known | key.as_bytes().ct_eq(shown.as_bytes()));
+        if bool::from(known) { Ok(()) } else { Err(Refused::unauthorised()) }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/admin/mod.rs
@@ -0,0 +1,153 @@
+//! The operator, health and metrics pages.
+
+mod auth;
+mod body;
+mod calls;
+mod declaration;
+mod explain;
+mod leader;
+mod problems;
+mod status;
+mod voters;
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use base::Incarnation;
+use rouille::{Request, Response};
+use telemetry::Metrics;
+use wire::operator::{
+    CALLS_PATH, CallPath, DECLARATION_PATH, ENDPOINTS_PATH, EXPLAIN_PATH, HISTORY_PATH,
+    RESOLVE_SUFFIX, STATUS_PATH, ServingState, VOTERS_PATH,
+};
+
+use crate::{
+    Settings, clock::Clock, configurations::Configurations, edge::Inquiry,
+    leader_client::LeaderClient, readiness::Readiness, replica::ReplicaState, roster::Latest,
+};
+
+use auth::OperatorKeys;
+use leader::Leader;
+use problems::Refused;
+
+/// Threads that serve the pages; more than may wait for the leader, so that the health pages stay.
+const POOL_THREADS: usize = 16;
+
+/// Time between looks for a request.
+const POLL: Duration = Duration::from_millis(100);
+
+/// Start of every operator path.
+const OPERATOR_PREFIX: &str = "/operator/";
+
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// What the pages show and change.
+pub(crate) struct Sources {
+    pub cfg: Arc<Settings>,
+    pub clock: Clock,
+    pub incarnation: Incarnation,
+    pub readiness: Readiness,
+    pub roster: Latest,
+    pub replica: ReplicaState,
+    pub configurations: Configurations,
+    pub leader: LeaderClient,
+    pub inquiries: flume::Sender<Inquiry>,
+    pub metrics: Arc<Metrics>,
+}
+
+/// The pages.
+struct Pages {
+    sources: Sources,
+    keys: OperatorKeys,
+    leader: Leader,
+}
+
+/// Starts the thread that serves the pages.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound or the thread can't be made.
+pub(crate) fn spawn(address: SocketAddr, sources: Sources) -> io::Result<()> {
+    let pages = Pages {
+        keys: OperatorKeys::new(&sources.cfg.operator_keys),
+        leader: Leader::new(sources.leader.clone()),
+        sources,
+    };
+    let server = rouille::Server::new(address, move |req| pages.answer(req))
+        .map_err(|e| io::Error::other(format!("{address}: {e}")))?
+        .pool_size(POOL_THREADS);
+    std::thread::Builder::new().name("admin".into()).spawn(move || {
+        loop {
+            server.poll_timeout(POLL);
+        }
+    })?;
+    Ok(())
+}
+
+impl Pages {
+    fn answer(&self, req: &Request) -> Response {
+        // Decoded, a slash in an idempotency key would pass for one of the path.
+        let path = req.raw_url().split('?').next().unwrap_or_default();
+        let answer = match (req.method(), path) {
+            ("GET", "/healthz") => Ok(Response::text("alive\n")),
+            ("GET", "/readyz") => Ok(self.readiness()),
+            ("GET", "/metrics") => Ok(self.metrics()),
+            (_, "/healthz" | "/readyz" | "/metrics") => Err(Refused::method_not_allowed("GET")),
+            _ if path.starts_with(OPERATOR_PREFIX) => self.operator(req, path),
+            _ => Err(Refused::not_found("no such page")),
+        };
+        answer.unwrap_or_else(|refused| refused.into_response())
+    }
+
+    fn operator(&self, req: &Request, path: &str) -> Result<Response, Refused> {
+        self.keys.check(req)?;
+        match (req.method(), path) {
+            ("GET", STATUS_PATH) => Ok(json(&status::status(self))),
+            ("GET", ENDPOINTS_PATH) => Ok(json(&status::endpoints(self))),
+            ("GET", DECLARATION_PATH) => Ok(json(&declaration::current(self))),
+            ("POST", DECLARATION_PATH) => declaration::change(self, req),
+            ("GET", HISTORY_PATH) => declaration::history(self).map(|history| json(&history)),
+            ("POST", EXPLAIN_PATH) => explain::explain(self, req).map(|answer| json(&answer)),
+            ("GET", VOTERS_PATH) => voters::list(self).map(|voters| json(&voters)),
+            ("POST", VOTERS_PATH) => voters::change(self, req).map(|voters| json(&voters)),
+            ("GET", CALLS_PATH) => calls::unsettled(self).map(|calls| json(&calls)),
+            (_, STATUS_PATH | ENDPOINTS_PATH | HISTORY_PATH | CALLS_PATH) => {
+                Err(Refused::method_not_allowed("GET"))
+            }
+            (_, EXPLAIN_PATH) => Err(Refused::method_not_allowed("POST")),
+            (_, DECLARATION_PATH | VOTERS_PATH) => Err(Refused::method_not_allowed("GET, POST")),
+            _ => self.call(req, path),
+        }
+    }
+
+    fn call(&self, req: &Request, path: &str) -> Result<Response, Refused> {
+        let (path, resolves) = match path.strip_suffix(RESOLVE_SUFFIX) {
+            Some(path) if path.parse::<CallPath>().is_ok() => (path, true),
+            _ => (path, false),
+        };
+        let Ok(call) = path.parse::<CallPath>() else {
+            return Err(Refused::not_found("no such page"));
+        };
+        match (req.method(), resolves) {
+            ("GET", false) => calls::show(self, call).map(|call| json(&call)),
+            ("POST", true) => calls::resolve(self, req, call).map(|call| json(&call)),
+            (_, false) => Err(Refused::method_not_allowed("GET")),
+            (_, true) => Err(Refused::method_not_allowed("POST")),
+        }
+    }
+
+    fn readiness(&self) -> Response {
+        match self.sources.readiness.state() {
+            ServingState::Ready => Response::text("ready\n"),
+            ServingState::Starting => Response::text("starting\n").with_status_code(503),
+            _ => Response::text("draining\n").with_status_code(503),
+        }
+    }
+
+    fn metrics(&self) -> Response {
+        Response::from_data(METRICS_TYPE, self.sources.metrics.render())
+    }
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Response {
+    Response::json(value)
+}
--- /dev/null
+++ b/crates/daemon/src/edge/inquiry.rs
@@ -0,0 +1,59 @@
+use std::{borrow::Cow, collections::BTreeMap, rc::Rc};
+
+use base::EndpointId;
+use wire::operator::{ExplainRequest, Explanation, PromptPart};
+
+use super::{Edge, router::Wanted};
+
+/// A question of an operator.
+pub(crate) enum Inquiry {
+    /// Where a request would go.
+    Explain {
+        /// The request.
+        request: ExplainRequest,
+        /// Takes the answer; none if no endpoint serves the request.
+        reply: flume::Sender<Option<Explanation>>,
+    },
+    /// What is under way.
+    Load {
+        /// Takes the answer.
+        reply: flume::Sender<Load>,
+    },
+}
+
+/// What is under way at this router.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Load {
+    /// Requests of callers.
+    pub requests: u64,
+    /// Requests sent to each endpoint.
+    pub endpoints: BTreeMap<EndpointId, u32>,
+}
+
+/// Answers operators until no more can ask.
+pub(super) async fn answer_all(edge: Rc<Edge>, inquiries: flume::Receiver<Inquiry>) {
+    while let Ok(inquiry) = inquiries.recv_async().await {
+        match inquiry {
+            Inquiry::Explain { request, reply } => {
+                let _ = reply.try_send(explain(&edge, &request));
+            }
+            Inquiry::Load { reply } => {
+                let endpoints = edge.router.borrow().in_flight();
+                let _ = reply.try_send(Load { requests: edge.active.get(), endpoints });
+            }
+        }
+    }
+}
+
+fn explain(edge: &Edge, request: &ExplainRequest) -> Option<Explanation> {
+    let (PromptPart::Prompt(text) | PromptPart::Prefix(text)) = &request.input;
+    let prompt = [Cow::Borrowed(text.as_bytes())];
+    let wanted = Wanted {
+        organisation: &request.organisation,
+        model: &request.model,
+        adapter: request.adapter.as_ref(),
+        weights: None,
+        prompt: &prompt,
+    };
+    edge.router.borrow_mut().explain(&wanted)
+}
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod completions;
 mod failure;
+mod inquiry;
 mod listen;
 mod relay;
 mod router;
@@ -37,6 +38,8 @@
 use auth::Keys;
 use router::Router;
 
+pub(crate) use inquiry::{Inquiry, Load};
+
 /// Rings that join the edge thread to the others.
 pub(crate) struct Rings {
     /// Newest view of the endpoints.
@@ -45,6 +48,8 @@
     pub announcements: flume::Sender<RosterInput>,
     /// Orders to drain or to end.
     pub control: flume::Receiver<Control>,
+    /// Questions of operators.
+    pub inquiries: flume::Receiver<Inquiry>,
     /// The configuration in force.
     pub configurations: Configurations,
     /// The way to the quorum's leader.
@@ -160,6 +165,7 @@
             let edge = Rc::new(Edge::new(cfg, clock, &rings));
             tokio::task::spawn_local(follow_rosters(Rc::clone(&edge), rings.rosters));
             tokio::task::spawn_local(follow_configurations(Rc::clone(&edge)));
+            tokio::task::spawn_local(inquiry::answer_all(Rc::clone(&edge), rings.inquiries));
             tokio::task::spawn_local(claims::end_earlier_lives(Rc::clone(&edge)));
             listen::run(edge, listener, rings.control).await
         })
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -1,3 +1,5 @@
+mod explain;
+
 use std::{borrow::Cow, collections::BTreeMap, net::IpAddr, rc::Rc, sync::Arc};
 
 use base::{AdapterId, EndpointId, ModelId, OrganisationId, ServiceId, TokenCount, WeightsVersion};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,8 @@
 //! |---|---|
 //! | `edge` | callers, streams from endpoints, choice of endpoint |
 //! | `roster` | membership of endpoints and routers |
+//! | `peers` | calls between routers |
+//! | `replica` | this host's part in the quorum, on a host with a vote |
 //! | `admin` | operator, health and metrics pages |
 //! | `signals` | graceful shutdown |
 //!
@@ -26,6 +28,7 @@
 mod leader_client;
 mod net;
 mod peers;
+mod readiness;
 mod replica;
 mod roster;
 mod run;
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -77,6 +77,7 @@
 
     /// Runs until every sender of inputs is gone.
     pub(super) fn run(mut self) {
+        self.offer_configuration();
         loop {
             match self.rings.inputs.recv_timeout(TICK) {
                 Ok(input) => self.take(input),
@@ -131,7 +132,12 @@
                     voters.folders.remove(&host);
                 });
             }
-            Ok(request @ (LeaderRequest::ReadCall(_) | LeaderRequest::ReadUnsettled)) => {
+            Ok(
+                request @ (LeaderRequest::ReadCall(_)
+                | LeaderRequest::ReadUnsettled
+                | LeaderRequest::ReadHistory
+                | LeaderRequest::ReadVoters),
+            ) => {
                 let id = self.waiting.read(Reading { request, reply });
                 self.step(Input::Read { id });
             }
@@ -296,6 +302,10 @@
                     .map(|(key, call)| UnsettledCall { key, call: call.clone() })
                     .collect(),
             ),
+            LeaderRequest::ReadHistory => {
+                LeaderAnswer::History(self.fleet.configuration().history().cloned().collect())
+            }
+            LeaderRequest::ReadVoters => LeaderAnswer::Voters(self.node.status().voters),
             _ => return,
         };
         reading.reply.answer(&answer);
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -4,10 +4,11 @@
     time::Duration,
 };
 
-use base::{HostId, MonotonicTime, Revision};
+use base::{ByteCount, HostId, MonotonicTime, Revision, Term};
 use member::{Announcement, Budget, Change, Membership, PeerUpdate, Roster, TICK};
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use telemetry::{Metrics, QuorumRole};
 use wire::peer::{gossip_from_bytes, gossip_to_bytes};
 
 use crate::{
@@ -15,7 +16,7 @@
     configurations::{Configuration, Configurations},
     directory::Directory,
     peers::{Addressed, GossipCall, Outgoing},
-    replica::{ReplicaInput, ReplicaState},
+    replica::{ReplicaInput, ReplicaState, ReplicaView},
 };
 
 /// Time to wait for a newer configuration before asking for it again.
@@ -81,6 +82,8 @@
     pub replica: Option<flume::Sender<ReplicaInput>>,
     /// The replica thread's state.
     pub replica_state: ReplicaState,
+    /// The process's metrics.
+    pub metrics: Arc<Metrics>,
 }
 
 /// Starts the thread that keeps the membership of routers and the leases of endpoints.
@@ -148,23 +151,11 @@
         match input {
             RosterInput::Announced(announcement) => {
                 if let Err(stale) = self.membership.announce(now, announcement) {
-                    log::debug!("endpoint={} announcement dropped: {stale}", stale.endpoint);
+                    log::debug!(endpoint:% = stale.endpoint; "stale announcement dropped");
                 }
             }
-            RosterInput::Gossip(call) => match gossip_from_bytes(&call.message) {
-                Ok(message) => {
-                    let answer = self.membership.request(now, message);
-                    let _ = call.reply.try_send(gossip_to_bytes(&answer));
-                }
-                Err(e) => log::warn!("gossip dropped: {e}"),
-            },
-            RosterInput::Answer { sent, message } => match gossip_from_bytes(&message) {
-                Ok(message) => {
-                    let follow_ups = self.membership.response(now, sent, message);
-                    self.send(now, follow_ups);
-                }
-                Err(e) => log::warn!("answer to gossip dropped: {e}"),
-            },
+            RosterInput::Gossip(call) => self.take_gossip(now, &call),
+            RosterInput::Answer { sent, message } => self.take_answer(now, sent, &message),
             RosterInput::Configuration(configuration) => {
                 self.rings.configurations.offer(configuration);
             }
@@ -173,12 +164,40 @@
         self.ask_for_configuration(now);
     }
 
+    fn take_gossip(&mut self, now: MonotonicTime, call: &GossipCall) {
+        self.rings.metrics.gossip_received(byte_count(&call.message));
+        match gossip_from_bytes(&call.message) {
+            Ok(message) => {
+                let answer = gossip_to_bytes(&self.membership.request(now, message));
+                self.rings.metrics.gossip_sent(byte_count(&answer));
+                let _ = call.reply.try_send(answer);
+            }
+            Err(e) => log::warn!(error:% = e; "gossip dropped"),
+        }
+    }
+
+    fn take_answer(&mut self, now: MonotonicTime, sent: MonotonicTime, message: &[u8]) {
+        self.rings.metrics.gossip_received(byte_count(message));
+        match gossip_from_bytes(message) {
+            Ok(message) => {
+                let follow_ups = self.membership.response(now, sent, message);
+                self.send(now, follow_ups);
+            }
+            Err(e) => log::warn!(error:% = e; "answer to gossip dropped"),
+        }
+    }
+
     fn tick(&mut self, now: MonotonicTime) {
-        self.membership.set_revision(self.rings.configurations.revision());
+        let revision = self.rings.configurations.revision();
+        self.membership.set_revision(revision);
+        self.rings.metrics.revision(revision);
+        let mut part = (QuorumRole::Observer, Term::ZERO);
         if let Some(view) = self.rings.replica_state.load() {
             self.membership.set_leader(view.node.leader.clone());
             self.tell_learners(now, &view.node.voters);
+            part = (role(&view, &self.membership.peers().me().host), view.node.term);
         }
+        self.rings.metrics.quorum(part.0, part.1);
         let messages = self.membership.tick(now, &mut self.rng);
         self.send(now, messages);
         self.ask_for_configuration(now);
@@ -187,8 +206,10 @@
 
     fn send(&self, now: MonotonicTime, messages: Vec<member::Outgoing>) {
         for outgoing in messages {
+            let message = gossip_to_bytes(&outgoing.message);
+            self.rings.metrics.gossip_sent(byte_count(&message));
             let message = Outgoing::Gossip {
-                message: gossip_to_bytes(&outgoing.message),
+                message,
                 sent: now,
                 timeout: outgoing.timeout,
                 reply: self.rings.answers.clone(),
@@ -249,9 +270,9 @@
         for change in self.membership.take_changes() {
             match change {
                 Change::Renewed(_) => continue,
-                Change::Joined(endpoint) => log::info!("endpoint={endpoint} joined"),
-                Change::Leaving(endpoint) => log::info!("endpoint={endpoint} is leaving"),
-                Change::Expired(endpoint) => log::info!("endpoint={endpoint} lease ended"),
+                Change::Joined(endpoint) => log::info!(endpoint:%; "joined"),
+                Change::Leaving(endpoint) => log::info!(endpoint:%; "leaving"),
+                Change::Expired(endpoint) => log::info!(endpoint:%; "lease ended"),
             }
             changed = true;
         }
@@ -265,6 +286,22 @@
     }
 }
 
+/// Returns the part in the quorum that a view shows.
+pub(crate) fn role(view: &ReplicaView, host: &HostId) -> QuorumRole {
+    if !view.node.voters.folders.contains_key(host) {
+        return QuorumRole::Observer;
+    }
+    match view.node.role {
+        quorum::Role::Follower => QuorumRole::Follower,
+        quorum::Role::Candidate => QuorumRole::Candidate,
+        quorum::Role::Leader => QuorumRole::Leader,
+    }
+}
+
+fn byte_count(message: &[u8]) -> ByteCount {
+    ByteCount::new(message.len() as u64)
+}
+
 /// Returns whether a peer stays behind the newest revision.
 pub(crate) fn is_laggard(peer: &member::Peer, newest: Revision) -> bool {
     peer.update.revision < newest
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -2,6 +2,7 @@
     net::{SocketAddr, TcpListener},
     process::ExitCode,
     sync::Arc,
+    time::{Duration, Instant},
 };
 
 use base::{Incarnation, Revision, Sequence};
@@ -11,13 +12,14 @@
 
 use crate::{
     Settings, SettingsError,
-    admin::{self, Pages, Readiness},
+    admin::{self, Sources},
     clock::Clock,
     configurations::Configurations,
     directory::Directory,
     edge::{self, Control, EdgeEnd, Rings},
     leader_client::LeaderClient,
     peers::{self, Inbox, PeersConfig},
+    readiness::{self, NEWS_TIMEOUT, Readiness},
     replica::{self, ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaState},
     roster::{self, Latest, RosterInput, RosterRings},
     signals::{self, Termination},
@@ -29,6 +31,12 @@
 /// Rosters in the ring to the edge thread.
 const ROSTER_RING: usize = 1;
 
+/// Operators' questions in the ring to the edge thread.
+const INQUIRY_RING: usize = 16;
+
+/// Time between looks at what the peers have told.
+const NEWS_POLL: Duration = Duration::from_millis(10);
+
 const EXIT_FAILED: u8 = 1;
 const EXIT_SETTINGS: u8 = 2;
 const EXIT_CUT: u8 = 3;
@@ -84,9 +92,12 @@
     let process = Process::start(&cfg)?;
     log::info!(host:% = cfg.host, address:% = cfg.listen; "serving callers");
 
-    let signal = signal_rx.recv().wrap_err("the signals thread ended")?;
+    let signal = match process.wait_for_news(&signal_rx) {
+        Some(signal) => signal,
+        None => signal_rx.recv().wrap_err("the signals thread ended")?,
+    };
     log::info!(host:% = cfg.host; "draining after a termination signal");
-    process.readiness.set(false);
+    process.readiness.set_draining();
     let _ = process.roster.send(RosterInput::Draining);
     let notice = match signal {
         Termination::Graceful => signal_rx.recv_timeout(cfg.timeouts.drain_notice),
@@ -114,6 +125,7 @@
     edge: std::thread::JoinHandle<EdgeEnd>,
     control: flume::Sender<Control>,
     readiness: Readiness,
+    news: News,
     roster: flume::Sender<RosterInput>,
     replica: Option<flume::Sender<ReplicaInput>>,
     /// Sends the last spans on drop.
@@ -121,6 +133,19 @@
 }
 
 impl Process {
+    /// Turns ready once the peers' news is here or has taken too long; returns an earlier signal.
+    fn wait_for_news(&self, signals: &flume::Receiver<Termination>) -> Option<Termination> {
+        let deadline = Instant::now() + NEWS_TIMEOUT;
+        while !self.news.is_here() && Instant::now() < deadline {
+            if let Ok(signal) = signals.recv_timeout(NEWS_POLL) {
+                return Some(signal);
+            }
+        }
+        self.readiness.set_ready();
+        log::info!(revision:% = self.news.configurations.revision(); "ready");
+        None
+    }
+
     fn start(cfg: &Arc<Settings>) -> eyre::Result<Self> {
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new()?);
@@ -173,6 +198,7 @@
             configurations: configurations.clone(),
             replica: replica.clone(),
             replica_state: replica_state.clone(),
+            metrics: Arc::clone(&metrics),
         };
         let me = myself(cfg, incarnation, replica.is_some());
         roster::spawn(clock, me, cfg.seeds.clone(), rings)?;
@@ -188,20 +214,30 @@
         };
         peers::spawn(peers_cfg, peer_listener, inbox, outbox_rx)?;
         let readiness = Readiness::default();
-        let pages = Pages {
+        let (inquiry_tx, inquiry_rx) = flume::bounded(INQUIRY_RING);
+        let news = News {
+            awaited: !cfg.seeds.is_empty(),
+            roster: latest.clone(),
+            configurations: configurations.clone(),
+        };
+        let sources = Sources {
             cfg: Arc::clone(cfg),
+            clock,
             incarnation,
             readiness: readiness.clone(),
             roster: latest,
             replica: replica_state,
             configurations: configurations.clone(),
             leader: leader.clone(),
+            inquiries: inquiry_tx,
+            metrics: Arc::clone(&metrics),
         };
-        admin::spawn(cfg.admin_listen, pages).wrap_err("could not serve the operator's pages")?;
+        admin::spawn(cfg.admin_listen, sources).wrap_err("could not serve the operator's pages")?;
         let rings = Rings {
             rosters: roster_rx,
             announcements: roster_input_tx.clone(),
             control: control_rx,
+            inquiries: inquiry_rx,
             configurations,
             leader,
             incarnation,
@@ -209,11 +245,11 @@
             tracer,
         };
         let edge = edge::spawn(Arc::clone(cfg), clock, edge_listener, rings)?;
-        readiness.set(true);
         Ok(Self {
             edge,
             control: control_tx,
             readiness,
+            news,
             roster: roster_input_tx,
             replica,
             _exporter: exporter,
@@ -221,6 +257,20 @@
     }
 }
 
+/// What a starting router has heard from its peers.
+struct News {
+    awaited: bool,
+    roster: Latest,
+    configurations: Configurations,
+}
+
+impl News {
+    fn is_here(&self) -> bool {
+        let in_force = self.configurations.revision();
+        !self.awaited || self.roster.load().is_some_and(|r| readiness::has_news(&r, in_force))
+    }
+}
+
 /// Starts the export of spans, if an endpoint is set.
 fn tracing(cfg: &Settings, metrics: &Metrics) -> eyre::Result<(Tracer, Option<Exporter>)> {
     let Some(endpoint) = &cfg.telemetry.trace_endpoint else { return Ok((Tracer::off(), None)) };
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -1,7 +1,7 @@
 //! Requests to the quorum's leader, and its answers.
 
 use base::HostId;
-use fleet::{Call, CallKey, Command, Reply};
+use fleet::{Call, CallKey, ChangeRecord, Command, Reply};
 use quorum::{FolderId, VoterSet};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -28,6 +28,10 @@
         /// Its host.
         host: HostId,
     },
+    /// Lists the changes of configuration that are kept.
+    ReadHistory,
+    /// Lists the voters.
+    ReadVoters,
 }
 
 /// The leader's answer.
@@ -43,6 +47,8 @@
     Voters(VoterSet),
     /// The request was understood and refused; nothing changed.
     Refused(String),
+    /// The changes of configuration that are kept, the oldest first.
+    History(Vec<ChangeRecord>),
 }
 
 /// A call that is open or whose outcome is unknown.
--- a/crates/wire/src/operator.rs
+++ b/crates/wire/src/operator.rs
@@ -10,7 +10,9 @@
 mod status;
 
 pub use self::{
-    calls::{Call, CallPath, CallState, Resolution, ResolveRequest, ResolvedVerdict},
+    calls::{
+        Call, CallPath, CallState, Resolution, ResolveRequest, ResolvedVerdict, UnsettledCalls,
+    },
     change::{
         ChangeAnswer, ChangeRequest, CurrentDeclaration, History, HistoryEntry, VoterChange,
         VoterChangeRequest, Voters,
@@ -34,7 +36,7 @@
 pub const EXPLAIN_PATH: &str = "/operator/explain";
 /// Path of [`Voters`] and, for `POST`, of [`VoterChangeRequest`].
 pub const VOTERS_PATH: &str = "/operator/voters";
-/// Start of each [`CallPath`].
+/// Path of [`UnsettledCalls`] and start of each [`CallPath`].
 pub const CALLS_PATH: &str = "/operator/calls";
 /// What follows a [`CallPath`] for `POST` of [`ResolveRequest`].
 pub const RESOLVE_SUFFIX: &str = "/resolve";
--- a/crates/wire/src/operator/calls.rs
+++ b/crates/wire/src/operator/calls.rs
@@ -100,18 +100,31 @@
     pub state: CallState,
     /// Whether it may have run.
     pub verdict: Verdict,
-    /// The host that claimed it.
-    pub owner: HostId,
+    /// The host that claimed it, unless it was given back.
+    #[serde(default)]
+    pub owner: Option<HostId>,
     /// The life of that host's process.
-    pub owner_incarnation: Incarnation,
+    #[serde(default)]
+    pub owner_incarnation: Option<Incarnation>,
     /// When it was claimed.
-    pub claimed_at: UnixMillis,
+    #[serde(default)]
+    pub claimed_at: Option<UnixMillis>,
     /// The status that the endpoint answered with, if it did.
     #[serde(default)]
     pub status: Option<u16>,
     /// What an operator decided, if one did.
     #[serde(default)]
     pub resolution: Option<Resolution>,
+    /// The status of an answer that came after the operator had decided.
+    #[serde(default)]
+    pub late_status: Option<u16>,
+}
+
+/// The calls that are open or whose outcome is unknown.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnsettledCalls {
+    /// Each call.
+    pub calls: Vec<Call>,
 }
 
 /// How far a call has come.
@@ -122,8 +135,10 @@
     Open,
     /// Its answer is recorded.
     Answered,
-    /// It failed, and its verdict is recorded.
+    /// It was sent, and no answer is known.
     Failed,
+    /// Its owner sent nothing; it may be claimed again.
+    Released,
     /// An operator decided its outcome.
     Resolved,
     /// A state that this program does not know.
--- a/crates/wire/src/operator/status.rs
+++ b/crates/wire/src/operator/status.rs
@@ -21,6 +21,9 @@
     pub state: ServingState,
     /// The revision of the configuration in force.
     pub revision: Revision,
+    /// The newest revision that it heard of.
+    #[serde(default)]
+    pub newest: Revision,
     /// What it knows of the quorum.
     pub quorum: QuorumStatus,
     /// The other routers.
@@ -34,6 +37,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ServingState {
+    /// It waits for news from its peers.
+    Starting,
     /// It takes requests.
     Ready,
     /// It ends the requests it has, and takes no new ones.
@@ -56,8 +61,17 @@
     pub commit: LogIndex,
     /// The last entry applied.
     pub applied: LogIndex,
-    /// The voters.
+    /// The voters, as far as it knows.
     pub voters: Vec<Voter>,
+    /// Its own data folder, in hexadecimal, if it can hold a vote.
+    #[serde(default)]
+    pub folder: Option<Arc<str>>,
+    /// Whether it may vote from that folder.
+    #[serde(default)]
+    pub registration: Option<Arc<str>>,
+    /// Why it acknowledges nothing any more, if so.
+    #[serde(default)]
+    pub failure: Option<Arc<str>>,
 }
 
 /// What a router does in the quorum.
@@ -136,8 +150,8 @@
     pub queued: u64,
     /// Endpoints that may get new work.
     pub ready_endpoints: u64,
-    /// Claimed calls without an outcome.
-    pub open_calls: u64,
+    /// Calls that are claimed or whose outcome is unknown, on a host that can hold a vote.
+    pub open_calls: Option<u64>,
 }
 
 /// The endpoints that a router knows.
