daemon: check settings against each other; test them with the real program

Cause: an unspecified peer address or two listeners on one address were only seen once peers or the bind failed; no test ran the program's settings.

--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -62,16 +62,41 @@
         telemetry: telemetry(&raw.telemetry, &mut faults),
         check_only: raw.check_only,
     };
+    check_together(&settings, &mut faults);
+    if !faults.lines().is_empty() {
+        return Err(faults);
+    }
+    Ok(settings)
+}
+
+/// Checks what no setting shows alone.
+fn check_together(settings: &Settings, faults: &mut Faults) {
     if settings.voter && settings.data_dir.is_none() {
-        faults.add("--voter", "DOTTERELREACH_DATA_DIR", "a voter needs --data-dir");
+        faults.add("--voter", "DOTTERELREACH_VOTER", "a voter needs --data-dir");
     }
     if !settings.founders.is_empty() && !settings.voter {
         faults.add("--founder", "DOTTERELREACH_FOUNDERS", "only a voter can be given founders");
     }
-    if !faults.lines().is_empty() {
-        return Err(faults);
+    if settings.peer_advertise.ip().is_unspecified() || settings.peer_advertise.port() == 0 {
+        let shown = settings.peer_advertise;
+        let message = format!("\"{shown}\" can't be connected to; write this host's own IP:PORT");
+        faults.add("--peer-advertise", "DOTTERELREACH_PEER_ADVERTISE", &message);
+    }
+    let listeners = [
+        ("--peer-listen", "DOTTERELREACH_PEER_LISTEN", settings.peer_listen, settings.listen),
+        ("--admin-listen", "DOTTERELREACH_ADMIN_LISTEN", settings.admin_listen, settings.listen),
+        (
+            "--admin-listen",
+            "DOTTERELREACH_ADMIN_LISTEN",
+            settings.admin_listen,
+            settings.peer_listen,
+        ),
+    ];
+    for (flag, env, address, other) in listeners {
+        if address == other && address.port() != 0 {
+            faults.add(flag, env, &format!("\"{address}\" is taken by another listener"));
+        }
     }
-    Ok(settings)
 }
 
 fn parsed<T: FromStr<Err: Display>>(setting: &One, faults: &mut Faults) -> Option<T> {
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,210 @@
+//! Settings of the real program: defaults, variables, faults, help and exit codes.
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    process::{Command, Stdio},
+    time::Duration,
+};
+
+use daemon::Settings;
+use log::LevelFilter;
+use telemetry::LogFormat;
+
+const KEY: &str = "fleet-key-for-tests-only";
+const DIGEST: &str = "2f7d8c4a66fb8eea7f73331c17a5af824e8f26278b31701969eea211defd15e9";
+
+/// How the program ended.
+#[derive(Debug)]
+struct Run {
+    code: Option<i32>,
+    stdout: String,
+    stderr: String,
+}
+
+fn run(args: &[&str], variables: &[(&str, &str)]) -> Run {
+    let output = Command::new(env!("CARGO_BIN_EXE_dotterelreachd"))
+        .env_clear()
+        .envs(variables.iter().copied())
+        .args(args)
+        .stdin(Stdio::null())
+        .output()
+        .unwrap();
+    Run {
+        code: output.status.code(),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// Checks settings that are right but for `args` and returns the faults.
+fn faults(args: &[&str], variables: &[(&str, &str)]) -> Vec<String> {
+    let args = [&["--check", "--fleet-key", KEY][..], args].concat();
+    let run = run(&args, variables);
+    assert_eq!((run.code, run.stdout.as_str()), (Some(2), ""), "{run:?}");
+    run.stderr.lines().map(str::to_owned).collect()
+}
+
+macro_rules! faults {
+    ($($name:ident: $args:expr, $variables:expr => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(faults(&$args, &$variables), $expected);
+        }
+    )*};
+}
+
+faults! {
+    address_without_a_port: ["--listen", "10.0.0.1"], [] => [
+        "--listen: \"10.0.0.1\" is no address; write IP:PORT such as 10.1.0.4:8080 \
+         (environment: DOTTERELREACH_LISTEN)"
+    ];
+    address_by_variable: [], [("DOTTERELREACH_ADMIN_LISTEN", "x")] => [
+        "--admin-listen: \"x\" is no address; write IP:PORT such as 10.1.0.4:8080 \
+         (environment: DOTTERELREACH_ADMIN_LISTEN)"
+    ];
+    duration_without_a_unit: ["--idle-timeout", "5"], [] => [
+        "--idle-timeout: \"5\" has no unit; write a duration such as 800ms or 5s \
+         (environment: DOTTERELREACH_IDLE_TIMEOUT)"
+    ];
+    number_out_of_range: ["--max-header-bytes", "1"], [] => [
+        "--max-header-bytes: \"1\" is no whole number from 8192 to 1048576 \
+         (environment: DOTTERELREACH_MAX_HEADER_BYTES)"
+    ];
+    voter_without_a_folder: ["--voter"], [] => [
+        "--voter: a voter needs --data-dir (environment: DOTTERELREACH_VOTER)"
+    ];
+    founder_without_a_vote: ["--founder", "host-1", "--data-dir", "d"], [] => [
+        "--founder: only a voter can be given founders (environment: DOTTERELREACH_FOUNDERS)"
+    ];
+    vote_that_is_no_switch: [], [("DOTTERELREACH_VOTER", "yes")] => [
+        "--voter: \"yes\" is neither true nor false (environment: DOTTERELREACH_VOTER)"
+    ];
+    plain_operator_key_is_not_shown: ["--operator-key", "secret"], [] => [
+        "--operator-key: value 1 (not shown) is not a BLAKE3 digest of 64 hexadecimal digits \
+         (environment: DOTTERELREACH_OPERATOR_KEYS)"
+    ];
+    plain_organisation_key_is_not_shown:
+        [], [("DOTTERELREACH_ORGANISATION_KEYS", "press=secret")] => [
+        "--organisation-key: value 1 (not shown) is not ORGANISATION=DIGEST, with 64 hexadecimal \
+         digits (environment: DOTTERELREACH_ORGANISATION_KEYS)"
+    ];
+    unknown_log_level: ["--log-level", "loud"], [] => [
+        "--log-level: \"loud\" is no log level; write off, error, warn, info, debug or trace \
+         (environment: DOTTERELREACH_LOG_LEVEL)"
+    ];
+    collector_by_https: ["--trace-endpoint", "https://collector/v1/traces"], [] => [
+        "--trace-endpoint: \"https://collector/v1/traces\" is no URL; write one such as \
+         http://127.0.0.1:4318/v1/traces (environment: DOTTERELREACH_TRACE_ENDPOINT)"
+    ];
+    peers_are_told_no_address: ["--peer-listen", "0.0.0.0:8081"], [] => [
+        "--peer-advertise: \"0.0.0.0:8081\" can't be connected to; write this host's own IP:PORT \
+         (environment: DOTTERELREACH_PEER_ADVERTISE)"
+    ];
+    two_listeners_on_one_address: ["--admin-listen", "127.0.0.1:8080"], [] => [
+        "--admin-listen: \"127.0.0.1:8080\" is taken by another listener \
+         (environment: DOTTERELREACH_ADMIN_LISTEN)"
+    ];
+}
+
+#[test]
+fn all_faults_are_listed_at_once() {
+    let args = ["--host", "a b", "--listen", "x", "--body-timeout", "0s", "--trace-sample", "2"];
+    let variables = [("DOTTERELREACH_SEEDS", "127.0.0.1:1, y"), ("DOTTERELREACH_LOG_FORMAT", "z")];
+    let faults = faults(&args, &variables);
+    let flags: Vec<_> = faults.iter().map(|line| line.split(':').next().unwrap()).collect();
+    let expected =
+        ["--host", "--listen", "--seed", "--body-timeout", "--log-format", "--trace-sample"];
+    assert_eq!(flags, expected, "{faults:?}");
+}
+
+#[test]
+fn fleet_key_is_needed_and_its_text_not_shown() {
+    let run = run(&["--check"], &[("DOTTERELREACH_FLEET_KEY", "too-short")]);
+    assert_eq!(run.code, Some(2));
+    assert!(run.stderr.starts_with("--fleet-key: needed, with at least 16 bytes"), "{run:?}");
+    assert!(!run.stderr.contains("too-short"), "{run:?}");
+}
+
+#[test]
+fn check_of_valid_settings_ends_with_code_0() {
+    let run = run(
+        &["--check", "--data-dir", "folder"],
+        &[
+            ("DOTTERELREACH_FLEET_KEY", KEY),
+            ("DOTTERELREACH_OPERATOR_KEYS", DIGEST),
+            ("DOTTERELREACH_ORGANISATION_KEYS", &format!("press={DIGEST},school={DIGEST}")),
+            ("DOTTERELREACH_VOTER", "false"),
+        ],
+    );
+    assert_eq!((run.code, run.stdout.as_str()), (Some(0), "settings are valid\n"), "{run:?}");
+}
+
+#[test]
+fn unknown_flag_ends_with_code_2() {
+    let run = run(&["--no-such-flag"], &[]);
+    assert_eq!(run.code, Some(2), "{run:?}");
+    assert!(run.stderr.contains("--no-such-flag"), "{run:?}");
+}
+
+#[test]
+fn address_in_use_ends_with_code_1() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let run = run(&["--fleet-key", KEY, "--listen", &address], &[]);
+    assert_eq!(run.code, Some(1), "{run:?}");
+    assert!(run.stderr.contains("could not bind"), "{run:?}");
+}
+
+#[test]
+fn help_is_grouped_and_shows_no_key() {
+    let variables = [
+        ("DOTTERELREACH_FLEET_KEY", KEY),
+        ("DOTTERELREACH_OPERATOR_KEYS", DIGEST),
+        ("DOTTERELREACH_ORGANISATION_KEYS", "press=abcdef"),
+    ];
+    let run = run(&["--help"], &variables);
+    assert_eq!(run.code, Some(0));
+    for group in ["Identity", "Addresses", "State", "Keys", "Limits", "Timeouts", "Logs and traces"]
+    {
+        assert!(run.stdout.contains(group), "{group}: {}", run.stdout);
+    }
+    for (name, value) in variables {
+        assert!(run.stdout.contains(name), "{name}: {}", run.stdout);
+        assert!(!run.stdout.contains(value), "{}", run.stdout);
+    }
+    assert!(run.stdout.contains("Exit codes: 0"), "{}", run.stdout);
+}
+
+#[test]
+fn version_is_shown() {
+    let run = run(&["--version"], &[]);
+    assert_eq!(run.code, Some(0));
+    assert!(run.stdout.contains(env!("CARGO_PKG_VERSION")), "{run:?}");
+}
+
+#[test]
+fn defaults_stand_where_nothing_is_set() {
+    let settings = Settings::from_args(&["--fleet-key", KEY]).unwrap();
+    let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let addresses = (settings.listen, settings.peer_listen, settings.admin_listen);
+    assert_eq!(addresses, (address(8080), address(8081), address(7400)));
+    assert_eq!(settings.peer_advertise, address(8081));
+    assert_eq!((settings.host.as_str(), settings.data_centre.as_str()), ("host-1", "local"));
+    assert!(!settings.voter && settings.data_dir.is_none() && settings.seeds.is_empty());
+    assert_eq!(settings.timeouts.header, Duration::from_secs(10));
+    assert_eq!(settings.timeouts.drain_notice, Duration::from_secs(2));
+    assert_eq!(settings.limits.body_bytes.as_u64(), 4 << 20);
+    assert_eq!(settings.telemetry.log_level, LevelFilter::Info);
+    assert_eq!(settings.telemetry.log_format, LogFormat::Text);
+    assert!(settings.telemetry.trace_endpoint.is_none() && settings.operator_keys.is_empty());
+}
+
+#[test]
+fn voter_is_given_its_founders() {
+    let args = ["--fleet-key", KEY, "--voter", "--data-dir", "d", "--founder", "a,b"];
+    let settings = Settings::from_args(&[&args[..], &["--founder", "c"]].concat()).unwrap();
+    let founders: Vec<_> = settings.founders.iter().map(|host| host.as_str()).collect();
+    assert_eq!((settings.voter, settings.data_dir.as_deref()), (true, Some(Path::new("d"))));
+    assert_eq!(founders, ["a", "b", "c"]);
+}
