daemon: turn ready only with the revision that the leader knows

Cause: a restarted host without a disk turned ready with revision 0 after revision 1 had been in force on it: the first peer that it heard lagged (operator test, under load). Ruled out: the bound of 1 s (the log shows the peer's answer before it). Change: a starting router asks the leader for the revision in force and turns ready once it has it, or after 2 s without an answer.

--- a/crates/bench/tests/peers.rs
+++ b/crates/bench/tests/peers.rs
@@ -9,7 +9,7 @@
 
 use bench::{
     process::{Daemon, DaemonSpec, Program},
-    site::{FLEET_KEY, Site, SiteSpec},
+    site::{FLEET_KEY, OPERATOR_KEY, Site, SiteSpec},
 };
 
 fn program() -> Program {
@@ -55,13 +55,16 @@
 #[test]
 fn router_with_another_fleet_key_stays_out() {
     let site = Site::start(&program(), SiteSpec::small()).unwrap();
+    let operator = base::Digest::of(OPERATOR_KEY.as_bytes());
     let stranger = DaemonSpec::new("host-9", "a")
         .flag("--fleet-key", "another-fleets-key-entirely")
+        .flag("--operator-key", operator)
         .flag("--seed", site.peer_proxies[0].address());
     let mut stranger = Daemon::start(&program(), stranger).unwrap();
     stranger.wait_ready(Duration::from_secs(10)).unwrap();
     let friend = DaemonSpec::new("host-8", "a")
         .flag("--fleet-key", FLEET_KEY)
+        .flag("--operator-key", operator)
         .flag("--seed", site.peer_proxies[0].address());
     let mut friend = Daemon::start(&program(), friend).unwrap();
     friend.wait_ready(Duration::from_secs(10)).unwrap();
--- a/crates/daemon/src/readiness.rs
+++ b/crates/daemon/src/readiness.rs
@@ -1,6 +1,7 @@
 use std::{
+    io,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicU8, Ordering},
     },
     time::Duration,
@@ -8,10 +9,15 @@
 
 use base::Revision;
 use member::{PeerState, Roster};
-use wire::operator::ServingState;
+use wire::{
+    leader::{LeaderAnswer, LeaderRequest},
+    operator::ServingState,
+};
+
+use crate::{configurations::Configurations, leader_client::LeaderClient, roster::Latest};
 
-/// Longest time that a starting router waits for news from its peers.
-pub(crate) const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time that a starting router waits for news from its peers and the leader.
+pub(crate) const NEWS_TIMEOUT: Duration = Duration::from_secs(2);
 
 const STARTING: u8 = 0;
 const READY: u8 = 1;
@@ -42,8 +48,51 @@
     }
 }
 
-/// Returns whether a peer has spoken and no newer configuration is known than the one in force.
-pub(crate) fn has_news(roster: &Roster, in_force: Revision) -> bool {
-    let heard = roster.peers.iter().any(|p| p.heard.is_some() && p.update.state != PeerState::Dead);
-    heard && roster.newest.revision <= in_force
+/// What a starting router has heard of the fleet.
+pub(crate) struct News {
+    /// Whether there are peers to hear from.
+    pub awaited: bool,
+    /// The newest roster.
+    pub roster: Latest,
+    /// The configuration in force here.
+    pub configurations: Configurations,
+    /// The revision that the leader says is in force, once it was asked.
+    pub committed: Arc<OnceLock<Revision>>,
+}
+
+impl News {
+    /// Returns whether a peer has spoken and no newer configuration is committed than the one in
+    /// force here.
+    ///
+    /// The peer that speaks first may lag; only the leader knows the newest revision.
+    pub(crate) fn is_here(&self) -> bool {
+        if !self.awaited {
+            return true;
+        }
+        let Some(committed) = self.committed.get() else { return false };
+        let heard = self.roster.load().is_some_and(|roster| has_spoken(&roster));
+        heard && *committed <= self.configurations.revision()
+    }
+}
+
+/// Asks the leader for the revision in force, on a thread of its own.
+///
+/// # Errors
+///
+/// Returns an error if the thread or its runtime can't be made.
+pub(crate) fn ask_leader(leader: LeaderClient) -> io::Result<Arc<OnceLock<Revision>>> {
+    let committed = Arc::new(OnceLock::new());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+    let answer = Arc::clone(&committed);
+    std::thread::Builder::new().name("news".into()).spawn(move || {
+        let asking = leader.ask(&LeaderRequest::ReadRevision, NEWS_TIMEOUT);
+        if let Ok(LeaderAnswer::Revision(revision)) = runtime.block_on(asking) {
+            let _ = answer.set(revision);
+        }
+    })?;
+    Ok(committed)
+}
+
+fn has_spoken(roster: &Roster) -> bool {
+    roster.peers.iter().any(|p| p.heard.is_some() && p.update.state != PeerState::Dead)
 }
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -135,6 +135,7 @@
             Ok(
                 request @ (LeaderRequest::ReadCall(_)
                 | LeaderRequest::ReadUnsettled
+                | LeaderRequest::ReadRevision
                 | LeaderRequest::ReadHistory
                 | LeaderRequest::ReadVoters),
             ) => {
@@ -295,6 +296,7 @@
             LeaderRequest::ReadCall(key) => {
                 LeaderAnswer::Call(self.fleet.ledger().call(key).cloned().map(Box::new))
             }
+            LeaderRequest::ReadRevision => LeaderAnswer::Revision(self.fleet.revision()),
             LeaderRequest::ReadUnsettled => LeaderAnswer::Unsettled(
                 self.fleet
                     .ledger()
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -20,7 +20,7 @@
     leader_client::LeaderClient,
     net,
     peers::{self, Inbox, PeersConfig},
-    readiness::{self, NEWS_TIMEOUT, Readiness},
+    readiness::{self, NEWS_TIMEOUT, News, Readiness},
     replica::{self, ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaState},
     roster::{self, Latest, RosterInput, RosterRings},
     signals::{self, Termination},
@@ -220,6 +220,7 @@
             awaited: !cfg.seeds.is_empty(),
             roster: latest.clone(),
             configurations: configurations.clone(),
+            committed: readiness::ask_leader(leader.clone())?,
         };
         let sources = Sources {
             cfg: Arc::clone(cfg),
@@ -258,20 +259,6 @@
     }
 }
 
-/// What a starting router has heard from its peers.
-struct News {
-    awaited: bool,
-    roster: Latest,
-    configurations: Configurations,
-}
-
-impl News {
-    fn is_here(&self) -> bool {
-        let in_force = self.configurations.revision();
-        !self.awaited || self.roster.load().is_some_and(|r| readiness::has_news(&r, in_force))
-    }
-}
-
 /// Starts the export of spans, if an endpoint is set.
 fn tracing(cfg: &Settings, metrics: &Metrics) -> eyre::Result<(Tracer, Option<Exporter>)> {
     let Some(endpoint) = &cfg.telemetry.trace_endpoint else { return Ok((Tracer::off(), None)) };
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -1,6 +1,6 @@
 //! Requests to the quorum's leader, and its answers.
 
-use base::HostId;
+use base::{HostId, Revision};
 use fleet::{Call, CallKey, ChangeRecord, Command, Reply};
 use quorum::{FolderId, VoterSet};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -16,6 +16,8 @@
     ReadCall(CallKey),
     /// Lists the calls that are open or whose outcome is unknown.
     ReadUnsettled,
+    /// Reads the revision of the configuration in force.
+    ReadRevision,
     /// Takes a voter in.
     AddVoter {
         /// Its host.
@@ -43,6 +45,8 @@
     Call(Option<Box<Call>>),
     /// The calls that are open or whose outcome is unknown.
     Unsettled(Vec<UnsettledCall>),
+    /// The revision of the configuration in force.
+    Revision(Revision),
     /// The voters from now on.
     Voters(VoterSet),
     /// The request was understood and refused; nothing changed.
