Resume cut streams at the engine that holds them

Cause: a cut stream went on at another engine, or failed when there was none; a caller that lost its connection had to ask again from the start; whole answers said "stop" whatever had ended them; drain looked at requests, not at answers still being sent. Change: event ids name engine, incarnation, weights, request and token; the relay resumes at the engine by number, then goes on elsewhere; Last-Event-ID resumes at any host; drain waits for connections, serves what had arrived and asks callers to leave; a second signal logs each request cut. The event parser counts a long event alike wherever its bytes are cut.

--- a/crates/bench/src/fake/engine.rs
+++ b/crates/bench/src/fake/engine.rs
@@ -17,16 +17,21 @@
     sse::Event,
 };
 
-use crate::model::{Generation, token_count};
-
 use super::{
     cache::{BLOCK_TOKENS, BlockCache, Lookup},
     server::{FakeBody, Server, streamed, whole},
+    streams::{NotHeld, Reader, StreamKey, Streams},
 };
 
 /// Tokens generated if a request names no limit.
 const DEFAULT_MAX_TOKENS: u64 = 16;
 
+/// Header that asks for the rest of a stream after some tokens.
+const RESUME_AFTER: &str = "x-resume-after";
+
+/// Type of the event that tells a reader that another one has taken its stream over.
+const TAKEN_OVER: &str = "taken-over";
+
 /// Pieces of an answer that wait for a slow reader.
 const RING: usize = 16;
 
@@ -54,6 +59,8 @@
     pub max_running: usize,
     /// Whether it refuses an order with an old fencing number.
     pub checks_fencing: bool,
+    /// Whether each stream also carries chunks of another request.
+    pub crosses_answers: bool,
 }
 
 impl EngineConfig {
@@ -69,6 +76,7 @@
             decode_share: Duration::from_micros(100),
             max_running: 32,
             checks_fencing: true,
+            crosses_answers: false,
         }
     }
 }
@@ -104,6 +112,10 @@
     pub requests: u64,
     /// Streams that ended before their end mark, since the reader had gone.
     pub cancelled: u64,
+    /// Streams resumed.
+    pub resumed: u64,
+    /// Tokens generated.
+    pub generated: u64,
     /// Prompt tokens that arrived.
     pub prompt_tokens: u64,
     /// Prompt tokens that were cached.
@@ -122,6 +134,7 @@
     cfg: EngineConfig,
     tally: SharedTally,
     slots: Semaphore,
+    streams: Streams,
     inner: Mutex<Inner>,
 }
 
@@ -140,10 +153,18 @@
     salt: String,
     prompt: Vec<u8>,
     chat: bool,
+    /// Answers asked for.
+    choices: u32,
     max_tokens: u64,
     arrived: Instant,
 }
 
+impl Job {
+    fn key(&self) -> StreamKey {
+        StreamKey { request: self.request.clone(), salt: self.salt.clone() }
+    }
+}
+
 impl Engine {
     /// Starts an engine.
     pub fn start(cfg: EngineConfig, tally: SharedTally) -> Self {
@@ -156,7 +177,13 @@
             waiting: 0,
         };
         let slots = Semaphore::new(cfg.max_running);
-        let state = Arc::new(State { cfg, tally, slots, inner: Mutex::new(inner) });
+        let state = Arc::new(State {
+            cfg,
+            tally,
+            slots,
+            streams: Streams::default(),
+            inner: Mutex::new(inner),
+        });
         let handler = {
             let state = Arc::clone(&state);
             move |req| answer(Arc::clone(&state), req)
@@ -269,11 +296,26 @@
         salt: fields["cache_salt"].as_str().unwrap_or_default().to_owned(),
         prompt: prompt_text(&fields),
         chat,
+        choices: fields["n"].as_u64().and_then(|n| u32::try_from(n).ok()).unwrap_or(1),
         max_tokens: fields["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS),
         arrived,
     };
+    let resume_after = parts.headers.get(RESUME_AFTER).and_then(|n| n.to_str().ok()?.parse().ok());
     let (tx, rx) = flume::bounded(RING);
-    tokio::task::spawn_local(generate(state, job, tx));
+    match resume_after {
+        None => {
+            tokio::task::spawn_local(generate(state, job, tx));
+        }
+        Some(after) => match state.streams.resume(job.key(), &job.prompt) {
+            Ok(reader) => {
+                tokio::task::spawn_local(resume(state, job, reader, after, tx));
+            }
+            Err(NotHeld::Gone) => return whole(StatusCode::GONE, "{\"error\": \"not held\"}"),
+            Err(NotHeld::OtherPrompt) => {
+                return whole(StatusCode::CONFLICT, "{\"error\": \"another prompt\"}");
+            }
+        },
+    }
     streamed(rx)
 }
 
@@ -309,52 +351,101 @@
         inner.prefill_tokens -= lookup.prompt_tokens - lookup.cached_tokens;
         inner.running += 1;
     }
-    let whole = stream_tokens(&state, &job, lookup, &tx).await;
+    let limit = usize::try_from(job.max_tokens).unwrap_or(usize::MAX);
+    let limit = limit.saturating_mul(job.choices as usize);
+    let reader = state.streams.begin(job.key(), &job.prompt, job.choices, limit, lookup);
+    run_stream(&state, &job, &reader, 0, &tx).await;
+    drop(slot);
+}
+
+/// Sends the tokens after the first `after` ones of a stream that is still held.
+async fn resume(
+    state: Arc<State>,
+    job: Job,
+    reader: Reader,
+    after: usize,
+    tx: flume::Sender<Bytes>,
+) {
+    {
+        let mut inner = state.lock();
+        inner.counts.resumed += 1;
+        inner.running += 1;
+    }
+    run_stream(&state, &job, &reader, after, &tx).await;
+}
+
+async fn run_stream(
+    state: &State,
+    job: &Job,
+    reader: &Reader,
+    after: usize,
+    tx: &flume::Sender<Bytes>,
+) {
+    let whole = stream_tokens(state, job, reader, after, tx).await;
+    state.streams.end(reader);
     let mut inner = state.lock();
     inner.running -= 1;
     if whole.is_none() {
         inner.counts.cancelled += 1;
     }
-    drop(slot);
 }
 
 /// Sends the tokens; returns `None` if the reader has gone.
 async fn stream_tokens(
     state: &State,
     job: &Job,
-    lookup: Lookup,
+    reader: &Reader,
+    after: usize,
     tx: &flume::Sender<Bytes>,
 ) -> Option<()> {
-    let tokens = usize::try_from(job.max_tokens).unwrap_or(usize::MAX);
-    for (i, token) in Generation::after(&job.prompt).take(tokens).enumerate() {
-        tokio::time::sleep(state.decode_span()).await;
+    for i in after..reader.limit {
+        if tx.is_disconnected() {
+            return None;
+        }
+        let token = match state.streams.generated(reader, i) {
+            Some(token) => token,
+            None => {
+                tokio::time::sleep(state.decode_span()).await;
+                state.lock().counts.generated += 1;
+                state.streams.generate(reader, i)
+            }
+        };
+        if !state.streams.is_current(reader) {
+            let taken_over = Event { kind: Some(TAKEN_OVER.into()), ..Event::data("{}") };
+            let _ = tx.try_send(taken_over.to_text().into());
+            return None;
+        }
         if i == 0 {
             let span = job.arrived.elapsed();
             state.tally.lock().first_tokens.entry(job.request.clone()).or_insert(span);
         }
-        let mut event = Event::data(chunk(job, &token).to_string());
+        if state.cfg.crosses_answers {
+            let stray = chunk("another-request", job.chat, 0, "stray");
+            tx.send_async(Event::data(stray.to_string()).to_text().into()).await.ok()?;
+        }
+        let choice = i % reader.choices;
+        let mut event = Event::data(chunk(&job.request, job.chat, choice, &token).to_string());
         event.id = Some((i + 1).to_string());
         tx.send_async(event.to_text().into()).await.ok()?;
     }
+    let lookup = reader.lookup;
     let usage = json!({
-        "prompt_tokens": token_count(&job.prompt),
-        "completion_tokens": job.max_tokens,
+        "prompt_tokens": lookup.prompt_tokens,
+        "completion_tokens": reader.limit,
         "prompt_tokens_details": {"cached_tokens": lookup.cached_tokens},
     });
-    let last = json!({
-        "id": job.request,
-        "choices": [{"index": 0, "finish_reason": "length"}],
-        "usage": usage,
-    });
+    let choices: Vec<_> =
+        (0..job.choices).map(|index| json!({"index": index, "finish_reason": "length"})).collect();
+    let last = json!({"id": job.request, "choices": choices, "usage": usage});
     tx.send_async(Event::data(last.to_string()).to_text().into()).await.ok()?;
     tx.send_async(Event::data(DONE).to_text().into()).await.ok()
 }
 
-fn chunk(job: &Job, token: &str) -> Value {
-    if job.chat {
-        let choice = json!({"index": 0, "delta": {"content": token}, "finish_reason": null});
-        return json!({"id": format!("chatcmpl-{}", job.request), "choices": [choice]});
+fn chunk(request: &str, chat: bool, index: usize, token: &str) -> Value {
+    if chat {
+        let choice = json!({"index": index, "delta": {"content": token}, "finish_reason": null});
+        return json!({"id": format!("chatcmpl-{request}"), "choices": [choice]});
     }
-    let choice = json!({"index": 0, "text": token, "finish_reason": null});
-    json!({"id": format!("cmpl-{}", job.request), "choices": [choice]})
+    let choice = json!({"index": index, "text": token, "finish_reason": null});
+    json!({"id": format!("cmpl-{request}"), "choices": [choice]})
 }
--- a/crates/bench/src/fake/mod.rs
+++ b/crates/bench/src/fake/mod.rs
@@ -5,6 +5,7 @@
 mod engine;
 mod server;
 mod service;
+mod streams;
 
 pub use self::{
     announcer::{Announced, Announcer},
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -1,7 +1,8 @@
 use std::rc::Rc;
 
-use base::RequestId;
+use base::{ParseError, RequestId};
 use bytes::Bytes;
+use fleet::Scope;
 use hyper::{
     HeaderMap, Request, Response,
     body::Incoming,
@@ -9,7 +10,8 @@
 };
 use serde_json::json;
 use wire::{
-    chunk::{DONE, Usage},
+    EventId,
+    chunk::DONE,
     completion::{Completion, CompletionKind},
     sse::Event,
 };
@@ -19,6 +21,7 @@
     body::{self, AbortOnDrop, Body},
     failure::Failure,
     relay::{self, Job, Piece},
+    whole_answer::WholeAnswer,
 };
 
 /// Pieces of an answer that wait for a slow caller, before the engine's stream is held back.
@@ -30,20 +33,48 @@
     req: Request<Incoming>,
     active: ActiveRequest,
 ) -> Result<Response<Body>, Failure> {
+    let arrived = edge.clock.now();
     let organisation = edge.keys.organisation(req.headers())?;
     let (parts, body) = req.into_parts();
     let body = body::read(edge, body).await?;
     let completion =
         Completion::from_slice(&body).map_err(|e| Failure::bad_request(e.to_string()))?;
     check_path(parts.uri.path(), completion.kind())?;
-    let request = edge.new_request_id();
-    let traceparent = text_header(&parts.headers, "traceparent");
+    let resume = last_event_id(&parts.headers)?;
     let stream = completion.wants_stream();
-    let job = Job { request: request.clone(), organisation, completion, traceparent };
+    if resume.is_some() && !stream {
+        return Err(Failure::bad_request("\"Last-Event-ID\" resumes streams only"));
+    }
+    let request = edge.new_request_id();
+    active.name(request.as_str());
+    let scope = Scope {
+        organisation: Some(organisation.clone()),
+        model: Some(completion.model().clone()),
+        ..Scope::default()
+    };
+    let recorder = edge.metrics.recorder(&organisation);
+    let caller = text_header(&parts.headers, "traceparent").and_then(|text| text.parse().ok());
+    let mut span = edge.tracer.accept(caller);
+    span.set("request", request.to_string());
+    let job = Job {
+        request: request.clone(),
+        organisation,
+        settings: edge.settings(&scope),
+        completion,
+        arrived,
+        resume,
+        recorder,
+        span,
+    };
 
     let (tx, rx) = flume::bounded(RING_PIECES);
     let kind = job.completion.kind();
-    let task = AbortOnDrop(tokio::task::spawn_local(relay::run(Rc::clone(edge), job, tx)));
+    let in_flight = job.recorder.in_flight();
+    let relay = relay::run(Rc::clone(edge), job, tx);
+    let task = AbortOnDrop(tokio::task::spawn_local(async move {
+        let _in_flight = in_flight;
+        relay.await;
+    }));
     let mut response = if stream {
         streamed(rx, task, active).await?
     } else {
@@ -57,6 +88,14 @@
     Ok(response)
 }
 
+/// Returns the last event that the caller got of a stream that it resumes.
+fn last_event_id(headers: &HeaderMap) -> Result<Option<EventId>, Failure> {
+    let Some(id) = headers.get("last-event-id") else { return Ok(None) };
+    let id = id.to_str().map_err(|_| Failure::bad_request("\"Last-Event-ID\" is no text"))?;
+    let id = id.parse().map_err(|e: ParseError| Failure::bad_request(e.to_string()))?;
+    Ok(Some(id))
+}
+
 /// Answers `GET /v1/models`.
 pub(super) fn models(edge: &Edge, req: &Request<Incoming>) -> Result<Response<Body>, Failure> {
     edge.keys.organisation(req.headers())?;
@@ -121,9 +160,7 @@
 
 fn event_text(piece: Piece) -> String {
     match piece {
-        Piece::Data { token, data, .. } => {
-            Event { id: Some(token.to_string()), kind: None, data }.to_text()
-        }
+        Piece::Data { id, data } => Event { id: Some(id.to_string()), kind: None, data }.to_text(),
         Piece::Done => Event::data(DONE).to_text(),
         Piece::Failed(failure) => {
             let data = serde_json::to_string(&failure.to_problem()).expect("a problem is JSON");
@@ -139,41 +176,17 @@
     rx: flume::Receiver<Piece>,
     _task: AbortOnDrop,
 ) -> Result<Response<Body>, Failure> {
-    let mut answer = String::new();
-    let mut used = Usage::default();
+    let mut answer = WholeAnswer::default();
     loop {
         match rx.recv_async().await {
-            Ok(Piece::Data { text, usage, .. }) => {
-                answer.push_str(&text);
-                used = usage.unwrap_or(used);
-            }
-            Ok(Piece::Done) => {
-                return Ok(json_response(&completion_body(request, kind, &answer, used)));
-            }
+            Ok(Piece::Data { data, .. }) => answer.add(&data)?,
+            Ok(Piece::Done) => return Ok(json_response(&answer.to_body(request, kind))),
             Ok(Piece::Failed(failure)) => return Err(failure),
             Err(_) => return Err(lost_relay()),
         }
     }
 }
 
-fn completion_body(
-    request: &RequestId,
-    kind: CompletionKind,
-    answer: &str,
-    used: Usage,
-) -> serde_json::Value {
-    let (object, choice) = match kind {
-        CompletionKind::Text => {
-            ("text_completion", json!({"index": 0, "text": answer, "finish_reason": "stop"}))
-        }
-        CompletionKind::Chat => {
-            let message = json!({"role": "assistant", "content": answer});
-            ("chat.completion", json!({"index": 0, "message": message, "finish_reason": "stop"}))
-        }
-    };
-    json!({"id": request, "object": object, "choices": [choice], "usage": used})
-}
-
 fn json_response(value: &serde_json::Value) -> Response<Body> {
     let mut response = Response::new(Body::whole(value.to_string()));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/daemon/src/edge/failure.rs
+++ b/crates/daemon/src/edge/failure.rs
@@ -55,6 +55,10 @@
         Self::refused(StatusCode::CONFLICT, "conflict", detail)
     }
 
+    pub(super) fn gone(detail: impl Into<String>) -> Self {
+        Self::new(StatusCode::GONE, "stream not held", detail, Verdict::MayHaveRun)
+    }
+
     pub(super) fn unprocessable(detail: impl Into<String>) -> Self {
         Self::refused(StatusCode::UNPROCESSABLE_ENTITY, "request refused", detail)
     }
--- a/crates/daemon/src/edge/listen.rs
+++ b/crates/daemon/src/edge/listen.rs
@@ -1,6 +1,12 @@
 use std::{convert::Infallible, rc::Rc, time::Duration};
 
-use hyper::{Method, Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Method, Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -8,7 +14,13 @@
 };
 
 use super::{
-    Control, Edge, EdgeEnd, announce, body::Body, completions, failure::Failure, services,
+    Control, Edge, EdgeEnd,
+    active::{ActiveRequest, OpenConnection},
+    announce,
+    body::Body,
+    completions,
+    failure::Failure,
+    services,
 };
 
 /// Most header fields in a request.
@@ -17,6 +29,11 @@
 /// Time between looks at whether all requests have ended, while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
+/// Time from the end of accepting to the close of idle connections.
+///
+/// A request that arrived before the close is read in that time, and then served.
+const IDLE_CLOSE: Duration = Duration::from_millis(100);
+
 /// Time to wait after a failure to accept, such as too many open files.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -29,22 +46,30 @@
     let listener = TcpListener::from_std(listener).expect("the listener is in non-blocking mode");
     let (drain_tx, drain_rx) = watch::channel(false);
     let accepting = tokio::task::spawn_local(accept(Rc::clone(&edge), listener, drain_rx));
-    match control.recv_async().await {
-        Ok(Control::Drain) => {
-            accepting.abort();
-            let _ = drain_tx.send(true);
-            drain(&edge, &control).await;
+    while let Ok(order) = control.recv_async().await {
+        match order {
+            Control::Leave => edge.leaving.set(true),
+            Control::Drain => {
+                edge.leaving.set(true);
+                let _ = drain_tx.send(true);
+                drain(&edge, &control).await;
+                break;
+            }
+            Control::Abort => break,
         }
-        Ok(Control::Abort) | Err(_) => {}
     }
-    EdgeEnd { cut: edge.active.get() }
+    accepting.abort();
+    let active = edge.active.borrow();
+    active.log_cut(edge.clock.now());
+    EdgeEnd { cut: active.len() }
 }
 
-async fn drain(edge: &Rc<Edge>, control: &flume::Receiver<Control>) {
-    while 0 < edge.active.get() {
+/// Waits until every request has ended and its answer is sent, or for an order to abort.
+async fn drain(edge: &Edge, control: &flume::Receiver<Control>) {
+    while 0 < edge.active.borrow().len() || 0 < edge.connections.get() {
         tokio::select! {
             order = control.recv_async() => {
-                if order != Ok(Control::Drain) {
+                if !matches!(order, Ok(Control::Drain | Control::Leave)) {
                     return;
                 }
             }
@@ -53,21 +78,34 @@
     }
 }
 
-async fn accept(edge: Rc<Edge>, listener: TcpListener, drain: watch::Receiver<bool>) {
+/// Accepts connections until the drain, those included that wait to be accepted then.
+async fn accept(edge: Rc<Edge>, listener: TcpListener, mut drain: watch::Receiver<bool>) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            _ = drain.wait_for(|draining| *draining) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(Rc::clone(&edge), stream, drain.clone()));
+                let open = OpenConnection::begin(&edge);
+                let serving = connection(Rc::clone(&edge), stream, drain.clone(), open);
+                tokio::task::spawn_local(serving);
             }
             Err(e) => {
-                log::warn!("could not accept a connection: {e}");
+                log::warn!(error:% = e; "could not accept a connection");
                 tokio::time::sleep(ACCEPT_RETRY).await;
             }
         }
     }
 }
 
-async fn connection(edge: Rc<Edge>, stream: TcpStream, mut drain: watch::Receiver<bool>) {
+async fn connection(
+    edge: Rc<Edge>,
+    stream: TcpStream,
+    mut drain: watch::Receiver<bool>,
+    _open: OpenConnection,
+) {
     let _ = stream.set_nodelay(true);
     let service = {
         let edge = Rc::clone(&edge);
@@ -84,9 +122,14 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let close = async {
+        let _ = drain.wait_for(|draining| *draining).await;
+        tokio::time::sleep(IDLE_CLOSE).await;
+    };
     tokio::select! {
+        biased;
         end = connection.as_mut() => return log_end(end),
-        _ = drain.wait_for(|draining| *draining) => {}
+        () = close => {}
     }
     connection.as_mut().graceful_shutdown();
     log_end(connection.await);
@@ -99,7 +142,7 @@
 }
 
 async fn handle(edge: Rc<Edge>, req: Request<Incoming>) -> Response<Body> {
-    let active = edge.begin();
+    let active = ActiveRequest::begin(&edge, req.uri().path());
     let answer = match (req.method(), req.uri().path()) {
         (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
             completions::handle(&edge, req, active).await
@@ -114,5 +157,9 @@
         }
         _ => Err(Failure::not_found("no such path")),
     };
-    answer.unwrap_or_else(|failure| failure.to_response())
+    let mut response = answer.unwrap_or_else(|failure| failure.to_response());
+    if edge.leaving.get() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -1,3 +1,4 @@
+mod active;
 mod announce;
 mod auth;
 mod body;
@@ -10,6 +11,7 @@
 mod services;
 mod targets;
 mod upstream;
+mod whole_answer;
 
 use std::{
     cell::{Cell, RefCell},
@@ -34,6 +36,7 @@
     roster::RosterInput,
 };
 
+use active::{ActiveRequest, ActiveRequests};
 use auth::Keys;
 use router::Router;
 
@@ -60,6 +63,8 @@
 /// An order to the edge thread.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Control {
+    /// Serve what still arrives, and ask callers to use other hosts.
+    Leave,
     /// Accept nothing new and end once all requests have ended.
     Drain,
     /// End now.
@@ -78,7 +83,11 @@
     cfg: Arc<Settings>,
     keys: Keys,
     router: RefCell<Router>,
-    active: Cell<u64>,
+    active: RefCell<ActiveRequests>,
+    /// Open connections from callers.
+    connections: Cell<u64>,
+    /// Whether answers ask callers to use other hosts.
+    leaving: Cell<bool>,
     next_request: Cell<u64>,
     announcements: flume::Sender<RosterInput>,
     configurations: Configurations,
@@ -87,15 +96,9 @@
     owner: Owner,
     clock: Clock,
     metrics: Arc<Metrics>,
-    #[expect(dead_code, reason = "requests record no spans yet")]
     tracer: Tracer,
 }
 
-/// Counts a request as active; ends on drop.
-struct ActiveRequest {
-    edge: Rc<Edge>,
-}
-
 impl Edge {
     fn new(cfg: Arc<Settings>, clock: Clock, rings: &Rings) -> Self {
         let seed = rand::random();
@@ -104,7 +107,9 @@
             keys: Keys::new(&cfg, rings.configurations.clone()),
             router: RefCell::new(Router::new(cfg.listen.ip(), Pcg64Mcg::seed_from_u64(seed))),
             cfg,
-            active: Cell::new(0),
+            active: RefCell::default(),
+            connections: Cell::new(0),
+            leaving: Cell::new(false),
             next_request: Cell::new(seed),
             announcements: rings.announcements.clone(),
             configurations: rings.configurations.clone(),
@@ -122,9 +127,9 @@
         self.in_force.borrow().declaration.effective(scope, self.clock.wall())
     }
 
+    /// Keeps the process from ending before a report is made.
     fn begin(self: &Rc<Self>) -> ActiveRequest {
-        self.active.set(self.active.get() + 1);
-        ActiveRequest { edge: Rc::clone(self) }
+        ActiveRequest::begin(self, "report")
     }
 
     fn new_request_id(&self) -> base::RequestId {
@@ -135,12 +140,6 @@
     }
 }
 
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.edge.active.set(self.edge.active.get() - 1);
-    }
-}
-
 /// Starts the edge thread on a listener that is already bound.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -0,0 +1,211 @@
+//! Relays a completion from engines to its caller.
+//!
+//! A stream that is cut resumes at the same engine after the last token delivered. When the engine
+//! is dead, silent or no longer holds the stream, another engine with the same weights goes on
+//! from the prompt and the text delivered.
+
+mod attempt;
+mod progress;
+mod pump;
+
+use std::{borrow::Cow, rc::Rc, time::Duration};
+
+use base::{EndpointId, MonotonicTime, OrganisationId, RequestId, Verdict};
+use telemetry::{Hop, Recorder, Span};
+use wire::{EventId, completion::Completion};
+
+use self::{attempt::Broken, progress::Progress};
+
+use super::{
+    Edge,
+    failure::Failure,
+    router::{Chosen, NoEndpoint, Wanted},
+};
+
+/// Most attempts in a row that deliver nothing.
+const MAX_FRUITLESS: usize = 4;
+
+/// Most attempts for one request.
+const MAX_ATTEMPTS: usize = 64;
+
+/// What callers are told to wait when no engine is available.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// A completion to be relayed.
+pub(super) struct Job {
+    /// The request's id at this router, and at engines unless it resumes an earlier one.
+    pub request: RequestId,
+    pub organisation: OrganisationId,
+    pub completion: Completion,
+    pub settings: fleet::Settings,
+    /// When the request arrived.
+    pub arrived: MonotonicTime,
+    /// The last event that the caller got of the stream that it resumes.
+    pub resume: Option<EventId>,
+    pub recorder: Recorder,
+    pub span: Span,
+}
+
+/// A piece of the answer, on its way to the caller.
+#[derive(Debug)]
+pub(super) enum Piece {
+    /// A token, or a chunk without one; the id counts the tokens up to here.
+    Data { id: EventId, data: String },
+    /// The whole answer has been sent.
+    Done,
+    /// The answer ends here.
+    Failed(Failure),
+}
+
+/// Progress of a relayed completion over all attempts.
+struct Relay<'a> {
+    edge: &'a Rc<Edge>,
+    job: &'a Job,
+    tx: &'a flume::Sender<Piece>,
+    progress: Progress,
+    tried: Vec<EndpointId>,
+    /// Whether an engine may have taken the request.
+    may_have_run: bool,
+}
+
+/// How an attempt, or the whole relay, ended.
+enum End {
+    Done,
+    CallerGone,
+    Broken(Broken),
+}
+
+/// Relays a completion into `tx`, going on at another engine when one fails.
+pub(super) async fn run(edge: Rc<Edge>, job: Job, tx: flume::Sender<Piece>) {
+    let mut relay = Relay {
+        edge: &edge,
+        job: &job,
+        tx: &tx,
+        progress: Progress::new(job.resume.as_ref()),
+        tried: Vec::new(),
+        may_have_run: job.resume.is_some(),
+    };
+    let timeout = job.settings.request_timeout.as_duration().min(edge.cfg.timeouts.request);
+    let ended = tokio::time::timeout(timeout, relay.attempts()).await;
+    let last = match ended {
+        Ok(End::Done) => Piece::Done,
+        Ok(End::CallerGone) => return,
+        Ok(End::Broken(broken)) => Piece::Failed(relay.truthful(broken.failure)),
+        Err(_) => {
+            let failure = Failure::timed_out("the request timed out", Verdict::NotRun);
+            Piece::Failed(relay.truthful(failure))
+        }
+    };
+    if let Piece::Failed(failure) = &last {
+        job.recorder.verdict(failure.verdict);
+        let tokens = relay.progress.tokens();
+        let (request, verdict) = (&job.request, failure.verdict);
+        log::warn!(request:%, tokens, verdict:%, detail = failure.detail; "completion failed");
+    }
+    let _ = tx.send_async(last).await;
+}
+
+impl Relay<'_> {
+    async fn attempts(&mut self) -> End {
+        let mut held = None;
+        if let Some(id) = &self.job.resume {
+            match self.find_held(id) {
+                Some(chosen) => held = Some(chosen),
+                None => return End::Broken(Broken::not_held()),
+            }
+        }
+        let mut fruitless = 0;
+        let mut last = None;
+        for _ in 0..MAX_ATTEMPTS {
+            let resumes = held.is_some();
+            let chosen = match held.take().map_or_else(|| self.choose(), Ok) {
+                Ok(chosen) => chosen,
+                Err(why) => {
+                    return End::Broken(last.unwrap_or_else(|| no_engine(self.job, why).into()));
+                }
+            };
+            let before = self.progress.tokens();
+            let end = self.attempt(&chosen, resumes).await;
+            let End::Broken(broken) = end else { return end };
+            self.may_have_run |= broken.failure.verdict != Verdict::NotRun;
+            let delivered = self.progress.tokens();
+            fruitless = if delivered == before { fruitless + 1 } else { 0 };
+            let request = &self.job.request;
+            let (endpoint, detail) = (&chosen.endpoint, &broken.failure.detail);
+            log::info!(request:%, endpoint:%, tokens = delivered, detail; "attempt failed");
+            if fruitless == MAX_FRUITLESS || !self.may_go_on(&broken) {
+                return End::Broken(broken);
+            }
+            if broken.held {
+                held = self.find_held(&self.progress.event_id(&chosen, self.engine_request()));
+            }
+            if held.is_some() {
+                self.job.recorder.resume();
+            } else {
+                self.job.recorder.retry();
+            }
+            last = Some(broken);
+        }
+        End::Broken(last.expect("the loop ran at least once"))
+    }
+
+    /// Returns the failure with a verdict that counts the attempts before it.
+    fn truthful(&self, mut failure: Failure) -> Failure {
+        if self.may_have_run && failure.verdict == Verdict::NotRun {
+            failure.verdict = Verdict::MayHaveRun;
+        }
+        failure
+    }
+
+    fn choose(&mut self) -> Result<Chosen, NoEndpoint> {
+        let _span = self.job.span.child(Hop::Route);
+        let prompt = self.job.completion.prompt_parts();
+        let wanted = self.wanted(&prompt);
+        let chosen = self.edge.router.borrow_mut().choose_engine(&wanted, &self.tried)?;
+        self.tried.push(chosen.endpoint.clone());
+        self.progress.go_on_elsewhere();
+        Ok(chosen)
+    }
+
+    /// Returns the engine of an event, if it still runs.
+    fn find_held(&self, id: &EventId) -> Option<Chosen> {
+        let prompt = self.job.completion.prompt_parts();
+        let wanted = Wanted { weights: Some(&id.weights), ..self.wanted(&prompt) };
+        self.edge.router.borrow().engine_of(&id.endpoint, id.incarnation, &wanted)
+    }
+
+    fn wanted<'b>(&'b self, prompt: &'b [Cow<'b, [u8]>]) -> Wanted<'b> {
+        Wanted {
+            organisation: &self.job.organisation,
+            model: self.job.completion.model(),
+            adapter: self.job.completion.adapter(),
+            weights: self.progress.weights.as_ref(),
+            prompt,
+        }
+    }
+
+    fn may_go_on(&self, broken: &Broken) -> bool {
+        if broken.final_answer {
+            return false;
+        }
+        if broken.held || self.progress.tokens() == 0 && self.job.resume.is_none() {
+            return true;
+        }
+        self.progress.knows_text() && self.job.completion.can_continue()
+    }
+
+    /// Returns the request's id at engines.
+    fn engine_request(&self) -> &RequestId {
+        self.job.resume.as_ref().map_or(&self.job.request, |id| &id.request)
+    }
+}
+
+fn no_engine(job: &Job, why: NoEndpoint) -> Failure {
+    let model = job.completion.model();
+    match why {
+        NoEndpoint::Unknown => Failure::not_found(format!("no endpoint serves model {model}")),
+        NoEndpoint::AllTried => {
+            Failure::unavailable(format!("every endpoint of model {model} failed"), RETRY_AFTER)
+        }
+    }
+}
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -1,6 +1,9 @@
 use std::{borrow::Cow, collections::BTreeMap, net::IpAddr, rc::Rc, sync::Arc};
 
-use base::{AdapterId, EndpointId, ModelId, OrganisationId, ServiceId, TokenCount, WeightsVersion};
+use base::{
+    AdapterId, EndpointId, Incarnation, ModelId, OrganisationId, ServiceId, TokenCount,
+    WeightsVersion,
+};
 use member::{EndpointKind, EndpointState, Roster, ServedModel};
 use prefix::{BlockBytes, Chain, Salt};
 use rand_pcg::Pcg64Mcg;
@@ -129,6 +132,23 @@
         })
     }
 
+    /// Returns an engine that has begun an answer, if that life of it still serves the same.
+    pub(super) fn engine_of(
+        &self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        wanted: &Wanted<'_>,
+    ) -> Option<Chosen> {
+        let target = self.targets.get(endpoint)?;
+        if target.announcement().incarnation != incarnation {
+            return None;
+        }
+        let weights = target.serves(|m| wanted.fits(m))?.weights;
+        let salt = Salt::new(wanted.organisation, wanted.model, &weights, wanted.adapter);
+        let in_flight = InFlight::begin(target);
+        Some(Chosen { in_flight, endpoint: endpoint.clone(), weights, salt })
+    }
+
     /// Chooses an endpoint of a plain service that isn't among `tried`.
     pub(super) fn choose_service(
         &mut self,
--- /dev/null
+++ b/crates/daemon/src/edge/whole_answer.rs
@@ -0,0 +1,70 @@
+use std::collections::BTreeMap;
+
+use base::{RequestId, Verdict};
+use serde_json::{Value, json};
+use wire::{
+    chunk::{Chunk, Usage},
+    completion::CompletionKind,
+};
+
+use super::failure::Failure;
+
+/// The pieces of an answer put together, for a caller that wants no stream.
+#[derive(Default)]
+pub(super) struct WholeAnswer {
+    choices: BTreeMap<u32, WholeChoice>,
+    usage: Usage,
+}
+
+#[derive(Default)]
+struct WholeChoice {
+    text: String,
+    finish_reason: Option<String>,
+}
+
+impl WholeAnswer {
+    /// Adds a chunk.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if the chunk is malformed.
+    pub(super) fn add(&mut self, data: &str) -> Result<(), Failure> {
+        let chunk = Chunk::parse(data)
+            .map_err(|e| Failure::broken(format!("a malformed chunk: {e}"), Verdict::MayHaveRun))?;
+        for piece in &chunk.choices {
+            let choice = self.choices.entry(piece.index).or_default();
+            choice.text.push_str(piece.text().unwrap_or_default());
+            if let Some(reason) = &piece.finish_reason {
+                choice.finish_reason = Some(reason.clone().into_owned());
+            }
+        }
+        self.usage = chunk.usage.unwrap_or(self.usage);
+        Ok(())
+    }
+
+    /// Returns the body of the answer.
+    pub(super) fn to_body(&self, request: &RequestId, kind: CompletionKind) -> Value {
+        let object = match kind {
+            CompletionKind::Text => "text_completion",
+            CompletionKind::Chat => "chat.completion",
+        };
+        let choices: Vec<_> =
+            self.choices.iter().map(|(index, choice)| choice.to_json(*index, kind)).collect();
+        json!({"id": request, "object": object, "choices": choices, "usage": self.usage})
+    }
+}
+
+impl WholeChoice {
+    fn to_json(&self, index: u32, kind: CompletionKind) -> Value {
+        let Self { text, finish_reason } = self;
+        match kind {
+            CompletionKind::Text => {
+                json!({"index": index, "text": text, "finish_reason": finish_reason})
+            }
+            CompletionKind::Chat => {
+                let message = json!({"role": "assistant", "content": text});
+                json!({"index": index, "message": message, "finish_reason": finish_reason})
+            }
+        }
+    }
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -87,6 +87,7 @@
     let signal = signal_rx.recv().wrap_err("the signals thread ended")?;
     log::info!(host:% = cfg.host; "draining after a termination signal");
     process.readiness.set(false);
+    let _ = process.control.send(Control::Leave);
     let _ = process.roster.send(RosterInput::Draining);
     let notice = match signal {
         Termination::Graceful => signal_rx.recv_timeout(cfg.timeouts.drain_notice),
--- a/crates/wire/src/chunk.rs
+++ b/crates/wire/src/chunk.rs
@@ -89,10 +89,34 @@
         id == request
     }
 
-    /// Returns the piece's text.
+    /// Returns whether the piece ends an answer or tells what the request took.
+    pub fn is_tail(&self) -> bool {
+        self.usage.is_some() || self.choices.iter().any(|choice| choice.finish_reason.is_some())
+    }
+
+    /// Returns the text of the piece's first answer.
     pub fn text(&self) -> Option<&str> {
-        let choice = self.choices.first()?;
-        let chat = choice.delta.as_ref().and_then(|delta| delta.content.as_deref());
-        choice.text.as_deref().or(chat)
+        self.choices.first()?.text()
+    }
+}
+
+impl Choice<'_> {
+    /// Returns the piece's text, of completions as of chat.
+    pub fn text(&self) -> Option<&str> {
+        let chat = self.delta.as_ref().and_then(|delta| delta.content.as_deref());
+        self.text.as_deref().or(chat)
+    }
+}
+
+impl Usage {
+    /// Returns what the whole answer took, of which earlier engines generated `tokens` that this
+    /// engine was given as part of the prompt.
+    #[must_use]
+    pub fn after(self, tokens: u64) -> Self {
+        Self {
+            prompt_tokens: self.prompt_tokens.saturating_sub(tokens),
+            completion_tokens: self.completion_tokens + tokens,
+            ..self
+        }
     }
 }
--- a/crates/wire/src/completion.rs
+++ b/crates/wire/src/completion.rs
@@ -10,6 +10,22 @@
 /// Separates a model from an adapter in a request's `model`.
 const ADAPTER_SEPARATOR: char = '+';
 
+/// Fields that limit the tokens generated.
+const TOKEN_LIMITS: [&str; 2] = ["max_tokens", "max_completion_tokens"];
+
+/// Fields with which the rest of an answer depends on more than the text before it.
+const WHOLE_ONLY: [&str; 9] = [
+    "best_of",
+    "echo",
+    "guided_choice",
+    "guided_json",
+    "guided_regex",
+    "logprobs",
+    "response_format",
+    "structured_outputs",
+    "tools",
+];
+
 /// A request for a completion; fields that the router doesn't know are passed on as they are.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Completion {
@@ -43,7 +59,9 @@
         let kind = completion_kind(&fields)?;
         let (model, adapter) = parse_model(&fields)?;
         let stream = optional(&fields, "stream", "true or false", Value::as_bool)?;
-        let max_tokens = optional(&fields, "max_tokens", "a whole number", Value::as_u64)?;
+        let [max_tokens, max_completion_tokens] =
+            TOKEN_LIMITS.map(|limit| optional(&fields, limit, "a whole number", Value::as_u64));
+        let max_tokens = max_tokens?.or(max_completion_tokens?);
         Ok(Self { model, adapter, kind, stream: stream.unwrap_or(false), max_tokens, fields })
     }
 
@@ -101,9 +119,11 @@
     }
 
     fn continue_after(&self, fields: &mut Map<String, Value>, delivered: &Delivered) {
-        if let Some(max_tokens) = self.max_tokens {
-            let left = max_tokens.saturating_sub(delivered.tokens);
-            fields.insert("max_tokens".into(), left.into());
+        for limit in TOKEN_LIMITS {
+            if let Some(max_tokens) = fields.get(limit).and_then(Value::as_u64) {
+                let left = max_tokens.saturating_sub(delivered.tokens);
+                fields.insert(limit.into(), left.into());
+            }
         }
         match self.kind {
             CompletionKind::Text => continue_prompt(fields, &delivered.text),
@@ -111,11 +131,16 @@
         }
     }
 
+    fn is_set(&self, name: &str) -> bool {
+        !matches!(self.fields.get(name), None | Some(Value::Null | Value::Bool(false)))
+    }
+
     /// Returns whether the request can go on at another engine after some tokens.
     pub fn can_continue(&self) -> bool {
         let one_choice = self.fields.get("n").is_none_or(|n| n == 1);
         let text_prompt = self.fields.get("prompt").is_none_or(Value::is_string);
-        one_choice && text_prompt
+        let whole_only = WHOLE_ONLY.iter().any(|name| self.is_set(name));
+        one_choice && text_prompt && !whole_only
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod chunk;
 pub mod completion;
 mod error;
+mod event_id;
 pub mod leader;
 pub mod operator;
 pub mod peer;
@@ -28,4 +29,4 @@
 #[allow(missing_docs, clippy::all, clippy::unimplemented)]
 pub mod peer_capnp;
 
-pub use crate::error::BodyError;
+pub use crate::{error::BodyError, event_id::EventId};
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -77,7 +77,10 @@
             let line = std::str::from_utf8(&self.buf[start..end])
                 .map_err(|_| BodyError::new("an event is not UTF-8"))?;
             let line = line.strip_suffix('\r').unwrap_or(line);
-            self.event_bytes += line.len();
+            self.event_bytes += end - start;
+            if self.max_event < self.event_bytes {
+                return Err(self.too_long());
+            }
             take_line(line, &mut self.event, &mut self.has_data);
             if line.is_empty() {
                 self.event_bytes = 0;
@@ -92,10 +95,14 @@
         self.buf.drain(..start);
         self.scanned = self.buf.len();
         if self.max_event < self.event_bytes + self.buf.len() {
-            return Err(BodyError::new(format!("an event is over {} bytes", self.max_event)));
+            return Err(self.too_long());
         }
         Ok(())
     }
+
+    fn too_long(&self) -> BodyError {
+        BodyError::new(format!("an event is over {} bytes", self.max_event))
+    }
 }
 
 fn take_line(line: &str, event: &mut Event, has_data: &mut bool) {
