Prove streams over cuts, deaths, silence and resumes at another host

Cause: nothing proved that streams stay whole. Change: fakes hold streams and number their tokens; a caller reads a stream piece by piece; 14 tests. A router that knows no endpoint yet waits up to 1 s for the first ones in place of a false 404.

--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -82,21 +82,23 @@
 }
 
 impl Ask {
-    fn body(&self) -> String {
+    /// Returns the request's body, for a streamed answer or a whole one.
+    pub fn body(&self, stream: bool) -> Value {
         let mut fields = json!({
             "model": self.model,
             "max_tokens": self.tokens,
-            "stream": true,
+            "stream": stream,
         });
         if self.chat {
             fields["messages"] = json!([{"role": "user", "content": self.prompt}]);
         } else {
             fields["prompt"] = self.prompt.clone().into();
         }
-        fields.to_string()
+        fields
     }
 
-    fn path(&self) -> &'static str {
+    /// Returns the path that takes it.
+    pub fn path(&self) -> &'static str {
         if self.chat { "/v1/chat/completions" } else { "/v1/completions" }
     }
 
@@ -108,6 +110,19 @@
     }
 }
 
+/// Runs a caller on this thread.
+///
+/// # Panics
+///
+/// Panics if no runtime can be made.
+pub fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be made");
+    tokio::task::LocalSet::new().block_on(&runtime, future)
+}
+
 /// Asks a router for a completion and checks the answer.
 pub async fn ask(router: SocketAddr, ask: &Ask) -> Outcome {
     let begun = Instant::now();
@@ -115,7 +130,7 @@
         .header("host", router.to_string())
         .header("authorization", format!("Bearer {}", ask.key))
         .header("content-type", "application/json")
-        .body(Full::new(Bytes::from(ask.body())))
+        .body(Full::new(Bytes::from(ask.body(true).to_string())))
         .expect("the request's parts are valid");
     let answer = async {
         match send(router, req).await {
@@ -200,7 +215,7 @@
     Ok(sender.send_request(req).await?)
 }
 
-async fn read_problem(response: Response<Incoming>) -> eyre::Result<Problem> {
+pub(crate) async fn read_problem(response: Response<Incoming>) -> eyre::Result<Problem> {
     let body = response.into_body().collect().await?.to_bytes();
     Ok(serde_json::from_slice(&body)?)
 }
--- a/crates/bench/src/fake/engine.rs
+++ b/crates/bench/src/fake/engine.rs
@@ -402,19 +402,20 @@
         if tx.is_disconnected() {
             return None;
         }
-        let token = match state.streams.generated(reader, i) {
-            Some(token) => token,
-            None => {
-                tokio::time::sleep(state.decode_span()).await;
-                state.lock().counts.generated += 1;
-                state.streams.generate(reader, i)
+        if state.streams.generated(reader, i).is_none() {
+            let span = state.decode_span();
+            if !span.is_zero() {
+                tokio::time::sleep(span).await;
             }
-        };
+            let generated = state.streams.generate(reader, i);
+            state.lock().counts.generated += generated;
+        }
         if !state.streams.is_current(reader) {
             let taken_over = Event { kind: Some(TAKEN_OVER.into()), ..Event::data("{}") };
             let _ = tx.try_send(taken_over.to_text().into());
             return None;
         }
+        let token = state.streams.generated(reader, i)?;
         if i == 0 {
             let span = job.arrived.elapsed();
             state.tally.lock().first_tokens.entry(job.request.clone()).or_insert(span);
--- a/crates/bench/src/fake/streams.rs
+++ b/crates/bench/src/fake/streams.rs
@@ -117,16 +117,21 @@
         self.lock().streams.get(&reader.key)?.tokens.get(i).cloned()
     }
 
-    /// Generates tokens up to token `i` and returns that one.
-    pub(super) fn generate(&self, reader: &Reader, i: usize) -> String {
+    /// Generates tokens up to token `i` and returns how many that took, unless another reader has
+    /// the stream.
+    pub(super) fn generate(&self, reader: &Reader, i: usize) -> u64 {
         let mut held = self.lock();
-        let Some(stream) = held.streams.get_mut(&reader.key) else { return String::new() };
+        let Some(stream) = held.streams.get_mut(&reader.key) else { return 0 };
+        if stream.reader != reader.number {
+            return 0;
+        }
+        let before = stream.tokens.len();
         while stream.tokens.len() <= i {
             let choice = stream.tokens.len() % stream.generations.len();
             let token = stream.generations[choice].next().unwrap_or_default();
             stream.tokens.push(token);
         }
-        stream.tokens[i].clone()
+        (stream.tokens.len() - before) as u64
     }
 
     /// Holds the stream for a while, unless another reader has it.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -23,5 +23,6 @@
 mod proxy;
 pub mod report;
 pub mod site;
+pub mod stream;
 
 pub use crate::proxy::{Fault, Proxy};
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -23,6 +23,13 @@
     pub args: Vec<String>,
 }
 
+impl Program {
+    /// Returns the program `bench` at `path`, which holds the daemon.
+    pub fn bench(path: &str) -> Self {
+        Self { path: path.into(), args: vec!["daemon".into()] }
+    }
+}
+
 /// A daemon's settings, as flags.
 #[derive(Clone, Debug)]
 pub struct DaemonSpec {
--- /dev/null
+++ b/crates/bench/src/stream.rs
@@ -0,0 +1,183 @@
+//! A streamed answer that a caller reads piece by piece.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use base::ByteCount;
+use bytes::Bytes;
+use eyre::{WrapErr as _, ensure, eyre};
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Request, body::Incoming};
+use wire::{
+    EventId,
+    chunk::{Chunk, DONE},
+    problem::Problem,
+    sse::{Event, Parser},
+};
+
+use crate::caller::{self, Ask};
+
+/// Longest event taken.
+const MAX_EVENT: ByteCount = ByteCount::new(1 << 20);
+
+/// Time for the next event.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A streamed answer that is being read.
+pub struct AnswerStream {
+    body: Incoming,
+    parser: Parser,
+    events: VecDeque<Event>,
+    /// The tokens read.
+    pub tokens: Vec<String>,
+    /// The id of the last one.
+    pub last_id: Option<EventId>,
+}
+
+/// What a request for a stream got.
+pub enum Opened {
+    /// A stream.
+    Stream(AnswerStream),
+    /// A refusal or failure.
+    Failed(Problem),
+}
+
+/// How a stream ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StreamEnd {
+    /// With its end mark.
+    Done,
+    /// With an explicit failure.
+    Failed(Problem),
+}
+
+impl AnswerStream {
+    /// Asks for a stream, or for the rest of one after an event.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no answer.
+    pub async fn open(
+        router: SocketAddr,
+        ask: &Ask,
+        resume: Option<&EventId>,
+    ) -> eyre::Result<Opened> {
+        let mut req = Request::post(ask.path())
+            .header("host", router.to_string())
+            .header("authorization", format!("Bearer {}", ask.key));
+        if let Some(id) = resume {
+            req = req.header("last-event-id", id.to_string());
+        }
+        let req = req.body(Full::new(Bytes::from(ask.body(true).to_string())))?;
+        let response = caller::send(router, req).await?;
+        if !response.status().is_success() {
+            return Ok(Opened::Failed(caller::read_problem(response).await?));
+        }
+        Ok(Opened::Stream(Self {
+            body: response.into_body(),
+            parser: Parser::new(MAX_EVENT),
+            events: VecDeque::new(),
+            tokens: Vec::new(),
+            last_id: None,
+        }))
+    }
+
+    /// Reads until `count` tokens have come.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream ends before.
+    pub async fn read_tokens(&mut self, count: usize) -> eyre::Result<()> {
+        while self.tokens.len() < count {
+            if let Some(end) = self.step().await? {
+                eyre::bail!("the stream ended after {} tokens: {end:?}", self.tokens.len());
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads to the end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stream ends in silence or is malformed.
+    pub async fn finish(&mut self) -> eyre::Result<StreamEnd> {
+        loop {
+            if let Some(end) = self.step().await? {
+                return Ok(end);
+            }
+        }
+    }
+
+    async fn step(&mut self) -> eyre::Result<Option<StreamEnd>> {
+        let event = tokio::time::timeout(EVENT_TIMEOUT, self.next_event()).await??;
+        if event.kind.as_deref() == Some("error") {
+            return Ok(Some(StreamEnd::Failed(serde_json::from_str(&event.data)?)));
+        }
+        if event.data == DONE {
+            return Ok(Some(StreamEnd::Done));
+        }
+        let chunk = Chunk::parse(&event.data)?;
+        if let Some(text) = chunk.text().filter(|text| !text.is_empty()) {
+            self.tokens.push(text.to_owned());
+            let id = event.id.ok_or_else(|| eyre!("a token without an id"))?;
+            self.last_id = Some(id.parse()?);
+        }
+        Ok(None)
+    }
+
+    async fn next_event(&mut self) -> eyre::Result<Event> {
+        let mut events = Vec::new();
+        loop {
+            if let Some(event) = self.events.pop_front() {
+                return Ok(event);
+            }
+            let frame = self.body.frame().await;
+            let frame = frame.ok_or_else(|| eyre!("the stream ended in silence"))?;
+            let frame = frame.wrap_err("the stream was cut")?;
+            let Ok(data) = frame.into_data() else { continue };
+            self.parser.push(&data, &mut events)?;
+            self.events.extend(events.drain(..));
+        }
+    }
+}
+
+impl Opened {
+    /// Returns the stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that shows the problem if there is none.
+    pub fn stream(self) -> eyre::Result<AnswerStream> {
+        match self {
+            Self::Stream(stream) => Ok(stream),
+            Self::Failed(problem) => Err(eyre!("no stream: {problem:?}")),
+        }
+    }
+
+    /// Returns the problem.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is a stream.
+    pub fn problem(self) -> eyre::Result<Problem> {
+        match self {
+            Self::Stream(_) => Err(eyre!("a stream in place of a problem")),
+            Self::Failed(problem) => Ok(problem),
+        }
+    }
+}
+
+/// Checks that a stream, read in one or more parts, is the whole answer: nothing twice, nothing
+/// missing.
+///
+/// # Errors
+///
+/// Returns an error that names the first difference.
+pub fn check_whole(ask: &Ask, parts: &[&AnswerStream]) -> eyre::Result<()> {
+    let tokens: Vec<_> = parts.iter().flat_map(|part| &part.tokens).collect();
+    let expected = ask.expected();
+    let differs = expected.iter().zip(&tokens).position(|(expected, token)| expected != *token);
+    ensure!(differs.is_none(), "token {differs:?} is another one");
+    ensure!(expected.len() == tokens.len(), "{} of {} tokens", tokens.len(), expected.len());
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/tests/streams.rs
@@ -0,0 +1,296 @@
+//! Streams arrive whole and in order, whatever happens between the caller and the engines.
+
+use std::time::Duration;
+
+use base::Verdict;
+use bench::{
+    Fault,
+    caller::{self, Ask, Outcome, block_on},
+    process::{Program, wait_until},
+    site::{Site, SiteSpec, organisation_key},
+    stream::{AnswerStream, StreamEnd, check_whole},
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use serde_json::Value;
+use wire::EventId;
+
+/// Time for an effect to be seen.
+const SOON: Duration = Duration::from_secs(5);
+
+/// Bytes after which a proxy cuts a connection: more than a head, fewer than an answer.
+const CUT_AFTER: u64 = 2_000;
+
+const TOKENS: u64 = 60;
+
+fn site(daemons: &[&'static str], engines: usize) -> Site {
+    start(SiteSpec { daemons: daemons.to_vec(), engines: vec!["a"; engines], ..SiteSpec::small() })
+}
+
+fn start(spec: SiteSpec) -> Site {
+    let spec = SiteSpec {
+        voters: 1,
+        services: Vec::new(),
+        flags: vec![("--idle-timeout", "500ms".to_owned())],
+        ..spec
+    };
+    Site::start(&Program::bench(env!("CARGO_BIN_EXE_bench")), spec).unwrap()
+}
+
+fn ask(site: &Site, chat: bool) -> Ask {
+    let organisation = &site.spec.organisations[0];
+    Ask {
+        key: organisation_key(organisation),
+        model: site.spec.model.to_string(),
+        prompt: format!("organisation {organisation}\nwho keeps the key"),
+        tokens: TOKENS,
+        chat,
+    }
+}
+
+async fn open(site: &Site, host: usize, ask: &Ask) -> AnswerStream {
+    AnswerStream::open(site.routers()[host], ask, None).await.unwrap().stream().unwrap()
+}
+
+async fn whole_answer(site: &Site, ask: &Ask, choices: u64) -> Value {
+    let router = site.routers()[0];
+    let mut body = ask.body(false);
+    body["n"] = choices.into();
+    let req = Request::post(ask.path())
+        .header("host", router.to_string())
+        .header("authorization", format!("Bearer {}", ask.key))
+        .body(Full::new(Bytes::from(body.to_string())))
+        .unwrap();
+    caller::read_json(caller::send(router, req).await.unwrap()).await.unwrap()
+}
+
+/// Returns the engine that generates, by its place in the site.
+fn engine_of(site: &Site, stream: &AnswerStream) -> usize {
+    let id: &EventId = stream.last_id.as_ref().unwrap();
+    let is_it = |id: &EventId, i: usize| id.endpoint.as_str() == format!("engine-{}", i + 1);
+    (0..site.engines.len()).find(|&i| is_it(id, i)).unwrap()
+}
+
+/// Sums a count over all engines.
+fn total(site: &Site, count: impl Fn(bench::fake::EngineCounts) -> u64) -> u64 {
+    site.engines.iter().map(|node| count(node.engine.counts())).sum()
+}
+
+macro_rules! whole_over_cuts {
+    ($($name:ident: $chat:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let site = site(&["a"], 1);
+            site.engines[0].proxy.set(Fault { cut_after: Some(CUT_AFTER), ..Fault::default() });
+            let ask = ask(&site, $chat);
+            let outcome = block_on(caller::ask(site.routers()[0], &ask));
+            assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+            let counts = site.engines[0].engine.counts();
+            assert_eq!((counts.requests, counts.generated), (1, TOKENS), "{counts:?}");
+            assert!(2 < counts.resumed, "{counts:?}");
+        }
+    )*};
+}
+
+whole_over_cuts! {
+    text_resumes_at_its_engine_after_each_cut: false;
+    chat_resumes_at_its_engine_after_each_cut: true;
+}
+
+#[test]
+fn whole_answer_resumes_at_its_engine_after_each_cut() {
+    let site = site(&["a"], 1);
+    site.engines[0].proxy.set(Fault { cut_after: Some(CUT_AFTER), ..Fault::default() });
+    let ask = ask(&site, false);
+    let answer = block_on(whole_answer(&site, &ask, 1));
+    assert_eq!(answer["choices"][0]["text"], ask.expected().concat(), "{answer}");
+    assert_eq!(answer["usage"]["completion_tokens"], TOKENS, "{answer}");
+}
+
+#[test]
+fn whole_answer_has_every_choice_and_its_finish_reason() {
+    let site = site(&["a"], 1);
+    let ask = ask(&site, false);
+    let answer = block_on(whole_answer(&site, &ask, 2));
+    assert_eq!(answer["choices"][0]["text"], ask.expected().concat(), "{answer}");
+    assert_eq!(answer["choices"][0]["finish_reason"], "length", "{answer}");
+    assert_eq!(answer["choices"][1]["finish_reason"], "length", "{answer}");
+    assert_ne!(answer["choices"][1]["text"], answer["choices"][0]["text"], "{answer}");
+}
+
+#[test]
+fn killed_engine_is_followed_by_another_from_the_last_token() {
+    let mut site = site(&["a"], 2);
+    let ask = ask(&site, false);
+    block_on(async {
+        let mut stream = open(&site, 0, &ask).await;
+        stream.read_tokens(5).await.unwrap();
+        let engine = engine_of(&site, &stream);
+        drop(site.engines.remove(engine));
+        assert_eq!(stream.finish().await.unwrap(), StreamEnd::Done);
+        check_whole(&ask, &[&stream]).unwrap();
+    });
+    assert_eq!(total(&site, |counts| counts.requests), 1);
+}
+
+#[test]
+fn silent_engine_is_followed_by_another_from_the_last_token() {
+    let site = site(&["a"], 2);
+    let ask = ask(&site, true);
+    block_on(async {
+        let mut stream = open(&site, 0, &ask).await;
+        stream.read_tokens(5).await.unwrap();
+        let engine = engine_of(&site, &stream);
+        site.engines[engine].proxy.set(Fault::partition());
+        assert_eq!(stream.finish().await.unwrap(), StreamEnd::Done);
+        check_whole(&ask, &[&stream]).unwrap();
+    });
+}
+
+#[test]
+fn last_engine_killed_ends_the_stream_with_its_verdict() {
+    let mut site = site(&["a"], 1);
+    let ask = ask(&site, false);
+    block_on(async {
+        let mut stream = open(&site, 0, &ask).await;
+        stream.read_tokens(5).await.unwrap();
+        site.engines.clear();
+        let StreamEnd::Failed(problem) = stream.finish().await.unwrap() else { panic!("done") };
+        assert_eq!(problem.verdict, Some(Verdict::MayHaveRun), "{problem:?}");
+    });
+}
+
+#[test]
+fn caller_resumes_at_another_host() {
+    let site = site(&["a", "b"], 2);
+    let ask = ask(&site, false);
+    block_on(async {
+        let mut first = open(&site, 0, &ask).await;
+        first.read_tokens(5).await.unwrap();
+        let id = first.last_id.clone().unwrap();
+        let second = AnswerStream::open(site.routers()[1], &ask, Some(&id)).await.unwrap();
+        let mut second = second.stream().unwrap();
+        assert_eq!(second.finish().await.unwrap(), StreamEnd::Done);
+        check_whole(&ask, &[&first, &second]).unwrap();
+    });
+    let counts = total(&site, |counts| counts.requests);
+    assert_eq!((counts, total(&site, |counts| counts.generated)), (1, TOKENS));
+}
+
+#[test]
+fn resumed_stream_outlives_its_engine() {
+    let mut site = site(&["a", "b"], 2);
+    let ask = ask(&site, false);
+    block_on(async {
+        let mut first = open(&site, 0, &ask).await;
+        first.read_tokens(5).await.unwrap();
+        let id = first.last_id.clone().unwrap();
+        let second = AnswerStream::open(site.routers()[1], &ask, Some(&id)).await.unwrap();
+        let mut second = second.stream().unwrap();
+        second.read_tokens(5).await.unwrap();
+        let engine = engine_of(&site, &second);
+        drop(site.engines.remove(engine));
+        assert_eq!(second.finish().await.unwrap(), StreamEnd::Done);
+        check_whole(&ask, &[&first, &second]).unwrap();
+    });
+}
+
+#[test]
+fn stream_of_a_lost_engine_is_gone() {
+    let mut site = site(&["a", "b"], 2);
+    let ask = ask(&site, false);
+    block_on(async {
+        let mut stream = open(&site, 0, &ask).await;
+        stream.read_tokens(5).await.unwrap();
+        let engine = engine_of(&site, &stream);
+        let id = stream.last_id.clone().unwrap();
+        drop(stream);
+        drop(site.engines.remove(engine));
+        site.wait_endpoints().unwrap();
+        let again = AnswerStream::open(site.routers()[1], &ask, Some(&id)).await.unwrap();
+        let problem = again.problem().unwrap();
+        assert_eq!((problem.status, problem.verdict), (410, Some(Verdict::MayHaveRun)));
+    });
+}
+
+#[test]
+fn stream_of_another_organisation_or_request_is_not_resumed() {
+    let site = site(&["a"], 1);
+    let ask = ask(&site, false);
+    block_on(async {
+        let mut stream = open(&site, 0, &ask).await;
+        stream.read_tokens(5).await.unwrap();
+        let id = stream.last_id.clone().unwrap();
+        let router = site.routers()[0];
+        let other = Ask { key: organisation_key(&site.spec.organisations[1]), ..ask.clone() };
+        let refused = AnswerStream::open(router, &other, Some(&id)).await.unwrap();
+        assert_eq!(refused.problem().unwrap().status, 410);
+        let other = Ask { prompt: "another prompt".into(), ..ask.clone() };
+        let refused = AnswerStream::open(router, &other, Some(&id)).await.unwrap();
+        assert_eq!(refused.problem().unwrap().status, 409);
+        assert_eq!(stream.finish().await.unwrap(), StreamEnd::Done);
+        check_whole(&ask, &[&stream]).unwrap();
+    });
+}
+
+#[test]
+fn caller_gone_cancels_the_engines_work() {
+    let site = site(&["a"], 1);
+    let ask = Ask { tokens: 100_000, ..ask(&site, false) };
+    block_on(async {
+        let mut stream = open(&site, 0, &ask).await;
+        stream.read_tokens(5).await.unwrap();
+    });
+    let engine = &site.engines[0].engine;
+    wait_until("the work is cancelled", SOON, || engine.counts().cancelled == 1).unwrap();
+    assert!(engine.counts().generated < 1_000, "{:?}", engine.counts());
+}
+
+#[test]
+fn crossed_answers_are_dropped() {
+    let site = start(SiteSpec {
+        daemons: vec!["a"],
+        engines: vec!["a"],
+        tune: |cfg| cfg.crosses_answers = true,
+        ..SiteSpec::small()
+    });
+    for chat in [false, true] {
+        let outcome = block_on(caller::ask(site.routers()[0], &ask(&site, chat)));
+        assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+    }
+}
+
+#[test]
+fn caller_that_reads_nothing_slows_only_itself() {
+    const MAX_GROWTH_KB: u64 = 32 << 10;
+    let site = start(SiteSpec {
+        daemons: vec!["a"],
+        engines: vec!["a"],
+        tune: |cfg| (cfg.decode_token, cfg.decode_share) = (Duration::ZERO, Duration::ZERO),
+        ..SiteSpec::small()
+    });
+    let endless = Ask { tokens: 10_000_000, ..ask(&site, false) };
+    let engine = &site.engines[0].engine;
+    let before = resident_kb(site.daemons[0].pid());
+    block_on(async {
+        let _unread = open(&site, 0, &endless).await;
+        let mut last = 0;
+        wait_until("the engine is held back", SOON * 4, || {
+            std::thread::sleep(Duration::from_millis(100));
+            let generated = engine.counts().generated;
+            std::mem::replace(&mut last, generated) == generated && 0 < generated
+        })
+        .unwrap();
+        let outcome = caller::ask(site.routers()[0], &ask(&site, false)).await;
+        assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+    });
+    let grown = resident_kb(site.daemons[0].pid()).saturating_sub(before);
+    assert!(grown < MAX_GROWTH_KB, "{grown} kB more");
+}
+
+fn resident_kb(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse().unwrap()
+}
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -19,6 +19,7 @@
     rc::Rc,
     sync::Arc,
     thread::JoinHandle,
+    time::Duration,
 };
 
 use base::Incarnation;
@@ -40,6 +41,12 @@
 use auth::Keys;
 use router::Router;
 
+/// Time that a request waits for the first endpoints, as right after the start.
+const ROSTER_WAIT: Duration = Duration::from_secs(1);
+
+/// Time between looks for the first endpoints.
+const ROSTER_POLL: Duration = Duration::from_millis(5);
+
 /// Rings that join the edge thread to the others.
 pub(crate) struct Rings {
     /// Newest view of the endpoints.
@@ -127,6 +134,14 @@
         self.in_force.borrow().declaration.effective(scope, self.clock.wall())
     }
 
+    /// Waits a moment until some endpoint is known, so that a restarted router serves at once.
+    async fn wait_for_endpoints(&self) {
+        let until = self.clock.now() + ROSTER_WAIT;
+        while self.router.borrow().is_empty() && self.clock.now() < until {
+            tokio::time::sleep(ROSTER_POLL).await;
+        }
+    }
+
     /// Keeps the process from ending before a report is made.
     fn begin(self: &Rc<Self>) -> ActiveRequest {
         ActiveRequest::begin(self, "report")
--- a/crates/daemon/src/edge/relay/mod.rs
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -107,6 +107,7 @@
 
 impl Relay<'_> {
     async fn attempts(&mut self) -> End {
+        self.edge.wait_for_endpoints().await;
         let mut held = None;
         if let Some(id) = &self.job.resume {
             match self.find_held(id) {
@@ -136,7 +137,8 @@
             if fruitless == MAX_FRUITLESS || !self.may_go_on(&broken) {
                 return End::Broken(broken);
             }
-            if broken.held {
+            let fruitless_resume = resumes && delivered == before;
+            if broken.held && !fruitless_resume {
                 held = self.find_held(&self.progress.event_id(&chosen, self.engine_request()));
             }
             if held.is_some() {
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Returns whether no endpoint is known, as right after the start.
+    pub(super) fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// Returns the models that can be asked for.
     pub(super) fn models(&self) -> Vec<ModelId> {
         let mut models = Vec::new();
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -77,6 +77,7 @@
 ) -> Result<Response<Body>, Failure> {
     let settings = &call.settings;
     let sending = async {
+        edge.wait_for_endpoints().await;
         if settings.may_repeat(call.parts.method.as_str()) {
             return send_idempotent(&edge, &call).await;
         }
