bench: balancer, restarts under load, graceful shutdown tests

Cause: nothing proved that restarts cut and refuse nothing. Change: a balancer that looks at readiness and resumes cut streams at another host; bench restarts; tests of SIGTERM, of a second signal, of a rolling restart and of the death of all routers.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert_eq!(rest, whole[2..]);
 //! ```
 
+pub mod balancer;
 pub mod caller;
 pub mod demo;
 pub mod fake;
@@ -22,6 +23,7 @@
 pub mod process;
 mod proxy;
 pub mod report;
+pub mod restarts;
 pub mod site;
 pub mod stream;
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use bench::{demo, process::Program};
+use bench::{demo, process::Program, restarts};
 use bpaf::Bpaf;
 
 /// Demonstrates and measures the router with fakes at its interfaces
@@ -18,6 +18,15 @@
         #[bpaf(fallback(1))]
         seed: u64,
     },
+    /// Measure what restarts of routers cost
+    #[bpaf(command)]
+    Restarts {
+        /// Print the figures as one JSON object on the last line
+        json: bool,
+        /// Decides everything that is random
+        #[bpaf(fallback(1))]
+        seed: u64,
+    },
 }
 
 fn main() -> ExitCode {
@@ -56,6 +65,13 @@
                 println!("{}", serde_json::to_string(&summary)?);
             }
         }
+        Options::Restarts { json, seed } => {
+            let report = restarts::run(&program, seed)?;
+            println!("{}", restarts::table(&report));
+            if json {
+                println!("{}", serde_json::to_string(&report)?);
+            }
+        }
     }
     Ok(())
 }
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -1,7 +1,10 @@
 //! Daemons as processes that can be killed, frozen and restarted.
 
 use std::{
+    fs::File,
+    io,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::fs::FileExt as _,
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU8, Ordering},
@@ -75,7 +78,7 @@
         self
     }
 
-    fn command(&self, program: &Program) -> Command {
+    fn command(&self, program: &Program, log: &File) -> eyre::Result<Command> {
         let mut command = Command::new(&program.path);
         command
             .args(&program.args)
@@ -86,7 +89,7 @@
             .args(&self.flags)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(log_output());
+            .stderr(log_output(log)?);
         for (name, _) in std::env::vars_os() {
             if name.to_string_lossy().starts_with("DOTTERELREACH_") {
                 command.env_remove(name);
@@ -95,7 +98,7 @@
         if let Some(level) = log_level() {
             command.env("DOTTERELREACH_LOG_LEVEL", level);
         }
-        command
+        Ok(command)
     }
 }
 
@@ -104,6 +107,7 @@
     spec: DaemonSpec,
     program: Program,
     child: Child,
+    log: File,
     frozen: bool,
 }
 
@@ -114,11 +118,12 @@
     ///
     /// Returns an error if the program can't be started.
     pub fn start(program: &Program, spec: DaemonSpec) -> eyre::Result<Self> {
+        let log = tempfile::tempfile()?;
         let child = spec
-            .command(program)
+            .command(program, &log)?
             .spawn()
             .wrap_err_with(|| format!("could not start {}", program.path.display()))?;
-        Ok(Self { spec, program: program.clone(), child, frozen: false })
+        Ok(Self { spec, program: program.clone(), child, log, frozen: false })
     }
 
     /// Returns its settings.
@@ -126,6 +131,17 @@
         &self.spec
     }
 
+    /// Returns what it has logged; nothing if `RUST_LOG` sends the logs to this process's own.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log can't be read.
+    pub fn log(&self) -> io::Result<String> {
+        let mut log = vec![0; usize::try_from(self.log.metadata()?.len()).unwrap_or(0)];
+        self.log.read_exact_at(&mut log, 0)?;
+        Ok(String::from_utf8_lossy(&log).into_owned())
+    }
+
     /// Waits until it is ready, or ends.
     ///
     /// # Errors
@@ -174,7 +190,7 @@
     ///
     /// Returns an error if it can't be started.
     pub fn start_again(&mut self) -> eyre::Result<()> {
-        self.child = self.spec.command(&self.program).spawn()?;
+        self.child = self.spec.command(&self.program, &self.log)?.spawn()?;
         Ok(())
     }
 
@@ -261,9 +277,12 @@
     Ok(())
 }
 
-/// Shows the daemons' logs only to those who ask for them.
-fn log_output() -> Stdio {
-    if std::env::var_os("RUST_LOG").is_some() { Stdio::inherit() } else { Stdio::null() }
+/// Shows the daemons' logs to those who ask for them, and keeps them otherwise.
+fn log_output(log: &File) -> io::Result<Stdio> {
+    if std::env::var_os("RUST_LOG").is_some() {
+        return Ok(Stdio::inherit());
+    }
+    log.try_clone().map(Stdio::from)
 }
 
 /// Returns the level that `RUST_LOG` names, if it is a plain one.
--- a/crates/bench/tests/shutdown.rs
+++ b/crates/bench/tests/shutdown.rs
@@ -59,11 +59,12 @@
 
     /// Asks for the models and returns the answer's head and body.
     fn ask_models(&mut self, key: &str) -> String {
-        let req = format!("GET /v1/models HTTP/1.1\r\nhost: r\r\nauthorization: Bearer {key}\r\n\r\n");
+        let req =
+            format!("GET /v1/models HTTP/1.1\r\nhost: r\r\nauthorization: Bearer {key}\r\n\r\n");
         self.0.write_all(req.as_bytes()).unwrap();
         let mut answer = Vec::new();
         let mut byte = [0];
-        while !answer.ends_with(b"]}") && self.0.read(&mut byte).unwrap() != 0 {
+        while !answer.ends_with(b"\"list\"}") && self.0.read(&mut byte).unwrap() != 0 {
             answer.extend(byte);
         }
         String::from_utf8(answer).unwrap()
@@ -145,6 +146,6 @@
         assert!(stream.finish().await.is_err());
     });
     assert_eq!(site.daemons[0].wait_end(SOON).unwrap().code(), Some(3));
-    let log = site.daemons[0].log();
+    let log = site.daemons[0].log().unwrap();
     assert!(log.contains("request cut") && log.contains("/v1/completions"), "{log}");
 }
--- a/crates/daemon/src/edge/relay/mod.rs
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -17,7 +17,7 @@
 use self::{attempt::Broken, progress::Progress};
 
 use super::{
-    Edge,
+    Edge, ROSTER_POLL, ROSTER_WAIT,
     failure::Failure,
     router::{Chosen, NoEndpoint, Wanted},
 };
@@ -110,7 +110,7 @@
         self.edge.wait_for_endpoints().await;
         let mut held = None;
         if let Some(id) = &self.job.resume {
-            match self.find_held(id) {
+            match self.wait_for_held(id).await {
                 Some(chosen) => held = Some(chosen),
                 None => return End::Broken(Broken::not_held()),
             }
@@ -169,6 +169,18 @@
         Ok(chosen)
     }
 
+    /// Returns the engine of an event once it is known here, as it may not be right after the start.
+    async fn wait_for_held(&self, id: &EventId) -> Option<Chosen> {
+        let until = self.edge.clock.now() + ROSTER_WAIT;
+        loop {
+            let held = self.find_held(id);
+            if held.is_some() || until <= self.edge.clock.now() {
+                return held;
+            }
+            tokio::time::sleep(ROSTER_POLL).await;
+        }
+    }
+
     /// Returns the engine of an event, if it still runs.
     fn find_held(&self, id: &EventId) -> Option<Chosen> {
         let prompt = self.job.completion.prompt_parts();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -2,6 +2,7 @@
     net::{SocketAddr, TcpListener},
     process::ExitCode,
     sync::Arc,
+    time::{Duration, Instant},
 };
 
 use base::{Incarnation, Revision, Sequence};
@@ -29,6 +30,12 @@
 /// Rosters in the ring to the edge thread.
 const ROSTER_RING: usize = 1;
 
+/// Time that a restarted router waits for the endpoints before it is ready.
+const ROSTER_WAIT: Duration = Duration::from_millis(800);
+
+/// Time between looks for the endpoints.
+const ROSTER_POLL: Duration = Duration::from_millis(5);
+
 const EXIT_FAILED: u8 = 1;
 const EXIT_SETTINGS: u8 = 2;
 const EXIT_CUT: u8 = 3;
@@ -84,7 +91,12 @@
     let process = Process::start(&cfg)?;
     log::info!(host:% = cfg.host, address:% = cfg.listen; "serving callers");
 
-    let signal = signal_rx.recv().wrap_err("the signals thread ended")?;
+    let early = process.wait_for_endpoints(&cfg, &signal_rx);
+    process.readiness.set(true);
+    let signal = match early {
+        Some(signal) => signal,
+        None => signal_rx.recv().wrap_err("the signals thread ended")?,
+    };
     log::info!(host:% = cfg.host; "draining after a termination signal");
     process.readiness.set(false);
     let _ = process.control.send(Control::Leave);
@@ -117,6 +129,7 @@
     readiness: Readiness,
     roster: flume::Sender<RosterInput>,
     replica: Option<flume::Sender<ReplicaInput>>,
+    latest: Latest,
     /// Sends the last spans on drop.
     _exporter: Option<Exporter>,
 }
@@ -193,7 +206,7 @@
             cfg: Arc::clone(cfg),
             incarnation,
             readiness: readiness.clone(),
-            roster: latest,
+            roster: latest.clone(),
             replica: replica_state,
             configurations: configurations.clone(),
             leader: leader.clone(),
@@ -210,16 +223,38 @@
             tracer,
         };
         let edge = edge::spawn(Arc::clone(cfg), clock, edge_listener, rings)?;
-        readiness.set(true);
         Ok(Self {
             edge,
             control: control_tx,
             readiness,
             roster: roster_input_tx,
             replica,
+            latest,
             _exporter: exporter,
         })
     }
+
+    /// Waits a moment until a peer or an endpoint has told of the endpoints, so that a restarted
+    /// router is ready when it can serve; returns a signal that comes before.
+    fn wait_for_endpoints(
+        &self,
+        cfg: &Settings,
+        signals: &flume::Receiver<Termination>,
+    ) -> Option<Termination> {
+        if cfg.seeds.is_empty() {
+            return None;
+        }
+        let until = Instant::now() + ROSTER_WAIT;
+        while Instant::now() < until {
+            if self.latest.load().is_some_and(|roster| !roster.endpoints.is_empty()) {
+                return None;
+            }
+            if let Ok(signal) = signals.recv_timeout(ROSTER_POLL) {
+                return Some(signal);
+            }
+        }
+        None
+    }
 }
 
 /// Starts the export of spans, if an endpoint is set.
