--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use bench::{demo, process::Program, restarts};
+use bench::{demo, latency, process::Program, restarts};
 use bpaf::Bpaf;
 
 /// Demonstrates and measures the router with fakes at its interfaces
@@ -27,6 +27,12 @@
         #[bpaf(fallback(1))]
         seed: u64,
     },
+    /// Measure what a daemon adds to a direct call, at 1, 32 and 256 streams
+    #[bpaf(command)]
+    Latency {
+        /// Print the measurements as one JSON array on the last line
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -34,6 +40,9 @@
     if args.first().is_some_and(|arg| arg == "daemon") {
         return run_daemon(&args[1..]);
     }
+    if args.first().is_some_and(|arg| arg == "operator") {
+        return run_operator(&args[1..]);
+    }
     match run(options().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -55,6 +64,12 @@
     }
 }
 
+/// Runs the operator's tool in this process.
+fn run_operator(args: &[String]) -> ExitCode {
+    let args: Vec<&str> = args.iter().map(String::as_str).collect();
+    cli::run(&args).into()
+}
+
 fn run(options: Options) -> eyre::Result<()> {
     let program = Program { path: std::env::current_exe()?, args: vec!["daemon".into()] };
     match options {
@@ -72,6 +87,13 @@
                 println!("{}", serde_json::to_string(&report)?);
             }
         }
+        Options::Latency { json } => {
+            let rows = latency::run(&program)?;
+            println!("{}", latency::table(&rows));
+            if json {
+                println!("{}", serde_json::to_string(&rows)?);
+            }
+        }
     }
     Ok(())
 }
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -5,6 +5,7 @@
 mod claims;
 mod completions;
 mod failure;
+mod inquiry;
 mod listen;
 mod relay;
 mod router;
@@ -41,6 +42,8 @@
 use auth::Keys;
 use router::Router;
 
+pub(crate) use inquiry::{Inquiry, Load};
+
 /// Time that a request waits for the first endpoints, as right after the start.
 const ROSTER_WAIT: Duration = Duration::from_secs(1);
 
@@ -55,6 +58,8 @@
     pub announcements: flume::Sender<RosterInput>,
     /// Orders to drain or to end.
     pub control: flume::Receiver<Control>,
+    /// Questions of operators.
+    pub inquiries: flume::Receiver<Inquiry>,
     /// The configuration in force.
     pub configurations: Configurations,
     /// The way to the quorum's leader.
@@ -174,6 +179,7 @@
             let edge = Rc::new(Edge::new(cfg, clock, &rings));
             tokio::task::spawn_local(follow_rosters(Rc::clone(&edge), rings.rosters));
             tokio::task::spawn_local(follow_configurations(Rc::clone(&edge)));
+            tokio::task::spawn_local(inquiry::answer_all(Rc::clone(&edge), rings.inquiries));
             tokio::task::spawn_local(claims::end_earlier_lives(Rc::clone(&edge)));
             listen::run(edge, listener, rings.control).await
         })
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -12,13 +12,15 @@
 
 use crate::{
     Settings, SettingsError,
-    admin::{self, Pages, Readiness},
+    admin::{self, Sources},
     clock::Clock,
     configurations::Configurations,
     directory::Directory,
     edge::{self, Control, EdgeEnd, Rings},
     leader_client::LeaderClient,
+    net,
     peers::{self, Inbox, PeersConfig},
+    readiness::{self, NEWS_TIMEOUT, Readiness},
     replica::{self, ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaState},
     roster::{self, Latest, RosterInput, RosterRings},
     signals::{self, Termination},
@@ -30,11 +32,11 @@
 /// Rosters in the ring to the edge thread.
 const ROSTER_RING: usize = 1;
 
-/// Time that a restarted router waits for the endpoints before it is ready.
-const ROSTER_WAIT: Duration = Duration::from_millis(800);
+/// Operators' questions in the ring to the edge thread.
+const INQUIRY_RING: usize = 16;
 
-/// Time between looks for the endpoints.
-const ROSTER_POLL: Duration = Duration::from_millis(5);
+/// Time between looks at what the peers have told.
+const NEWS_POLL: Duration = Duration::from_millis(10);
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_SETTINGS: u8 = 2;
@@ -91,14 +93,12 @@
     let process = Process::start(&cfg)?;
     log::info!(host:% = cfg.host, address:% = cfg.listen; "serving callers");
 
-    let early = process.wait_for_endpoints(&cfg, &signal_rx);
-    process.readiness.set(true);
-    let signal = match early {
+    let signal = match process.wait_for_news(&signal_rx) {
         Some(signal) => signal,
         None => signal_rx.recv().wrap_err("the signals thread ended")?,
     };
     log::info!(host:% = cfg.host; "draining after a termination signal");
-    process.readiness.set(false);
+    process.readiness.set_draining();
     let _ = process.control.send(Control::Leave);
     let _ = process.roster.send(RosterInput::Draining);
     let notice = match signal {
@@ -127,14 +127,27 @@
     edge: std::thread::JoinHandle<EdgeEnd>,
     control: flume::Sender<Control>,
     readiness: Readiness,
+    news: News,
     roster: flume::Sender<RosterInput>,
     replica: Option<flume::Sender<ReplicaInput>>,
-    latest: Latest,
     /// Sends the last spans on drop.
     _exporter: Option<Exporter>,
 }
 
 impl Process {
+    /// Turns ready once the peers' news is here or has taken too long; returns an earlier signal.
+    fn wait_for_news(&self, signals: &flume::Receiver<Termination>) -> Option<Termination> {
+        let deadline = Instant::now() + NEWS_TIMEOUT;
+        while !self.news.is_here() && Instant::now() < deadline {
+            if let Ok(signal) = signals.recv_timeout(NEWS_POLL) {
+                return Some(signal);
+            }
+        }
+        self.readiness.set_ready();
+        log::info!(revision:% = self.news.configurations.revision(); "ready");
+        None
+    }
+
     fn start(cfg: &Arc<Settings>) -> eyre::Result<Self> {
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new()?);
@@ -187,6 +200,7 @@
             configurations: configurations.clone(),
             replica: replica.clone(),
             replica_state: replica_state.clone(),
+            metrics: Arc::clone(&metrics),
         };
         let me = myself(cfg, incarnation, replica.is_some());
         roster::spawn(clock, me, cfg.seeds.clone(), rings)?;
@@ -202,20 +216,30 @@
         };
         peers::spawn(peers_cfg, peer_listener, inbox, outbox_rx)?;
         let readiness = Readiness::default();
-        let pages = Pages {
+        let (inquiry_tx, inquiry_rx) = flume::bounded(INQUIRY_RING);
+        let news = News {
+            awaited: !cfg.seeds.is_empty(),
+            roster: latest.clone(),
+            configurations: configurations.clone(),
+        };
+        let sources = Sources {
             cfg: Arc::clone(cfg),
+            clock,
             incarnation,
             readiness: readiness.clone(),
-            roster: latest.clone(),
+            roster: latest,
             replica: replica_state,
             configurations: configurations.clone(),
             leader: leader.clone(),
+            inquiries: inquiry_tx,
+            metrics: Arc::clone(&metrics),
         };
-        admin::spawn(cfg.admin_listen, pages).wrap_err("could not serve the operator's pages")?;
+        admin::spawn(cfg.admin_listen, sources).wrap_err("could not serve the operator's pages")?;
         let rings = Rings {
             rosters: roster_rx,
             announcements: roster_input_tx.clone(),
             control: control_rx,
+            inquiries: inquiry_rx,
             configurations,
             leader,
             incarnation,
@@ -227,33 +251,25 @@
             edge,
             control: control_tx,
             readiness,
+            news,
             roster: roster_input_tx,
             replica,
-            latest,
             _exporter: exporter,
         })
     }
+}
 
-    /// Waits a moment until a peer or an endpoint has told of the endpoints, so that a restarted
-    /// router is ready when it can serve; returns a signal that comes before.
-    fn wait_for_endpoints(
-        &self,
-        cfg: &Settings,
-        signals: &flume::Receiver<Termination>,
-    ) -> Option<Termination> {
-        if cfg.seeds.is_empty() {
-            return None;
-        }
-        let until = Instant::now() + ROSTER_WAIT;
-        while Instant::now() < until {
-            if self.latest.load().is_some_and(|roster| !roster.endpoints.is_empty()) {
-                return None;
-            }
-            if let Ok(signal) = signals.recv_timeout(ROSTER_POLL) {
-                return Some(signal);
-            }
-        }
-        None
+/// What a starting router has heard from its peers.
+struct News {
+    awaited: bool,
+    roster: Latest,
+    configurations: Configurations,
+}
+
+impl News {
+    fn is_here(&self) -> bool {
+        let in_force = self.configurations.revision();
+        !self.awaited || self.roster.load().is_some_and(|r| readiness::has_news(&r, in_force))
     }
 }
 
@@ -292,5 +308,5 @@
 }
 
 fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address).wrap_err_with(|| format!("could not bind {address}"))
+    net::listen(address).wrap_err_with(|| format!("could not bind {address}"))
 }
