--- a/crates/daemon/src/edge/inquiry.rs
+++ b/crates/daemon/src/edge/inquiry.rs
@@ -39,7 +39,7 @@
             }
             Inquiry::Load { reply } => {
                 let endpoints = edge.router.borrow().in_flight();
-                let _ = reply.try_send(Load { requests: edge.active.get(), endpoints });
+                let _ = reply.try_send(Load { requests: edge.active.borrow().len(), endpoints });
             }
         }
     }
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -1,3 +1,4 @@
+mod active;
 mod announce;
 mod auth;
 mod body;
@@ -11,6 +12,7 @@
 mod services;
 mod targets;
 mod upstream;
+mod whole_answer;
 
 use std::{
     cell::{Cell, RefCell},
@@ -18,6 +20,7 @@
     rc::Rc,
     sync::Arc,
     thread::JoinHandle,
+    time::Duration,
 };
 
 use base::Incarnation;
@@ -35,11 +38,18 @@
     roster::RosterInput,
 };
 
+use active::{ActiveRequest, ActiveRequests};
 use auth::Keys;
 use router::Router;
 
 pub(crate) use inquiry::{Inquiry, Load};
 
+/// Time that a request waits for the first endpoints, as right after the start.
+const ROSTER_WAIT: Duration = Duration::from_secs(1);
+
+/// Time between looks for the first endpoints.
+const ROSTER_POLL: Duration = Duration::from_millis(5);
+
 /// Rings that join the edge thread to the others.
 pub(crate) struct Rings {
     /// Newest view of the endpoints.
@@ -65,6 +75,8 @@
 /// An order to the edge thread.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Control {
+    /// Serve what still arrives, and ask callers to use other hosts.
+    Leave,
     /// Accept nothing new and end once all requests have ended.
     Drain,
     /// End now.
@@ -83,7 +95,11 @@
     cfg: Arc<Settings>,
     keys: Keys,
     router: RefCell<Router>,
-    active: Cell<u64>,
+    active: RefCell<ActiveRequests>,
+    /// Open connections from callers.
+    connections: Cell<u64>,
+    /// Whether answers ask callers to use other hosts.
+    leaving: Cell<bool>,
     next_request: Cell<u64>,
     announcements: flume::Sender<RosterInput>,
     configurations: Configurations,
@@ -92,15 +108,9 @@
     owner: Owner,
     clock: Clock,
     metrics: Arc<Metrics>,
-    #[expect(dead_code, reason = "requests record no spans yet")]
     tracer: Tracer,
 }
 
-/// Counts a request as active; ends on drop.
-struct ActiveRequest {
-    edge: Rc<Edge>,
-}
-
 impl Edge {
     fn new(cfg: Arc<Settings>, clock: Clock, rings: &Rings) -> Self {
         let seed = rand::random();
@@ -109,7 +119,9 @@
             keys: Keys::new(&cfg, rings.configurations.clone()),
             router: RefCell::new(Router::new(cfg.listen.ip(), Pcg64Mcg::seed_from_u64(seed))),
             cfg,
-            active: Cell::new(0),
+            active: RefCell::default(),
+            connections: Cell::new(0),
+            leaving: Cell::new(false),
             next_request: Cell::new(seed),
             announcements: rings.announcements.clone(),
             configurations: rings.configurations.clone(),
@@ -127,9 +139,17 @@
         self.in_force.borrow().declaration.effective(scope, self.clock.wall())
     }
 
+    /// Waits a moment until some endpoint is known, so that a restarted router serves at once.
+    async fn wait_for_endpoints(&self) {
+        let until = self.clock.now() + ROSTER_WAIT;
+        while self.router.borrow().is_empty() && self.clock.now() < until {
+            tokio::time::sleep(ROSTER_POLL).await;
+        }
+    }
+
+    /// Keeps the process from ending before a report is made.
     fn begin(self: &Rc<Self>) -> ActiveRequest {
-        self.active.set(self.active.get() + 1);
-        ActiveRequest { edge: Rc::clone(self) }
+        ActiveRequest::begin(self, "report")
     }
 
     fn new_request_id(&self) -> base::RequestId {
@@ -140,12 +160,6 @@
     }
 }
 
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.edge.active.set(self.edge.active.get() - 1);
-    }
-}
-
 /// Starts the edge thread on a listener that is already bound.
 ///
 /// # Errors
