--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -17,8 +17,10 @@
 pub mod caller;
 pub mod demo;
 pub mod fake;
+pub mod gate;
 pub mod load;
 pub mod model;
+pub mod operator;
 pub mod process;
 mod proxy;
 pub mod report;
--- a/crates/daemon/src/edge/claims.rs
+++ b/crates/daemon/src/edge/claims.rs
@@ -7,6 +7,7 @@
     Release, Reply,
 };
 use hyper::{Response, StatusCode, header::CONTENT_TYPE};
+use tokio::task::JoinHandle;
 use wire::leader::{LeaderAnswer, LeaderRequest};
 
 use crate::leader_client::NoAnswer;
@@ -16,9 +17,12 @@
 /// Pause between two looks at a call that another host has claimed.
 const WAIT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time for a report after the call, which goes on in the background.
+/// Time for which a report holds up the end of the process.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time for which an answer waits until the ledger has it.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What callers are told to wait when no quorum is reached.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -40,11 +44,17 @@
 ///
 /// A permit that is dropped unused is given back, since its call was never sent.
 pub(super) struct Permit {
+    attempt: Attempt,
+    deadline: MonotonicTime,
+}
+
+/// An attempt to claim a call; released on drop unless it is used or known to hold nothing.
+struct Attempt {
     edge: Rc<Edge>,
     call: CallKey,
+    request: Digest,
     id: ClaimId,
-    deadline: MonotonicTime,
-    used: bool,
+    held: bool,
 }
 
 impl Keyed {
@@ -57,32 +67,38 @@
     ) -> Result<Claimed, Failure> {
         let wait_until = edge.clock.now() + wait;
         loop {
-            let id = ClaimId::new(rand::random());
+            let mut attempt = self.attempt(edge);
             let proposed = edge.clock.now();
-            let reply = match self.propose(edge, id, timeout).await {
+            let reply = match self.propose(edge, attempt.id, timeout).await {
                 Ok(reply) => reply,
-                Err(NoAnswer::NotTaken) => return Err(no_quorum()),
-                Err(NoAnswer::Unknown) => {
-                    tokio::task::spawn_local(release(Rc::clone(edge), self.call.clone(), id));
+                Err(NoAnswer::NotTaken) => {
+                    attempt.held = false;
                     return Err(no_quorum());
                 }
+                Err(NoAnswer::Unknown) => return Err(no_quorum()),
             };
+            if let ClaimReply::Claimed { send_within } = reply {
+                let deadline = proposed + send_within;
+                return Ok(Claimed::Send(Permit { attempt, deadline }));
+            }
+            attempt.held = false;
             match reply {
-                ClaimReply::Claimed { send_within } => {
-                    return Ok(Claimed::Send(Permit {
-                        edge: Rc::clone(edge),
-                        call: self.call.clone(),
-                        id,
-                        deadline: proposed + send_within,
-                        used: false,
-                    }));
-                }
                 ClaimReply::InProgress(owner) => self.wait(edge, &owner, wait_until).await?,
                 settled => return settled_answer(settled),
             }
         }
     }
 
+    fn attempt(&self, edge: &Rc<Edge>) -> Attempt {
+        Attempt {
+            edge: Rc::clone(edge),
+            call: self.call.clone(),
+            request: self.request,
+            id: ClaimId::new(rand::random()),
+            held: true,
+        }
+    }
+
     async fn propose(
         &self,
         edge: &Edge,
@@ -126,19 +142,28 @@
     ///
     /// Returns a failure with the verdict that nothing has run if the deadline has passed.
     pub(super) fn redeem(mut self) -> Result<Sent, Failure> {
-        if self.deadline <= self.edge.clock.now() {
+        let attempt = &mut self.attempt;
+        if self.deadline <= attempt.edge.clock.now() {
             return Err(Failure::timed_out("the claim took too long", Verdict::NotRun));
         }
-        self.used = true;
-        Ok(Sent { edge: Rc::clone(&self.edge), call: self.call.clone(), id: self.id, told: false })
+        attempt.held = false;
+        let (edge, call) = (Rc::clone(&attempt.edge), attempt.call.clone());
+        Ok(Sent { edge, call, id: attempt.id, told: false })
     }
 }
 
-impl Drop for Permit {
+impl Drop for Attempt {
     fn drop(&mut self) {
-        if !self.used {
-            let release = release(Rc::clone(&self.edge), self.call.clone(), self.id);
-            tokio::task::spawn_local(release);
+        if self.held {
+            let release = Release {
+                call: self.call.clone(),
+                request: self.request,
+                id: self.id,
+                owner: self.edge.owner.clone(),
+                at: UnixMillis::default(),
+            };
+            let edge = Rc::clone(&self.edge);
+            tokio::task::spawn_local(report(edge, Command::Release(release)));
         }
     }
 }
@@ -152,13 +177,16 @@
 }
 
 impl Sent {
-    /// Reports the answer.
-    pub(super) fn answered(mut self, answer: Answer) {
+    /// Reports the answer, and waits a while until the ledger has it.
+    ///
+    /// The report goes on after the wait, and if the wait is cancelled.
+    pub(super) async fn answered(mut self, answer: Answer) {
         self.told = true;
-        self.report(Outcome::Answered(answer));
+        let report = self.report(Outcome::Answered(answer));
+        let _ = tokio::time::timeout(RECORD_TIMEOUT, report).await;
     }
 
-    fn report(&self, outcome: Outcome) {
+    fn report(&self, outcome: Outcome) -> JoinHandle<()> {
         let finish = Finish {
             call: self.call.clone(),
             id: self.id,
@@ -166,14 +194,14 @@
             outcome,
             at: UnixMillis::default(),
         };
-        tokio::task::spawn_local(report(Rc::clone(&self.edge), Command::Finish(finish)));
+        tokio::task::spawn_local(report(Rc::clone(&self.edge), Command::Finish(finish)))
     }
 }
 
 impl Drop for Sent {
     fn drop(&mut self) {
         if !self.told {
-            self.report(Outcome::Unknown);
+            drop(self.report(Outcome::Unknown));
         }
     }
 }
@@ -186,18 +214,17 @@
     while command(&edge, Command::OwnerGone(gone.clone()), REPORT_TIMEOUT).await.is_err() {}
 }
 
-async fn release(edge: Rc<Edge>, call: CallKey, id: ClaimId) {
-    let owner = edge.owner.clone();
-    let release = Release { call, id, owner, at: UnixMillis::default() };
-    report(edge, Command::Release(release)).await;
-}
-
-/// Tells the ledger of a call; the process doesn't end gracefully before that.
+/// Tells the ledger of a call, for as long as it takes.
+///
+/// The process doesn't end gracefully before that, or before [`REPORT_TIMEOUT`].
 async fn report(edge: Rc<Edge>, told: Command) {
-    let _active = edge.begin();
-    if let Err(e) = command(&edge, told.clone(), REPORT_TIMEOUT).await {
-        log::warn!("the ledger could not be told in time ({e:?}): {told:?}");
+    let active = edge.begin();
+    if command(&edge, told.clone(), REPORT_TIMEOUT).await.is_ok() {
+        return;
     }
+    drop(active);
+    log::warn!("the ledger has not been told yet: {told:?}");
+    while command(&edge, told.clone(), REPORT_TIMEOUT).await.is_err() {}
 }
 
 async fn command(edge: &Edge, command: Command, timeout: Duration) -> Result<Reply, NoAnswer> {
@@ -207,8 +234,16 @@
     }
 }
 
+/// Refuses a call that this host didn't send.
+///
+/// An earlier arrival may have run it, which only the quorum knows.
 fn no_quorum() -> Failure {
-    Failure::unavailable("no quorum could commit the claim in time", RETRY_AFTER)
+    let detail = "no quorum could commit the claim in time: this request was not sent, but whether \
+                  an earlier one with its key was isn't known; send it again with the same key";
+    let mut failure = Failure::unavailable(detail, RETRY_AFTER);
+    failure.title = "no quorum";
+    failure.verdict = Verdict::MayHaveRun;
+    failure
 }
 
 fn settled_answer(settled: ClaimReply) -> Result<Claimed, Failure> {
--- a/crates/daemon/src/leader_client.rs
+++ b/crates/daemon/src/leader_client.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
 use base::HostId;
 use rand::RngExt as _;
@@ -11,7 +11,7 @@
 };
 
 /// Longest wait for one host's answer.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_500);
+const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Shortest and longest pause between rounds over all voters.
 const PAUSE_MS: std::ops::RangeInclusive<u64> = 20..=60;
@@ -51,21 +51,25 @@
         timeout: Duration,
     ) -> Result<LeaderAnswer, NoAnswer> {
         let bytes = request.to_bytes();
-        let mut worst = NoAnswer::NotTaken;
+        let worst = Cell::new(NoAnswer::NotTaken);
         let asking = async {
             loop {
                 for host in self.directory.voters() {
+                    // An attempt that the timeout cuts short may be carried out.
+                    let before = worst.replace(NoAnswer::Unknown);
                     match self.attempt(&host, bytes.clone()).await {
                         Submitted::Reply(answer) => {
                             self.directory.set_leader(Some(host));
                             return LeaderAnswer::from_bytes(&answer)
                                 .map_err(|_| NoAnswer::Unknown);
                         }
-                        Submitted::NotWritten { leader: Some(leader) } if leader != host => {
-                            self.directory.set_leader(Some(leader));
+                        Submitted::NotWritten { leader } => {
+                            worst.set(before);
+                            if leader.as_ref().is_some_and(|leader| *leader != host) {
+                                self.directory.set_leader(leader);
+                            }
                         }
-                        Submitted::NotWritten { .. } => {}
-                        Submitted::Unknown => worst = NoAnswer::Unknown,
+                        Submitted::Unknown => {}
                     }
                 }
                 let pause = rand::rng().random_range(PAUSE_MS);
@@ -74,7 +78,7 @@
         };
         match tokio::time::timeout(timeout, asking).await {
             Ok(answer) => answer,
-            Err(_) => Err(worst),
+            Err(_) => Err(worst.get()),
         }
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -34,6 +34,7 @@
 
 pub use crate::{
     edge::EdgeEnd,
+    peers::{PeerAnswer, PeerClient},
     run::{exit_code, main, run},
     settings::{Faults, OrganisationKey, Settings, SettingsError},
 };
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use base::{HostId, MonotonicTime};
+use base::{HostId, MonotonicTime, Revision};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side as RpcSide, twoparty::VatNetwork};
 use futures_util::AsyncReadExt as _;
 use tokio::task::JoinHandle;
@@ -27,7 +27,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A connection to another router, after the handshake.
-struct Session {
+pub(super) struct Session {
     router: router::Client,
     broken: Rc<std::cell::Cell<bool>>,
     driver: JoinHandle<()>,
@@ -80,7 +80,7 @@
     }
 }
 
-async fn connect(
+pub(super) async fn connect(
     cfg: &PeersConfig,
     address: SocketAddr,
     secret: &FleetSecret,
@@ -130,6 +130,23 @@
 }
 
 impl Session {
+    /// Sends a request to the leader and waits for what became of it.
+    pub(super) async fn submit(&self, request: &[u8]) -> Result<Submitted, capnp::Error> {
+        let mut req = self.router.submit_request();
+        req.get().set_request(request);
+        read_submitted(req.send().promise.await?.get()?.get_submitted()?)
+    }
+
+    /// Returns the other router's configuration if its revision is above `above`.
+    pub(super) async fn configuration(
+        &self,
+        above: Revision,
+    ) -> Result<Option<Configuration>, capnp::Error> {
+        let mut req = self.router.configuration_request();
+        req.get().set_above(above.as_u64());
+        read_newer(req.send().promise.await?.get()?)
+    }
+
     /// Sends a message; calls on one connection arrive in the order in which they were sent.
     fn send(&self, message: Outgoing) {
         let broken = Rc::clone(&self.broken);
@@ -217,9 +234,7 @@
             }
             Self::Configuration(sent, reply) => {
                 let answer = sent.await?;
-                let answer = answer.get()?;
-                if answer.has_newer() {
-                    let newer = Configuration::read(answer.get_newer()?)?;
+                if let Some(newer) = read_newer(answer.get()?)? {
                     let _ = reply.try_send(RosterInput::Configuration(newer));
                 }
             }
@@ -228,6 +243,12 @@
     }
 }
 
+fn read_newer(
+    answer: router::configuration_results::Reader<'_>,
+) -> Result<Option<Configuration>, capnp::Error> {
+    if answer.has_newer() { Configuration::read(answer.get_newer()?).map(Some) } else { Ok(None) }
+}
+
 fn read_submitted(submitted: submitted::Reader<'_>) -> Result<Submitted, capnp::Error> {
     Ok(match submitted.which()? {
         submitted::Reply(reply) => Submitted::Reply(reply?.to_vec()),
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The thread moves bytes; what they mean is known to the threads behind the rings.
 
+mod client;
 mod handshake;
 mod link;
 mod server;
@@ -19,6 +20,8 @@
 
 use crate::{configurations::Configurations, replica::ReplicaInput, roster::RosterInput};
 
+pub use client::{PeerAnswer, PeerClient};
+
 use handshake::FleetSecret;
 
 /// Version of the messages between routers.
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -62,7 +62,7 @@
         let node_cfg = Config { founders: cfg.founders, ..Config::new(cfg.host) };
         let snapshot_at = fleet.applied();
         let node = Node::new(node_cfg, restored, clock.now(), rng);
-        Ok(Self {
+        let driver = Self {
             clock,
             node,
             log,
@@ -72,7 +72,9 @@
             actions: Vec::new(),
             rings,
             failure: None,
-        })
+        };
+        driver.offer_configuration();
+        Ok(driver)
     }
 
     /// Runs until every sender of inputs is gone.
@@ -228,6 +230,7 @@
             Ok(fleet) => {
                 self.fleet = fleet;
                 self.snapshot_at = snapshot.last_index;
+                self.waiting.replaced_through(snapshot.last_index);
                 self.offer_configuration();
             }
             Err(e) => {
--- a/crates/daemon/src/replica/waiting.rs
+++ b/crates/daemon/src/replica/waiting.rs
@@ -66,9 +66,9 @@
     /// Notes that a proposal was written to the log.
     pub(super) fn accepted(&mut self, id: ProposalId, index: LogIndex, term: Term) {
         let Some(reply) = self.proposed.remove(&id) else { return };
-        if let Some(overwritten) = self.written.insert(index, Written { term, reply }) {
-            overwritten.reply.not_written(None);
-        }
+        // An earlier entry at `index` may survive elsewhere and still commit: its sender, whose
+        // reply is dropped here, learns nothing.
+        self.written.insert(index, Written { term, reply });
     }
 
     /// Returns the sender of a proposal that was not written.
@@ -88,6 +88,11 @@
         None
     }
 
+    /// Forgets the senders of entries up to `index`, which a snapshot has replaced.
+    pub(super) fn replaced_through(&mut self, index: LogIndex) {
+        self.written = self.written.split_off(&index.next());
+    }
+
     /// Notes that a read may be answered once `index` is applied.
     pub(super) fn read_ready(&mut self, id: ReadId, index: LogIndex) {
         if let Some(reading) = self.reading.remove(&id) {
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -125,6 +125,8 @@
 pub struct Release {
     /// The call.
     pub call: CallKey,
+    /// Digest of method, path and body.
+    pub request: Digest,
     /// The attempt.
     pub id: ClaimId,
     /// Who held it.
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -175,19 +175,25 @@
 
     pub(crate) fn release(&mut self, release: &Release) -> ReleaseReply {
         let Some(entry) = self.entry_mut(&release.call) else {
-            return ReleaseReply::Unknown;
+            return self.release_ahead(release);
         };
         if entry.released.contains(&release.id) {
             return ReleaseReply::Released;
         }
         match &entry.call.state {
-            CallState::Released => ReleaseReply::NotOwner,
+            CallState::Released => {
+                entry.remember_released(release.id);
+                ReleaseReply::Released
+            }
             CallState::Claimed(held)
             | CallState::MayHaveRun(held, _)
             | CallState::Finished(held, _)
             | CallState::Resolved(held, _)
                 if !held.is_by(release.id, &release.owner) =>
             {
+                if held.id != release.id {
+                    entry.remember_released(release.id);
+                }
                 ReleaseReply::NotOwner
             }
             CallState::Finished(..)
@@ -263,6 +269,22 @@
             && self.next_settlement < MAX_SETTLEMENTS
     }
 
+    /// Remembers a release whose claim may still arrive, so that nobody holds the key then.
+    fn release_ahead(&mut self, release: &Release) -> ReleaseReply {
+        if !self.make_room() {
+            return ReleaseReply::Unknown;
+        }
+        let calls = self.organisations.entry(release.call.organisation.clone()).or_default();
+        let call = Call::new(release.request, CallState::Released, self.clock);
+        calls.open(&release.call.key, call);
+        self.kept_calls += 1;
+        if let Some(entry) = self.entry_mut(&release.call) {
+            entry.remember_released(release.id);
+        }
+        self.settle(&release.call, CallState::Released);
+        ReleaseReply::Released
+    }
+
     /// Returns the claim of an earlier life of the claimant's host.
     fn ended_holder(&self, claim: &Claim) -> Option<Held> {
         let CallState::Claimed(held) = &self.call(&claim.call)?.state else {
