--- a/crates/bench/tests/claims_faults.rs
+++ b/crates/bench/tests/claims_faults.rs
@@ -2,7 +2,7 @@
 
 use std::{net::IpAddr, path::PathBuf, rc::Rc, time::Duration};
 
-use base::Verdict;
+use base::{Revision, Verdict};
 use bench::{
     Fault,
     caller::{self, CallOutcome},
@@ -139,12 +139,14 @@
     }
 
     async fn wait_claimed(&self) {
-        let live = &self.site.daemons[self.leader..=self.leader];
+        let leader = &self.site.daemons[self.leader..=self.leader];
+        let deadline = std::time::Instant::now() + PATIENCE;
         loop {
-            let call = operator::read_call(live, &self.call()).await.unwrap();
-            if call.is_some_and(|call| matches!(call.state, CallState::Claimed(_))) {
+            let call = operator::read_call(leader, &self.call()).await.unwrap();
+            if call.as_ref().is_some_and(|call| matches!(call.state, CallState::Claimed(_))) {
                 return;
             }
+            assert!(std::time::Instant::now() < deadline, "not claimed: {call:?}");
         }
     }
 
@@ -328,12 +330,12 @@
         let changed = operator::submit_change(&scene.site.daemons, operator::change("d", 1, short));
         assert!(matches!(changed.await.unwrap(), ChangeReply::Changed(_)));
         for daemon in &scene.site.daemons {
-            loop {
-                let held = operator::configuration(daemon).await.unwrap();
-                if held.is_some_and(|held| held.revision.as_u64() == 2) {
-                    break;
-                }
-            }
+            let in_force = async {
+                let newer = Revision::new(1);
+                let client = operator::connect(daemon).await.unwrap();
+                while client.configuration(newer).await.unwrap().is_none() {}
+            };
+            tokio::time::timeout(PATIENCE, in_force).await.expect("the change is in force");
         }
         let order = scene.send_until(Step::Claimed).await;
         scene.check(&order.await.unwrap());
