--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod demo;
 pub mod fake;
 pub mod gate;
+pub mod latency;
 pub mod load;
 pub mod model;
 pub mod operator;
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod completions;
 mod failure;
+mod inquiry;
 mod listen;
 mod relay;
 mod router;
@@ -24,6 +25,7 @@
 use member::Roster;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use telemetry::{Metrics, Tracer};
 
 use crate::{
     Settings,
@@ -36,6 +38,8 @@
 use auth::Keys;
 use router::Router;
 
+pub(crate) use inquiry::{Inquiry, Load};
+
 /// Rings that join the edge thread to the others.
 pub(crate) struct Rings {
     /// Newest view of the endpoints.
@@ -44,12 +48,18 @@
     pub announcements: flume::Sender<RosterInput>,
     /// Orders to drain or to end.
     pub control: flume::Receiver<Control>,
+    /// Questions of operators.
+    pub inquiries: flume::Receiver<Inquiry>,
     /// The configuration in force.
     pub configurations: Configurations,
     /// The way to the quorum's leader.
     pub leader: LeaderClient,
     /// The life of this process.
     pub incarnation: Incarnation,
+    /// The process's metrics.
+    pub metrics: Arc<Metrics>,
+    /// Starts spans.
+    pub tracer: Tracer,
 }
 
 /// An order to the edge thread.
@@ -81,6 +91,9 @@
     leader: LeaderClient,
     owner: Owner,
     clock: Clock,
+    metrics: Arc<Metrics>,
+    #[expect(dead_code, reason = "requests record no spans yet")]
+    tracer: Tracer,
 }
 
 /// Counts a request as active; ends on drop.
@@ -93,7 +106,7 @@
         let seed = rand::random();
         let owner = Owner { host: cfg.host.clone(), incarnation: rings.incarnation };
         Self {
-            keys: Keys::new(&cfg),
+            keys: Keys::new(&cfg, rings.configurations.clone()),
             router: RefCell::new(Router::new(cfg.listen.ip(), Pcg64Mcg::seed_from_u64(seed))),
             cfg,
             active: Cell::new(0),
@@ -104,6 +117,8 @@
             leader: rings.leader.clone(),
             owner,
             clock,
+            metrics: Arc::clone(&rings.metrics),
+            tracer: rings.tracer.clone(),
         }
     }
 
@@ -150,6 +165,7 @@
             let edge = Rc::new(Edge::new(cfg, clock, &rings));
             tokio::task::spawn_local(follow_rosters(Rc::clone(&edge), rings.rosters));
             tokio::task::spawn_local(follow_configurations(Rc::clone(&edge)));
+            tokio::task::spawn_local(inquiry::answer_all(Rc::clone(&edge), rings.inquiries));
             tokio::task::spawn_local(claims::end_earlier_lives(Rc::clone(&edge)));
             listen::run(edge, listener, rings.control).await
         })
@@ -164,7 +180,11 @@
 
 async fn follow_configurations(edge: Rc<Edge>) {
     let configurations = edge.configurations.subscribe();
+    let configured = edge.cfg.organisation_keys.iter().map(|key| &key.organisation);
+    edge.metrics.label_organisations(configured);
     while let Ok(in_force) = configurations.recv_async().await {
+        let declared = in_force.declaration.contents().organisations.iter();
+        edge.metrics.label_organisations(declared.map(|organisation| &organisation.id));
         edge.in_force.replace(in_force);
     }
 }
--- /dev/null
+++ b/crates/daemon/src/readiness.rs
@@ -0,0 +1,98 @@
+use std::{
+    io,
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::Duration,
+};
+
+use base::Revision;
+use member::{PeerState, Roster};
+use wire::{
+    leader::{LeaderAnswer, LeaderRequest},
+    operator::ServingState,
+};
+
+use crate::{configurations::Configurations, leader_client::LeaderClient, roster::Latest};
+
+/// Longest time that a starting router waits for news from its peers and the leader.
+pub(crate) const NEWS_TIMEOUT: Duration = Duration::from_secs(2);
+
+const STARTING: u8 = 0;
+const READY: u8 = 1;
+const DRAINING: u8 = 2;
+
+/// Whether the router takes new requests.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Readiness(Arc<AtomicU8>);
+
+impl Readiness {
+    /// Takes requests from now on, unless the router drains already.
+    pub(crate) fn set_ready(&self) {
+        let _ = self.0.compare_exchange(STARTING, READY, Ordering::AcqRel, Ordering::Acquire);
+    }
+
+    /// Takes no new requests from now on.
+    pub(crate) fn set_draining(&self) {
+        self.0.store(DRAINING, Ordering::Release);
+    }
+
+    /// Returns the state.
+    pub(crate) fn state(&self) -> ServingState {
+        match self.0.load(Ordering::Acquire) {
+            STARTING => ServingState::Starting,
+            READY => ServingState::Ready,
+            _ => ServingState::Draining,
+        }
+    }
+}
+
+/// What a starting router has heard of the fleet.
+pub(crate) struct News {
+    /// Whether there are peers to hear from.
+    pub awaited: bool,
+    /// The newest roster.
+    pub roster: Latest,
+    /// The configuration in force here.
+    pub configurations: Configurations,
+    /// The revision that the leader says is in force, once it was asked.
+    pub committed: Arc<OnceLock<Revision>>,
+}
+
+impl News {
+    /// Returns whether a peer has spoken and no newer configuration is committed than the one in
+    /// force here.
+    ///
+    /// The peer that speaks first may lag; only the leader knows the newest revision.
+    pub(crate) fn is_here(&self) -> bool {
+        if !self.awaited {
+            return true;
+        }
+        let Some(committed) = self.committed.get() else { return false };
+        let heard = self.roster.load().is_some_and(|roster| has_spoken(&roster));
+        heard && *committed <= self.configurations.revision()
+    }
+}
+
+/// Asks the leader for the revision in force, on a thread of its own.
+///
+/// # Errors
+///
+/// Returns an error if the thread or its runtime can't be made.
+pub(crate) fn ask_leader(leader: LeaderClient) -> io::Result<Arc<OnceLock<Revision>>> {
+    let committed = Arc::new(OnceLock::new());
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
+    let answer = Arc::clone(&committed);
+    std::thread::Builder::new().name("news".into()).spawn(move || {
+        let asking = leader.ask(&LeaderRequest::ReadRevision, NEWS_TIMEOUT);
+        if let Ok(LeaderAnswer::Revision(revision)) = runtime.block_on(asking) {
+            let _ = answer.set(revision);
+        }
+    })?;
+    Ok(committed)
+}
+
+fn has_spoken(roster: &Roster) -> bool {
+    roster.peers.iter().any(|p| p.heard.is_some() && p.update.state != PeerState::Dead)
+}
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -1,7 +1,7 @@
 //! Requests to the quorum's leader, and its answers.
 
-use base::HostId;
-use fleet::{Call, CallKey, Command, Reply};
+use base::{HostId, Revision};
+use fleet::{Call, CallKey, ChangeRecord, Command, Reply};
 use quorum::{FolderId, VoterSet};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -16,6 +16,8 @@
     ReadCall(CallKey),
     /// Lists the calls that are open or whose outcome is unknown.
     ReadUnsettled,
+    /// Reads the revision of the configuration in force.
+    ReadRevision,
     /// Takes a voter in.
     AddVoter {
         /// Its host.
@@ -28,6 +30,10 @@
         /// Its host.
         host: HostId,
     },
+    /// Lists the changes of configuration that are kept.
+    ReadHistory,
+    /// Lists the voters.
+    ReadVoters,
 }
 
 /// The leader's answer.
@@ -39,10 +45,14 @@
     Call(Option<Box<Call>>),
     /// The calls that are open or whose outcome is unknown.
     Unsettled(Vec<UnsettledCall>),
+    /// The revision of the configuration in force.
+    Revision(Revision),
     /// The voters from now on.
     Voters(VoterSet),
     /// The request was understood and refused; nothing changed.
     Refused(String),
+    /// The changes of configuration that are kept, the oldest first.
+    History(Vec<ChangeRecord>),
 }
 
 /// A call that is open or whose outcome is unknown.
