daemon: a starting router hears two peers before it is ready

Ruled out: the bound of 1 s (the router was ready sooner). Change: two peers are heard, or all seeds if fewer; an answer to gossip names the revision in force at that moment.

--- a/crates/bench/tests/operator/changes.rs
+++ b/crates/bench/tests/operator/changes.rs
@@ -7,7 +7,10 @@
 use base::Revision;
 use bench::{Fault, Proxy, process::wait_until};
 use tempfile::TempDir;
-use wire::operator::{ChangeAnswer, ChangeRequest, CurrentDeclaration, DECLARATION_PATH, History};
+use wire::operator::{
+    ChangeAnswer, ChangeRequest, CurrentDeclaration, DECLARATION_PATH, HISTORY_PATH, History,
+    QuorumRole, STATUS_PATH, Status,
+};
 
 use crate::tool::{admin, get, post, run, run_at, site};
 
@@ -158,3 +161,60 @@
     assert_eq!(status, 409);
     assert!(matches!(answer, ChangeAnswer::ReusedId { .. }), "{answer:?}");
 }
+
+#[test]
+fn change_without_a_majority_is_made_at_most_once_when_it_is_sent_again() {
+    let mut site = site();
+    let leads =
+        |i: &usize| get::<Status>(admin(&site, *i), STATUS_PATH).quorum.role == QuorumRole::Leader;
+    wait_until("a leader", Duration::from_secs(10), || (0..3).any(|i| leads(&i))).unwrap();
+    let leader = (0..3).find(leads).unwrap();
+    for i in (0..3).filter(|i| *i != leader) {
+        site.daemons[i].freeze().unwrap();
+    }
+    let set = ["defaults", "set", "wait-weight", "2.5", "--yes", "--reason", "waits are long"];
+    let alone = run_at(&[admin(&site, leader)], &set);
+    println!("code without a majority: {:?}", alone.code);
+    assert!(matches!(alone.code, Some(3 | 4)), "{alone:?}");
+    for daemon in &mut site.daemons {
+        daemon.thaw().unwrap();
+    }
+    let again = || run_at(&[admin(&site, leader)], &set).code == Some(0);
+    wait_until("the change is made", Duration::from_secs(20), again).unwrap();
+    let history: History = get(admin(&site, leader), HISTORY_PATH);
+    assert_eq!(history.changes.len(), 1, "{history:?}");
+}
+
+/// More entries of the log than the daemon applies before a snapshot replaces them.
+const SNAPSHOT_ENTRIES: usize = 4_200;
+
+#[test]
+fn configuration_is_in_force_after_a_restart_of_all_from_a_snapshot() {
+    const THREADS: usize = 12;
+    let mut site = site();
+    let first = change("c-1", "ilka", "[defaults]\nwait-weight = 1.5\n");
+    let (status, _) = post::<ChangeAnswer>(admin(&site, 0), DECLARATION_PATH, &first);
+    assert_eq!(status, 200);
+    std::thread::scope(|scope| {
+        for thread in 0..THREADS {
+            let router = admin(&site, thread % site.daemons.len());
+            scope.spawn(move || {
+                for i in 0..SNAPSHOT_ENTRIES / THREADS {
+                    let late = change(&format!("late-{thread}-{i}"), "bence", "");
+                    let (status, _) = post::<ChangeAnswer>(router, DECLARATION_PATH, &late);
+                    assert_eq!(status, 409);
+                }
+            });
+        }
+    });
+    for daemon in &mut site.daemons {
+        daemon.kill().unwrap();
+    }
+    for daemon in &mut site.daemons {
+        daemon.start_again().unwrap();
+    }
+    for (i, daemon) in site.daemons.iter_mut().enumerate() {
+        daemon.wait_ready(Duration::from_secs(10)).unwrap();
+        assert_eq!(revision(daemon.spec().admin_listen), Revision::new(1), "host {i}");
+    }
+}
--- a/crates/bench/tests/operator/readiness.rs
+++ b/crates/bench/tests/operator/readiness.rs
@@ -1,7 +1,10 @@
 use std::time::Duration;
 
 use base::{Digest, Revision};
-use bench::site::{Site, SiteSpec};
+use bench::{
+    process::wait_until,
+    site::{Site, SiteSpec},
+};
 use wire::operator::{CurrentDeclaration, DECLARATION_PATH, Status};
 
 use crate::tool::{admin, get, program, run};
@@ -19,7 +22,10 @@
     let mut site = site_with_observer();
     let set = ["defaults", "set", "wait-weight", "2.5", "--yes", "--reason", "waits are long"];
     assert_eq!(run(&site, &set).code, Some(0));
-    for _ in 0..3 {
+    let in_force = |i| get::<CurrentDeclaration>(admin(&site, i), DECLARATION_PATH).revision;
+    let everywhere = || (0..site.daemons.len()).all(|i| in_force(i) == Revision::new(1));
+    wait_until("the change is in force", Duration::from_secs(5), everywhere).unwrap();
+    for _ in 0..10 {
         site.daemons[OBSERVER].restart().unwrap();
         site.daemons[OBSERVER].wait_ready(Duration::from_secs(10)).unwrap();
         let in_force: CurrentDeclaration = get(admin(&site, OBSERVER), DECLARATION_PATH);
@@ -47,7 +53,7 @@
     };
     let all = |expected: u16| {
         let settled = || site.daemons.iter().all(|daemon| status(daemon) == expected);
-        bench::process::wait_until("every router agrees", Duration::from_secs(5), settled).unwrap();
+        wait_until("every router agrees", Duration::from_secs(5), settled).unwrap();
     };
     all(401);
     apply(&format!("[[organisations]]\nid = \"choir\"\nkeys = [\"{digest}\"]\n"));
--- a/crates/daemon/src/readiness.rs
+++ b/crates/daemon/src/readiness.rs
@@ -13,6 +13,9 @@
 /// Longest time that a starting router waits for news from its peers.
 pub(crate) const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Peers that a starting router hears before it takes their news for the fleet's.
+const NEWS_PEERS: usize = 2;
+
 const STARTING: u8 = 0;
 const READY: u8 = 1;
 const DRAINING: u8 = 2;
@@ -42,8 +45,11 @@
     }
 }
 
-/// Returns whether a peer has spoken and no newer configuration is known than the one in force.
-pub(crate) fn has_news(roster: &Roster, in_force: Revision) -> bool {
-    let heard = roster.peers.iter().any(|p| p.heard.is_some() && p.update.state != PeerState::Dead);
-    heard && roster.newest.revision <= in_force
+/// Returns whether peers have spoken and none knows a newer configuration than the one in force.
+///
+/// `seeds` is how many peers the router was told of.
+pub(crate) fn has_news(roster: &Roster, seeds: usize, in_force: Revision) -> bool {
+    let live = roster.peers.iter().filter(|peer| peer.update.state != PeerState::Dead);
+    let heard = live.filter(|peer| peer.heard.is_some()).count();
+    seeds.min(NEWS_PEERS) <= heard && roster.newest.revision <= in_force
 }
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -168,6 +168,8 @@
         self.rings.metrics.gossip_received(byte_count(&call.message));
         match gossip_from_bytes(&call.message) {
             Ok(message) => {
+                // A router that starts takes the first answers for what its peers hold.
+                self.membership.set_revision(self.rings.configurations.revision());
                 let answer = gossip_to_bytes(&self.membership.request(now, message));
                 self.rings.metrics.gossip_sent(byte_count(&answer));
                 let _ = call.reply.try_send(answer);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,7 +7,7 @@
 
 use base::{Incarnation, Revision, Sequence};
 use eyre::WrapErr as _;
-use member::{PeerState, PeerUpdate};
+use member::{PeerState, PeerUpdate, Roster};
 use telemetry::{Exporter, Metrics, TraceConfig, Tracer, init_logs};
 
 use crate::{
@@ -216,7 +216,7 @@
         let readiness = Readiness::default();
         let (inquiry_tx, inquiry_rx) = flume::bounded(INQUIRY_RING);
         let news = News {
-            awaited: !cfg.seeds.is_empty(),
+            seeds: cfg.seeds.len(),
             roster: latest.clone(),
             configurations: configurations.clone(),
         };
@@ -259,7 +259,7 @@
 
 /// What a starting router has heard from its peers.
 struct News {
-    awaited: bool,
+    seeds: usize,
     roster: Latest,
     configurations: Configurations,
 }
@@ -267,7 +267,8 @@
 impl News {
     fn is_here(&self) -> bool {
         let in_force = self.configurations.revision();
-        !self.awaited || self.roster.load().is_some_and(|r| readiness::has_news(&r, in_force))
+        let has_news = |roster: &Roster| readiness::has_news(roster, self.seeds, in_force);
+        self.seeds == 0 || self.roster.load().is_some_and(|roster| has_news(&roster))
     }
 }
 
