--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -150,7 +150,9 @@
         let mut voters = status.voters.clone();
         change(&mut voters);
         if voters == status.voters && status.voters_committed {
-            return reply.answer(&LeaderAnswer::Voters(voters));
+            // Only a leader whose lead is confirmed knows that nothing is to be done.
+            let id = self.waiting.read(Reading { request: LeaderRequest::ReadVoters, reply });
+            return self.step(Input::Read { id });
         }
         let id = self.waiting.propose(reply);
         self.step(Input::ProposeVoters { id, voters });
@@ -208,7 +210,9 @@
             Action::Refused { id, leader, refusal } => {
                 let Some(reply) = self.waiting.refused(id) else { return };
                 match refusal {
-                    quorum::Refusal::NotLeader | quorum::Refusal::Transferring => {
+                    quorum::Refusal::NotLeader
+                    | quorum::Refusal::Transferring
+                    | quorum::Refusal::TermNotCommitted => {
                         reply.not_written(leader);
                     }
                     _ => reply.answer(&LeaderAnswer::Refused(refusal.to_string())),
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -290,7 +290,7 @@
 
 /// Returns the part in the quorum that a view shows.
 pub(crate) fn role(view: &ReplicaView, host: &HostId) -> QuorumRole {
-    if !view.node.voters.folders.contains_key(host) {
+    if !view.node.voters.admits(host, view.folder) {
         return QuorumRole::Observer;
     }
     match view.node.role {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -216,7 +216,7 @@
         let readiness = Readiness::default();
         let (inquiry_tx, inquiry_rx) = flume::bounded(INQUIRY_RING);
         let news = News {
-            seeds: cfg.seeds.len(),
+            seeds: cfg.seeds.iter().filter(|seed| **seed != cfg.peer_advertise).count(),
             roster: latest.clone(),
             configurations: configurations.clone(),
         };
