--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -168,6 +168,8 @@
         self.rings.metrics.gossip_received(byte_count(&call.message));
         match gossip_from_bytes(&call.message) {
             Ok(message) => {
+                // A router that starts takes the first answers for what its peers hold.
+                self.membership.set_revision(self.rings.configurations.revision());
                 let answer = gossip_to_bytes(&self.membership.request(now, message));
                 self.rings.metrics.gossip_sent(byte_count(&answer));
                 let _ = call.reply.try_send(answer);
@@ -288,7 +290,7 @@
 
 /// Returns the part in the quorum that a view shows.
 pub(crate) fn role(view: &ReplicaView, host: &HostId) -> QuorumRole {
-    if !view.node.voters.folders.contains_key(host) {
+    if !view.node.voters.admits(host, view.folder) {
         return QuorumRole::Observer;
     }
     match view.node.role {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -218,7 +218,7 @@
         let readiness = Readiness::default();
         let (inquiry_tx, inquiry_rx) = flume::bounded(INQUIRY_RING);
         let news = News {
-            awaited: !cfg.seeds.is_empty(),
+            awaited: cfg.seeds.iter().any(|seed| *seed != cfg.peer_advertise),
             roster: latest.clone(),
             configurations: configurations.clone(),
             committed: readiness::ask_leader(leader.clone())?,
