daemon: route by the cores, admit by fair share

Cause: the edge used least in flight and a fixed home level, believed nothing of caches, and took any number of requests. Change: policy, weights and placement level come from the settings in force for the request; what engines hold is learnt from own requests and from reported cached tokens, bound to incarnations and in bounded memory; hot prefixes get more homes; drained and ejected endpoints get no new work; retries spend from a budget and back off; late idempotent calls are hedged if the settings say so; completions wait for their organisation's turn and are refused as not run. The daemon is ready only once its edge serves, so that memory measured from then on is that of requests.

--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -1,7 +1,8 @@
 use std::rc::Rc;
 
-use base::RequestId;
+use base::{RequestId, TokenCount};
 use bytes::Bytes;
+use fleet::Scope;
 use hyper::{
     HeaderMap, Request, Response,
     body::Incoming,
@@ -19,6 +20,7 @@
     body::{self, AbortOnDrop, Body},
     failure::Failure,
     relay::{self, Job, Piece},
+    router,
 };
 
 /// Pieces of an answer that wait for a slow caller, before the engine's stream is held back.
@@ -36,10 +38,27 @@
     let completion =
         Completion::from_slice(&body).map_err(|e| Failure::bad_request(e.to_string()))?;
     check_path(parts.uri.path(), completion.kind())?;
+    let scope = Scope {
+        organisation: Some(organisation.clone()),
+        model: Some(completion.model().clone()),
+        ..Scope::default()
+    };
+    let settings = edge.settings(&scope);
+    let prompt_bytes = check_prompt(&completion, &settings)?;
+    let cost = admission_cost(prompt_bytes, completion.max_tokens());
+    let place = edge.gate.admit(&organisation, &settings, cost).await?;
+    edge.retries.earn(&settings);
     let request = edge.new_request_id();
     let traceparent = text_header(&parts.headers, "traceparent");
     let stream = completion.wants_stream();
-    let job = Job { request: request.clone(), organisation, completion, traceparent };
+    let job = Job {
+        request: request.clone(),
+        organisation,
+        completion,
+        traceparent,
+        settings,
+        _place: place,
+    };
 
     let (tx, rx) = flume::bounded(RING_PIECES);
     let kind = job.completion.kind();
@@ -65,6 +84,22 @@
     Ok(json_response(&json!({"object": "list", "data": list})))
 }
 
+/// Returns the prompt's length in bytes, unless it is longer than the settings allow.
+fn check_prompt(completion: &Completion, settings: &fleet::Settings) -> Result<usize, Failure> {
+    let max_bytes = settings.max_prompt_bytes.as_u32() as usize;
+    let bytes = completion.prompt_parts().iter().map(|part| part.len()).sum();
+    if max_bytes < bytes {
+        return Err(Failure::prompt_too_large(max_bytes));
+    }
+    Ok(bytes)
+}
+
+/// Returns what a completion is charged with: tokens to prefill and to generate.
+fn admission_cost(prompt_bytes: usize, max_tokens: Option<u64>) -> TokenCount {
+    let prompt = prompt_bytes.div_ceil(router::BYTES_PER_TOKEN) as u64;
+    TokenCount::new(prompt.saturating_add(max_tokens.unwrap_or(0)))
+}
+
 fn check_path(path: &str, kind: CompletionKind) -> Result<(), Failure> {
     match (path, kind) {
         ("/v1/completions", CompletionKind::Chat) => {
--- a/crates/daemon/src/edge/failure.rs
+++ b/crates/daemon/src/edge/failure.rs
@@ -70,6 +70,11 @@
         Self::refused(StatusCode::PAYLOAD_TOO_LARGE, "body too large", detail)
     }
 
+    pub(super) fn prompt_too_large(max_bytes: usize) -> Self {
+        let detail = format!("the prompt is over {max_bytes} bytes");
+        Self::refused(StatusCode::PAYLOAD_TOO_LARGE, "prompt too large", detail)
+    }
+
     pub(super) fn slow_body(timeout: Duration) -> Self {
         let timeout = humantime::format_duration(timeout);
         let detail = format!("the body did not arrive within {timeout}");
--- /dev/null
+++ b/crates/daemon/src/edge/idempotent.rs
@@ -0,0 +1,99 @@
+//! Calls to plain services that may be repeated: retried on failure, and hedged when late.
+
+use std::{rc::Rc, time::Duration};
+
+use base::EndpointId;
+use fleet::setting::HedgeDelay;
+use hyper::Response;
+use route::Outcome;
+
+use super::{
+    Edge,
+    body::Body,
+    failure::Failure,
+    services::{self, Call, ServiceAnswer},
+    targets::InFlight,
+};
+
+/// Most endpoints tried for a call, hedged ones aside.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Sends a call, and again to another endpoint if it fails.
+pub(super) async fn send(edge: &Rc<Edge>, call: &Call) -> Result<Response<Body>, Failure> {
+    let mut tried = Vec::new();
+    let mut last = None;
+    for attempt in 0..MAX_ATTEMPTS {
+        if last.is_some() && !edge.retries.wait(attempt - 1).await {
+            break;
+        }
+        let first = match edge.choose_service(call, &tried) {
+            Ok(first) => first,
+            Err(why) => return Err(last.unwrap_or_else(|| services::no_endpoint(call, why))),
+        };
+        tried.push(first.0.clone());
+        match attempt_hedged(edge, call, first, &mut tried).await {
+            Ok(answer) => return Ok(answer.into_response()),
+            Err(failure) => last = Some(failure),
+        }
+    }
+    Err(last.expect("the loop ran at least once"))
+}
+
+/// Sends a call, and to a second endpoint too if the answer is late and the settings say so.
+///
+/// The first answer counts; the other call is cut.
+async fn attempt_hedged(
+    edge: &Edge,
+    call: &Call,
+    first: (EndpointId, InFlight),
+    tried: &mut Vec<EndpointId>,
+) -> Result<ServiceAnswer, Failure> {
+    let (endpoint, in_flight) = first;
+    let first = attempt(edge, call, endpoint, in_flight);
+    let HedgeDelay::After(delay) = call.settings.hedge_delay else { return first.await };
+    tokio::pin!(first);
+    let delay: Duration = delay.as_duration();
+    if let Ok(answer) = tokio::time::timeout(delay, first.as_mut()).await {
+        return answer;
+    }
+    let Ok((endpoint, in_flight)) = edge.choose_service(call, tried) else { return first.await };
+    if !edge.retries.try_spend() {
+        return first.await;
+    }
+    tried.push(endpoint.clone());
+    let second = attempt(edge, call, endpoint, in_flight);
+    tokio::pin!(second);
+    tokio::select! {
+        answer = first.as_mut() => if answer.is_ok() { answer } else { second.await },
+        answer = second.as_mut() => if answer.is_ok() { answer } else { first.await },
+    }
+}
+
+async fn attempt(
+    edge: &Edge,
+    call: &Call,
+    endpoint: EndpointId,
+    in_flight: InFlight,
+) -> Result<ServiceAnswer, Failure> {
+    let begun = edge.clock.now();
+    let answer = exchange(edge, call, &in_flight).await;
+    let outcome = match &answer {
+        Ok(_) => Outcome::Answered(edge.clock.now().saturating_since(begun)),
+        Err(_) => Outcome::Failed,
+    };
+    edge.service_ended(&endpoint, outcome);
+    answer
+}
+
+async fn exchange(
+    edge: &Edge,
+    call: &Call,
+    in_flight: &InFlight,
+) -> Result<ServiceAnswer, Failure> {
+    let pool = in_flight.target().pool();
+    let timeout = call.settings.connect_timeout.as_duration();
+    let (response, connection) = pool.send(call.request(in_flight), timeout).await?;
+    let answer = services::read_answer(edge, response).await?;
+    pool.put_back(connection);
+    Ok(answer)
+}
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -1,15 +1,22 @@
+mod admission;
 mod announce;
 mod auth;
 mod body;
 mod claims;
 mod completions;
+mod drains;
 mod failure;
+mod idempotent;
 mod listen;
+mod policies;
 mod relay;
+mod retries;
+mod round_trips;
 mod router;
 mod services;
 mod targets;
 mod upstream;
+mod warmth;
 
 use std::{
     cell::{Cell, RefCell},
@@ -19,11 +26,12 @@
     thread::JoinHandle,
 };
 
-use base::Incarnation;
+use base::{EndpointId, Incarnation};
 use fleet::{Owner, Scope};
 use member::Roster;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use route::Outcome;
 
 use crate::{
     Settings,
@@ -33,8 +41,11 @@
     roster::RosterInput,
 };
 
+use admission::Gate;
 use auth::Keys;
-use router::Router;
+use retries::Retries;
+use router::{NoEndpoint, Router};
+use targets::InFlight;
 
 /// Rings that join the edge thread to the others.
 pub(crate) struct Rings {
@@ -73,6 +84,8 @@
     cfg: Arc<Settings>,
     keys: Keys,
     router: RefCell<Router>,
+    gate: Gate,
+    retries: Retries,
     active: Cell<u64>,
     next_request: Cell<u64>,
     announcements: flume::Sender<RosterInput>,
@@ -92,9 +105,13 @@
     fn new(cfg: Arc<Settings>, clock: Clock, rings: &Rings) -> Self {
         let seed = rand::random();
         let owner = Owner { host: cfg.host.clone(), incarnation: rings.incarnation };
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        let router = Router::new(cfg.listen.ip(), cfg.data_centre.clone(), rng);
         Self {
             keys: Keys::new(&cfg),
-            router: RefCell::new(Router::new(cfg.listen.ip(), Pcg64Mcg::seed_from_u64(seed))),
+            router: RefCell::new(router),
+            gate: Gate::new(clock),
+            retries: Retries::new(clock, seed),
             cfg,
             active: Cell::new(0),
             next_request: Cell::new(seed),
@@ -112,6 +129,20 @@
         self.in_force.borrow().declaration.effective(scope, self.clock.wall())
     }
 
+    /// Chooses an endpoint for a call to a plain service that isn't among `tried`.
+    fn choose_service(
+        &self,
+        call: &services::Call,
+        tried: &[EndpointId],
+    ) -> Result<(EndpointId, InFlight), NoEndpoint> {
+        self.router.borrow_mut().choose_service(self.clock.now(), &call.service, tried)
+    }
+
+    /// Learns how a call at an endpoint of a plain service went.
+    fn service_ended(&self, endpoint: &EndpointId, outcome: Outcome) {
+        self.router.borrow_mut().service_ended(self.clock.now(), endpoint, outcome);
+    }
+
     fn begin(self: &Rc<Self>) -> ActiveRequest {
         self.active.set(self.active.get() + 1);
         ActiveRequest { edge: Rc::clone(self) }
@@ -131,7 +162,7 @@
     }
 }
 
-/// Starts the edge thread on a listener that is already bound.
+/// Starts the edge thread on a listener that is already bound, and waits until it serves.
 ///
 /// # Errors
 ///
@@ -144,27 +175,38 @@
 ) -> io::Result<JoinHandle<EdgeEnd>> {
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    std::thread::Builder::new().name("edge".into()).spawn(move || {
+    let (started_tx, started_rx) = flume::bounded(1);
+    let thread = std::thread::Builder::new().name("edge".into()).spawn(move || {
         let tasks = tokio::task::LocalSet::new();
         tasks.block_on(&runtime, async move {
             let edge = Rc::new(Edge::new(cfg, clock, &rings));
+            let _ = started_tx.send(());
             tokio::task::spawn_local(follow_rosters(Rc::clone(&edge), rings.rosters));
             tokio::task::spawn_local(follow_configurations(Rc::clone(&edge)));
+            tokio::task::spawn_local(edge.gate.clone().watch_deadlines());
             tokio::task::spawn_local(claims::end_earlier_lives(Rc::clone(&edge)));
             listen::run(edge, listener, rings.control).await
         })
-    })
+    })?;
+    let _ = started_rx.recv();
+    Ok(thread)
 }
 
 async fn follow_rosters(edge: Rc<Edge>, rosters: flume::Receiver<Arc<Roster>>) {
     while let Ok(roster) = rosters.recv_async().await {
-        edge.router.borrow_mut().update(&roster);
+        let in_force = Arc::clone(&edge.in_force.borrow());
+        let is_drained = drains::is_drained(&in_force.declaration, edge.clock.wall());
+        let mut router = edge.router.borrow_mut();
+        router.update(edge.clock.now(), &roster, is_drained);
+        edge.gate.size(router.engines(), router.routers());
     }
 }
 
 async fn follow_configurations(edge: Rc<Edge>) {
     let configurations = edge.configurations.subscribe();
     while let Ok(in_force) = configurations.recv_async().await {
-        edge.in_force.replace(in_force);
+        let is_drained = drains::is_drained(&in_force.declaration, edge.clock.wall());
+        edge.router.borrow().drain(is_drained);
+        edge.in_force.replace(Arc::clone(&in_force));
     }
 }
--- /dev/null
+++ b/crates/daemon/src/edge/policies.rs
@@ -0,0 +1,86 @@
+use std::time::Duration;
+
+use base::TokenRate;
+use fleet::setting::RoutingPolicy;
+use rand::Rng;
+use route::{
+    Candidate, Hash, LeastInFlight, Policy as _, Request, RoundRobin, Warm, WarmSettings, WarmV1,
+};
+
+/// How a request's endpoint is chosen, by the settings in force for it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Preferences {
+    pub policy: RoutingPolicy,
+    pub warmth: f64,
+    pub wait: f64,
+    /// Blocks of the prompt that decide its home.
+    pub level: usize,
+}
+
+impl From<&fleet::Settings> for Preferences {
+    fn from(settings: &fleet::Settings) -> Self {
+        Self {
+            policy: settings.routing_policy,
+            warmth: settings.warmth_weight.as_f64(),
+            wait: settings.wait_weight.as_f64(),
+            level: settings.placement_level.as_u32() as usize,
+        }
+    }
+}
+
+/// Fewest computed tokens that tell an engine's rate.
+const MIN_RATED_TOKENS: u64 = 128;
+
+/// Part of the estimated rate that one answer makes up.
+const RATE_PARTS: u64 = 16;
+
+/// Every policy, with what it remembers from choice to choice.
+#[derive(Default)]
+pub(super) struct Policies {
+    round_robin: RoundRobin,
+    warm_v1: WarmV1,
+    warm: Warm,
+    prefill_rate: Option<u64>,
+}
+
+impl Policies {
+    /// Returns the position of the chosen candidate, `None` if there is none.
+    pub(super) fn choose<R: Rng>(
+        &mut self,
+        preferences: &Preferences,
+        req: &Request,
+        candidates: &[Candidate],
+        rng: &mut R,
+    ) -> Option<usize> {
+        match preferences.policy {
+            RoutingPolicy::RoundRobin => self.round_robin.choose(req, candidates, rng),
+            RoutingPolicy::LeastInFlight => LeastInFlight.choose(req, candidates, rng),
+            RoutingPolicy::Hash => Hash.choose(req, candidates, rng),
+            RoutingPolicy::WarmV1 => self.warm_v1.choose(req, candidates, rng),
+            RoutingPolicy::Warm => {
+                self.warm.set_settings(self.warm_settings(preferences));
+                self.warm.choose(req, candidates, rng)
+            }
+        }
+    }
+
+    /// Learns the engines' prefill rate from an answer to the only request under way.
+    pub(super) fn learn_prefill_rate(&mut self, computed_tokens: u64, took: Duration) {
+        if computed_tokens < MIN_RATED_TOKENS || took.is_zero() {
+            return;
+        }
+        let rate = (computed_tokens as f64 / took.as_secs_f64()) as u64;
+        let known = self.prefill_rate.unwrap_or(rate);
+        self.prefill_rate = Some((known * (RATE_PARTS - 1) + rate) / RATE_PARTS);
+    }
+
+    fn warm_settings(&self, preferences: &Preferences) -> WarmSettings {
+        let usual = WarmSettings::default();
+        WarmSettings {
+            prefill_rate: self.prefill_rate.map_or(usual.prefill_rate, TokenRate::new),
+            warmth: preferences.warmth,
+            wait: preferences.wait,
+            ..usual
+        }
+    }
+}
--- a/crates/daemon/src/edge/relay.rs
+++ b/crates/daemon/src/edge/relay.rs
@@ -1,6 +1,9 @@
 use std::{rc::Rc, time::Duration};
 
-use base::{ByteCount, CacheSalt, EndpointId, OrganisationId, RequestId, Verdict, WeightsVersion};
+use base::{
+    ByteCount, CacheSalt, EndpointId, OrganisationId, RequestId, TokenCount, Verdict,
+    WeightsVersion,
+};
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full};
 use hyper::{
@@ -16,7 +19,9 @@
 
 use super::{
     Edge,
+    admission::Place,
     failure::Failure,
+    policies::Preferences,
     router::{Chosen, NoEndpoint, Wanted},
     upstream::Connection,
 };
@@ -25,7 +30,7 @@
 const MAX_EVENT: ByteCount = ByteCount::new(1 << 20);
 
 /// Most engines tried for one request.
-const MAX_ATTEMPTS: usize = 4;
+const MAX_ATTEMPTS: u32 = 4;
 
 /// What callers are told to wait when no engine is available.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -36,6 +41,10 @@
     pub organisation: OrganisationId,
     pub completion: Completion,
     pub traceparent: Option<String>,
+    /// The settings in force when it arrived.
+    pub settings: fleet::Settings,
+    /// Its place among the organisations' requests.
+    pub _place: Place,
 }
 
 /// A piece of the answer, on its way to the caller.
@@ -92,13 +101,22 @@
 impl Relay<'_> {
     async fn attempts(&mut self) -> End {
         let mut last = None;
-        for _ in 0..MAX_ATTEMPTS {
+        for attempt in 0..MAX_ATTEMPTS {
+            if last.is_some() && !self.edge.retries.wait(attempt - 1).await {
+                break;
+            }
             let chosen = match self.choose() {
                 Ok(chosen) => chosen,
                 Err(why) => return End::Broken(last.unwrap_or_else(|| no_engine(self.job, why))),
             };
             self.tried.push(chosen.endpoint.clone());
-            match self.attempt(chosen).await {
+            let end = self.attempt(&chosen).await;
+            if let End::Broken(failure) = &end
+                && !failure.status.is_client_error()
+            {
+                self.edge.router.borrow_mut().failed(self.edge.clock.now(), &chosen);
+            }
+            match end {
                 End::Broken(failure) if self.may_go_on(&failure) => {
                     log::info!(
                         "request={} attempt failed after {} tokens: {}",
@@ -122,8 +140,10 @@
             adapter: self.job.completion.adapter(),
             weights: self.weights.as_ref(),
             prompt: &prompt,
+            preferences: Preferences::from(&self.job.settings),
         };
-        self.edge.router.borrow_mut().choose_engine(&wanted, &self.tried)
+        let now = self.edge.clock.now();
+        self.edge.router.borrow_mut().choose_engine(now, &wanted, &self.tried)
     }
 
     fn may_go_on(&self, failure: &Failure) -> bool {
@@ -131,9 +151,9 @@
         !engine_refused && (self.delivered.tokens == 0 || self.job.completion.can_continue())
     }
 
-    async fn attempt(&mut self, chosen: Chosen) -> End {
+    async fn attempt(&mut self, chosen: &Chosen) -> End {
         let pool = chosen.in_flight.target().pool();
-        let req = self.request(&chosen);
+        let req = self.request(chosen);
         let sent = tokio::time::timeout(
             self.edge.cfg.timeouts.idle,
             pool.send(req, self.edge.cfg.timeouts.connect),
@@ -147,12 +167,13 @@
         if status != StatusCode::OK {
             return End::Broken(refusal(status, response.into_body()).await);
         }
+        self.edge.router.borrow_mut().head_arrived(self.edge.clock.now(), chosen);
         if self.weights.is_none() {
             self.weights = Some(chosen.weights.clone());
         }
-        let end = self.pump(response.into_body()).await;
+        let end = self.pump(response.into_body(), chosen).await;
         if matches!(end, End::Done) {
-            keep(connection, &chosen);
+            keep(connection, chosen);
         }
         end
     }
@@ -160,7 +181,8 @@
     fn request(&self, chosen: &Chosen) -> Request<Full<Bytes>> {
         let salt: CacheSalt =
             format!("{:016x}", chosen.salt.as_u64()).parse().expect("hexadecimal digits are an id");
-        let body = self.job.completion.to_engine(&salt, 0, &self.delivered);
+        let priority = self.job.settings.priority.as_u32() as i32;
+        let body = self.job.completion.to_engine(&salt, priority, &self.delivered);
         let path = match self.job.completion.kind() {
             CompletionKind::Text => "/v1/completions",
             CompletionKind::Chat => "/v1/chat/completions",
@@ -178,7 +200,7 @@
     }
 
     /// Passes an engine's events on until the stream ends.
-    async fn pump(&mut self, mut body: Incoming) -> End {
+    async fn pump(&mut self, mut body: Incoming, chosen: &Chosen) -> End {
         let before = self.delivered.tokens;
         let mut parser = Parser::new(MAX_EVENT);
         let mut events = Vec::new();
@@ -193,6 +215,7 @@
                 Ok(Some(Ok(frame))) => frame,
             };
             let Ok(data) = frame.into_data() else { continue };
+            self.note_first_token(chosen);
             if let Err(e) = parser.push(&data, &mut events) {
                 return End::Broken(cut_stream(&e.to_string()));
             }
@@ -200,15 +223,24 @@
                 if event.data == DONE {
                     return End::Done;
                 }
-                if let Some(end) = self.pass_on(event, before).await {
+                if let Some(end) = self.pass_on(event, before, chosen).await {
                     return end;
                 }
             }
         }
     }
 
+    /// Tells the router and the gate how long an attempt's first token took.
+    fn note_first_token(&self, chosen: &Chosen) {
+        let now = self.edge.clock.now();
+        let took = self.edge.router.borrow_mut().first_token(now, chosen);
+        if let Some(took) = took {
+            self.edge.gate.first_token(took);
+        }
+    }
+
     /// Passes an event on, unless it isn't the next one of this completion.
-    async fn pass_on(&mut self, event: Event, before: u64) -> Option<End> {
+    async fn pass_on(&mut self, event: Event, before: u64, chosen: &Chosen) -> Option<End> {
         let chunk = match Chunk::parse(&event.data) {
             Ok(chunk) => chunk,
             Err(e) => return Some(End::Broken(cut_stream(&format!("a malformed chunk: {e}")))),
@@ -232,6 +264,10 @@
             self.delivered.text.push_str(&text);
         }
         let usage = chunk.usage;
+        if let Some(usage) = &usage {
+            let cached = TokenCount::new(usage.prompt_tokens_details.cached_tokens);
+            self.edge.router.borrow_mut().answered(self.edge.clock.now(), chosen, cached);
+        }
         let token = self.delivered.tokens;
         let piece = Piece::Data { token, text, data: event.data, usage };
         if self.tx.send_async(piece).await.is_err() {
@@ -258,7 +294,7 @@
     match why {
         NoEndpoint::Unknown => Failure::not_found(format!("no endpoint serves model {model}")),
         NoEndpoint::AllTried => {
-            Failure::unavailable(format!("every endpoint of model {model} failed"), RETRY_AFTER)
+            Failure::unavailable(format!("no endpoint of model {model} is available"), RETRY_AFTER)
         }
     }
 }
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -1,27 +1,45 @@
-use std::{borrow::Cow, collections::BTreeMap, net::IpAddr, rc::Rc, sync::Arc};
+use std::{borrow::Cow, cell::Cell, collections::BTreeMap, net::IpAddr, rc::Rc, time::Duration};
 
-use base::{AdapterId, EndpointId, ModelId, OrganisationId, ServiceId, TokenCount, WeightsVersion};
-use member::{EndpointKind, EndpointState, Roster, ServedModel};
+use base::{
+    AdapterId, DataCentreId, EndpointId, ModelId, MonotonicTime, OrganisationId, ServiceId,
+    TokenCount, WeightsVersion,
+};
+use member::{Announcement, EndpointKind, EndpointState, Known, Roster, ServedModel};
 use prefix::{BlockBytes, Chain, Salt};
+use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
-use route::{Candidate, LeastInFlight, Policy as _, Request, Warm};
+use route::{
+    Candidate, Outcome, OutlierSettings, Outliers, Policy as _, Request, Standing, StandingChange,
+    Warm,
+};
 
-use super::targets::{InFlight, Target};
+use super::{
+    policies::{Policies, Preferences},
+    round_trips::RoundTrips,
+    targets::{InFlight, Target},
+    warmth::PrefixWarmth,
+};
 
 /// Bytes of prompt taken as one token.
-const BYTES_PER_TOKEN: usize = 4;
+pub(super) const BYTES_PER_TOKEN: usize = 4;
 
 /// Bytes of prompt in a block.
 const BLOCK_BYTES: BlockBytes = BlockBytes::new(64).expect("the size is not zero");
 
-/// Blocks of a prompt that decide its home.
-const HOME_BLOCKS: usize = 32;
+/// Tokens of prompt in a block.
+const BLOCK_TOKENS: u64 = (BLOCK_BYTES.as_usize() / BYTES_PER_TOKEN) as u64;
 
 /// Chooses endpoints for requests.
 pub(super) struct Router {
     source: IpAddr,
     targets: BTreeMap<EndpointId, Rc<Target>>,
-    policy: Warm,
+    policies: Policies,
+    service_policy: Warm,
+    warmth: PrefixWarmth,
+    round_trips: RoundTrips,
+    engine_outliers: Outliers,
+    service_outliers: Outliers,
+    routers: usize,
     rng: Pcg64Mcg,
 }
 
@@ -33,6 +51,7 @@
     /// Set when part of the answer was made with these weights.
     pub weights: Option<&'a WeightsVersion>,
     pub prompt: &'a [Cow<'a, [u8]>],
+    pub preferences: Preferences,
 }
 
 /// An engine chosen for a completion.
@@ -41,6 +60,13 @@
     pub endpoint: EndpointId,
     pub weights: WeightsVersion,
     pub salt: Salt,
+    chain: Chain,
+    prompt_tokens: TokenCount,
+    /// Blocks of the chain that the engine was believed to hold.
+    believed: usize,
+    sent: MonotonicTime,
+    was_idle: bool,
+    begun: Cell<Option<Duration>>,
 }
 
 /// Why no endpoint was chosen.
@@ -48,27 +74,84 @@
 pub(super) enum NoEndpoint {
     /// No endpoint serves what is asked for.
     Unknown,
-    /// Every endpoint that serves it has been tried.
+    /// Every endpoint that serves it has been tried, or takes no new work.
     AllTried,
 }
 
+/// An endpoint that can serve a request, for an engine with the weights it would serve it by.
+struct Able<'a, W> {
+    id: &'a EndpointId,
+    target: &'a Rc<Target>,
+    weights: W,
+}
+
+/// The identity of a prompt's prefixes under one version of the weights.
+struct Identity {
+    weights: WeightsVersion,
+    salt: Salt,
+    chain: Chain,
+    homes: u32,
+}
+
 impl Router {
-    /// Creates a router that connects from the own address `source`.
-    pub(super) fn new(source: IpAddr, rng: Pcg64Mcg) -> Self {
-        Self { source, targets: BTreeMap::new(), policy: Warm::default(), rng }
+    /// Creates a router in a data centre that connects from the own address `source`.
+    pub(super) fn new(source: IpAddr, data_centre: DataCentreId, mut rng: Pcg64Mcg) -> Self {
+        Self {
+            source,
+            targets: BTreeMap::new(),
+            policies: Policies::default(),
+            service_policy: Warm::default(),
+            warmth: PrefixWarmth::new(rng.random()),
+            round_trips: RoundTrips::new(data_centre),
+            engine_outliers: Outliers::new(OutlierSettings::default()),
+            service_outliers: Outliers::new(OutlierSettings::default()),
+            routers: 1,
+            rng,
+        }
     }
 
-    /// Takes a newer view of the endpoints.
-    pub(super) fn update(&mut self, roster: &Roster) {
+    /// Takes a newer view of the endpoints and routers.
+    pub(super) fn update(
+        &mut self,
+        now: MonotonicTime,
+        roster: &Roster,
+        is_drained: impl Fn(&Announcement) -> bool,
+    ) {
+        self.routers = roster.peers.len() + 1;
+        self.warmth.set_routers(self.routers);
         let mut old = std::mem::take(&mut self.targets);
         let ready = roster.endpoints.iter().filter(|known| known.state == EndpointState::Ready);
-        for announcement in ready.map(|known| &known.announcement) {
-            let known = old.remove(&announcement.endpoint);
-            let target = known
-                .filter(|target| target.renew(announcement))
-                .unwrap_or_else(|| Rc::new(Target::new(self.source, Arc::clone(announcement))));
-            self.targets.insert(announcement.endpoint.clone(), target);
+        for known in ready {
+            let endpoint = known.announcement.endpoint.clone();
+            let target = old.remove(&endpoint).filter(|target| target.renew(known));
+            let target = target.unwrap_or_else(|| Rc::new(self.join(now, known)));
+            target.set_drained(is_drained(&known.announcement));
+            self.targets.insert(endpoint, target);
         }
+        for endpoint in old.keys() {
+            self.leave(endpoint);
+        }
+    }
+
+    /// Decides anew which endpoints get no new work.
+    pub(super) fn drain(&self, is_drained: impl Fn(&Announcement) -> bool) {
+        for target in self.targets.values() {
+            let drained = is_drained(&target.announcement());
+            target.set_drained(drained);
+        }
+    }
+
+    /// Returns the number of engines that get new work.
+    pub(super) fn engines(&self) -> usize {
+        let is_engine = |target: &&Rc<Target>| {
+            matches!(target.announcement().kind, EndpointKind::Engine(_)) && !target.is_drained()
+        };
+        self.targets.values().filter(is_engine).count()
+    }
+
+    /// Returns the number of routers that share the requests.
+    pub(super) fn routers(&self) -> usize {
+        self.routers
     }
 
     /// Returns the models that can be asked for.
@@ -87,51 +170,108 @@
     /// Chooses an engine that isn't among `tried`.
     pub(super) fn choose_engine(
         &mut self,
+        now: MonotonicTime,
         wanted: &Wanted<'_>,
         tried: &[EndpointId],
     ) -> Result<Chosen, NoEndpoint> {
         let able: Vec<_> = self
             .targets
             .iter()
-            .filter_map(|(id, target)| Some((id, target, target.serves(|m| wanted.fits(m))?)))
+            .filter_map(|(id, target)| {
+                let weights = target.serves(|m| wanted.fits(m))?;
+                Some(Able { id, target, weights })
+            })
             .collect();
         if able.is_empty() {
             return Err(NoEndpoint::Unknown);
         }
-        let untried: Vec<_> = able.into_iter().filter(|(id, ..)| !tried.contains(id)).collect();
-        let mut chains: Vec<(WeightsVersion, Salt, Chain)> = Vec::new();
-        let mut candidates = Vec::with_capacity(untried.len());
-        for (id, target, served) in &untried {
-            let chain = match chains.iter().find(|(weights, ..)| *weights == served.weights) {
-                Some((_, _, chain)) => chain,
-                None => {
-                    let (salt, chain) = wanted.chain(&served.weights);
-                    chains.push((served.weights.clone(), salt, chain));
-                    &chains[chains.len() - 1].2
-                }
-            };
-            let home = chain.at_level(HOME_BLOCKS);
-            candidates.push(Candidate {
-                rank: home.map_or(0, |home| prefix::rank(home, id)),
-                in_flight: target.in_flight(),
-                ..Candidate::default()
-            });
-        }
+        let mut open = open(now, &able, tried, &self.engine_outliers);
+        // Engines of the same weights stand together, as warmth is measured for one chain at a time.
+        open.sort_by(|a, b| a.weights.cmp(&b.weights));
         let req = Request { prompt_tokens: wanted.prompt_tokens(), homes: 1 };
-        let chosen = self.policy.choose(&req, &candidates, &mut self.rng);
-        let (id, target, served) = &untried[chosen.ok_or(NoEndpoint::AllTried)?];
-        let salt = chains.iter().find(|(weights, ..)| *weights == served.weights);
+        let mut identities: Vec<Identity> = Vec::new();
+        let mut candidates = Vec::with_capacity(open.len());
+        for able in &open {
+            if !identities.iter().any(|identity| identity.weights == able.weights) {
+                let identity = wanted.identity(&able.weights);
+                identities.push(count_homes(identity, now, wanted, &mut self.warmth));
+            }
+            let identity = find(&identities, &able.weights).ok_or(NoEndpoint::Unknown)?;
+            let warm = self.warmth_of(able.target);
+            candidates.push(self.candidate(now, wanted, able, identity, warm));
+        }
+        let homes = identities.iter().map(|identity| identity.homes).max().unwrap_or(1);
+        let req = Request { homes, ..req };
+        let chosen = self.policies.choose(&wanted.preferences, &req, &candidates, &mut self.rng);
+        let chosen = chosen.ok_or(NoEndpoint::AllTried)?;
+        let Able { id, target, weights } = open[chosen];
+        let identity = identities.iter().position(|identity| identity.weights == *weights);
+        let Identity { salt, chain, .. } =
+            identities.swap_remove(identity.ok_or(NoEndpoint::Unknown)?);
+        let warm = candidates[chosen].warm_tokens;
+        if let Some(slot) = target.slot() {
+            self.warmth.sent(now, slot, &chain);
+        }
+        self.engine_outliers.sent(now, id);
+        let cold = req.prompt_tokens.as_u64().saturating_sub(warm.as_u64());
         Ok(Chosen {
-            in_flight: InFlight::begin(target),
+            was_idle: target.in_flight() == 0,
+            in_flight: InFlight::begin(target, TokenCount::new(cold)),
             endpoint: (*id).clone(),
-            weights: served.weights.clone(),
-            salt: salt.map(|(_, salt, _)| *salt).ok_or(NoEndpoint::Unknown)?,
+            weights: weights.clone(),
+            salt,
+            chain,
+            prompt_tokens: req.prompt_tokens,
+            believed: (warm.as_u64() / BLOCK_TOKENS) as usize,
+            sent: now,
+            begun: Cell::new(None),
         })
     }
 
+    /// Learns that the head of an engine's answer has arrived.
+    pub(super) fn head_arrived(&mut self, now: MonotonicTime, chosen: &Chosen) {
+        let data_centre = chosen.in_flight.target().data_centre();
+        self.round_trips.record(&data_centre, now.saturating_since(chosen.sent));
+    }
+
+    /// Learns that the engine's first token has arrived; returns the time it took.
+    pub(super) fn first_token(&mut self, now: MonotonicTime, chosen: &Chosen) -> Option<Duration> {
+        if chosen.begun.get().is_some() {
+            return None;
+        }
+        let took = now.saturating_since(chosen.sent);
+        chosen.begun.set(Some(took));
+        chosen.in_flight.prefilled();
+        let change = self.engine_outliers.record(now, &chosen.endpoint, Outcome::Answered(took));
+        log_change(&chosen.endpoint, change);
+        Some(took)
+    }
+
+    /// Learns how many of the prompt's tokens the engine had cached.
+    pub(super) fn answered(&mut self, now: MonotonicTime, chosen: &Chosen, cached: TokenCount) {
+        let cached_blocks = (cached.as_u64() / BLOCK_TOKENS) as usize;
+        if let Some(slot) = chosen.in_flight.target().slot() {
+            self.warmth.answered(now, slot, &chosen.chain, chosen.believed, cached_blocks);
+        }
+        if let (true, Some(took)) = (chosen.was_idle, chosen.begun.get()) {
+            let computed = chosen.prompt_tokens.as_u64().saturating_sub(cached.as_u64());
+            self.policies.learn_prefill_rate(computed, took);
+        }
+    }
+
+    /// Learns that a request at an engine failed.
+    pub(super) fn failed(&mut self, now: MonotonicTime, chosen: &Chosen) {
+        let change = self.engine_outliers.record(now, &chosen.endpoint, Outcome::Failed);
+        log_change(&chosen.endpoint, change);
+        if let Some(slot) = chosen.in_flight.target().slot() {
+            self.warmth.failed(now, slot, &chosen.chain, 0);
+        }
+    }
+
     /// Chooses an endpoint of a plain service that isn't among `tried`.
     pub(super) fn choose_service(
         &mut self,
+        now: MonotonicTime,
         service: &ServiceId,
         tried: &[EndpointId],
     ) -> Result<(EndpointId, InFlight), NoEndpoint> {
@@ -139,18 +279,84 @@
             .targets
             .iter()
             .filter(|(_, target)| target.announcement().kind.is_service(service))
+            .map(|(id, target)| Able { id, target, weights: () })
             .collect();
         if able.is_empty() {
             return Err(NoEndpoint::Unknown);
         }
-        let untried: Vec<_> = able.into_iter().filter(|(id, _)| !tried.contains(id)).collect();
-        let candidates: Vec<_> = untried
+        let open = open(now, &able, tried, &self.service_outliers);
+        let candidates: Vec<_> = open
             .iter()
-            .map(|(_, target)| Candidate { in_flight: target.in_flight(), ..Candidate::default() })
+            .map(|able| Candidate {
+                in_flight: able.target.in_flight(),
+                round_trip: self.round_trips.to(&able.target.data_centre()),
+                ..Candidate::default()
+            })
             .collect();
-        let chosen = LeastInFlight.choose(&Request::default(), &candidates, &mut self.rng);
-        let (id, target) = untried[chosen.ok_or(NoEndpoint::AllTried)?];
-        Ok((id.clone(), InFlight::begin(target)))
+        let req = Request::default();
+        let chosen = self.service_policy.choose(&req, &candidates, &mut self.rng);
+        let able = open[chosen.ok_or(NoEndpoint::AllTried)?];
+        self.service_outliers.sent(now, able.id);
+        Ok((able.id.clone(), InFlight::begin(able.target, TokenCount::ZERO)))
+    }
+
+    /// Learns how a call at an endpoint of a plain service went.
+    pub(super) fn service_ended(
+        &mut self,
+        now: MonotonicTime,
+        endpoint: &EndpointId,
+        outcome: Outcome,
+    ) {
+        let change = self.service_outliers.record(now, endpoint, outcome);
+        log_change(endpoint, change);
+    }
+
+    fn join(&mut self, now: MonotonicTime, known: &Known) -> Target {
+        let announcement = &known.announcement;
+        let endpoint = &announcement.endpoint;
+        let slot = match &announcement.kind {
+            EndpointKind::Engine(_) => {
+                self.engine_outliers.join(now, endpoint.clone());
+                self.warmth.bind(endpoint, announcement.incarnation)
+            }
+            EndpointKind::Service(_) => {
+                self.service_outliers.join(now, endpoint.clone());
+                None
+            }
+        };
+        Target::new(self.source, known, slot)
+    }
+
+    fn leave(&mut self, endpoint: &EndpointId) {
+        self.engine_outliers.leave(endpoint);
+        self.service_outliers.leave(endpoint);
+        self.warmth.unbind(endpoint);
+    }
+
+    fn warmth_of(&self, target: &Target) -> usize {
+        target.slot().map_or(0, |slot| self.warmth.blocks(slot))
+    }
+
+    fn candidate(
+        &self,
+        now: MonotonicTime,
+        wanted: &Wanted<'_>,
+        able: &Able<'_, WeightsVersion>,
+        identity: &Identity,
+        warm_blocks: usize,
+    ) -> Candidate {
+        let home = identity.chain.at_level(wanted.preferences.level);
+        let (load, report_age) = able.target.load(now);
+        Candidate {
+            rank: home.map_or(0, |home| prefix::rank(home, able.id)),
+            warm_tokens: TokenCount::new(warm_blocks as u64 * BLOCK_TOKENS),
+            in_flight: able.target.in_flight(),
+            own_prefill_tokens: able.target.prefill_tokens(),
+            reported_requests: load.running.saturating_add(load.waiting),
+            reported_prefill_tokens: load.prefill_tokens,
+            report_age,
+            round_trip: self.round_trips.to(&able.target.data_centre()),
+        }
     }
 }
 
@@ -161,10 +367,11 @@
             && self.adapter.is_none_or(|adapter| served.adapters.contains(adapter))
     }
 
-    fn chain(&self, weights: &WeightsVersion) -> (Salt, Chain) {
+    fn identity(&self, weights: &WeightsVersion) -> Identity {
         let salt = Salt::new(self.organisation, self.model, weights, self.adapter);
-        let joined = self.prompt.concat();
-        (salt, Chain::of(salt, BLOCK_BYTES, &joined))
+        let parts = self.prompt.iter().map(AsRef::as_ref);
+        let chain = Chain::of_parts(salt, BLOCK_BYTES, parts);
+        Identity { weights: weights.clone(), salt, chain, homes: 1 }
     }
 
     fn prompt_tokens(&self) -> TokenCount {
@@ -172,3 +379,42 @@
         TokenCount::new(bytes.div_ceil(BYTES_PER_TOKEN) as u64)
     }
 }
+
+/// Returns those that may get new work, or else those kept from it for their failures.
+fn open<'a, 'b, W>(
+    now: MonotonicTime,
+    able: &'b [Able<'a, W>],
+    tried: &[EndpointId],
+    outliers: &Outliers,
+) -> Vec<&'b Able<'a, W>> {
+    let untried = able.iter().filter(|able| !able.target.is_drained() && !tried.contains(able.id));
+    let untried: Vec<_> = untried.collect();
+    let standing = |able: &&&Able<'_, W>| outliers.standing(now, able.id) != Standing::Ejected;
+    let sound: Vec<_> = untried.iter().filter(standing).copied().collect();
+    if sound.is_empty() { untried } else { sound }
+}
+
+fn count_homes(
+    mut identity: Identity,
+    now: MonotonicTime,
+    wanted: &Wanted<'_>,
+    warmth: &mut PrefixWarmth,
+) -> Identity {
+    warmth.measure(now, &identity.chain);
+    if let Some(home) = identity.chain.at_level(wanted.preferences.level) {
+        identity.homes = warmth.count(now, home);
+    }
+    identity
+}
+
+fn find<'a>(identities: &'a [Identity], weights: &WeightsVersion) -> Option<&'a Identity> {
+    identities.iter().find(|identity| identity.weights == *weights)
+}
+
+fn log_change(endpoint: &EndpointId, change: Option<StandingChange>) {
+    match change {
+        Some(StandingChange::Ejected(_)) => log::warn!("endpoint={endpoint} ejected as an outlier"),
+        Some(StandingChange::Restored) => log::info!("endpoint={endpoint} restored"),
+        None => {}
+    }
+}
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -10,12 +10,15 @@
     header::{ACCEPT, AUTHORIZATION, CONTENT_TYPE, HOST, HeaderValue},
     http::request::Parts,
 };
+use route::Outcome;
 
 use super::{
     ActiveRequest, Edge,
+    admission::Counted,
     body::{self, Body},
     claims::{Claimed, Keyed},
     failure::Failure,
+    idempotent,
     router::NoEndpoint,
     targets::InFlight,
     upstream,
@@ -27,22 +30,19 @@
 /// Headers of a call that the service gets.
 const PASSED_HEADERS: [&str; 4] = ["idempotency-key", "x-request-id", "traceparent", "user-agent"];
 
-/// Most endpoints tried for an idempotent call.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Most endpoints that a call which may not be repeated tries to connect to.
 const MAX_CONNECTS: usize = 3;
 
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A call to a plain service.
-struct Call {
+pub(super) struct Call {
     organisation: OrganisationId,
-    service: ServiceId,
+    pub service: ServiceId,
     path: String,
     parts: Parts,
     body: Bytes,
-    settings: fleet::Settings,
+    pub settings: fleet::Settings,
 }
 
 /// Answers calls to plain services.
@@ -61,10 +61,12 @@
         ..Scope::default()
     };
     let settings = edge.settings(&scope);
+    let counted = edge.gate.count(&organisation, &settings)?;
+    edge.retries.earn(&settings);
     let call = Call { organisation, service, path, parts, body, settings };
     let call = Rc::new(call);
     // A task of its own, so that a caller who hangs up cuts no call that may not be repeated.
-    let sending = tokio::task::spawn_local(send(Rc::clone(edge), call, active));
+    let sending = tokio::task::spawn_local(send(Rc::clone(edge), call, active, counted));
     sending.await.unwrap_or_else(|_| {
         Err(Failure::broken("the call ended without an answer", Verdict::MayHaveRun))
     })
@@ -74,11 +76,12 @@
     edge: Rc<Edge>,
     call: Rc<Call>,
     _active: ActiveRequest,
+    _counted: Counted,
 ) -> Result<Response<Body>, Failure> {
     let settings = &call.settings;
     let sending = async {
         if settings.may_repeat(call.parts.method.as_str()) {
-            return send_idempotent(&edge, &call).await;
+            return idempotent::send(&edge, &call).await;
         }
         match call.keyed()? {
             Some(keyed) => send_claimed(&edge, &call, &keyed).await,
@@ -104,36 +107,6 @@
     Ok((service, path))
 }
 
-async fn send_idempotent(edge: &Rc<Edge>, call: &Call) -> Result<Response<Body>, Failure> {
-    let mut tried = Vec::new();
-    let mut last = None;
-    for _ in 0..MAX_ATTEMPTS {
-        let chosen = edge.router.borrow_mut().choose_service(&call.service, &tried);
-        let (endpoint, in_flight) = match chosen {
-            Ok(chosen) => chosen,
-            Err(why) => return Err(last.unwrap_or_else(|| no_endpoint(call, why))),
-        };
-        tried.push(endpoint);
-        let pool = in_flight.target().pool();
-        let sent = pool.send(call.request(&in_flight), edge.cfg.timeouts.connect).await;
-        let answer = match sent {
-            Ok((response, connection)) => {
-                let answer = read_answer(edge, response).await;
-                if answer.is_ok() {
-                    pool.put_back(connection);
-                }
-                answer
-            }
-            Err(failure) => Err(failure),
-        };
-        match answer {
-            Ok(answer) => return Ok(answer.into_response()),
-            Err(failure) => last = Some(failure),
-        }
-    }
-    Err(last.expect("the loop ran at least once"))
-}
-
 /// Sends a call without a key over a connection of its own.
 async fn send_once(edge: &Rc<Edge>, call: &Call) -> Result<Response<Body>, Failure> {
     let Connected { mut connection, in_flight } = connect(edge, call).await?;
@@ -177,26 +150,30 @@
     let mut tried = Vec::new();
     let mut last = None;
     for _ in 0..MAX_CONNECTS {
-        let chosen = edge.router.borrow_mut().choose_service(&call.service, &tried);
+        let chosen = edge.choose_service(call, &tried);
         let (endpoint, in_flight) = match chosen {
             Ok(chosen) => chosen,
             Err(why) => return Err(last.unwrap_or_else(|| no_endpoint(call, why))),
         };
-        tried.push(endpoint);
+        tried.push(endpoint.clone());
         match in_flight.target().pool().connect(timeout).await {
             Ok(connection) => return Ok(Connected { connection, in_flight }),
-            Err(failure) => last = Some(failure),
+            Err(failure) => {
+                edge.service_ended(&endpoint, Outcome::Failed);
+                last = Some(failure);
+            }
         }
     }
     Err(last.expect("the loop ran at least once"))
 }
 
-fn no_endpoint(call: &Call, why: NoEndpoint) -> Failure {
+pub(super) fn no_endpoint(call: &Call, why: NoEndpoint) -> Failure {
     match why {
         NoEndpoint::Unknown => Failure::not_found(format!("no endpoint serves {}", call.service)),
-        NoEndpoint::AllTried => {
-            Failure::unavailable(format!("every endpoint of {} failed", call.service), RETRY_AFTER)
-        }
+        NoEndpoint::AllTried => Failure::unavailable(
+            format!("no endpoint of {} is available", call.service),
+            RETRY_AFTER,
+        ),
     }
 }
 
@@ -219,7 +196,7 @@
         Ok(Some(Keyed { call, request }))
     }
 
-    fn request(&self, in_flight: &InFlight) -> Request<Full<Bytes>> {
+    pub(super) fn request(&self, in_flight: &InFlight) -> Request<Full<Bytes>> {
         let target = in_flight.target();
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.parts.method.clone();
@@ -249,14 +226,17 @@
 }
 
 /// A service's whole answer.
-struct ServiceAnswer {
+pub(super) struct ServiceAnswer {
     status: StatusCode,
     content_type: Option<HeaderValue>,
     body: Bytes,
 }
 
 /// Reads a service's whole answer, so that a cut one never passes as whole.
-async fn read_answer(edge: &Edge, response: Response<Incoming>) -> Result<ServiceAnswer, Failure> {
+pub(super) async fn read_answer(
+    edge: &Edge,
+    response: Response<Incoming>,
+) -> Result<ServiceAnswer, Failure> {
     let (parts, body) = response.into_parts();
     let max_bytes = usize::try_from(edge.cfg.limits.body_bytes.as_u64()).unwrap_or(usize::MAX);
     let body = Limited::new(body, max_bytes).collect().await.map_err(|e| {
@@ -277,7 +257,7 @@
         Answer { status: self.status.as_u16(), content_type: content_type.map(Into::into), body }
     }
 
-    fn into_response(self) -> Response<Body> {
+    pub(super) fn into_response(self) -> Response<Body> {
         let mut response = Response::new(Body::whole(self.body));
         *response.status_mut() = self.status;
         if let Some(content_type) = self.content_type {
--- a/crates/daemon/src/edge/targets.rs
+++ b/crates/daemon/src/edge/targets.rs
@@ -3,75 +3,135 @@
     net::IpAddr,
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
-use member::{Announcement, EndpointKind, ServedModel};
+use base::{DataCentreId, MonotonicTime, TokenCount, WeightsVersion};
+use member::{Announcement, EndpointKind, Known, Load, ServedModel};
+use prefix::Slot;
 
 use super::upstream::Pool;
 
 /// An endpoint as this router uses it.
 pub(super) struct Target {
     announcement: RefCell<Arc<Announcement>>,
+    written: Cell<MonotonicTime>,
+    slot: Option<Slot>,
+    drained: Cell<bool>,
     in_flight: Cell<u32>,
+    prefill_tokens: Cell<u64>,
     pool: Pool,
 }
 
 /// A request under way at an endpoint; ends on drop.
 pub(super) struct InFlight {
     target: Rc<Target>,
+    /// Tokens of the request that wait for prefill.
+    prefill_tokens: Cell<u64>,
 }
 
 impl Target {
-    pub(super) fn new(source: IpAddr, announcement: Arc<Announcement>) -> Self {
-        let pool = Pool::new(source, announcement.address);
-        Self { announcement: RefCell::new(announcement), in_flight: Cell::new(0), pool }
+    /// Creates the view of an endpoint whose warm prefixes are known under `slot`.
+    pub(super) fn new(source: IpAddr, known: &Known, slot: Option<Slot>) -> Self {
+        let pool = Pool::new(source, known.announcement.address);
+        Self {
+            announcement: RefCell::new(Arc::clone(&known.announcement)),
+            written: Cell::new(known.written),
+            slot,
+            drained: Cell::new(false),
+            in_flight: Cell::new(0),
+            prefill_tokens: Cell::new(0),
+            pool,
+        }
     }
 
     pub(super) fn announcement(&self) -> Ref<'_, Arc<Announcement>> {
         self.announcement.borrow()
     }
 
+    pub(super) fn data_centre(&self) -> DataCentreId {
+        self.announcement.borrow().data_centre.clone()
+    }
+
     pub(super) fn pool(&self) -> &Pool {
         &self.pool
     }
 
+    pub(super) fn slot(&self) -> Option<Slot> {
+        self.slot
+    }
+
     pub(super) fn in_flight(&self) -> u32 {
         self.in_flight.get()
     }
 
+    /// Returns the tokens that this router sent and that wait for prefill.
+    pub(super) fn prefill_tokens(&self) -> TokenCount {
+        TokenCount::new(self.prefill_tokens.get())
+    }
+
+    /// Returns the load that the endpoint reported last, and the report's age at `now`.
+    pub(super) fn load(&self, now: MonotonicTime) -> (Load, Duration) {
+        let load = match &self.announcement.borrow().kind {
+            EndpointKind::Engine(engine) => engine.load,
+            EndpointKind::Service(_) => Load::default(),
+        };
+        (load, now.saturating_since(self.written.get()))
+    }
+
+    /// Returns whether operators want it to get no new work.
+    pub(super) fn is_drained(&self) -> bool {
+        self.drained.get()
+    }
+
+    pub(super) fn set_drained(&self, drained: bool) {
+        self.drained.set(drained);
+    }
+
     /// Takes a newer announcement; returns whether it is of the same process.
-    pub(super) fn renew(&self, announcement: &Arc<Announcement>) -> bool {
+    pub(super) fn renew(&self, newer: &Known) -> bool {
         let mut known = self.announcement.borrow_mut();
+        let announcement = &newer.announcement;
         let same =
             known.incarnation == announcement.incarnation && known.address == announcement.address;
         if same {
             known.clone_from(announcement);
+            self.written.set(newer.written);
         }
         same
     }
 
-    /// Returns what the endpoint says of `model`, if it serves it.
-    pub(super) fn serves(&self, wanted: impl Fn(&ServedModel) -> bool) -> Option<ServedModel> {
-        match &self.announcement.borrow().kind {
-            EndpointKind::Engine(engine) => engine.models.iter().find(|m| wanted(m)).cloned(),
-            EndpointKind::Service(_) => None,
-        }
+    /// Returns the weights of the model that is wanted, if the endpoint serves it.
+    pub(super) fn serves(&self, wanted: impl Fn(&ServedModel) -> bool) -> Option<WeightsVersion> {
+        let announcement = self.announcement.borrow();
+        let EndpointKind::Engine(engine) = &announcement.kind else { return None };
+        engine.models.iter().find(|m| wanted(m)).map(|served| served.weights.clone())
     }
 }
 
 impl InFlight {
-    pub(super) fn begin(target: &Rc<Target>) -> Self {
+    /// Counts a request with so many tokens to prefill.
+    pub(super) fn begin(target: &Rc<Target>, prefill_tokens: TokenCount) -> Self {
+        let tokens = prefill_tokens.as_u64();
         target.in_flight.set(target.in_flight.get() + 1);
-        Self { target: Rc::clone(target) }
+        target.prefill_tokens.set(target.prefill_tokens.get() + tokens);
+        Self { target: Rc::clone(target), prefill_tokens: Cell::new(tokens) }
     }
 
     pub(super) fn target(&self) -> &Target {
         &self.target
     }
+
+    /// Notes that the prompt has been prefilled.
+    pub(super) fn prefilled(&self) {
+        let tokens = self.prefill_tokens.take();
+        self.target.prefill_tokens.set(self.target.prefill_tokens.get() - tokens);
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.prefilled();
         self.target.in_flight.set(self.target.in_flight.get() - 1);
     }
 }
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -35,6 +35,11 @@
         Self { settings, tokens: settings.burst, updated: now }
     }
 
+    /// Sets the retries that each request earns from now on.
+    pub fn set_ratio(&mut self, ratio: f64) {
+        self.settings.ratio = ratio;
+    }
+
     /// Counts a request that is not a retry.
     pub fn earn(&mut self, now: MonotonicTime) {
         self.refill(now);
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -81,6 +81,11 @@
         Self { settings, ..Self::default() }
     }
 
+    /// Replaces the settings; the next choice follows the new ones.
+    pub fn set_settings(&mut self, settings: WarmSettings) {
+        self.settings = settings;
+    }
+
     /// Returns the parts of each candidate's score, for an operator who asks why one was chosen.
     ///
     /// # Examples
