--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod drains;
 mod failure;
 mod idempotent;
+mod inquiry;
 mod listen;
 mod policies;
 mod relay;
@@ -32,6 +33,7 @@
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
 use route::Outcome;
+use telemetry::{Metrics, Tracer};
 
 use crate::{
     Settings,
@@ -47,6 +49,8 @@
 use router::{NoEndpoint, Router};
 use targets::InFlight;
 
+pub(crate) use inquiry::{Inquiry, Load};
+
 /// Rings that join the edge thread to the others.
 pub(crate) struct Rings {
     /// Newest view of the endpoints.
@@ -55,12 +59,18 @@
     pub announcements: flume::Sender<RosterInput>,
     /// Orders to drain or to end.
     pub control: flume::Receiver<Control>,
+    /// Questions of operators.
+    pub inquiries: flume::Receiver<Inquiry>,
     /// The configuration in force.
     pub configurations: Configurations,
     /// The way to the quorum's leader.
     pub leader: LeaderClient,
     /// The life of this process.
     pub incarnation: Incarnation,
+    /// The process's metrics.
+    pub metrics: Arc<Metrics>,
+    /// Starts spans.
+    pub tracer: Tracer,
 }
 
 /// An order to the edge thread.
@@ -94,6 +104,9 @@
     leader: LeaderClient,
     owner: Owner,
     clock: Clock,
+    metrics: Arc<Metrics>,
+    #[expect(dead_code, reason = "requests record no spans yet")]
+    tracer: Tracer,
 }
 
 /// Counts a request as active; ends on drop.
@@ -108,7 +121,7 @@
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let router = Router::new(cfg.listen.ip(), cfg.data_centre.clone(), rng);
         Self {
-            keys: Keys::new(&cfg),
+            keys: Keys::new(&cfg, rings.configurations.clone()),
             router: RefCell::new(router),
             gate: Gate::new(clock),
             retries: Retries::new(clock, seed),
@@ -121,6 +134,8 @@
             leader: rings.leader.clone(),
             owner,
             clock,
+            metrics: Arc::clone(&rings.metrics),
+            tracer: rings.tracer.clone(),
         }
     }
 
@@ -184,6 +199,7 @@
             tokio::task::spawn_local(follow_rosters(Rc::clone(&edge), rings.rosters));
             tokio::task::spawn_local(follow_configurations(Rc::clone(&edge)));
             tokio::task::spawn_local(edge.gate.clone().watch_deadlines());
+            tokio::task::spawn_local(inquiry::answer_all(Rc::clone(&edge), rings.inquiries));
             tokio::task::spawn_local(claims::end_earlier_lives(Rc::clone(&edge)));
             listen::run(edge, listener, rings.control).await
         })
@@ -204,9 +220,13 @@
 
 async fn follow_configurations(edge: Rc<Edge>) {
     let configurations = edge.configurations.subscribe();
+    let configured = edge.cfg.organisation_keys.iter().map(|key| &key.organisation);
+    edge.metrics.label_organisations(configured);
     while let Ok(in_force) = configurations.recv_async().await {
         let is_drained = drains::is_drained(&in_force.declaration, edge.clock.wall());
         edge.router.borrow().drain(is_drained);
         edge.in_force.replace(Arc::clone(&in_force));
+        let declared = in_force.declaration.contents().organisations.iter();
+        edge.metrics.label_organisations(declared.map(|organisation| &organisation.id));
     }
 }
--- a/crates/daemon/src/edge/policies.rs
+++ b/crates/daemon/src/edge/policies.rs
@@ -4,7 +4,8 @@
 use fleet::setting::RoutingPolicy;
 use rand::Rng;
 use route::{
-    Candidate, Hash, LeastInFlight, Policy as _, Request, RoundRobin, Warm, WarmSettings, WarmV1,
+    Candidate, Estimate, Hash, LeastInFlight, Policy as _, Request, RoundRobin, Warm, WarmSettings,
+    WarmV1,
 };
 
 /// How a request's endpoint is chosen, by the settings in force for it.
@@ -64,6 +65,17 @@
         }
     }
 
+    /// Returns the parts of each candidate's score under the policy `warm`.
+    pub(super) fn explain(
+        &mut self,
+        preferences: &Preferences,
+        req: &Request,
+        candidates: &[Candidate],
+    ) -> Vec<Estimate> {
+        self.warm.set_settings(self.warm_settings(preferences));
+        self.warm.explain(req, candidates)
+    }
+
     /// Learns the engines' prefill rate from an answer to the only request under way.
     pub(super) fn learn_prefill_rate(&mut self, computed_tokens: u64, took: Duration) {
         if computed_tokens < MIN_RATED_TOKENS || took.is_zero() {
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -1,3 +1,5 @@
+mod explain;
+
 use std::{borrow::Cow, cell::Cell, collections::BTreeMap, net::IpAddr, rc::Rc, time::Duration};
 
 use base::{
@@ -198,7 +200,7 @@
             }
             let identity = find(&identities, &able.weights).ok_or(NoEndpoint::Unknown)?;
             let warm = self.warmth_of(able.target);
-            candidates.push(self.candidate(now, wanted, able, identity, warm));
+            candidates.push(self.candidate(now, wanted, (able.id, able.target), identity, warm));
         }
         let homes = identities.iter().map(|identity| identity.homes).max().unwrap_or(1);
         let req = Request { homes, ..req };
@@ -341,21 +343,21 @@
         &self,
         now: MonotonicTime,
         wanted: &Wanted<'_>,
-        able: &Able<'_, WeightsVersion>,
+        (id, target): (&EndpointId, &Target),
         identity: &Identity,
         warm_blocks: usize,
     ) -> Candidate {
         let home = identity.chain.at_level(wanted.preferences.level);
-        let (load, report_age) = able.target.load(now);
+        let (load, report_age) = target.load(now);
         Candidate {
-            rank: home.map_or(0, |home| prefix::rank(home, able.id)),
+            rank: home.map_or(0, |home| prefix::rank(home, id)),
             warm_tokens: TokenCount::new(warm_blocks as u64 * BLOCK_TOKENS),
-            in_flight: able.target.in_flight(),
-            own_prefill_tokens: able.target.prefill_tokens(),
+            in_flight: target.in_flight(),
+            own_prefill_tokens: target.prefill_tokens(),
             reported_requests: load.running.saturating_add(load.waiting),
             reported_prefill_tokens: load.prefill_tokens,
             report_age,
-            round_trip: self.round_trips.to(&able.target.data_centre()),
+            round_trip: self.round_trips.to(&target.data_centre()),
         }
     }
 }
--- /dev/null
+++ b/crates/daemon/src/edge/router/explain.rs
@@ -0,0 +1,65 @@
+use std::{collections::BTreeMap, rc::Rc};
+
+use base::{EndpointId, MonotonicTime};
+use route::{Estimate, Request};
+use wire::operator::{ExplainedCandidate, Explanation, ScorePart};
+
+use super::{Router, Target, Wanted};
+
+impl Router {
+    /// Returns how a choice among all engines would come out; none if none serves `wanted`.
+    pub(in crate::edge) fn explain(
+        &mut self,
+        now: MonotonicTime,
+        wanted: &Wanted<'_>,
+    ) -> Option<Explanation> {
+        let mut able: Vec<(&EndpointId, &Rc<Target>)> = Vec::new();
+        let mut candidates = Vec::new();
+        let mut homes = 1;
+        for (id, target) in &self.targets {
+            let Some(weights) = target.serves(|m| wanted.fits(m)) else { continue };
+            if target.is_drained() {
+                continue;
+            }
+            let identity = wanted.identity(&weights);
+            self.warmth.measure(now, &identity.chain);
+            if let Some(home) = identity.chain.at_level(wanted.preferences.level) {
+                homes = self.warmth.homes(now, home).max(homes);
+            }
+            let warm = target.slot().map_or(0, |slot| self.warmth.blocks(slot));
+            able.push((id, target));
+            candidates.push(self.candidate(now, wanted, (id, target), &identity, warm));
+        }
+        let home = candidates.iter().map(|candidate| candidate.rank).max()?;
+        let req = Request { prompt_tokens: wanted.prompt_tokens(), homes };
+        let estimates = self.policies.explain(&wanted.preferences, &req, &candidates);
+        let explained = able.into_iter().zip(&candidates).zip(estimates);
+        let mut candidates: Vec<_> = explained
+            .map(|(((id, target), candidate), estimate)| ExplainedCandidate {
+                endpoint: id.clone(),
+                data_centre: target.announcement().data_centre.clone(),
+                home: candidate.rank == home,
+                warm_tokens: candidate.warm_tokens,
+                cost: estimate.total(),
+                parts: parts(&estimate),
+            })
+            .collect();
+        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        Some(Explanation { prompt_tokens: req.prompt_tokens, candidates })
+    }
+
+    /// Returns the requests under way at each endpoint.
+    pub(in crate::edge) fn in_flight(&self) -> BTreeMap<EndpointId, u32> {
+        self.targets.iter().map(|(id, target)| (id.clone(), target.in_flight())).collect()
+    }
+}
+
+fn parts(estimate: &Estimate) -> Vec<ScorePart> {
+    let part = |name: &str, cost| ScorePart { name: name.into(), cost };
+    vec![
+        part("compute", estimate.compute),
+        part("away", estimate.away),
+        part("wait", estimate.wait),
+        part("round-trip", estimate.round_trip),
+    ]
+}
--- a/crates/daemon/src/edge/warmth.rs
+++ b/crates/daemon/src/edge/warmth.rs
@@ -55,6 +55,11 @@
         self.replication.homes(own_rate * self.routers)
     }
 
+    /// Returns how many homes a prefix has now.
+    pub(super) fn homes(&self, now: MonotonicTime, prefix: BlockHash) -> u32 {
+        self.replication.homes(self.hot.rate(now, prefix) * self.routers)
+    }
+
     /// Finds how much of `chain` each engine is believed to hold.
     pub(super) fn measure(&mut self, now: MonotonicTime, chain: &Chain) {
         self.index.warm_blocks(now, chain, &mut self.measured);
