--- a/crates/bench/src/caller.rs
+++ b/crates/bench/src/caller.rs
@@ -100,9 +100,14 @@
         if self.chat { "/v1/chat/completions" } else { "/v1/completions" }
     }
 
+    /// Returns the text that an engine takes as its prompt.
+    pub fn text(&self) -> String {
+        if self.chat { format!("user\n{}\n", self.prompt) } else { self.prompt.clone() }
+    }
+
     /// Returns the tokens that answer it.
     pub fn expected(&self) -> Vec<String> {
-        let text = if self.chat { format!("user\n{}\n", self.prompt) } else { self.prompt.clone() };
+        let text = self.text();
         let tokens = usize::try_from(self.tokens).unwrap_or(usize::MAX);
         Generation::after(text.as_bytes()).take(tokens).collect()
     }
--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -4,6 +4,7 @@
 
 use comfy_table::{Table, presets::UTF8_FULL_CONDENSED};
 use indicatif::{ProgressBar, ProgressStyle};
+use serde::Serialize;
 
 use crate::{
     load::{self, Load, Observed},
@@ -60,7 +61,7 @@
 /// # Panics
 ///
 /// Panics if a summary isn't a JSON object, which it always is.
-pub fn table(summary: &Summary) -> String {
+pub fn table(summary: &impl Serialize) -> String {
     let mut table = Table::new();
     table.load_preset(UTF8_FULL_CONDENSED).set_header(["figure", "value"]);
     let value = serde_json::to_value(summary).expect("a summary is JSON");
--- /dev/null
+++ b/crates/bench/src/fake/counts.rs
@@ -0,0 +1,15 @@
+use super::EngineCounts;
+
+impl EngineCounts {
+    /// Returns the sums of what two engines, or two lives of one, counted.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            cancelled: self.cancelled + other.cancelled,
+            prompt_tokens: self.prompt_tokens + other.prompt_tokens,
+            cached_tokens: self.cached_tokens + other.cached_tokens,
+            wasted_tokens: self.wasted_tokens + other.wasted_tokens,
+        }
+    }
+}
--- a/crates/bench/src/fake/mod.rs
+++ b/crates/bench/src/fake/mod.rs
@@ -2,6 +2,7 @@
 
 mod announcer;
 mod cache;
+mod counts;
 mod engine;
 mod server;
 mod service;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -15,6 +15,8 @@
 //! ```
 
 pub mod caller;
+pub mod compare;
+pub mod declare;
 pub mod demo;
 pub mod fake;
 pub mod load;
@@ -22,6 +24,9 @@
 pub mod process;
 mod proxy;
 pub mod report;
+pub mod run;
 pub mod site;
+pub mod sites;
+pub mod workload;
 
 pub use crate::proxy::{Fault, Proxy};
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -57,55 +57,72 @@
     pub orders: ServiceCounts,
 }
 
-/// A request of the load.
+/// What a request asks for.
 #[derive(Clone, Debug)]
-enum Kind {
+pub enum Kind {
+    /// A completion.
     Ask(Ask),
-    Lookup { path: String },
-    Order { path: String, key: String },
+    /// An order's status.
+    Lookup {
+        /// Where it is looked up.
+        path: String,
+    },
+    /// An order, which may run at most once.
+    Order {
+        /// Where it is sent.
+        path: String,
+        /// Its idempotency key.
+        key: String,
+    },
 }
 
-struct Planned {
-    router: SocketAddr,
-    organisation: OrganisationId,
-    kind: Kind,
+/// A request of the load.
+#[derive(Clone, Debug)]
+pub struct Planned {
+    /// When it is sent, from the begin of the load.
+    pub due: Duration,
+    /// Where the caller connects.
+    pub router: SocketAddr,
+    /// Who calls.
+    pub organisation: OrganisationId,
+    /// What is asked for.
+    pub kind: Kind,
 }
 
 /// Sends the load and returns what was counted; `progress` is told of each answer.
 pub fn run(load: &Load, observed: &Observed, progress: impl Fn(&Counts) + 'static) -> Counts {
+    send(plan_all(load), observed, progress)
+}
+
+/// Sends planned requests, each when it is due, and returns what was counted.
+pub fn send(
+    planned: Vec<Planned>,
+    observed: &Observed,
+    progress: impl Fn(&Counts) + 'static,
+) -> Counts {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime can be made");
     let tasks = tokio::task::LocalSet::new();
-    tasks.block_on(&runtime, send_all(load, observed, Rc::new(progress)))
+    tasks.block_on(&runtime, send_all(planned, observed, Rc::new(progress)))
 }
 
 async fn send_all(
-    load: &Load,
+    planned: Vec<Planned>,
     observed: &Observed,
     progress: Rc<impl Fn(&Counts) + 'static>,
 ) -> Counts {
     let counts = Rc::new(RefCell::new(Counts::default()));
-    let mut rng = Pcg64Mcg::seed_from_u64(load.seed);
     let begun = tokio::time::Instant::now();
-    let mut due = Duration::ZERO;
-    let mut number = 0;
     let mut tasks = Vec::new();
-    loop {
-        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
-        due += Duration::from_secs_f64(-uniform.ln() / load.rate);
-        if load.span <= due {
-            break;
-        }
-        number += 1;
-        let planned = plan(load, number, &mut rng);
-        tokio::time::sleep_until(begun + due).await;
+    for request in planned {
+        tokio::time::sleep_until(begun + request.due).await;
         let counts = Rc::clone(&counts);
         let observed = observed.clone();
         let progress = Rc::clone(&progress);
         tasks.push(tokio::task::spawn_local(async move {
-            send(planned, &observed, &counts).await;
+            send_one(request, &observed, &counts).await;
             progress(&counts.borrow());
         }));
     }
@@ -115,7 +132,22 @@
     counts.take()
 }
 
-fn plan(load: &Load, number: u64, rng: &mut Pcg64Mcg) -> Planned {
+fn plan_all(load: &Load) -> Vec<Planned> {
+    let mut rng = Pcg64Mcg::seed_from_u64(load.seed);
+    let mut due = Duration::ZERO;
+    let mut planned = Vec::new();
+    loop {
+        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+        due += Duration::from_secs_f64(-uniform.ln() / load.rate);
+        if load.span <= due {
+            return planned;
+        }
+        let number = planned.len() as u64 + 1;
+        planned.push(plan(load, due, number, &mut rng));
+    }
+}
+
+fn plan(load: &Load, due: Duration, number: u64, rng: &mut Pcg64Mcg) -> Planned {
     let router = load.routers[rng.random_range(0..load.routers.len())];
     let organisation = pick_organisation(&load.organisations, rng).clone();
     let service = &load.service;
@@ -128,11 +160,11 @@
     } else {
         Kind::Ask(plan_ask(load, &organisation, number, rng))
     };
-    Planned { router, organisation, kind }
+    Planned { due, router, organisation, kind }
 }
 
 /// Picks an organisation; each is picked half as often as the one before, down to a floor.
-fn pick_organisation<'a>(
+pub fn pick_organisation<'a>(
     organisations: &'a [OrganisationId],
     rng: &mut Pcg64Mcg,
 ) -> &'a OrganisationId {
@@ -168,13 +200,17 @@
     text
 }
 
-async fn send(planned: Planned, observed: &Observed, counts: &RefCell<Counts>) {
+async fn send_one(planned: Planned, observed: &Observed, counts: &RefCell<Counts>) {
     counts.borrow_mut().requests += 1;
     let key = organisation_key(&planned.organisation);
     match planned.kind {
         Kind::Ask(ask) => {
             let outcome = caller::ask(planned.router, &ask).await;
-            count_ask(outcome, observed, &mut counts.borrow_mut());
+            let mut counts = counts.borrow_mut();
+            let of_organisation = counts.organisations.entry(planned.organisation).or_default();
+            of_organisation.asked += 1;
+            of_organisation.answered += u64::from(matches!(outcome, Outcome::Answered(_)));
+            count_ask(outcome, observed, &mut counts);
         }
         Kind::Lookup { path } => {
             let outcome = caller::call(planned.router, Method::GET, &path, &key, None, "").await;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,9 +1,16 @@
 //! `bench`: demonstrations and measurements of the router.
 
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
-use bench::{demo, process::Program};
+use bench::{
+    compare, demo,
+    process::Program,
+    run::{self, RunFault, RunSpec},
+    sites::SiteKind,
+};
 use bpaf::Bpaf;
+use route::PolicyKind;
+use serde::Serialize;
 
 /// Demonstrates and measures the router with fakes at its interfaces
 #[derive(Clone, Debug, Bpaf)]
@@ -18,6 +25,51 @@
         #[bpaf(fallback(1))]
         seed: u64,
     },
+    /// Measure one policy on one site
+    #[bpaf(command)]
+    Run {
+        /// The site: printers or villagers
+        #[bpaf(argument("SITE"))]
+        site: SiteKind,
+        /// How routers choose: round-robin, least-in-flight, hash, warm-v1 or warm
+        #[bpaf(argument("NAME"), fallback(PolicyKind::Warm))]
+        policy: PolicyKind,
+        /// Decides everything that is random
+        #[bpaf(fallback(1))]
+        seed: u64,
+        /// Completions a second, as a share of what the engines can carry
+        #[bpaf(fallback(0.7))]
+        load: f64,
+        /// How long to send, in seconds
+        #[bpaf(fallback(20))]
+        seconds: u64,
+        /// What goes wrong at half time: engines or shift
+        #[bpaf(argument("NAME"), optional)]
+        fault: Option<RunFault>,
+        /// Print the figures as one JSON object on the last line
+        json: bool,
+    },
+    /// Measure every policy on one site
+    #[bpaf(command)]
+    Compare {
+        /// The site: printers or villagers
+        #[bpaf(argument("SITE"))]
+        site: SiteKind,
+        /// Seeds, separated by commas
+        #[bpaf(argument("LIST"), fallback("1,2,3".to_owned()))]
+        seeds: String,
+        /// Completions a second, as a share of what the engines can carry
+        #[bpaf(fallback(0.7))]
+        load: f64,
+        /// How long to send, in seconds
+        #[bpaf(fallback(12))]
+        seconds: u64,
+        /// Draw the figures into this SVG file
+        #[bpaf(argument("FILE"), optional)]
+        plot: Option<PathBuf>,
+        /// Print the figures as one JSON object on the last line
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -28,7 +80,7 @@
     if args.first().is_some_and(|arg| arg == "operator") {
         return run_operator(&args[1..]);
     }
-    match run(options().run()) {
+    match execute(options().run()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{e:#}");
@@ -55,16 +107,40 @@
     cli::run(&args).into()
 }
 
-fn run(options: Options) -> eyre::Result<()> {
+fn execute(options: Options) -> eyre::Result<()> {
     let program = Program { path: std::env::current_exe()?, args: vec!["daemon".into()] };
     match options {
         Options::Demo { json, seed } => {
             let summary = demo::run(&program, seed)?;
-            println!("{}", demo::table(&summary));
+            show(&summary, json)?;
+        }
+        Options::Run { site, policy, seed, load, seconds, fault, json } => {
+            let span = Duration::from_secs(seconds);
+            let spec = RunSpec { site, policy, seed, load, span, fault };
+            show(&run::run(&program, &spec)?, json)?;
+        }
+        Options::Compare { site, seeds, load, seconds, plot, json } => {
+            let seeds: Vec<u64> = seeds.split(',').map(str::parse).collect::<Result<_, _>>()?;
+            let span = Duration::from_secs(seconds);
+            let policy = PolicyKind::default();
+            let spec = RunSpec { site, policy, seed: 1, load, span, fault: None };
+            let compared = compare::run(&program, &spec, &seeds)?;
+            println!("{}", compare::table(&compared));
+            if let Some(path) = plot {
+                compare::plot(&compared, &path)?;
+            }
             if json {
-                println!("{}", serde_json::to_string(&summary)?);
+                println!("{}", serde_json::json!({"site": site.as_str(), "policies": compared}));
             }
         }
     }
     Ok(())
 }
+
+fn show(summary: &impl Serialize, json: bool) -> eyre::Result<()> {
+    println!("{}", demo::table(summary));
+    if json {
+        println!("{}", serde_json::to_string(summary)?);
+    }
+    Ok(())
+}
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -1,11 +1,13 @@
 //! What a run counted, and its percentiles.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use base::Verdict;
+use base::{OrganisationId, Verdict};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use crate::fake::EngineCounts;
+
 /// Longest time that a histogram holds, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 
@@ -30,6 +32,8 @@
     pub may_have_run: u64,
     /// Orders refused as not run that did run.
     pub false_not_run: u64,
+    /// Completions by organisation.
+    pub organisations: BTreeMap<OrganisationId, Completions>,
     /// From request to first token.
     pub first_token: Histogram<u64>,
     /// Between tokens.
@@ -38,6 +42,15 @@
     pub added: Histogram<u64>,
 }
 
+/// Completions of one organisation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Completions {
+    /// Asked for.
+    pub asked: u64,
+    /// Answered whole.
+    pub answered: u64,
+}
+
 impl Default for Counts {
     fn default() -> Self {
         Self {
@@ -50,6 +63,7 @@
             not_run: 0,
             may_have_run: 0,
             false_not_run: 0,
+            organisations: BTreeMap::new(),
             first_token: histogram(),
             gap: histogram(),
             added: histogram(),
@@ -127,10 +141,9 @@
 impl Summary {
     /// Sums up a run.
     pub fn new(counts: &Counts, site: &crate::site::Site) -> Self {
-        let engines: Vec<_> = site.engines.iter().map(|node| node.engine.counts()).collect();
-        let prompt_tokens: u64 = engines.iter().map(|counts| counts.prompt_tokens).sum();
-        let cached_tokens: u64 = engines.iter().map(|counts| counts.cached_tokens).sum();
-        Self {
+        let engines = site.engines.iter().map(|node| node.engine.counts());
+        let engines = engines.fold(EngineCounts::default(), |sum, counts| sum.plus(&counts));
+        let mut summary = Self {
             requests: counts.requests,
             answered: counts.answered,
             lost: counts.lost,
@@ -141,14 +154,22 @@
             may_have_run: counts.may_have_run,
             false_not_run: counts.false_not_run,
             wrong_salts: site.tally.lock().wrong_salts,
-            hit_rate: cached_tokens as f64 / prompt_tokens.max(1) as f64,
-            wasted_tokens: engines.iter().map(|counts| counts.wasted_tokens).sum(),
+            hit_rate: 0.0,
+            wasted_tokens: 0,
             ttft_p50_ms: percentile_ms(&counts.first_token, 50.0),
             ttft_p95_ms: percentile_ms(&counts.first_token, 95.0),
             ttft_p99_ms: percentile_ms(&counts.first_token, 99.0),
             gap_p95_ms: percentile_ms(&counts.gap, 95.0),
             added_p50_ms: percentile_ms(&counts.added, 50.0),
             added_p99_ms: percentile_ms(&counts.added, 99.0),
-        }
+        };
+        summary.count_engines(&engines);
+        summary
+    }
+
+    /// Replaces what the engines counted.
+    pub fn count_engines(&mut self, engines: &EngineCounts) {
+        self.hit_rate = engines.cached_tokens as f64 / engines.prompt_tokens.max(1) as f64;
+        self.wasted_tokens = engines.wasted_tokens;
     }
 }
--- /dev/null
+++ b/crates/bench/src/run.rs
@@ -0,0 +1,208 @@
+//! `bench run`: one site under one policy.
+
+use std::{
+    collections::BTreeMap,
+    fmt,
+    str::FromStr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use base::{Incarnation, OrganisationId, ParseError};
+use route::PolicyKind;
+use serde::Serialize;
+
+use crate::{
+    declare::declare,
+    fake::EngineCounts,
+    load::{self, Observed},
+    process::Program,
+    report::{Completions, Summary},
+    site::Site,
+    sites::{self, SiteKind},
+    workload::{self, Workload},
+};
+
+/// Time between two looks at what the engines counted.
+const SAMPLE: Duration = Duration::from_secs(1);
+
+/// Time between looks at whether something is due.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Engines that a fault kills.
+const KILLED_ENGINES: usize = 3;
+
+/// A fault in the middle of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunFault {
+    /// Some engines are killed and come back empty.
+    Engines,
+    /// Other prefixes become hot.
+    Shift,
+}
+
+/// What to run.
+#[derive(Clone, Copy, Debug)]
+pub struct RunSpec {
+    /// The site.
+    pub site: SiteKind,
+    /// The policy of all routers.
+    pub policy: PolicyKind,
+    /// Decides everything that is random.
+    pub seed: u64,
+    /// Completions a second as a share of the site's capacity.
+    pub load: f64,
+    /// How long to send.
+    pub span: Duration,
+    /// What goes wrong at half time.
+    pub fault: Option<RunFault>,
+}
+
+/// The figures of a run.
+#[derive(Clone, Debug, Serialize)]
+pub struct RunSummary {
+    /// The site.
+    pub site: String,
+    /// The policy.
+    pub policy: String,
+    /// The seed.
+    pub seed: u64,
+    /// Completions sent a second.
+    pub rate: f64,
+    /// What callers and engines saw.
+    #[serde(flatten)]
+    pub summary: Summary,
+    /// The hit rate of one cache with all engines' blocks on the same requests.
+    pub bound_hit_rate: f64,
+    /// The most requests of an engine, against the mean.
+    pub load_spread: f64,
+    /// Completions that reached an engine.
+    pub engine_requests: u64,
+    /// Completions by organisation.
+    pub organisations: BTreeMap<OrganisationId, Completions>,
+    /// The hit rate in each second.
+    pub hit_rates: Vec<f64>,
+}
+
+/// Starts a site, sends it its traffic and returns the figures.
+///
+/// # Errors
+///
+/// Returns an error if the site doesn't come up.
+pub fn run(program: &Program, spec: &RunSpec) -> eyre::Result<RunSummary> {
+    let mut site = Site::start(program, spec.site.spec(spec.seed))?;
+    sites::separate_data_centres(&site, spec.site.one_way());
+    declare(&site, &spec.site.declaration(spec.policy))?;
+    let workload = spec.workload(&site);
+    let planned = workload.plan();
+    let cache_blocks = sites::CACHE_BLOCKS;
+    let bound_hit_rate = workload::bound(&planned, site.engines.len(), cache_blocks);
+    let observed = Observed { tally: site.tally.clone(), orders: site.orders.clone() };
+    let (counts, watched) = thread::scope(|scope| {
+        let sending = scope.spawn(|| load::send(planned, &observed, |_| {}));
+        let watched = Watch::until(&mut site, spec, || sending.is_finished());
+        (sending.join().expect("the load doesn't panic"), watched)
+    });
+    let mut summary = Summary::new(&counts, &site);
+    summary.count_engines(&watched.total(&site));
+    Ok(RunSummary {
+        site: spec.site.to_string(),
+        policy: spec.policy.to_string(),
+        seed: spec.seed,
+        rate: workload.rate,
+        bound_hit_rate,
+        load_spread: load_spread(&site),
+        engine_requests: watched.total(&site).requests,
+        organisations: counts.organisations,
+        hit_rates: watched.hit_rates,
+        summary,
+    })
+}
+
+impl RunSpec {
+    fn workload(&self, site: &Site) -> Workload {
+        Workload {
+            routers: site.routers(),
+            organisations: site.spec.organisations.clone(),
+            model: site.spec.model.clone(),
+            service: site.spec.service.clone(),
+            shape: self.site.shape(),
+            rate: self.site.capacity() * self.load,
+            span: self.span,
+            shift: (self.fault == Some(RunFault::Shift)).then_some(self.span / 2),
+            seed: self.seed,
+        }
+    }
+}
+
+/// Looks at the engines while the load runs, and brings the fault about.
+struct Watch {
+    hit_rates: Vec<f64>,
+    /// What engines counted before they were killed.
+    killed: EngineCounts,
+}
+
+impl Watch {
+    fn until(site: &mut Site, spec: &RunSpec, is_over: impl Fn() -> bool) -> Self {
+        let begun = Instant::now();
+        let mut watch = Self { hit_rates: Vec::new(), killed: EngineCounts::default() };
+        let mut last = EngineCounts::default();
+        let mut faulted = spec.fault != Some(RunFault::Engines);
+        while !is_over() {
+            thread::sleep(POLL);
+            if !faulted && spec.span / 2 <= begun.elapsed() {
+                faulted = true;
+                watch.kill_engines(site);
+            }
+            if SAMPLE * (watch.hit_rates.len() as u32 + 1) <= begun.elapsed() {
+                let total = watch.total(site);
+                let prompt = total.prompt_tokens - last.prompt_tokens;
+                let cached = total.cached_tokens - last.cached_tokens;
+                watch.hit_rates.push(cached as f64 / prompt.max(1) as f64);
+                last = total;
+            }
+        }
+        watch
+    }
+
+    fn kill_engines(&mut self, site: &mut Site) {
+        for i in 0..KILLED_ENGINES {
+            let counts = site.restart_engine(i, Incarnation::new(2));
+            self.killed = self.killed.plus(&counts);
+        }
+    }
+
+    /// Returns what all engines counted, killed ones included.
+    fn total(&self, site: &Site) -> EngineCounts {
+        let counts = site.engines.iter().map(|node| node.engine.counts());
+        counts.fold(self.killed, |sum, counts| sum.plus(&counts))
+    }
+}
+
+fn load_spread(site: &Site) -> f64 {
+    let requests: Vec<_> = site.engines.iter().map(|node| node.engine.counts().requests).collect();
+    let most = requests.iter().copied().max().unwrap_or(0) as f64;
+    let sum: u64 = requests.iter().sum();
+    most * requests.len() as f64 / sum.max(1) as f64
+}
+
+impl fmt::Display for RunFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Engines => "engines",
+            Self::Shift => "shift",
+        })
+    }
+}
+
+impl FromStr for RunFault {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        match text {
+            "engines" => Ok(Self::Engines),
+            "shift" => Ok(Self::Shift),
+            _ => Err(ParseError::new("fault", text, "engines or shift")),
+        }
+    }
+}
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -7,8 +7,11 @@
 use wire::operator::{ENDPOINTS_PATH, EndpointState, Endpoints};
 
 use crate::{
-    Proxy,
-    fake::{Announced, Announcer, Engine, EngineConfig, Service, ServiceCounts, SharedTally},
+    Fault, Proxy,
+    fake::{
+        Announced, Announcer, Engine, EngineConfig, EngineCounts, Service, ServiceCounts,
+        SharedTally,
+    },
     process::{Daemon, DaemonSpec, Program, wait_until},
 };
 
@@ -193,12 +196,33 @@
         }
     }
 
-    fn start_engine(&self, i: usize, data_centre: &str) -> EngineNode {
-        let id: EndpointId = format!("engine-{}", i + 1).parse().expect("a valid id");
+    /// Kills an engine and starts it again, empty and under a new incarnation.
+    ///
+    /// Streams are cut, and what the old life counted is returned.
+    pub fn restart_engine(&mut self, i: usize, incarnation: Incarnation) -> EngineCounts {
+        let engine = self.new_engine(i);
+        let node = &mut self.engines[i];
+        let counts = node.engine.counts();
+        node.proxy.set(Fault { refuse: true, ..Fault::default() });
+        let proxy = Proxy::start(engine.address(), self.spec.seed.wrapping_add(i as u64) << 32);
+        let id = engine_id(i);
+        let announced = Announced { incarnation, ..announced(id, self.spec.engines[i], &proxy) };
+        let routers = self.daemons.iter().map(|daemon| daemon.spec().listen).collect();
+        let announcer = Announcer::engine(announced, engine.describer(), routers, FLEET_KEY);
+        *node = EngineNode { engine, proxy, announcer };
+        counts
+    }
+
+    fn new_engine(&self, i: usize) -> Engine {
         let weights: WeightsVersion = "v1".parse().expect("a valid id");
-        let mut cfg = EngineConfig::new(id.clone(), self.spec.model.clone(), weights);
+        let mut cfg = EngineConfig::new(engine_id(i), self.spec.model.clone(), weights);
         (self.spec.tune)(&mut cfg);
-        let engine = Engine::start(cfg, self.tally.clone());
+        Engine::start(cfg, self.tally.clone())
+    }
+
+    fn start_engine(&self, i: usize, data_centre: &str) -> EngineNode {
+        let id = engine_id(i);
+        let engine = self.new_engine(i);
         let proxy = Proxy::start(engine.address(), self.spec.seed.wrapping_add(i as u64) << 32);
         let announced = announced(id, data_centre, &proxy);
         let announcer = Announcer::engine(announced, engine.describer(), self.routers(), FLEET_KEY);
@@ -217,6 +241,10 @@
     }
 }
 
+fn engine_id(i: usize) -> EndpointId {
+    format!("engine-{}", i + 1).parse().expect("a valid id")
+}
+
 fn announced(id: EndpointId, data_centre: &str, proxy: &Proxy) -> Announced {
     Announced {
         id,
--- /dev/null
+++ b/crates/bench/src/sites.rs
@@ -0,0 +1,172 @@
+//! The two sites of the measurements: their shape, their traffic and their engines.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use base::ParseError;
+use route::PolicyKind;
+
+use crate::{
+    Fault,
+    fake::EngineConfig,
+    site::{Site, SiteSpec},
+    workload::{Level, Shape},
+};
+
+/// A site to measure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SiteKind {
+    /// Long prompts: house style, school, page.
+    Printers,
+    /// Shorter prompts: archive, well, question.
+    Villagers,
+}
+
+/// Blocks that an engine of a site caches.
+pub const CACHE_BLOCKS: usize = 2_000;
+
+/// Streams that an engine of a site runs at once.
+pub const MAX_RUNNING: usize = 8;
+
+/// Time that an engine of a site takes to prefill a token.
+pub const PREFILL_TOKEN: Duration = Duration::from_micros(125);
+
+/// Time between two tokens of a stream that runs alone.
+pub const DECODE_TOKEN: Duration = Duration::from_millis(40);
+
+/// Time that each other running stream adds to that.
+pub const DECODE_SHARE: Duration = Duration::from_micros(500);
+
+/// Tokens that a completion asks for.
+pub const COMPLETION_TOKENS: std::ops::Range<u64> = 8..25;
+
+/// Engines in each data centre.
+const ENGINES_PER_DATA_CENTRE: usize = 6;
+
+impl SiteKind {
+    /// Every site.
+    pub const ALL: [Self; 2] = [Self::Printers, Self::Villagers];
+
+    /// Returns the site's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Printers => "printers",
+            Self::Villagers => "villagers",
+        }
+    }
+
+    /// Returns the time that a byte takes from one data centre to another.
+    pub fn one_way(self) -> Duration {
+        match self {
+            Self::Printers => Duration::from_micros(5_000),
+            Self::Villagers => Duration::from_micros(3_500),
+        }
+    }
+
+    /// Returns the traffic's shape.
+    pub fn shape(self) -> Shape {
+        let level = |texts, words, skew| Level { texts, words, skew };
+        match self {
+            Self::Printers => Shape {
+                first: 1_600,
+                second: level(5, 960, 2),
+                third: level(16, 640, 3),
+                tokens: COMPLETION_TOKENS,
+            },
+            Self::Villagers => Shape {
+                first: 800,
+                second: level(8, 320, 2),
+                third: level(30, 160, 3),
+                tokens: COMPLETION_TOKENS,
+            },
+        }
+    }
+
+    /// Returns what the site consists of: eight daemons, 18 engines, three service endpoints.
+    pub fn spec(self, seed: u64) -> SiteSpec {
+        let (model, service, organisation) = match self {
+            Self::Printers => ("diary-8b", "orders", "school"),
+            Self::Villagers => ("blessing-8b", "shifts", "family"),
+        };
+        let data_centres = ["a", "b", "c"];
+        let engines = ENGINES_PER_DATA_CENTRE * data_centres.len();
+        let id = |n| format!("{organisation}-{n}").parse().expect("a valid id");
+        SiteSpec {
+            daemons: data_centres.into_iter().cycle().take(8).collect(),
+            voters: 3,
+            engines: data_centres.into_iter().cycle().take(engines).collect(),
+            services: data_centres.to_vec(),
+            model: model.parse().expect("a valid id"),
+            service: service.parse().expect("a valid id"),
+            organisations: (1..=8).map(id).collect(),
+            flags: Vec::new(),
+            tune,
+            seed,
+        }
+    }
+
+    /// Returns the declaration under which the site runs with `policy`.
+    ///
+    /// Prefixes are placed by their first two levels, and the printers weigh warmth against wait
+    /// higher than the well dressers do.
+    pub fn declaration(self, policy: PolicyKind) -> String {
+        let level = self.shape().placement_blocks();
+        let wait = match self {
+            Self::Printers => 0.8,
+            Self::Villagers => 1.0,
+        };
+        format!(
+            "[defaults]\nrouting-policy = \"{policy}\"\nplacement-level = {level}\n\
+             wait-weight = {wait:.1}\n"
+        )
+    }
+
+    /// Returns the completions a second that the engines can carry while prompts are warm.
+    ///
+    /// A completion holds one of [`MAX_RUNNING`] places of an engine while its tokens are decoded;
+    /// what it prefills is not counted, so that the figure is the same for every policy.
+    pub fn capacity(self) -> f64 {
+        let engines = ENGINES_PER_DATA_CENTRE * 3;
+        let mean_tokens = (COMPLETION_TOKENS.start + COMPLETION_TOKENS.end - 1) / 2;
+        let token = DECODE_TOKEN + DECODE_SHARE * (MAX_RUNNING as u32 - 1);
+        let held = token.as_secs_f64() * mean_tokens as f64;
+        (engines * MAX_RUNNING) as f64 / held
+    }
+}
+
+/// Puts the time between data centres on every way from a daemon to an endpoint or a daemon.
+pub fn separate_data_centres(site: &Site, one_way: Duration) {
+    for (daemon, data_centre) in site.daemons.iter().zip(&site.spec.daemons) {
+        let source = daemon.spec().listen.ip();
+        let engines = site.engines.iter().map(|node| &node.proxy).zip(&site.spec.engines);
+        let services = site.services.iter().map(|node| &node.proxy).zip(&site.spec.services);
+        let peers = site.peer_proxies.iter().zip(&site.spec.daemons);
+        for (proxy, other) in engines.chain(services).chain(peers) {
+            if data_centre != other {
+                proxy.set_for(source, Fault::delay(one_way));
+            }
+        }
+    }
+}
+
+fn tune(cfg: &mut EngineConfig) {
+    cfg.cache_blocks = CACHE_BLOCKS;
+    cfg.prefill_token = PREFILL_TOKEN;
+    cfg.decode_token = DECODE_TOKEN;
+    cfg.decode_share = DECODE_SHARE;
+    cfg.max_running = MAX_RUNNING;
+}
+
+impl fmt::Display for SiteKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for SiteKind {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let found = Self::ALL.into_iter().find(|site| site.as_str() == text);
+        found.ok_or_else(|| ParseError::new("site", text, "printers or villagers"))
+    }
+}
