route: count the wait for a full engine's slots; tolerate some late requests

One late request a second took a tenth of the capacity, and a full engine's queue counted 2 ms a request. Change: capacity falls only when over 5 in 100 are late; the score counts the rounds that wait for a full engine's slots; a hot prefix gets homes by what an engine can carry; least-in-flight takes a random one among equals.

--- a/crates/daemon/src/edge/admission.rs
+++ b/crates/daemon/src/edge/admission.rs
@@ -13,6 +13,9 @@
 /// Requests that one engine is first taken to run at once, over all routers.
 const REQUESTS_PER_ENGINE: usize = 16;
 
+/// Part of the first capacity that is always left.
+const LEAST_PARTS: u32 = 4;
+
 /// Time between looks at whether waiting requests can still meet their deadline.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -119,9 +122,10 @@
         }
         let share = (engines * REQUESTS_PER_ENGINE).div_ceil(routers.max(1));
         let first = u32::try_from(share).unwrap_or(u32::MAX);
-        let capacity = Capacity::new(first, CapacitySettings::default());
-        core.capacity = Some(capacity);
-        core.set_capacity(capacity.requests());
+        let min = (first / LEAST_PARTS).max(1);
+        core.capacity =
+            Some(Capacity::new(first, CapacitySettings { min, ..CapacitySettings::default() }));
+        core.set_capacity(first);
     }
 
     /// Learns how long a first token took.
--- a/crates/daemon/src/edge/policies.rs
+++ b/crates/daemon/src/edge/policies.rs
@@ -35,6 +35,9 @@
 /// Part of the estimated rate that one answer makes up.
 const RATE_PARTS: u64 = 16;
 
+/// Part of the estimated time that one request makes up.
+const HOLD_PARTS: u32 = 64;
+
 /// Every policy, with what it remembers from choice to choice.
 #[derive(Default)]
 pub(super) struct Policies {
@@ -42,6 +45,7 @@
     warm_v1: WarmV1,
     warm: Warm,
     prefill_rate: Option<u64>,
+    hold_time: Option<Duration>,
 }
 
 impl Policies {
@@ -86,10 +90,22 @@
         self.prefill_rate = Some((known * (RATE_PARTS - 1) + rate) / RATE_PARTS);
     }
 
+    /// Learns how long an engine took from a request's first token to its last.
+    pub(super) fn learn_hold_time(&mut self, took: Duration) {
+        let known = self.hold_time.unwrap_or(took);
+        self.hold_time = Some((known * (HOLD_PARTS - 1) + took) / HOLD_PARTS);
+    }
+
+    /// Returns how long a request holds an engine's slot, if one has ended.
+    pub(super) fn hold_time(&self) -> Option<Duration> {
+        self.hold_time
+    }
+
     fn warm_settings(&self, preferences: &Preferences) -> WarmSettings {
         let usual = WarmSettings::default();
         WarmSettings {
             prefill_rate: self.prefill_rate.map_or(usual.prefill_rate, TokenRate::new),
+            hold_time: self.hold_time.unwrap_or(usual.hold_time),
             warmth: preferences.warmth,
             wait: preferences.wait,
             ..usual
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -31,6 +31,9 @@
 /// Tokens of prompt in a block.
 const BLOCK_TOKENS: u64 = (BLOCK_BYTES.as_usize() / BYTES_PER_TOKEN) as u64;
 
+/// Part of an engine's requests that one prefix may make up before it gets another home.
+const HOT_SHARE: f64 = 0.4;
+
 /// Chooses endpoints for requests.
 pub(super) struct Router {
     source: IpAddr,
@@ -42,6 +45,8 @@
     engine_outliers: Outliers,
     service_outliers: Outliers,
     routers: usize,
+    /// Most requests that an engine ran while others waited.
+    slots: u32,
     rng: Pcg64Mcg,
 }
 
@@ -108,6 +113,7 @@
             engine_outliers: Outliers::new(OutlierSettings::default()),
             service_outliers: Outliers::new(OutlierSettings::default()),
             routers: 1,
+            slots: 0,
             rng,
         }
     }
@@ -133,6 +139,7 @@
         for endpoint in old.keys() {
             self.leave(endpoint);
         }
+        self.size_homes();
     }
 
     /// Decides anew which endpoints get no new work.
@@ -255,7 +262,9 @@
         if let Some(slot) = chosen.in_flight.target().slot() {
             self.warmth.answered(now, slot, &chosen.chain, chosen.believed, cached_blocks);
         }
-        if let (true, Some(took)) = (chosen.was_idle, chosen.begun.get()) {
+        let Some(took) = chosen.begun.get() else { return };
+        self.policies.learn_hold_time(now.saturating_since(chosen.sent + took));
+        if chosen.was_idle {
             let computed = chosen.prompt_tokens.as_u64().saturating_sub(cached.as_u64());
             self.policies.learn_prefill_rate(computed, took);
         }
@@ -329,6 +338,16 @@
         Target::new(self.source, known, slot)
     }
 
+    /// Gives a prefix so many homes that it takes a part of what each can carry.
+    fn size_homes(&mut self) {
+        self.slots = self.targets.values().map(|target| target.slots()).max().unwrap_or(0);
+        let Some(hold_time) = self.policies.hold_time() else { return };
+        if self.slots != 0 && !hold_time.is_zero() {
+            let rate = f64::from(self.slots) / hold_time.as_secs_f64();
+            self.warmth.set_rate_per_home(rate * HOT_SHARE);
+        }
+    }
+
     fn leave(&mut self, endpoint: &EndpointId) {
         self.engine_outliers.leave(endpoint);
         self.service_outliers.leave(endpoint);
@@ -357,6 +376,7 @@
             reported_requests: load.running.saturating_add(load.waiting),
             reported_prefill_tokens: load.prefill_tokens,
             report_age,
+            slots: if target.slots() == 0 { self.slots } else { target.slots() },
             round_trip: self.round_trips.to(&target.data_centre()),
         }
     }
--- a/crates/daemon/src/edge/targets.rs
+++ b/crates/daemon/src/edge/targets.rs
@@ -18,6 +18,8 @@
     written: Cell<MonotonicTime>,
     slot: Option<Slot>,
     drained: Cell<bool>,
+    /// Most requests that it ran while others waited.
+    slots: Cell<u32>,
     in_flight: Cell<u32>,
     prefill_tokens: Cell<u64>,
     pool: Pool,
@@ -39,6 +41,7 @@
             written: Cell::new(known.written),
             slot,
             drained: Cell::new(false),
+            slots: Cell::new(slots_of(&known.announcement)),
             in_flight: Cell::new(0),
             prefill_tokens: Cell::new(0),
             pool,
@@ -79,6 +82,11 @@
         (load, now.saturating_since(self.written.get()))
     }
 
+    /// Returns how many requests it runs at once, 0 while it never let one wait.
+    pub(super) fn slots(&self) -> u32 {
+        self.slots.get()
+    }
+
     /// Returns whether operators want it to get no new work.
     pub(super) fn is_drained(&self) -> bool {
         self.drained.get()
@@ -97,6 +105,7 @@
         if same {
             known.clone_from(announcement);
             self.written.set(newer.written);
+            self.slots.set(self.slots.get().max(slots_of(&newer.announcement)));
         }
         same
     }
@@ -109,6 +118,14 @@
     }
 }
 
+/// Returns how many requests an endpoint runs while others wait, 0 if none waits.
+fn slots_of(announcement: &Announcement) -> u32 {
+    match &announcement.kind {
+        EndpointKind::Engine(engine) if engine.load.waiting != 0 => engine.load.running,
+        EndpointKind::Engine(_) | EndpointKind::Service(_) => 0,
+    }
+}
+
 impl InFlight {
     /// Counts a request with so many tokens to prefill.
     pub(super) fn begin(target: &Rc<Target>, prefill_tokens: TokenCount) -> Self {
--- a/crates/daemon/src/edge/warmth.rs
+++ b/crates/daemon/src/edge/warmth.rs
@@ -39,6 +39,11 @@
         self.routers = routers.max(1) as f64;
     }
 
+    /// Sets how many requests a second for one prefix a home takes.
+    pub(super) fn set_rate_per_home(&mut self, rate: f64) {
+        self.replication.rate_per_home = rate;
+    }
+
     /// Binds an engine's life to a slot; a new life is believed to hold nothing.
     pub(super) fn bind(&mut self, endpoint: &EndpointId, life: Incarnation) -> Option<Slot> {
         self.index.bind(endpoint, life)
--- a/crates/route/src/baseline.rs
+++ b/crates/route/src/baseline.rs
@@ -1,4 +1,4 @@
-use rand::Rng;
+use rand::{Rng, RngExt as _};
 
 use crate::{Candidate, Policy, Request};
 
@@ -21,7 +21,8 @@
     }
 }
 
-/// Takes the candidate to which this router has the fewest requests under way.
+/// Takes the candidate to which this router has the fewest requests under way, and a random one
+/// among equals.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeastInFlight;
 
@@ -30,9 +31,11 @@
         &mut self,
         _req: &Request,
         candidates: &[Candidate],
-        _rng: &mut R,
+        rng: &mut R,
     ) -> Option<usize> {
-        (0..candidates.len()).min_by_key(|&i| candidates[i].in_flight)
+        let fewest = candidates.iter().map(|candidate| candidate.in_flight).min()?;
+        let equals = || (0..candidates.len()).filter(|&i| candidates[i].in_flight == fewest);
+        equals().nth(rng.random_range(0..equals().count()))
     }
 }
 
--- a/crates/route/src/capacity.rs
+++ b/crates/route/src/capacity.rs
@@ -2,8 +2,10 @@
 
 use base::MonotonicTime;
 
+use crate::window::Window;
+
 /// Bounds of a [`Capacity`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct CapacitySettings {
     /// Fewest requests under way at once.
     pub min: u32,
@@ -11,7 +13,9 @@
     pub max: u32,
     /// Time to first token that the service is to keep.
     pub target: Duration,
-    /// Shortest time between two reductions.
+    /// Share of the requests that may miss the target.
+    pub tolerated: f64,
+    /// Shortest time between two reductions, and the time over which requests count.
     pub pause: Duration,
 }
 
@@ -21,6 +25,7 @@
             min: 4,
             max: 4_096,
             target: Duration::from_millis(790),
+            tolerated: 0.05,
             pause: Duration::from_secs(1),
         }
     }
@@ -28,13 +33,17 @@
 
 /// Estimates how many requests can be under way while the time to first token stays within its
 /// target: additive increase, multiplicative decrease.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Capacity {
     settings: CapacitySettings,
     estimate: f64,
+    outcomes: Window,
     reduced: Option<MonotonicTime>,
 }
 
+/// Fewest requests that can lead to a reduction.
+const MIN_OUTCOMES: u32 = 10;
+
 /// Factor of a reduction.
 const REDUCTION: f64 = 0.9;
 
@@ -42,15 +51,18 @@
     /// Starts with `first` requests.
     pub fn new(first: u32, settings: CapacitySettings) -> Self {
         let estimate = f64::from(first.min(settings.max).max(settings.min));
-        Self { settings, estimate, reduced: None }
+        Self { settings, estimate, outcomes: Window::new(settings.pause), reduced: None }
     }
 
     /// Counts the time to first token of a request while `running` requests were under way, and
     /// returns the new estimate.
     pub fn record(&mut self, now: MonotonicTime, took: Duration, running: u32) -> u32 {
-        if self.settings.target < took {
+        let is_late = self.settings.target < took;
+        let outcomes = self.outcomes.record(now, is_late);
+        let tolerated = self.settings.tolerated * f64::from(outcomes.total);
+        if is_late && MIN_OUTCOMES <= outcomes.total && tolerated < f64::from(outcomes.bad) {
             self.reduce(now);
-        } else if self.estimate <= f64::from(running) * 2.0 {
+        } else if !is_late && self.estimate <= f64::from(running) * 2.0 {
             self.estimate += 1.0 / self.estimate.max(1.0);
         }
         let CapacitySettings { min, max, .. } = self.settings;
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -29,6 +29,8 @@
     pub reported_prefill_tokens: TokenCount,
     /// Age of the report.
     pub report_age: Duration,
+    /// Requests that the endpoint runs at once; more of them wait. 0 if unknown.
+    pub slots: u32,
     /// Time for a message to the endpoint's data centre and back.
     pub round_trip: Duration,
 }
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -12,6 +12,8 @@
     pub prefill_rate: TokenRate,
     /// What a request under way adds to the time to first token of the next.
     pub request_time: Duration,
+    /// How long a request holds one of an endpoint's slots.
+    pub hold_time: Duration,
     /// Weight of the time to compute the tokens that are not warm.
     pub warmth: f64,
     /// Weight of the time that the request waits behind others.
@@ -34,6 +36,7 @@
         Self {
             prefill_rate: TokenRate::new(20_000),
             request_time: Duration::from_millis(2),
+            hold_time: Duration::from_millis(500),
             warmth: 1.0,
             wait: 0.8,
             away: 2.0,
@@ -150,11 +153,14 @@
         let homes = self.find_homes(req, candidates);
         let token_time = 1.0 / (settings.prefill_rate.as_u64() as f64).max(1.0);
         let request_time = settings.request_time.as_secs_f64();
+        let hold_time = settings.hold_time.as_secs_f64();
         let prompt = req.prompt_tokens.as_u64();
         candidates.iter().zip(&self.loads).map(move |(candidate, load)| {
             let cold = prompt.saturating_sub(candidate.warm_tokens.as_u64()) as f64;
             let compute = cold * token_time;
-            let wait = load.prefill_tokens * token_time + load.requests * request_time;
+            let wait = load.prefill_tokens * token_time
+                + load.requests * request_time
+                + load.beyond(candidate.slots) * hold_time;
             Estimate {
                 compute: compute * settings.warmth,
                 away: compute * settings.away * homes.distance(candidate.rank),
@@ -200,6 +206,15 @@
         Self { requests: f64::from(requests), prefill_tokens: tokens as f64 }
     }
 
+    /// Returns how many rounds of `slots` requests go before a new one.
+    fn beyond(self, slots: u32) -> f64 {
+        if slots == 0 {
+            return 0.0;
+        }
+        let slots = f64::from(slots);
+        (self.requests + 1.0 - slots).max(0.0) / slots
+    }
+
     /// Moves from `mean` towards `self` by `share`.
     fn blend(self, mean: Self, share: f64) -> Self {
         let between = |from: f64, to: f64| from + (to - from) * share;
--- a/crates/route/tests/policies.rs
+++ b/crates/route/tests/policies.rs
@@ -80,6 +80,16 @@
         c[0].warm_tokens = tokens(2_000);
         c[0].round_trip = ms(10);
     }) => 0,
+    full_warm_spills_to_the_home: Warm, with(|c| {
+        c[0].warm_tokens = tokens(2_000);
+        c[0].in_flight = 12;
+        c[0].slots = 8;
+    }) => 2,
+    nearly_full_warm_wins_over_home: Warm, with(|c| {
+        c[0].warm_tokens = tokens(2_000);
+        c[0].in_flight = 7;
+        c[0].slots = 8;
+    }) => 0,
     own_load_is_not_counted_twice: Warm, with(|c| {
         c[2].in_flight = 2;
         c[2].reported_requests = 2;
@@ -183,6 +193,7 @@
                 reported_requests: reported as u32,
                 reported_prefill_tokens: tokens(reported),
                 report_age: ms(millis),
+                slots: busy as u32,
                 round_trip: ms(millis),
             }
         }).collect();
--- a/crates/route/tests/trace.rs
+++ b/crates/route/tests/trace.rs
@@ -144,6 +144,7 @@
                     reported_requests: requests,
                     reported_prefill_tokens: TokenCount::new(prefill),
                     report_age: Duration::from_secs_f64(now - at),
+                    slots: 0,
                     round_trip: Duration::from_millis(if e % 3 == 0 { 0 } else { 10 }),
                 }
             })
