--- a/crates/bench/src/stream.rs
+++ b/crates/bench/src/stream.rs
@@ -149,7 +149,7 @@
     /// Returns an error that shows the problem if there is none.
     pub fn stream(self) -> eyre::Result<AnswerStream> {
         match self {
-            Self::Stream(stream) => Ok(stream),
+            Self::Stream(stream) => Ok(*stream),
             Self::Failed(problem) => Err(eyre!("no stream: {problem:?}")),
         }
     }
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 
-use base::{ParseError, RequestId};
+use base::{ParseError, RequestId, TokenCount};
 use bytes::Bytes;
 use fleet::Scope;
 use hyper::{
@@ -16,11 +16,14 @@
     sse::Event,
 };
 
+use telemetry::Hop;
+
 use super::{
     ActiveRequest, Edge,
     body::{self, AbortOnDrop, Body},
     failure::Failure,
     relay::{self, Job, Piece},
+    router,
     whole_answer::WholeAnswer,
 };
 
@@ -45,26 +48,35 @@
     if resume.is_some() && !stream {
         return Err(Failure::bad_request("\"Last-Event-ID\" resumes streams only"));
     }
-    let request = edge.new_request_id();
-    active.name(request.as_str());
     let scope = Scope {
         organisation: Some(organisation.clone()),
         model: Some(completion.model().clone()),
         ..Scope::default()
     };
+    let settings = edge.settings(&scope);
+    let prompt_bytes = check_prompt(&completion, &settings)?;
+    let request = edge.new_request_id();
+    active.name(request.as_str());
     let recorder = edge.metrics.recorder(&organisation);
     let caller = text_header(&parts.headers, "traceparent").and_then(|text| text.parse().ok());
     let mut span = edge.tracer.accept(caller);
     span.set("request", request.to_string());
+    let queued = span.child(Hop::Queue);
+    let cost = admission_cost(prompt_bytes, completion.max_tokens());
+    let place = edge.gate.admit(&organisation, &settings, cost).await?;
+    drop(queued);
+    recorder.queue_wait(edge.clock.now().saturating_since(arrived));
+    edge.retries.earn(&settings);
     let job = Job {
         request: request.clone(),
         organisation,
-        settings: edge.settings(&scope),
+        settings,
         completion,
         arrived,
         resume,
         recorder,
         span,
+        _place: place,
     };
 
     let (tx, rx) = flume::bounded(RING_PIECES);
@@ -104,6 +116,22 @@
     Ok(json_response(&json!({"object": "list", "data": list})))
 }
 
+/// Returns the prompt's length in bytes, unless it is longer than the settings allow.
+fn check_prompt(completion: &Completion, settings: &fleet::Settings) -> Result<usize, Failure> {
+    let max_bytes = settings.max_prompt_bytes.as_u32() as usize;
+    let bytes = completion.prompt_parts().iter().map(|part| part.len()).sum();
+    if max_bytes < bytes {
+        return Err(Failure::prompt_too_large(max_bytes));
+    }
+    Ok(bytes)
+}
+
+/// Returns what a completion is charged with: tokens to prefill and to generate.
+fn admission_cost(prompt_bytes: usize, max_tokens: Option<u64>) -> TokenCount {
+    let prompt = prompt_bytes.div_ceil(router::BYTES_PER_TOKEN) as u64;
+    TokenCount::new(prompt.saturating_add(max_tokens.unwrap_or(0)))
+}
+
 fn check_path(path: &str, kind: CompletionKind) -> Result<(), Failure> {
     match (path, kind) {
         ("/v1/completions", CompletionKind::Chat) => {
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -1,17 +1,24 @@
 mod active;
+mod admission;
 mod announce;
 mod auth;
 mod body;
 mod claims;
 mod completions;
+mod drains;
 mod failure;
+mod idempotent;
 mod inquiry;
 mod listen;
+mod policies;
 mod relay;
+mod retries;
+mod round_trips;
 mod router;
 mod services;
 mod targets;
 mod upstream;
+mod warmth;
 mod whole_answer;
 
 use std::{
@@ -23,11 +30,12 @@
     time::Duration,
 };
 
-use base::Incarnation;
+use base::{EndpointId, Incarnation};
 use fleet::{Owner, Scope};
 use member::Roster;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use route::Outcome;
 use telemetry::{Metrics, Tracer};
 
 use crate::{
@@ -39,8 +47,11 @@
 };
 
 use active::{ActiveRequest, ActiveRequests};
+use admission::Gate;
 use auth::Keys;
-use router::Router;
+use retries::Retries;
+use router::{NoEndpoint, Router};
+use targets::InFlight;
 
 pub(crate) use inquiry::{Inquiry, Load};
 
@@ -95,6 +106,8 @@
     cfg: Arc<Settings>,
     keys: Keys,
     router: RefCell<Router>,
+    gate: Gate,
+    retries: Retries,
     active: RefCell<ActiveRequests>,
     /// Open connections from callers.
     connections: Cell<u64>,
@@ -115,9 +128,13 @@
     fn new(cfg: Arc<Settings>, clock: Clock, rings: &Rings) -> Self {
         let seed = rand::random();
         let owner = Owner { host: cfg.host.clone(), incarnation: rings.incarnation };
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        let router = Router::new(cfg.listen.ip(), cfg.data_centre.clone(), rng);
         Self {
             keys: Keys::new(&cfg, rings.configurations.clone()),
-            router: RefCell::new(Router::new(cfg.listen.ip(), Pcg64Mcg::seed_from_u64(seed))),
+            router: RefCell::new(router),
+            gate: Gate::new(clock),
+            retries: Retries::new(clock, seed),
             cfg,
             active: RefCell::default(),
             connections: Cell::new(0),
@@ -139,6 +156,20 @@
         self.in_force.borrow().declaration.effective(scope, self.clock.wall())
     }
 
+    /// Chooses an endpoint for a call to a plain service that isn't among `tried`.
+    fn choose_service(
+        &self,
+        call: &services::Call,
+        tried: &[EndpointId],
+    ) -> Result<(EndpointId, InFlight), NoEndpoint> {
+        self.router.borrow_mut().choose_service(self.clock.now(), &call.service, tried)
+    }
+
+    /// Learns how a call at an endpoint of a plain service went.
+    fn service_ended(&self, endpoint: &EndpointId, outcome: Outcome) {
+        self.router.borrow_mut().service_ended(self.clock.now(), endpoint, outcome);
+    }
+
     /// Waits a moment until some endpoint is known, so that a restarted router serves at once.
     async fn wait_for_endpoints(&self) {
         let until = self.clock.now() + ROSTER_WAIT;
@@ -160,7 +191,7 @@
     }
 }
 
-/// Starts the edge thread on a listener that is already bound.
+/// Starts the edge thread on a listener that is already bound, and waits until it serves.
 ///
 /// # Errors
 ///
@@ -173,22 +204,31 @@
 ) -> io::Result<JoinHandle<EdgeEnd>> {
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    std::thread::Builder::new().name("edge".into()).spawn(move || {
+    let (started_tx, started_rx) = flume::bounded(1);
+    let thread = std::thread::Builder::new().name("edge".into()).spawn(move || {
         let tasks = tokio::task::LocalSet::new();
         tasks.block_on(&runtime, async move {
             let edge = Rc::new(Edge::new(cfg, clock, &rings));
+            let _ = started_tx.send(());
             tokio::task::spawn_local(follow_rosters(Rc::clone(&edge), rings.rosters));
             tokio::task::spawn_local(follow_configurations(Rc::clone(&edge)));
+            tokio::task::spawn_local(edge.gate.clone().watch_deadlines());
             tokio::task::spawn_local(inquiry::answer_all(Rc::clone(&edge), rings.inquiries));
             tokio::task::spawn_local(claims::end_earlier_lives(Rc::clone(&edge)));
             listen::run(edge, listener, rings.control).await
         })
-    })
+    })?;
+    let _ = started_rx.recv();
+    Ok(thread)
 }
 
 async fn follow_rosters(edge: Rc<Edge>, rosters: flume::Receiver<Arc<Roster>>) {
     while let Ok(roster) = rosters.recv_async().await {
-        edge.router.borrow_mut().update(&roster);
+        let in_force = Arc::clone(&edge.in_force.borrow());
+        let is_drained = drains::is_drained(&in_force.declaration, edge.clock.wall());
+        let mut router = edge.router.borrow_mut();
+        router.update(edge.clock.now(), &roster, is_drained);
+        edge.gate.size(router.engines(), router.routers());
     }
 }
 
@@ -197,8 +237,10 @@
     let configured = edge.cfg.organisation_keys.iter().map(|key| &key.organisation);
     edge.metrics.label_organisations(configured);
     while let Ok(in_force) = configurations.recv_async().await {
+        let is_drained = drains::is_drained(&in_force.declaration, edge.clock.wall());
+        edge.router.borrow().drain(is_drained);
+        edge.in_force.replace(Arc::clone(&in_force));
         let declared = in_force.declaration.contents().organisations.iter();
         edge.metrics.label_organisations(declared.map(|organisation| &organisation.id));
-        edge.in_force.replace(in_force);
     }
 }
--- a/crates/daemon/src/edge/relay/attempt.rs
+++ b/crates/daemon/src/edge/relay/attempt.rs
@@ -90,6 +90,7 @@
         if status != StatusCode::OK {
             return End::Broken(self.refusal(status, response.into_body(), resumes).await);
         }
+        self.edge.router.borrow_mut().head_arrived(self.edge.clock.now(), chosen);
         if self.progress.weights.is_none() {
             self.progress.weights = Some(chosen.weights.clone());
         }
--- a/crates/daemon/src/edge/relay/mod.rs
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -18,12 +18,14 @@
 
 use super::{
     Edge, ROSTER_POLL, ROSTER_WAIT,
+    admission::Place,
     failure::Failure,
+    policies::Preferences,
     router::{Chosen, NoEndpoint, Wanted},
 };
 
 /// Most attempts in a row that deliver nothing.
-const MAX_FRUITLESS: usize = 4;
+const MAX_FRUITLESS: u32 = 4;
 
 /// Most attempts for one request.
 const MAX_ATTEMPTS: usize = 64;
@@ -44,6 +46,8 @@
     pub resume: Option<EventId>,
     pub recorder: Recorder,
     pub span: Span,
+    /// Its place among the organisations' requests.
+    pub _place: Place,
 }
 
 /// A piece of the answer, on its way to the caller.
@@ -118,6 +122,10 @@
         let mut fruitless = 0;
         let mut last = None;
         for _ in 0..MAX_ATTEMPTS {
+            // An attempt that delivered something made way for the next one; others multiply load.
+            if 0 < fruitless && !self.edge.retries.wait(fruitless - 1).await {
+                break;
+            }
             let resumes = held.is_some();
             let chosen = match held.take().map_or_else(|| self.choose(), Ok) {
                 Ok(chosen) => chosen,
@@ -129,6 +137,9 @@
             let end = self.attempt(&chosen, resumes).await;
             let End::Broken(broken) = end else { return end };
             self.may_have_run |= broken.failure.verdict != Verdict::NotRun;
+            if !broken.final_answer {
+                self.edge.router.borrow_mut().failed(self.edge.clock.now(), &chosen);
+            }
             let delivered = self.progress.tokens();
             fruitless = if delivered == before { fruitless + 1 } else { 0 };
             let request = &self.job.request;
@@ -163,7 +174,8 @@
         let _span = self.job.span.child(Hop::Route);
         let prompt = self.job.completion.prompt_parts();
         let wanted = self.wanted(&prompt);
-        let chosen = self.edge.router.borrow_mut().choose_engine(&wanted, &self.tried)?;
+        let now = self.edge.clock.now();
+        let chosen = self.edge.router.borrow_mut().choose_engine(now, &wanted, &self.tried)?;
         self.tried.push(chosen.endpoint.clone());
         self.progress.go_on_elsewhere();
         Ok(chosen)
@@ -185,7 +197,8 @@
     fn find_held(&self, id: &EventId) -> Option<Chosen> {
         let prompt = self.job.completion.prompt_parts();
         let wanted = Wanted { weights: Some(&id.weights), ..self.wanted(&prompt) };
-        self.edge.router.borrow().engine_of(&id.endpoint, id.incarnation, &wanted)
+        let now = self.edge.clock.now();
+        self.edge.router.borrow_mut().engine_of(now, &id.endpoint, id.incarnation, &wanted)
     }
 
     fn wanted<'b>(&'b self, prompt: &'b [Cow<'b, [u8]>]) -> Wanted<'b> {
@@ -195,6 +208,7 @@
             adapter: self.job.completion.adapter(),
             weights: self.progress.weights.as_ref(),
             prompt,
+            preferences: Preferences::from(&self.job.settings),
         }
     }
 
@@ -219,7 +233,7 @@
     match why {
         NoEndpoint::Unknown => Failure::not_found(format!("no endpoint serves model {model}")),
         NoEndpoint::AllTried => {
-            Failure::unavailable(format!("every endpoint of model {model} failed"), RETRY_AFTER)
+            Failure::unavailable(format!("no endpoint of model {model} is available"), RETRY_AFTER)
         }
     }
 }
--- a/crates/daemon/src/edge/relay/pump.rs
+++ b/crates/daemon/src/edge/relay/pump.rs
@@ -43,6 +43,7 @@
                 Err(broken) => return End::Broken(self.unless_unnumbered(broken)),
             };
             let Ok(data) = frame.into_data() else { continue };
+            self.note_first_token(chosen);
             if let Err(e) = parser.push(&data, &mut events) {
                 return End::Broken(Broken::cut(e.to_string()));
             }
@@ -91,7 +92,7 @@
         }
         let usage = chunk.usage.map(|usage| usage.after(self.progress.offset));
         if let Some(usage) = usage {
-            self.record_prompt(usage);
+            self.record_prompt(chosen, usage);
         }
         let data = match usage {
             Some(_) if self.progress.offset != 0 => {
@@ -120,9 +121,19 @@
         now
     }
 
-    fn record_prompt(&self, usage: Usage) {
-        let cached = usage.prompt_tokens_details.cached_tokens;
-        self.job.recorder.prompt(TokenCount::new(usage.prompt_tokens), TokenCount::new(cached));
+    /// Tells the router and the gate how long an attempt's first token took.
+    fn note_first_token(&self, chosen: &Chosen) {
+        let now = self.edge.clock.now();
+        let took = self.edge.router.borrow_mut().first_token(now, chosen);
+        if let Some(took) = took {
+            self.edge.gate.first_token(took);
+        }
+    }
+
+    fn record_prompt(&self, chosen: &Chosen, usage: Usage) {
+        let cached = TokenCount::new(usage.prompt_tokens_details.cached_tokens);
+        self.job.recorder.prompt(TokenCount::new(usage.prompt_tokens), cached);
+        self.edge.router.borrow_mut().answered(self.edge.clock.now(), chosen, cached);
     }
 
     /// Keeps a stream without numbers from being resumed at its engine.
--- a/crates/daemon/src/edge/router/explain.rs
+++ b/crates/daemon/src/edge/router/explain.rs
@@ -1,29 +1,38 @@
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, rc::Rc};
 
-use base::EndpointId;
-use route::{Candidate, Estimate, Request};
+use base::{EndpointId, MonotonicTime};
+use route::{Estimate, Request};
 use wire::operator::{ExplainedCandidate, Explanation, ScorePart};
 
-use super::{HOME_BLOCKS, Router, Wanted};
+use super::{Router, Target, Wanted};
 
 impl Router {
     /// Returns how a choice among all engines would come out; none if none serves `wanted`.
-    pub(in crate::edge) fn explain(&mut self, wanted: &Wanted<'_>) -> Option<Explanation> {
-        let mut able = Vec::new();
+    pub(in crate::edge) fn explain(
+        &mut self,
+        now: MonotonicTime,
+        wanted: &Wanted<'_>,
+    ) -> Option<Explanation> {
+        let mut able: Vec<(&EndpointId, &Rc<Target>)> = Vec::new();
         let mut candidates = Vec::new();
+        let mut homes = 1;
         for (id, target) in &self.targets {
-            let Some(served) = target.serves(|m| wanted.fits(m)) else { continue };
-            let (_, chain) = wanted.chain(&served.weights);
+            let Some(weights) = target.serves(|m| wanted.fits(m)) else { continue };
+            if target.is_drained() {
+                continue;
+            }
+            let identity = wanted.identity(&weights);
+            self.warmth.measure(now, &identity.chain);
+            if let Some(home) = identity.chain.at_level(wanted.preferences.level) {
+                homes = self.warmth.homes(now, home).max(homes);
+            }
+            let warm = target.slot().map_or(0, |slot| self.warmth.blocks(slot));
             able.push((id, target));
-            candidates.push(Candidate {
-                rank: chain.at_level(HOME_BLOCKS).map_or(0, |home| prefix::rank(home, id)),
-                in_flight: target.in_flight(),
-                ..Candidate::default()
-            });
+            candidates.push(self.candidate(now, wanted, (id, target), &identity, warm));
         }
         let home = candidates.iter().map(|candidate| candidate.rank).max()?;
-        let req = Request { prompt_tokens: wanted.prompt_tokens(), homes: 1 };
-        let estimates = self.policy.explain(&req, &candidates);
+        let req = Request { prompt_tokens: wanted.prompt_tokens(), homes };
+        let estimates = self.policies.explain(&wanted.preferences, &req, &candidates);
         let explained = able.into_iter().zip(&candidates).zip(estimates);
         let mut candidates: Vec<_> = explained
             .map(|(((id, target), candidate), estimate)| ExplainedCandidate {
