daemon: size admission by the slots that engines show

Cause: eight routers split the capacity of 144 slots into 18 each, so chance alone filled a router's part; one stale report counted half after 200 ms, so a lasting imbalance (load spread 3.5) was taken for noise. Change: each router lets 1.5 times its part of the engines' slots through, once engines show how many they have; a report counts half after 1 s.

--- a/crates/daemon/src/edge/admission.rs
+++ b/crates/daemon/src/edge/admission.rs
@@ -11,10 +11,11 @@
 use super::failure::Failure;
 
 /// Requests that one engine is first taken to run at once, over all routers.
-const REQUESTS_PER_ENGINE: usize = 16;
+const REQUESTS_PER_ENGINE: f64 = 16.0;
 
-/// Part of the first capacity that is always left.
-const LEAST_PARTS: u32 = 4;
+/// Requests let through for each that the engines run at once: the rest wait there, so that no slot
+/// lies idle while requests are on their way, and none waits long.
+const HEADROOM: f64 = 1.5;
 
 /// Time between looks at whether waiting requests can still meet their deadline.
 const TICK: Duration = Duration::from_millis(10);
@@ -114,18 +115,22 @@
         }
     }
 
-    /// Sets the capacity from the number of engines and routers, if it isn't estimated yet.
-    pub(super) fn size(&self, engines: usize, routers: usize) {
-        let mut core = self.0.borrow_mut();
-        if engines == 0 || core.capacity.is_some() {
+    /// Sizes the capacity by this router's part of the engines, each of which runs `slots` requests
+    /// at once, 0 if that is unknown.
+    pub(super) fn size(&self, engines: usize, slots: u32, routers: usize) {
+        if engines == 0 {
             return;
         }
-        let share = (engines * REQUESTS_PER_ENGINE).div_ceil(routers.max(1));
-        let first = u32::try_from(share).unwrap_or(u32::MAX);
-        let min = (first / LEAST_PARTS).max(1);
-        core.capacity =
-            Some(Capacity::new(first, CapacitySettings { min, ..CapacitySettings::default() }));
-        core.set_capacity(first);
+        let part = engines as f64 / routers.max(1) as f64;
+        let least =
+            if slots == 0 { REQUESTS_PER_ENGINE / 2.0 } else { f64::from(slots) * HEADROOM };
+        let min = (part * least).ceil() as u32;
+        let mut core = self.0.borrow_mut();
+        let first = (part * REQUESTS_PER_ENGINE).ceil() as u32;
+        let capacity =
+            core.capacity.get_or_insert_with(|| Capacity::new(first, CapacitySettings::default()));
+        let requests = capacity.set_min(min);
+        core.set_capacity(requests);
     }
 
     /// Learns how long a first token took.
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -214,7 +214,7 @@
         let is_drained = drains::is_drained(&in_force.declaration, edge.clock.wall());
         let mut router = edge.router.borrow_mut();
         router.update(edge.clock.now(), &roster, is_drained);
-        edge.gate.size(router.engines(), router.routers());
+        edge.gate.size(router.engines(), router.slots(), router.routers());
     }
 }
 
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -158,6 +158,11 @@
         self.targets.values().filter(is_engine).count()
     }
 
+    /// Returns the most requests that an engine ran while others waited, 0 if none ever waited.
+    pub(super) fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Returns the number of routers that share the requests.
     pub(super) fn routers(&self) -> usize {
         self.routers
--- a/crates/route/src/capacity.rs
+++ b/crates/route/src/capacity.rs
@@ -70,6 +70,14 @@
         self.requests()
     }
 
+    /// Sets the fewest requests under way at once, as what endpoints can carry becomes known, and
+    /// returns the new estimate.
+    pub fn set_min(&mut self, min: u32) -> u32 {
+        self.settings.min = min.min(self.settings.max);
+        self.estimate = self.estimate.max(self.settings.min.into());
+        self.requests()
+    }
+
     /// Returns the estimate.
     pub fn requests(&self) -> u32 {
         self.estimate as u32
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -40,7 +40,7 @@
             warmth: 1.0,
             wait: 0.8,
             away: 2.0,
-            report_half_life: Duration::from_millis(200),
+            report_half_life: Duration::from_millis(1_000),
             load_slack: 0.25,
             free_requests: 4,
             margin: Duration::from_millis(1),
