--- a/crates/bench/src/fake/counts.rs
+++ b/crates/bench/src/fake/counts.rs
@@ -12,4 +12,16 @@
             wasted_tokens: self.wasted_tokens + other.wasted_tokens,
         }
     }
+
+    /// Returns what was counted since an earlier reading.
+    #[must_use]
+    pub fn minus(&self, earlier: &Self) -> Self {
+        Self {
+            requests: self.requests - earlier.requests,
+            cancelled: self.cancelled - earlier.cancelled,
+            prompt_tokens: self.prompt_tokens - earlier.prompt_tokens,
+            cached_tokens: self.cached_tokens - earlier.cached_tokens,
+            wasted_tokens: self.wasted_tokens - earlier.wasted_tokens,
+        }
+    }
 }
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -87,6 +87,8 @@
     pub organisation: OrganisationId,
     /// What is asked for.
     pub kind: Kind,
+    /// Whether its times count, as those of a warm-up don't.
+    pub measured: bool,
 }
 
 /// Sends the load and returns what was counted; `progress` is told of each answer.
@@ -160,7 +162,7 @@
     } else {
         Kind::Ask(plan_ask(load, &organisation, number, rng))
     };
-    Planned { due, router, organisation, kind }
+    Planned { due, router, organisation, kind, measured: true }
 }
 
 /// Picks an organisation; each is picked half as often as the one before, down to a floor.
@@ -210,7 +212,7 @@
             let of_organisation = counts.organisations.entry(planned.organisation).or_default();
             of_organisation.asked += 1;
             of_organisation.answered += u64::from(matches!(outcome, Outcome::Answered(_)));
-            count_ask(outcome, observed, &mut counts);
+            count_ask(outcome, planned.measured, observed, &mut counts);
         }
         Kind::Lookup { path } => {
             let outcome = caller::call(planned.router, Method::GET, &path, &key, None, "").await;
@@ -226,10 +228,13 @@
     }
 }
 
-fn count_ask(outcome: Outcome, observed: &Observed, counts: &mut Counts) {
+fn count_ask(outcome: Outcome, measured: bool, observed: &Observed, counts: &mut Counts) {
     match outcome {
         Outcome::Answered(timing) => {
             counts.answered += 1;
+            if !measured {
+                return;
+            }
             record(&mut counts.first_token, timing.first_token);
             for gap in timing.gaps {
                 record(&mut counts.gap, gap);
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -40,7 +40,7 @@
         /// Completions a second, as a share of what the engines can carry
         #[bpaf(fallback(0.7))]
         load: f64,
-        /// How long to send, in seconds
+        /// How long to measure after the warm-up, in seconds
         #[bpaf(fallback(20))]
         seconds: u64,
         /// What goes wrong at half time: engines or shift
@@ -61,7 +61,7 @@
         /// Completions a second, as a share of what the engines can carry
         #[bpaf(fallback(0.7))]
         load: f64,
-        /// How long to send, in seconds
+        /// How long to measure after the warm-up, in seconds
         #[bpaf(fallback(12))]
         seconds: u64,
         /// Draw the figures into this SVG file
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -23,6 +23,9 @@
     workload::{self, Workload},
 };
 
+/// Time before the measurement begins, in which the caches fill.
+const WARM_UP: Duration = Duration::from_secs(6);
+
 /// Time between two looks at what the engines counted.
 const SAMPLE: Duration = Duration::from_secs(1);
 
@@ -52,9 +55,9 @@
     pub seed: u64,
     /// Completions a second as a share of the site's capacity.
     pub load: f64,
-    /// How long to send.
+    /// How long to measure, after the warm-up.
     pub span: Duration,
-    /// What goes wrong at half time.
+    /// What goes wrong at half of that time.
     pub fault: Option<RunFault>,
 }
 
@@ -104,7 +107,7 @@
         (sending.join().expect("the load doesn't panic"), watched)
     });
     let mut summary = Summary::new(&counts, &site);
-    summary.count_engines(&watched.total(&site));
+    summary.count_engines(&watched.measured(&site));
     Ok(RunSummary {
         site: spec.site.to_string(),
         policy: spec.policy.to_string(),
@@ -120,6 +123,10 @@
 }
 
 impl RunSpec {
+    fn half_time(&self) -> Duration {
+        WARM_UP + self.span / 2
+    }
+
     fn workload(&self, site: &Site) -> Workload {
         Workload {
             routers: site.routers(),
@@ -128,8 +135,9 @@
             service: site.spec.service.clone(),
             shape: self.site.shape(),
             rate: self.site.capacity() * self.load,
-            span: self.span,
-            shift: (self.fault == Some(RunFault::Shift)).then_some(self.span / 2),
+            warm_up: WARM_UP,
+            span: WARM_UP + self.span,
+            shift: (self.fault == Some(RunFault::Shift)).then_some(self.half_time()),
             seed: self.seed,
         }
     }
@@ -140,25 +148,31 @@
     hit_rates: Vec<f64>,
     /// What engines counted before they were killed.
     killed: EngineCounts,
+    /// What they counted by the end of the warm-up.
+    warm_up: Option<EngineCounts>,
 }
 
 impl Watch {
     fn until(site: &mut Site, spec: &RunSpec, is_over: impl Fn() -> bool) -> Self {
         let begun = Instant::now();
-        let mut watch = Self { hit_rates: Vec::new(), killed: EngineCounts::default() };
+        let mut watch =
+            Self { hit_rates: Vec::new(), killed: EngineCounts::default(), warm_up: None };
         let mut last = EngineCounts::default();
         let mut faulted = spec.fault != Some(RunFault::Engines);
         while !is_over() {
             thread::sleep(POLL);
-            if !faulted && spec.span / 2 <= begun.elapsed() {
+            if watch.warm_up.is_none() && WARM_UP <= begun.elapsed() {
+                watch.warm_up = Some(watch.total(site));
+            }
+            if !faulted && spec.half_time() <= begun.elapsed() {
                 faulted = true;
                 watch.kill_engines(site);
             }
             if SAMPLE * (watch.hit_rates.len() as u32 + 1) <= begun.elapsed() {
                 let total = watch.total(site);
-                let prompt = total.prompt_tokens - last.prompt_tokens;
-                let cached = total.cached_tokens - last.cached_tokens;
-                watch.hit_rates.push(cached as f64 / prompt.max(1) as f64);
+                let counts = total.minus(&last);
+                let rate = counts.cached_tokens as f64 / counts.prompt_tokens.max(1) as f64;
+                watch.hit_rates.push(rate);
                 last = total;
             }
         }
@@ -172,6 +186,11 @@
         }
     }
 
+    /// Returns what all engines counted after the warm-up.
+    fn measured(&self, site: &Site) -> EngineCounts {
+        self.total(site).minus(&self.warm_up.unwrap_or_default())
+    }
+
     /// Returns what all engines counted, killed ones included.
     fn total(&self, site: &Site) -> EngineCounts {
         let counts = site.engines.iter().map(|node| node.engine.counts());
--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -70,7 +70,9 @@
     pub shape: Shape,
     /// Completions a second.
     pub rate: f64,
-    /// How long to send.
+    /// How long to send before the measurement begins.
+    pub warm_up: Duration,
+    /// How long to send, the warm-up included.
     pub span: Duration,
     /// When other prefixes become hot, if they do.
     pub shift: Option<Duration>,
@@ -133,7 +135,7 @@
             let shifted = self.shift.is_some_and(|shift| shift <= due);
             Kind::Ask(self.ask(&organisation, number, shifted, texts, rng))
         };
-        Planned { due, router, organisation, kind }
+        Planned { due, router, organisation, kind, measured: self.warm_up <= due }
     }
 
     fn ask(
@@ -173,7 +175,8 @@
 ///
 /// Each prompt, in the order of sending, looks its longest cached prefix up in one cache of
 /// `engines * cache_blocks` blocks, least recently used out first, and leaves its blocks there. No
-/// block is held twice and nothing waits, so engines with caches of their own stay below it.
+/// block is held twice and nothing waits, so engines with caches of their own stay below it. Only
+/// measured requests count, but those of the warm-up fill the cache.
 pub fn bound(planned: &[Planned], engines: usize, cache_blocks: usize) -> f64 {
     let mut cache = BlockCache::new(engines * cache_blocks);
     let mut computed = HashSet::new();
@@ -182,8 +185,10 @@
         let Kind::Ask(ask) = &request.kind else { continue };
         let text = ask.text();
         let lookup = cache.take(request.organisation.as_str(), text.as_bytes(), &mut computed);
-        prompt_tokens += lookup.prompt_tokens;
-        cached_tokens += lookup.cached_tokens;
+        if request.measured {
+            prompt_tokens += lookup.prompt_tokens;
+            cached_tokens += lookup.cached_tokens;
+        }
     }
     cached_tokens as f64 / f64::max(prompt_tokens as f64, 1.0)
 }
