--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -16,6 +16,8 @@
 
 pub mod balancer;
 pub mod caller;
+pub mod compare;
+pub mod declare;
 pub mod demo;
 pub mod fake;
 pub mod latency;
@@ -25,7 +27,10 @@
 mod proxy;
 pub mod report;
 pub mod restarts;
+pub mod run;
 pub mod site;
+pub mod sites;
 pub mod stream;
+pub mod workload;
 
 pub use crate::proxy::{Fault, Proxy};
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 
-use base::{ParseError, RequestId};
+use base::{ParseError, RequestId, TokenCount};
 use bytes::Bytes;
 use fleet::Scope;
 use hyper::{
@@ -9,6 +9,7 @@
     header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
 };
 use serde_json::json;
+use telemetry::Hop;
 use wire::{
     EventId,
     chunk::DONE,
@@ -21,6 +22,7 @@
     body::{self, AbortOnDrop, Body},
     failure::Failure,
     relay::{self, Job, Piece},
+    router,
     whole_answer::WholeAnswer,
 };
 
@@ -52,19 +54,28 @@
         model: Some(completion.model().clone()),
         ..Scope::default()
     };
+    let settings = edge.settings(&scope);
     let recorder = edge.metrics.recorder(&organisation);
     let caller = text_header(&parts.headers, "traceparent").and_then(|text| text.parse().ok());
     let mut span = edge.tracer.accept(caller);
     span.set("request", request.to_string());
+    let prompt_bytes = check_prompt(&completion, &settings)?;
+    let cost = admission_cost(prompt_bytes, completion.max_tokens());
+    let queued = span.child(Hop::Queue);
+    let place = edge.gate.admit(&organisation, &settings, cost).await?;
+    drop(queued);
+    recorder.queue_wait(edge.clock.now().saturating_since(arrived));
+    edge.retries.earn(&settings);
     let job = Job {
         request: request.clone(),
         organisation,
-        settings: edge.settings(&scope),
         completion,
+        settings,
         arrived,
         resume,
         recorder,
         span,
+        _place: place,
     };
 
     let (tx, rx) = flume::bounded(RING_PIECES);
@@ -104,6 +115,22 @@
     Ok(json_response(&json!({"object": "list", "data": list})))
 }
 
+/// Returns the prompt's length in bytes, unless it is longer than the settings allow.
+fn check_prompt(completion: &Completion, settings: &fleet::Settings) -> Result<usize, Failure> {
+    let max_bytes = settings.max_prompt_bytes.as_u32() as usize;
+    let bytes = completion.prompt_parts().iter().map(|part| part.len()).sum();
+    if max_bytes < bytes {
+        return Err(Failure::prompt_too_large(max_bytes));
+    }
+    Ok(bytes)
+}
+
+/// Returns what a completion is charged with: tokens to prefill and to generate.
+fn admission_cost(prompt_bytes: usize, max_tokens: Option<u64>) -> TokenCount {
+    let prompt = prompt_bytes.div_ceil(router::BYTES_PER_TOKEN) as u64;
+    TokenCount::new(prompt.saturating_add(max_tokens.unwrap_or(0)))
+}
+
 fn check_path(path: &str, kind: CompletionKind) -> Result<(), Failure> {
     match (path, kind) {
         ("/v1/completions", CompletionKind::Chat) => {
--- a/crates/daemon/src/edge/relay/mod.rs
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -18,7 +18,9 @@
 
 use super::{
     Edge, ROSTER_POLL, ROSTER_WAIT,
+    admission::Place,
     failure::Failure,
+    policies::Preferences,
     router::{Chosen, NoEndpoint, Wanted},
 };
 
@@ -44,6 +46,8 @@
     pub resume: Option<EventId>,
     pub recorder: Recorder,
     pub span: Span,
+    /// Its place among the organisations' requests.
+    pub _place: Place,
 }
 
 /// A piece of the answer, on its way to the caller.
@@ -131,6 +135,9 @@
             self.may_have_run |= broken.failure.verdict != Verdict::NotRun;
             let delivered = self.progress.tokens();
             fruitless = if delivered == before { fruitless + 1 } else { 0 };
+            if !broken.failure.status.is_client_error() {
+                self.edge.router.borrow_mut().failed(self.edge.clock.now(), &chosen);
+            }
             let request = &self.job.request;
             let (endpoint, detail) = (&chosen.endpoint, &broken.failure.detail);
             log::info!(request:%, endpoint:%, tokens = delivered, detail; "attempt failed");
@@ -143,6 +150,8 @@
             }
             if held.is_some() {
                 self.job.recorder.resume();
+            } else if !self.may_retry(fruitless).await {
+                return End::Broken(broken);
             } else {
                 self.job.recorder.retry();
             }
@@ -151,6 +160,16 @@
         End::Broken(last.expect("the loop ran at least once"))
     }
 
+    /// Takes a retry from the budget, which never ends an answer that has begun.
+    async fn may_retry(&self, fruitless: usize) -> bool {
+        if self.progress.tokens() != 0 {
+            self.edge.retries.try_spend();
+            return true;
+        }
+        let attempt = u32::try_from(fruitless.saturating_sub(1)).unwrap_or(u32::MAX);
+        self.edge.retries.wait(attempt).await
+    }
+
     /// Returns the failure with a verdict that counts the attempts before it.
     fn truthful(&self, mut failure: Failure) -> Failure {
         if self.may_have_run && failure.verdict == Verdict::NotRun {
@@ -161,9 +180,10 @@
 
     fn choose(&mut self) -> Result<Chosen, NoEndpoint> {
         let _span = self.job.span.child(Hop::Route);
+        let now = self.edge.clock.now();
         let prompt = self.job.completion.prompt_parts();
         let wanted = self.wanted(&prompt);
-        let chosen = self.edge.router.borrow_mut().choose_engine(&wanted, &self.tried)?;
+        let chosen = self.edge.router.borrow_mut().choose_engine(now, &wanted, &self.tried)?;
         self.tried.push(chosen.endpoint.clone());
         self.progress.go_on_elsewhere();
         Ok(chosen)
@@ -185,7 +205,8 @@
     fn find_held(&self, id: &EventId) -> Option<Chosen> {
         let prompt = self.job.completion.prompt_parts();
         let wanted = Wanted { weights: Some(&id.weights), ..self.wanted(&prompt) };
-        self.edge.router.borrow().engine_of(&id.endpoint, id.incarnation, &wanted)
+        let now = self.edge.clock.now();
+        self.edge.router.borrow().engine_of(now, &id.endpoint, id.incarnation, &wanted)
     }
 
     fn wanted<'b>(&'b self, prompt: &'b [Cow<'b, [u8]>]) -> Wanted<'b> {
@@ -195,6 +216,7 @@
             adapter: self.job.completion.adapter(),
             weights: self.progress.weights.as_ref(),
             prompt,
+            preferences: Preferences::from(&self.job.settings),
         }
     }
 
@@ -219,7 +241,7 @@
     match why {
         NoEndpoint::Unknown => Failure::not_found(format!("no endpoint serves model {model}")),
         NoEndpoint::AllTried => {
-            Failure::unavailable(format!("every endpoint of model {model} failed"), RETRY_AFTER)
+            Failure::unavailable(format!("no endpoint of model {model} is available"), RETRY_AFTER)
         }
     }
 }
