--- a/crates/bench/src/balancer.rs
+++ b/crates/bench/src/balancer.rs
@@ -91,7 +91,7 @@
             let Some(host) = self.pick(begun).await else { break };
             let last = parts.iter().rev().find_map(|part| part.last_id.as_ref());
             let mut stream = match AnswerStream::open(host.listen, ask, last).await {
-                Ok(Opened::Stream(stream)) => stream,
+                Ok(Opened::Stream(stream)) => *stream,
                 Ok(Opened::Failed(problem)) => {
                     balanced.failed = Some(format!("{problem:?}"));
                     return balanced;
--- a/crates/bench/src/stream.rs
+++ b/crates/bench/src/stream.rs
@@ -36,7 +36,7 @@
 /// What a request for a stream got.
 pub enum Opened {
     /// A stream.
-    Stream(AnswerStream),
+    Stream(Box<AnswerStream>),
     /// A refusal or failure.
     Failed(Problem),
 }
@@ -72,13 +72,13 @@
         if !response.status().is_success() {
             return Ok(Opened::Failed(caller::read_problem(response).await?));
         }
-        Ok(Opened::Stream(Self {
+        Ok(Opened::Stream(Box::new(Self {
             body: response.into_body(),
             parser: Parser::new(MAX_EVENT),
             events: VecDeque::new(),
             tokens: Vec::new(),
             last_id: None,
-        }))
+        })))
     }
 
     /// Reads until `count` tokens have come.
@@ -149,7 +149,7 @@
     /// Returns an error that shows the problem if there is none.
     pub fn stream(self) -> eyre::Result<AnswerStream> {
         match self {
-            Self::Stream(stream) => Ok(stream),
+            Self::Stream(stream) => Ok(*stream),
             Self::Failed(problem) => Err(eyre!("no stream: {problem:?}")),
         }
     }
