--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -37,6 +37,7 @@
 
 pub use crate::{
     edge::EdgeEnd,
+    peers::{PeerAnswer, PeerClient},
     run::{exit_code, main, run},
     settings::{
         Faults, Limits, OrganisationKey, Settings, SettingsError, TelemetrySettings, Timeouts,
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -62,7 +62,7 @@
         let node_cfg = Config { founders: cfg.founders, ..Config::new(cfg.host) };
         let snapshot_at = fleet.applied();
         let node = Node::new(node_cfg, restored, clock.now(), rng);
-        Ok(Self {
+        let driver = Self {
             clock,
             node,
             log,
@@ -72,7 +72,9 @@
             actions: Vec::new(),
             rings,
             failure: None,
-        })
+        };
+        driver.offer_configuration();
+        Ok(driver)
     }
 
     /// Runs until every sender of inputs is gone.
@@ -135,6 +137,7 @@
             Ok(
                 request @ (LeaderRequest::ReadCall(_)
                 | LeaderRequest::ReadUnsettled
+                | LeaderRequest::ReadRevision
                 | LeaderRequest::ReadHistory
                 | LeaderRequest::ReadVoters),
             ) => {
@@ -150,7 +153,9 @@
         let mut voters = status.voters.clone();
         change(&mut voters);
         if voters == status.voters && status.voters_committed {
-            return reply.answer(&LeaderAnswer::Voters(voters));
+            // Only a leader whose lead is confirmed knows that nothing is to be done.
+            let id = self.waiting.read(Reading { request: LeaderRequest::ReadVoters, reply });
+            return self.step(Input::Read { id });
         }
         let id = self.waiting.propose(reply);
         self.step(Input::ProposeVoters { id, voters });
@@ -208,7 +213,9 @@
             Action::Refused { id, leader, refusal } => {
                 let Some(reply) = self.waiting.refused(id) else { return };
                 match refusal {
-                    quorum::Refusal::NotLeader | quorum::Refusal::Transferring => {
+                    quorum::Refusal::NotLeader
+                    | quorum::Refusal::Transferring
+                    | quorum::Refusal::TermNotCommitted => {
                         reply.not_written(leader);
                     }
                     _ => reply.answer(&LeaderAnswer::Refused(refusal.to_string())),
@@ -234,6 +241,7 @@
             Ok(fleet) => {
                 self.fleet = fleet;
                 self.snapshot_at = snapshot.last_index;
+                self.waiting.replaced_through(snapshot.last_index);
                 self.offer_configuration();
             }
             Err(e) => {
@@ -295,6 +303,7 @@
             LeaderRequest::ReadCall(key) => {
                 LeaderAnswer::Call(self.fleet.ledger().call(key).cloned().map(Box::new))
             }
+            LeaderRequest::ReadRevision => LeaderAnswer::Revision(self.fleet.revision()),
             LeaderRequest::ReadUnsettled => LeaderAnswer::Unsettled(
                 self.fleet
                     .ledger()
