--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -26,21 +26,6 @@
         #[bpaf(fallback(1))]
         seed: u64,
     },
-    /// Measure what restarts of routers cost
-    #[bpaf(command)]
-    Restarts {
-        /// Print the figures as one JSON object on the last line
-        json: bool,
-        /// Decides everything that is random
-        #[bpaf(fallback(1))]
-        seed: u64,
-    },
-    /// Measure what a daemon adds to a direct call, at 1, 32 and 256 streams
-    #[bpaf(command)]
-    Latency {
-        /// Print the measurements as one JSON array on the last line
-        json: bool,
-    },
     /// Measure one policy on one site
     #[bpaf(command)]
     Run {
@@ -86,6 +71,21 @@
         /// Print the figures as one JSON object on the last line
         json: bool,
     },
+    /// Measure what restarts of routers cost
+    #[bpaf(command)]
+    Restarts {
+        /// Print the figures as one JSON object on the last line
+        json: bool,
+        /// Decides everything that is random
+        #[bpaf(fallback(1))]
+        seed: u64,
+    },
+    /// Measure what a daemon adds to a direct call, at 1, 32 and 256 streams
+    #[bpaf(command)]
+    Latency {
+        /// Print the measurements as one JSON array on the last line
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -9,6 +9,7 @@
     header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
 };
 use serde_json::json;
+use telemetry::Hop;
 use wire::{
     EventId,
     chunk::DONE,
@@ -48,21 +49,21 @@
     if resume.is_some() && !stream {
         return Err(Failure::bad_request("\"Last-Event-ID\" resumes streams only"));
     }
+    let request = edge.new_request_id();
+    active.name(request.as_str());
     let scope = Scope {
         organisation: Some(organisation.clone()),
         model: Some(completion.model().clone()),
         ..Scope::default()
     };
     let settings = edge.settings(&scope);
-    let prompt_bytes = check_prompt(&completion, &settings)?;
-    let request = edge.new_request_id();
-    active.name(request.as_str());
     let recorder = edge.metrics.recorder(&organisation);
     let caller = text_header(&parts.headers, "traceparent").and_then(|text| text.parse().ok());
     let mut span = edge.tracer.accept(caller);
     span.set("request", request.to_string());
-    let queued = span.child(Hop::Queue);
+    let prompt_bytes = check_prompt(&completion, &settings)?;
     let cost = admission_cost(prompt_bytes, completion.max_tokens());
+    let queued = span.child(Hop::Queue);
     let place = edge.gate.admit(&organisation, &settings, cost).await?;
     drop(queued);
     recorder.queue_wait(edge.clock.now().saturating_since(arrived));
@@ -70,8 +71,8 @@
     let job = Job {
         request: request.clone(),
         organisation,
-        settings,
         completion,
+        settings,
         arrived,
         resume,
         recorder,
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -156,6 +156,14 @@
         self.in_force.borrow().declaration.effective(scope, self.clock.wall())
     }
 
+    /// Waits a moment until some endpoint is known, so that a restarted router serves at once.
+    async fn wait_for_endpoints(&self) {
+        let until = self.clock.now() + ROSTER_WAIT;
+        while self.router.borrow().is_empty() && self.clock.now() < until {
+            tokio::time::sleep(ROSTER_POLL).await;
+        }
+    }
+
     /// Chooses an endpoint for a call to a plain service that isn't among `tried`.
     fn choose_service(
         &self,
@@ -170,14 +178,6 @@
         self.router.borrow_mut().service_ended(self.clock.now(), endpoint, outcome);
     }
 
-    /// Waits a moment until some endpoint is known, so that a restarted router serves at once.
-    async fn wait_for_endpoints(&self) {
-        let until = self.clock.now() + ROSTER_WAIT;
-        while self.router.borrow().is_empty() && self.clock.now() < until {
-            tokio::time::sleep(ROSTER_POLL).await;
-        }
-    }
-
     /// Keeps the process from ending before a report is made.
     fn begin(self: &Rc<Self>) -> ActiveRequest {
         ActiveRequest::begin(self, "report")
--- a/crates/daemon/src/edge/relay/attempt.rs
+++ b/crates/daemon/src/edge/relay/attempt.rs
@@ -90,11 +90,13 @@
         if status != StatusCode::OK {
             return End::Broken(self.refusal(status, response.into_body(), resumes).await);
         }
-        self.edge.router.borrow_mut().head_arrived(self.edge.clock.now(), chosen);
+        if !resumes {
+            self.edge.router.borrow_mut().head_arrived(self.edge.clock.now(), chosen);
+        }
         if self.progress.weights.is_none() {
             self.progress.weights = Some(chosen.weights.clone());
         }
-        let end = self.pump(chosen, response.into_body(), first_token_by).await;
+        let end = self.pump(chosen, response.into_body(), first_token_by, resumes).await;
         if matches!(end, End::Done) {
             pool.put_back(connection);
         }
--- a/crates/daemon/src/edge/relay/mod.rs
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -142,6 +142,9 @@
             }
             let delivered = self.progress.tokens();
             fruitless = if delivered == before { fruitless + 1 } else { 0 };
+            if !broken.failure.status.is_client_error() {
+                self.edge.router.borrow_mut().failed(self.edge.clock.now(), &chosen);
+            }
             let request = &self.job.request;
             let (endpoint, detail) = (&chosen.endpoint, &broken.failure.detail);
             log::info!(request:%, endpoint:%, tokens = delivered, detail; "attempt failed");
@@ -154,6 +157,8 @@
             }
             if held.is_some() {
                 self.job.recorder.resume();
+            } else if !self.may_retry(fruitless).await {
+                return End::Broken(broken);
             } else {
                 self.job.recorder.retry();
             }
@@ -162,6 +167,16 @@
         End::Broken(last.expect("the loop ran at least once"))
     }
 
+    /// Takes a retry from the budget, which never ends an answer that has begun.
+    async fn may_retry(&self, fruitless: usize) -> bool {
+        if self.progress.tokens() != 0 {
+            self.edge.retries.try_spend();
+            return true;
+        }
+        let attempt = u32::try_from(fruitless.saturating_sub(1)).unwrap_or(u32::MAX);
+        self.edge.retries.wait(attempt).await
+    }
+
     /// Returns the failure with a verdict that counts the attempts before it.
     fn truthful(&self, mut failure: Failure) -> Failure {
         if self.may_have_run && failure.verdict == Verdict::NotRun {
@@ -172,9 +187,9 @@
 
     fn choose(&mut self) -> Result<Chosen, NoEndpoint> {
         let _span = self.job.span.child(Hop::Route);
+        let now = self.edge.clock.now();
         let prompt = self.job.completion.prompt_parts();
         let wanted = self.wanted(&prompt);
-        let now = self.edge.clock.now();
         let chosen = self.edge.router.borrow_mut().choose_engine(now, &wanted, &self.tried)?;
         self.tried.push(chosen.endpoint.clone());
         self.progress.go_on_elsewhere();
@@ -198,7 +213,7 @@
         let prompt = self.job.completion.prompt_parts();
         let wanted = Wanted { weights: Some(&id.weights), ..self.wanted(&prompt) };
         let now = self.edge.clock.now();
-        self.edge.router.borrow_mut().engine_of(now, &id.endpoint, id.incarnation, &wanted)
+        self.edge.router.borrow().engine_of(now, &id.endpoint, id.incarnation, &wanted)
     }
 
     fn wanted<'b>(&'b self, prompt: &'b [Cow<'b, [u8]>]) -> Wanted<'b> {
