--- a/crates/bench/src/fake/counts.rs
+++ b/crates/bench/src/fake/counts.rs
@@ -21,6 +21,8 @@
         Self {
             requests: self.requests - earlier.requests,
             cancelled: self.cancelled - earlier.cancelled,
+            resumed: self.resumed - earlier.resumed,
+            generated: self.generated - earlier.generated,
             prompt_tokens: self.prompt_tokens - earlier.prompt_tokens,
             cached_tokens: self.cached_tokens - earlier.cached_tokens,
             wasted_tokens: self.wasted_tokens - earlier.wasted_tokens,
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -17,8 +17,6 @@
     sse::Event,
 };
 
-use telemetry::Hop;
-
 use super::{
     ActiveRequest, Edge,
     body::{self, AbortOnDrop, Body},
--- a/crates/daemon/src/edge/relay/mod.rs
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -25,7 +25,7 @@
 };
 
 /// Most attempts in a row that deliver nothing.
-const MAX_FRUITLESS: u32 = 4;
+const MAX_FRUITLESS: usize = 4;
 
 /// Most attempts for one request.
 const MAX_ATTEMPTS: usize = 64;
@@ -122,10 +122,6 @@
         let mut fruitless = 0;
         let mut last = None;
         for _ in 0..MAX_ATTEMPTS {
-            // An attempt that delivered something made way for the next one; others multiply load.
-            if 0 < fruitless && !self.edge.retries.wait(fruitless - 1).await {
-                break;
-            }
             let resumes = held.is_some();
             let chosen = match held.take().map_or_else(|| self.choose(), Ok) {
                 Ok(chosen) => chosen,
@@ -137,9 +133,6 @@
             let end = self.attempt(&chosen, resumes).await;
             let End::Broken(broken) = end else { return end };
             self.may_have_run |= broken.failure.verdict != Verdict::NotRun;
-            if !broken.final_answer {
-                self.edge.router.borrow_mut().failed(self.edge.clock.now(), &chosen);
-            }
             let delivered = self.progress.tokens();
             fruitless = if delivered == before { fruitless + 1 } else { 0 };
             if !broken.failure.status.is_client_error() {
--- a/crates/daemon/src/edge/relay/pump.rs
+++ b/crates/daemon/src/edge/relay/pump.rs
@@ -44,7 +44,6 @@
                 Err(broken) => return End::Broken(self.unless_unnumbered(broken)),
             };
             let Ok(data) = frame.into_data() else { continue };
-            self.note_first_token(chosen);
             if let Err(e) = parser.push(&data, &mut events) {
                 return End::Broken(Broken::cut(e.to_string()));
             }
