bench: give daemons addresses that differ

Cause: 1 of 5 runs had a daemon that did not come up; three ports were picked one after the other and could be equal, and test processes whose ids differ in one bit shared a loopback address. Change: the ports are held until all are found; the address holds 15 bits of the process id, as many as this system's ids have. Conclusion: kept; which of the two it was is not known.

--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -43,13 +43,13 @@
 impl DaemonSpec {
     /// Returns settings with free ports on a loopback address of its own.
     pub fn new(host: &str, data_centre: &str) -> Self {
-        let ip = unused_loopback();
+        let [listen, peer_listen, admin_listen] = free_ports(unused_loopback());
         Self {
             host: host.to_owned(),
             data_centre: data_centre.to_owned(),
-            listen: free_port(ip),
-            peer_listen: free_port(ip),
-            admin_listen: free_port(ip),
+            listen,
+            peer_listen,
+            admin_listen,
             flags: Vec::new(),
         }
     }
@@ -271,11 +271,12 @@
     let pid = std::process::id();
     let [low, high, ..] = pid.to_le_bytes();
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    IpAddr::V4(Ipv4Addr::new(127, 1 | high, low, number.wrapping_add(2)))
+    IpAddr::V4(Ipv4Addr::new(127, 128 | high, low, number.wrapping_add(2)))
 }
 
-fn free_port(ip: IpAddr) -> SocketAddr {
-    TcpListener::bind((ip, 0))
-        .and_then(|listener| listener.local_addr())
-        .expect("a port is free on the loopback interface")
+/// Returns addresses that differ: each is held until all are found.
+fn free_ports<const COUNT: usize>(ip: IpAddr) -> [SocketAddr; COUNT] {
+    let listeners = [(); COUNT]
+        .map(|()| TcpListener::bind((ip, 0)).expect("a port is free on the loopback interface"));
+    listeners.map(|listener| listener.local_addr().expect("a bound listener has an address"))
 }
