bench: test racing operators, lost answers and laggards with the real tool

Change: a relay before the operator address makes another change first, or loses the answer to one; a router that is cut off is a laggard until it has caught up.

--- a/crates/bench/tests/operator/changes.rs
+++ b/crates/bench/tests/operator/changes.rs
@@ -12,7 +12,10 @@
     QuorumRole, STATUS_PATH, Status,
 };
 
-use crate::tool::{admin, get, post, run, run_at, site};
+use crate::{
+    meddler::{self, Answers},
+    tool::{admin, get, post, run, run_at, site},
+};
 
 /// Time within which a change must be in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(5);
@@ -118,6 +121,33 @@
     assert_eq!((winner.author.as_str(), winner.revision), (won.0, Revision::new(1)));
 }
 
+#[test]
+fn tool_that_comes_second_names_the_change_that_came_first() {
+    let site = site();
+    let router = admin(&site, 0);
+    let meddler = meddler::start(router, Answers::Passed, move || {
+        let first = change("c-1", "bence", "[defaults]\nwait-weight = 2.5\n");
+        let (status, _) = post::<ChangeAnswer>(router, DECLARATION_PATH, &first);
+        assert_eq!(status, 200);
+    });
+    let (_folder, path) = file("[defaults]\nwait-weight = 1.5\n");
+    let second = run_at(&[meddler], &["apply", &path, "--yes", "--reason", "shorter waits"]);
+    assert_eq!(second.code, Some(1), "{second:?}");
+    assert!(second.stderr.contains("revision 1 by bence"), "{second:?}");
+    assert_eq!(revision(router), Revision::new(1));
+}
+
+#[test]
+fn tool_without_an_answer_says_so_and_the_same_command_is_safe() {
+    let site = site();
+    let meddler = meddler::start(admin(&site, 0), Answers::Lost, || {});
+    let set = ["defaults", "set", "wait-weight", "2.5", "--yes", "--reason", "waits are long"];
+    let lost = run_at(&[meddler], &set);
+    assert_eq!(lost.code, Some(4), "{lost:?}");
+    let again = run(&site, &set);
+    assert!(again.stdout.contains("nothing to do; revision 1"), "{again:?}");
+}
+
 #[test]
 fn change_whose_answer_is_lost_is_sent_again_and_made_once() {
     let site = site();
--- a/crates/bench/tests/operator/main.rs
+++ b/crates/bench/tests/operator/main.rs
@@ -3,6 +3,7 @@
 mod access;
 mod calls;
 mod changes;
+mod meddler;
 mod queries;
 mod readiness;
 mod tool;
--- a/crates/bench/tests/operator/readiness.rs
+++ b/crates/bench/tests/operator/readiness.rs
@@ -1,11 +1,12 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::{Digest, Revision};
 use bench::{
+    Fault,
     process::wait_until,
     site::{Site, SiteSpec},
 };
-use wire::operator::{CurrentDeclaration, DECLARATION_PATH, Status};
+use wire::operator::{CurrentDeclaration, DECLARATION_PATH, STATUS_PATH, Status};
 
 use crate::tool::{admin, get, program, run};
 
@@ -25,14 +26,43 @@
     let in_force = |i| get::<CurrentDeclaration>(admin(&site, i), DECLARATION_PATH).revision;
     let everywhere = || (0..site.daemons.len()).all(|i| in_force(i) == Revision::new(1));
     wait_until("the change is in force", Duration::from_secs(5), everywhere).unwrap();
+    let mut spans = Vec::new();
     for _ in 0..10 {
+        let began = Instant::now();
         site.daemons[OBSERVER].restart().unwrap();
         site.daemons[OBSERVER].wait_ready(Duration::from_secs(10)).unwrap();
+        spans.push(began.elapsed());
         let in_force: CurrentDeclaration = get(admin(&site, OBSERVER), DECLARATION_PATH);
         assert_eq!(in_force.revision, Revision::new(1));
     }
     let status: Status = get(admin(&site, OBSERVER), "/operator/status");
     assert_eq!(status.counts.open_calls, None);
+    spans.sort();
+    println!("from restart to ready: {spans:?}");
+}
+
+#[test]
+fn router_that_is_cut_off_is_shown_as_laggard_until_it_has_caught_up() {
+    let site = site_with_observer();
+    let source = site.daemons[OBSERVER].spec().listen.ip();
+    site.peer_proxies[OBSERVER].set(Fault::partition());
+    site.peer_proxies.iter().for_each(|proxy| proxy.set_for(source, Fault::partition()));
+    let set = ["defaults", "set", "wait-weight", "2.5", "--yes", "--reason", "waits are long"];
+    assert_eq!(run(&site, &set).code, Some(0));
+    let shown = || {
+        let status: Status = get(admin(&site, 0), STATUS_PATH);
+        status.peers.into_iter().find(|peer| peer.host.as_str() == "host-4").unwrap()
+    };
+    wait_until("a laggard", Duration::from_secs(5), || shown().laggard).unwrap();
+    let in_force = || get::<CurrentDeclaration>(admin(&site, OBSERVER), DECLARATION_PATH).revision;
+    assert_eq!(in_force(), Revision::ZERO);
+
+    site.peer_proxies.iter().for_each(bench::Proxy::heal);
+    let healed = Instant::now();
+    wait_until("it is in force", Duration::from_secs(5), || in_force() == Revision::new(1))
+        .unwrap();
+    println!("in force {:?} after the network was back", healed.elapsed());
+    wait_until("no laggard", Duration::from_secs(5), || !shown().laggard).unwrap();
 }
 
 #[test]
