--- a/crates/bench/tests/operator/voters.rs
+++ b/crates/bench/tests/operator/voters.rs
@@ -1,9 +1,13 @@
 use std::time::Duration;
 
-use bench::{process::wait_until, site::Site};
+use base::Digest;
+use bench::{
+    process::{Daemon, DaemonSpec, wait_until},
+    site::{FLEET_KEY, OPERATOR_KEY, Site},
+};
 use wire::operator::{QuorumRole, STATUS_PATH, Status, Voters};
 
-use crate::tool::{admin, get, run, site};
+use crate::tool::{admin, get, program, run, site};
 
 const REASON: [&str; 3] = ["--reason", "its disk is replaced", "--json"];
 
@@ -58,6 +62,46 @@
     wait_until("two of three suffice", Duration::from_secs(10), changed).unwrap();
 }
 
+/// Starts a host that can vote and founded nothing.
+fn start_newcomer(site: &Site) -> Daemon {
+    let digest = Digest::of(OPERATOR_KEY.as_bytes());
+    let spec = DaemonSpec::new("host-9", "a")
+        .flag("--fleet-key", FLEET_KEY)
+        .flag("--operator-key", digest)
+        .flag("--data-dir", site.data.path().join("host-9").display())
+        .switch("--voter");
+    let seeds = site.peer_proxies.iter().map(bench::Proxy::address);
+    let spec = seeds.fold(spec, |spec, seed| spec.flag("--seed", seed));
+    let mut daemon = Daemon::start(&program(), spec).unwrap();
+    daemon.wait_ready(Duration::from_secs(10)).unwrap();
+    daemon
+}
+
+#[test]
+fn leader_is_replaced_by_a_host_that_founded_nothing() {
+    let site = site();
+    let newcomer = start_newcomer(&site);
+    let status = || get::<Status>(newcomer.spec().admin_listen, STATUS_PATH).quorum;
+    assert_eq!(status().role, QuorumRole::Observer);
+    let folder = status().folder.unwrap();
+    let add = [&["voters", "add", "host-9", "--folder", &folder][..], &REASON].concat();
+    let added = || run(&site, &add).code == Some(0);
+    wait_until("the newcomer is admitted", Duration::from_secs(10), added).unwrap();
+    wait_until("a leader", Duration::from_secs(10), || status().leader.is_some()).unwrap();
+
+    let leader = status().leader.unwrap();
+    let remove = [&["voters", "remove", leader.as_str()][..], &REASON].concat();
+    let removed = || run(&site, &remove).code == Some(0);
+    wait_until("the leader is removed", Duration::from_secs(10), removed).unwrap();
+    let set = ["defaults", "set", "wait-weight", "2.5", "--yes", "--reason", "a new leader"];
+    let changed = || run(&site, &set).code == Some(0);
+    wait_until("another leads", Duration::from_secs(10), changed).unwrap();
+    let listed: Voters = run(&site, &["voters", "list", "--json"]).json();
+    assert_eq!(listed.voters.len(), 3, "{listed:?}");
+    assert!(!hosts(&listed).contains(&leader.as_str()), "{listed:?}");
+    assert!(hosts(&listed).contains(&"host-9"), "{listed:?}");
+}
+
 #[test]
 fn folder_that_is_no_number_is_refused() {
     let site = site();
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -156,6 +156,19 @@
     assert!(run.stderr.contains("could not bind"), "{run:?}");
 }
 
+#[test]
+fn log_lines_have_the_format_and_level_that_are_set() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let failing = |args: &[&str]| {
+        let args = [&["--fleet-key", KEY, "--listen", &address][..], args].concat();
+        run(&args, &[]).stderr
+    };
+    assert!(failing(&[]).starts_with("time="), "{}", failing(&[]));
+    assert!(failing(&["--log-format", "json"]).starts_with("{\"time\":"));
+    assert_eq!(failing(&["--log-level", "off"]), "");
+}
+
 #[test]
 fn help_is_grouped_and_shows_no_key() {
     let variables = [
