wire: every parser takes any bytes

Change: proptest with fixed seeds over messages between routers and bodies; round trips of the leader's requests and answers; an older router's status.

--- /dev/null
+++ b/crates/wire/tests/any_bytes.rs
@@ -0,0 +1,124 @@
+//! Every parser takes any bytes, and what it accepts survives a round trip.
+
+use base::{Revision, UnixMillis};
+use fleet::{CallKey, ChangeRecord};
+use proptest::{prelude::*, test_runner::RngSeed};
+use quorum::{FolderId, VoterSet};
+use wire::{
+    announcement::AnnouncementBody,
+    chunk::Chunk,
+    completion::Completion,
+    leader::{LeaderAnswer, LeaderRequest},
+    peer::{gossip_from_bytes, gossip_to_bytes, quorum_from_bytes, quorum_to_bytes},
+};
+
+fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn requests() -> Vec<LeaderRequest> {
+    let host = "host-1".parse().unwrap();
+    let call =
+        CallKey { organisation: "school-1".parse().unwrap(), key: "order/7".parse().unwrap() };
+    vec![
+        LeaderRequest::ReadCall(call),
+        LeaderRequest::ReadUnsettled,
+        LeaderRequest::AddVoter { host, folder: FolderId::new(7) },
+        LeaderRequest::RemoveVoter { host: "host-2".parse().unwrap() },
+        LeaderRequest::ReadHistory,
+        LeaderRequest::ReadVoters,
+    ]
+}
+
+fn answers() -> Vec<LeaderAnswer> {
+    let folders = [("host-1".parse().unwrap(), FolderId::new(7))];
+    let change = ChangeRecord {
+        revision: Revision::new(3),
+        id: "c-1".parse().unwrap(),
+        author: "ilka".parse().unwrap(),
+        reason: "a reason".into(),
+        at: UnixMillis::new(5),
+    };
+    vec![
+        LeaderAnswer::Call(None),
+        LeaderAnswer::Unsettled(Vec::new()),
+        LeaderAnswer::Voters(VoterSet { folders: folders.into() }),
+        LeaderAnswer::Refused("why".into()),
+        LeaderAnswer::History(vec![change]),
+    ]
+}
+
+#[test]
+fn requests_and_answers_of_the_leader_survive_a_round_trip() {
+    for request in requests() {
+        assert_eq!(LeaderRequest::from_bytes(&request.to_bytes()).unwrap(), request);
+    }
+    for answer in answers() {
+        assert_eq!(LeaderAnswer::from_bytes(&answer.to_bytes()).unwrap(), answer);
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(512))]
+
+    #[test]
+    fn messages_between_routers_take_any_bytes(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(message) = gossip_from_bytes(&bytes) {
+            prop_assert_eq!(gossip_from_bytes(&gossip_to_bytes(&message)).unwrap(), message);
+        }
+        if let Ok(message) = quorum_from_bytes(&bytes) {
+            prop_assert_eq!(quorum_from_bytes(&quorum_to_bytes(&message)).unwrap(), message);
+        }
+        if let Ok(request) = LeaderRequest::from_bytes(&bytes) {
+            prop_assert_eq!(LeaderRequest::from_bytes(&request.to_bytes()).unwrap(), request);
+        }
+        if let Ok(answer) = LeaderAnswer::from_bytes(&bytes) {
+            prop_assert_eq!(LeaderAnswer::from_bytes(&answer.to_bytes()).unwrap(), answer);
+        }
+    }
+
+    #[test]
+    fn cut_and_altered_requests_are_taken_without_a_panic(
+        which in 0..6_usize, cut in 0..40_usize, at in 0..40_usize, byte: u8,
+    ) {
+        let mut bytes = requests()[which].to_bytes();
+        bytes.truncate(cut);
+        if let Some(altered) = bytes.get_mut(at) {
+            *altered = byte;
+        }
+        let _ = LeaderRequest::from_bytes(&bytes);
+    }
+
+    #[test]
+    fn bodies_of_callers_and_endpoints_take_any_text(text in ".{0,200}") {
+        let _ = Completion::from_slice(text.as_bytes());
+        let _ = AnnouncementBody::from_slice(text.as_bytes());
+        let _ = Chunk::parse(&text);
+    }
+
+    #[test]
+    fn completion_takes_any_json(
+        prompt in "(\"[a-z ]{0,9}\"|[0-9]{1,3}|\\[[0-9]\\]|null)",
+        model in "(\"[a-z+/]{0,9}\"|[0-9]|null)",
+        stream in "(true|false|1|null)",
+    ) {
+        let body = format!("{{\"model\": {model}, \"prompt\": {prompt}, \"stream\": {stream}}}");
+        if let Ok(completion) = Completion::from_slice(body.as_bytes()) {
+            prop_assert!(!completion.model().as_str().is_empty());
+            completion.prompt_parts();
+        }
+    }
+}
+
+#[test]
+fn variant_in_a_long_varint_is_refused() {
+    let mut bytes = LeaderRequest::ReadUnsettled.to_bytes();
+    bytes[0] = 0xff;
+    bytes.extend([0xff; 16]);
+    assert!(LeaderRequest::from_bytes(&bytes).is_err());
+}
--- a/crates/wire/tests/operator.rs
+++ b/crates/wire/tests/operator.rs
@@ -86,3 +86,13 @@
         ChangeAnswer::Conflict { winner: HistoryEntry { author, .. } } if author.as_str() == "ilka"
     ));
 }
+
+#[test]
+fn status_of_an_older_router_is_read() {
+    let json = r#"{"host": "h", "incarnation": 1, "data_centre": "a", "version": "0", "state":
+        "ready", "revision": 4, "quorum": {"role": "observer", "term": 0, "leader": null, "commit":
+        0, "applied": 0, "voters": []}, "peers": [], "counts": {"open_calls": 2}}"#;
+    let status: Status = serde_json::from_str(json).unwrap();
+    assert_eq!((status.newest, status.counts.open_calls), (Revision::ZERO, Some(2)));
+    assert_eq!(status.quorum.folder, None);
+}
