--- a/crates/bench/src/operator.rs
+++ b/crates/bench/src/operator.rs
@@ -1,7 +1,7 @@
 //! An operator who asks routers over the protocol between them.
 
 use std::{
-    net::{IpAddr, Ipv4Addr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     time::{Duration, Instant},
 };
 
@@ -11,10 +11,14 @@
 use fleet::{CallKey, ChangeReply, Command, ConfigChange, Reply};
 use wire::{
     leader::{LeaderAnswer, LeaderRequest},
+    operator::{STATUS_PATH, Status},
     peer::Configuration,
 };
 
-use crate::{process::Daemon, site::FLEET_KEY};
+use crate::{
+    process::Daemon,
+    site::{FLEET_KEY, OPERATOR_KEY},
+};
 
 /// Time for one router's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -124,3 +128,14 @@
     let asked = client.configuration(Revision::ZERO);
     tokio::time::timeout(ANSWER_TIMEOUT, asked).await.ok().wrap_err("no answer in time")?
 }
+
+/// Returns a daemon's status page.
+///
+/// # Errors
+///
+/// Returns an error if the daemon can't be reached.
+pub fn status(admin: SocketAddr) -> eyre::Result<Status> {
+    let url = format!("http://{admin}{STATUS_PATH}");
+    let page = attohttpc::get(url).bearer_auth(OPERATOR_KEY).timeout(ANSWER_TIMEOUT).send()?;
+    Ok(serde_json::from_str(&page.text()?)?)
+}
--- /dev/null
+++ b/crates/bench/tests/quorum_disks.rs
@@ -0,0 +1,199 @@
+//! Voters whose disk is lost, older or damaged.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+
+use base::{HostId, Revision};
+use bench::{
+    operator,
+    process::{Program, wait_until},
+    site::{Site, SiteSpec},
+};
+use daemon::PeerAnswer;
+use fleet::{ChangeReply, Command};
+use quorum::FolderId;
+use wire::leader::{LeaderAnswer, LeaderRequest};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Longer than several elections take.
+const LONG: Duration = Duration::from_secs(3);
+
+/// Several idle heartbeats, which tell voters of each other's starts; no page shows them.
+const HEARTBEATS: Duration = Duration::from_millis(500);
+
+fn program() -> Program {
+    Program { path: PathBuf::from(env!("CARGO_BIN_EXE_bench")), args: vec!["daemon".into()] }
+}
+
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, future)
+}
+
+fn site() -> Site {
+    let spec = SiteSpec { engines: vec![], services: vec![], ..SiteSpec::small() };
+    Site::start(&program(), spec).unwrap()
+}
+
+fn data_dir(site: &Site, host: usize) -> PathBuf {
+    site.data.path().join(format!("host-{}", host + 1))
+}
+
+fn host_id(site: &Site, host: usize) -> HostId {
+    site.daemons[host].spec().host.parse().unwrap()
+}
+
+fn declaration(number: u64) -> String {
+    format!("[defaults]\nclaim-wait = \"{}ms\"\n", 1_000 + number)
+}
+
+fn numbered(number: u64) -> fleet::ConfigChange {
+    operator::change(&format!("change-{number}"), number, &declaration(number))
+}
+
+async fn change(site: &Site, number: u64) {
+    let reply = operator::submit_change(&site.daemons, numbered(number)).await.unwrap();
+    assert_eq!(reply, ChangeReply::Changed(Revision::new(number + 1)));
+}
+
+fn wait_revision(site: &Site, hosts: &[usize], number: u64) {
+    for host in hosts {
+        let admin = site.daemons[*host].spec().admin_listen;
+        let in_force =
+            || operator::status(admin).is_ok_and(|s| s.revision == Revision::new(number));
+        wait_until("the change is in force", PATIENCE, in_force).unwrap();
+    }
+}
+
+fn copy(from: &Path, to: &Path) {
+    fs::create_dir_all(to).unwrap();
+    for file in fs::read_dir(from).unwrap().flatten() {
+        let target = to.join(file.file_name());
+        if file.file_type().unwrap().is_dir() {
+            copy(&file.path(), &target);
+        } else {
+            fs::copy(file.path(), target).unwrap();
+        }
+    }
+}
+
+/// Checks for a while that no host commits a change.
+async fn assert_no_quorum(site: &Site, number: u64) {
+    let request = LeaderRequest::Command(Command::Change(numbered(number)));
+    let begun = Instant::now();
+    while begun.elapsed() < LONG {
+        for daemon in &site.daemons {
+            let answer = operator::ask(daemon, &request).await;
+            assert!(!matches!(answer, Ok(PeerAnswer::Answered(_))), "{answer:?}");
+        }
+    }
+}
+
+fn folder(admin: SocketAddr) -> Option<FolderId> {
+    let text = operator::status(admin).ok()?.quorum.folder?;
+    u64::from_str_radix(&text, 16).ok().map(FolderId::new)
+}
+
+/// Takes the host's old vote away and gives its present folder a new one.
+async fn replace_voter(site: &Site, host: usize) {
+    let id = host_id(site, host);
+    let remove = LeaderRequest::RemoveVoter { host: id.clone() };
+    let is_voter = |answer: &LeaderAnswer, folder: Option<FolderId>| match answer {
+        LeaderAnswer::Voters(voters) => voters.folders.get(&id).copied() == folder,
+        _ => false,
+    };
+    let deadline = Instant::now() + PATIENCE;
+    while !is_voter(&operator::ask_leader(&site.daemons, &remove).await.unwrap().1, None) {
+        assert!(Instant::now() < deadline, "the voter stays");
+    }
+    let fresh = folder(site.daemons[host].spec().admin_listen).unwrap();
+    let add = LeaderRequest::AddVoter { host: id.clone(), folder: fresh };
+    while !is_voter(&operator::ask_leader(&site.daemons, &add).await.unwrap().1, Some(fresh)) {
+        assert!(Instant::now() < deadline, "the voter isn't taken in");
+    }
+}
+
+#[test]
+fn voter_with_a_lost_disk_does_not_vote_until_replaced_and_then_stands_in_for_another() {
+    let mut site = site();
+    block_on(async {
+        change(&site, 0).await;
+        let leader = operator::leader(&site.daemons).await.unwrap();
+        let (lost, second) = ((leader + 1) % 3, (leader + 2) % 3);
+        site.daemons[lost].kill().unwrap();
+        fs::remove_dir_all(data_dir(&site, lost)).unwrap();
+        change(&site, 1).await;
+        site.daemons[second].freeze().unwrap();
+        site.daemons[lost].start_again().unwrap();
+        site.daemons[lost].wait_ready(PATIENCE).unwrap();
+        assert_no_quorum(&site, 2).await;
+        site.daemons[second].thaw().unwrap();
+        replace_voter(&site, lost).await;
+        let reply = operator::submit_change(&site.daemons, numbered(2)).await.unwrap();
+        assert_eq!(reply, ChangeReply::Changed(Revision::new(3)));
+        site.daemons[leader].kill().unwrap();
+        change(&site, 3).await;
+        for host in [lost, second] {
+            let admin = site.daemons[host].spec().admin_listen;
+            let in_force = || operator::status(admin).is_ok_and(|s| s.revision == Revision::new(4));
+            wait_until("the change is in force", PATIENCE, in_force).unwrap();
+        }
+    });
+}
+
+#[test]
+fn voter_with_an_older_copy_of_its_folder_does_not_vote() {
+    let mut site = site();
+    block_on(async {
+        change(&site, 0).await;
+        let leader = operator::leader(&site.daemons).await.unwrap();
+        let (older, second) = ((leader + 1) % 3, (leader + 2) % 3);
+        let data = data_dir(&site, older);
+        let backup = site.data.path().join("backup");
+        site.daemons[older].kill().unwrap();
+        copy(&data, &backup);
+        site.daemons[older].start_again().unwrap();
+        site.daemons[older].wait_ready(PATIENCE).unwrap();
+        // The host that will be asked about the copy has heard of the start after it.
+        change(&site, 1).await;
+        wait_revision(&site, &[older, second, leader], 2);
+        tokio::time::sleep(HEARTBEATS).await;
+        site.daemons[second].kill().unwrap();
+        change(&site, 2).await;
+        site.daemons[older].kill().unwrap();
+        fs::remove_dir_all(&data).unwrap();
+        copy(&backup, &data);
+        site.daemons[leader].kill().unwrap();
+        site.daemons[second].start_again().unwrap();
+        site.daemons[older].start_again().unwrap();
+        assert_no_quorum(&site, 2).await;
+        site.daemons[leader].start_again().unwrap();
+        change(&site, 3).await;
+    });
+}
+
+#[test]
+fn damaged_log_ends_the_process_with_a_clear_error() {
+    let mut site = site();
+    block_on(async { change(&site, 0).await });
+    site.daemons[1].kill().unwrap();
+    let folder = data_dir(&site, 1).join("quorum");
+    let mut damaged = 0;
+    for file in fs::read_dir(folder).unwrap().flatten() {
+        if file.file_name().to_string_lossy().starts_with("log-") {
+            let mut bytes = fs::read(file.path()).unwrap();
+            bytes[40] ^= 1;
+            fs::write(file.path(), bytes).unwrap();
+            damaged += 1;
+        }
+    }
+    assert!(0 < damaged);
+    site.daemons[1].start_again().unwrap();
+    let status = site.daemons[1].wait_end(PATIENCE).unwrap();
+    assert_eq!(status.code(), Some(1));
+    block_on(async { change(&site, 1).await });
+}
--- a/crates/daemon/src/configurations.rs
+++ b/crates/daemon/src/configurations.rs
@@ -1,13 +1,26 @@
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    path::Path,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use base::Revision;
 use fleet::Declaration;
+use store::{Document, RealDisk};
 
 pub(crate) use wire::peer::Configuration;
 
+/// Folder of the newest configuration in force, under the data folder.
+const FOLDER: &str = "configuration";
+
 /// The configuration in force; its revision only rises.
+///
+/// On a host with a data folder it is durable before it is in force, so that no restart goes back.
 #[derive(Clone, Default)]
-pub(crate) struct Configurations(Arc<Mutex<Held>>);
+pub(crate) struct Configurations {
+    held: Arc<Mutex<Held>>,
+    /// Locked before `held`, so that no reader waits for the disk.
+    kept: Arc<Mutex<Option<Document<RealDisk>>>>,
+}
 
 #[derive(Default)]
 struct Held {
@@ -32,6 +45,21 @@
 }
 
 impl Configurations {
+    /// Puts the configuration in force that `data_dir` keeps, and keeps later ones there.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the folder can't be used or what it keeps can't be read.
+    pub(crate) fn open(data_dir: &Path) -> eyre::Result<Self> {
+        let (document, content) = Document::open(&data_dir.join(FOLDER), RealDisk)?;
+        let configurations = Self::default();
+        if let Some(content) = content {
+            configurations.offer(Configuration::from_bytes(&content)?);
+        }
+        *configurations.lock_kept() = Some(document);
+        Ok(configurations)
+    }
+
     /// Takes a configuration, unless one as new is in force; returns whether it was taken.
     pub(crate) fn offer(&self, configuration: Configuration) -> bool {
         if configuration.revision <= self.revision() {
@@ -44,10 +72,14 @@
                 return false;
             }
         };
-        let mut held = self.lock();
-        if configuration.revision <= held.revision() {
+        let kept = self.lock_kept();
+        if configuration.revision <= self.revision() {
             return false;
         }
+        if let Some(Err(e)) = kept.as_ref().map(|kept| kept.write(&configuration.to_bytes())) {
+            log::error!("revision={} in force, but not kept: {e}", configuration.revision);
+        }
+        let mut held = self.lock();
         log::info!("revision={} in force", configuration.revision);
         let in_force = Arc::new(InForce { configuration: Some(configuration), declaration });
         held.subscribers.retain(|tx| tx.send(Arc::clone(&in_force)).is_ok());
@@ -77,7 +109,11 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Held> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_kept(&self) -> MutexGuard<'_, Option<Document<RealDisk>>> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -79,7 +79,6 @@
 
     /// Runs until every sender of inputs is gone.
     pub(super) fn run(mut self) {
-        self.offer_configuration();
         loop {
             match self.rings.inputs.recv_timeout(TICK) {
                 Ok(input) => self.take(input),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -157,7 +157,11 @@
         let (roster_tx, roster_rx) = flume::bounded(ROSTER_RING);
         let (control_tx, control_rx) = flume::bounded(RING);
         let directory = Directory::default();
-        let configurations = Configurations::default();
+        let configurations = match &cfg.data_dir {
+            Some(data_dir) => Configurations::open(data_dir)
+                .wrap_err("the configuration in the data folder can't be used")?,
+            None => Configurations::default(),
+        };
         let replica_state = ReplicaState::default();
         let latest = Latest::default();
 
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -17,6 +17,7 @@
     Identity,
     Segment,
     Snapshot,
+    Document,
 }
 
 impl Kind {
@@ -25,6 +26,7 @@
             Self::Identity => *b"dotr-idy",
             Self::Segment => *b"dotr-log",
             Self::Snapshot => *b"dotr-snp",
+            Self::Document => *b"dotr-doc",
         }
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,6 +12,8 @@
 //! | `snapshot-INDEX` | the replicated state up to an entry |
 //! | `log-NUMBER` | a segment of the log, in frames; one frame is one synced batch |
 //!
+//! A [`Document`] is one small file, `document`, in a folder of its own.
+//!
 //! Each file starts with its kind, a format version and a checksum; each frame has its own.
 //! Files other than the newest segment are written under a temporary name, synced and renamed.
 //!
@@ -41,6 +43,7 @@
 //! ```
 
 mod disk;
+mod document;
 mod error;
 mod folder;
 mod frame;
@@ -50,6 +53,7 @@
 
 pub use crate::{
     disk::{Disk, RealDisk},
+    document::Document,
     error::{Category, Error, Result},
     log::Log,
 };
--- a/crates/store/tests/main.rs
+++ b/crates/store/tests/main.rs
@@ -1,6 +1,7 @@
 //! Files under the data folder, by theme.
 
 mod damage;
+mod document;
 mod failing_disk;
 mod reopen;
 mod samples;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -34,6 +34,24 @@
         to.set_at_unix_millis(self.at.as_u64());
     }
 
+    /// Writes the configuration for a file.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut message = capnp::message::Builder::new_default();
+        self.write(message.init_root());
+        capnp::serialize::write_message_to_words(&message)
+    }
+
+    /// Reads a configuration from a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes are malformed.
+    pub fn from_bytes(mut bytes: &[u8]) -> Result<Self, capnp::Error> {
+        let limits = capnp::message::ReaderOptions::new();
+        let message = capnp::serialize::read_message_from_flat_slice(&mut bytes, limits)?;
+        Self::read(message.get_root()?)
+    }
+
     /// Reads a configuration from a message.
     ///
     /// # Errors
