--- a/crates/bench/src/fake/mod.rs
+++ b/crates/bench/src/fake/mod.rs
@@ -2,9 +2,11 @@
 
 mod announcer;
 mod cache;
+mod counts;
 mod engine;
 mod server;
 mod service;
+mod streams;
 
 pub use self::{
     announcer::{Announced, Announcer},
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,7 +14,10 @@
 //! assert_eq!(rest, whole[2..]);
 //! ```
 
+pub mod balancer;
 pub mod caller;
+pub mod compare;
+pub mod declare;
 pub mod demo;
 pub mod fake;
 pub mod gate;
@@ -25,6 +28,11 @@
 pub mod process;
 mod proxy;
 pub mod report;
+pub mod restarts;
+pub mod run;
 pub mod site;
+pub mod sites;
+pub mod stream;
+pub mod workload;
 
 pub use crate::proxy::{Fault, Proxy};
--- a/crates/daemon/src/edge/inquiry.rs
+++ b/crates/daemon/src/edge/inquiry.rs
@@ -1,9 +1,10 @@
 use std::{borrow::Cow, collections::BTreeMap, rc::Rc};
 
 use base::EndpointId;
+use fleet::Scope;
 use wire::operator::{ExplainRequest, Explanation, PromptPart};
 
-use super::{Edge, router::Wanted};
+use super::{Edge, policies::Preferences, router::Wanted};
 
 /// A question of an operator.
 pub(crate) enum Inquiry {
@@ -39,7 +40,7 @@
             }
             Inquiry::Load { reply } => {
                 let endpoints = edge.router.borrow().in_flight();
-                let _ = reply.try_send(Load { requests: edge.active.get(), endpoints });
+                let _ = reply.try_send(Load { requests: edge.active.borrow().len(), endpoints });
             }
         }
     }
@@ -48,12 +49,19 @@
 fn explain(edge: &Edge, request: &ExplainRequest) -> Option<Explanation> {
     let (PromptPart::Prompt(text) | PromptPart::Prefix(text)) = &request.input;
     let prompt = [Cow::Borrowed(text.as_bytes())];
+    let scope = Scope {
+        organisation: Some(request.organisation.clone()),
+        model: Some(request.model.clone()),
+        ..Scope::default()
+    };
+    let settings = edge.settings(&scope);
     let wanted = Wanted {
         organisation: &request.organisation,
         model: &request.model,
         adapter: request.adapter.as_ref(),
         weights: None,
         prompt: &prompt,
+        preferences: Preferences::from(&settings),
     };
-    edge.router.borrow_mut().explain(&wanted)
+    edge.router.borrow_mut().explain(edge.clock.now(), &wanted)
 }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -99,6 +99,7 @@
     };
     log::info!(host:% = cfg.host; "draining after a termination signal");
     process.readiness.set_draining();
+    let _ = process.control.send(Control::Leave);
     let _ = process.roster.send(RosterInput::Draining);
     let notice = match signal {
         Termination::Graceful => signal_rx.recv_timeout(cfg.timeouts.drain_notice),
@@ -221,7 +222,7 @@
         let readiness = Readiness::default();
         let (inquiry_tx, inquiry_rx) = flume::bounded(INQUIRY_RING);
         let news = News {
-            awaited: !cfg.seeds.is_empty(),
+            awaited: cfg.seeds.iter().any(|seed| *seed != cfg.peer_advertise),
             roster: latest.clone(),
             configurations: configurations.clone(),
             committed: readiness::ask_leader(leader.clone())?,
