--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -14,6 +14,18 @@
 use eyre::{WrapErr as _, ensure};
 use rustix::process::{Pid, Signal, kill_process};
 
+/// First port for callers.
+const LISTEN_PORT: u16 = 20_000;
+
+/// First port for other routers.
+const PEER_PORT: u16 = 21_000;
+
+/// First port for operators.
+const ADMIN_PORT: u16 = 22_000;
+
+/// Ports tried for one purpose.
+const PORTS: u16 = 1_000;
+
 /// Time between looks at a condition.
 const POLL: Duration = Duration::from_millis(5);
 
@@ -57,9 +69,9 @@
         Self {
             host: host.to_owned(),
             data_centre: data_centre.to_owned(),
-            listen: free_port(ip),
-            peer_listen: free_port(ip),
-            admin_listen: free_port(ip),
+            listen: free_port(ip, LISTEN_PORT),
+            peer_listen: free_port(ip, PEER_PORT),
+            admin_listen: free_port(ip, ADMIN_PORT),
             flags: Vec::new(),
         }
     }
@@ -300,8 +312,9 @@
     IpAddr::V4(Ipv4Addr::new(127, 1 | high, low, number.wrapping_add(2)))
 }
 
-fn free_port(ip: IpAddr) -> SocketAddr {
-    TcpListener::bind((ip, 0))
-        .and_then(|listener| listener.local_addr())
+/// Returns a free port from `first` on, below those that outgoing connections take.
+fn free_port(ip: IpAddr, first: u16) -> SocketAddr {
+    (first..first + PORTS)
+        .find_map(|port| TcpListener::bind((ip, port)).ok()?.local_addr().ok())
         .expect("a port is free on the loopback interface")
 }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -37,7 +37,8 @@
 //! entry that it acknowledged then. They learn this from the votes, from the leader's heartbeats
 //! and from earlier registrations, and keep it with their vote. Not caught are: a copy taken since
 //! the last start that lacks only what the confirming voters had not heard of (the latest
-//! acknowledgements when the leader of that time is away), a copy in which the folder is not a
+//! acknowledgements when the leader of that time is away) or, if they have restarted since, had not
+//! written with a later entry, a copy in which the folder is not a
 //! voter's yet, and older copies on a majority at once. One refusal keeps the node silent until
 //! its process ends.
 //!
