--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -14,6 +14,18 @@
 use eyre::{WrapErr as _, ensure};
 use rustix::process::{Pid, Signal, kill_process};
 
+/// First port for callers.
+const LISTEN_PORT: u16 = 20_000;
+
+/// First port for other routers.
+const PEER_PORT: u16 = 21_000;
+
+/// First port for operators.
+const ADMIN_PORT: u16 = 22_000;
+
+/// Ports tried for one purpose.
+const PORTS: u16 = 1_000;
+
 /// Time between looks at a condition.
 const POLL: Duration = Duration::from_millis(5);
 
@@ -53,13 +65,13 @@
 impl DaemonSpec {
     /// Returns settings with free ports on a loopback address of its own.
     pub fn new(host: &str, data_centre: &str) -> Self {
-        let [listen, peer_listen, admin_listen] = free_ports(unused_loopback());
+        let ip = unused_loopback();
         Self {
             host: host.to_owned(),
             data_centre: data_centre.to_owned(),
-            listen,
-            peer_listen,
-            admin_listen,
+            listen: free_port(ip, LISTEN_PORT),
+            peer_listen: free_port(ip, PEER_PORT),
+            admin_listen: free_port(ip, ADMIN_PORT),
             flags: Vec::new(),
         }
     }
@@ -300,9 +312,9 @@
     IpAddr::V4(Ipv4Addr::new(127, 128 | high, low, number.wrapping_add(2)))
 }
 
-/// Returns addresses that differ: each is held until all are found.
-fn free_ports<const COUNT: usize>(ip: IpAddr) -> [SocketAddr; COUNT] {
-    let listeners = [(); COUNT]
-        .map(|()| TcpListener::bind((ip, 0)).expect("a port is free on the loopback interface"));
-    listeners.map(|listener| listener.local_addr().expect("a bound listener has an address"))
+/// Returns a free port from `first` on, below those that outgoing connections take.
+fn free_port(ip: IpAddr, first: u16) -> SocketAddr {
+    (first..first + PORTS)
+        .find_map(|port| TcpListener::bind((ip, port)).ok()?.local_addr().ok())
+        .expect("a port is free on the loopback interface")
 }
