cli: print the digest of a key

Cause: settings and declarations take digests of keys, and the README had to name another tool to make one. Change: dotterelreach digest reads a key from the standard input, out of sight of process lists.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -1,6 +1,6 @@
-use std::{fs, path::Path};
+use std::{fs, io, path::Path};
 
-use base::{Author, ParseError, Revision};
+use base::{Author, Digest, ParseError, Revision};
 use bpaf::ParseFailure;
 use serde::Serialize;
 use toml::{Table, Value};
@@ -53,6 +53,18 @@
     })
 }
 
+/// Prints the digest of the key on the standard input, which keeps it out of process lists.
+fn print_digest() -> Result<(), Error> {
+    let mut line = String::new();
+    io::stdin().read_line(&mut line).map_err(|e| Error::usage(format!("standard input: {e}")))?;
+    let key = line.trim_end_matches(['\r', '\n']);
+    if key.is_empty() {
+        return Err(Error::usage("standard input: expected a key on one line"));
+    }
+    println!("{}", Digest::of(key.as_bytes()));
+    Ok(())
+}
+
 struct Session<'a> {
     client: Client<'a>,
     settings: &'a Settings,
@@ -70,6 +82,7 @@
     fn run(&self, action: Action) -> Result<Exit, Error> {
         match action {
             Action::Diff { file } => return self.diff(&file),
+            Action::Digest => print_digest()?,
             Action::Status => self.show::<Status>(STATUS_PATH, view::status)?,
             Action::Endpoints => self.show::<Endpoints>(ENDPOINTS_PATH, view::endpoints)?,
             Action::History => self.show::<History>(HISTORY_PATH, view::history)?,
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -46,6 +46,7 @@
     VotersList,
     VotersAdd { folder: String, reason: String, host: String },
     VotersRemove { reason: String, host: String },
+    Digest,
 }
 
 /// Why a change is made, and whether it was agreed to.
@@ -92,8 +93,11 @@
     let apply = leaf("apply", "Replaces the declaration by a file, as a whole", apply());
     let calls = calls();
     let voters = voters();
+    let digest = "Prints the digest of a key, read as one line from the standard input";
+    let digest = leaf("digest", digest, bpaf::pure(Action::Digest));
     construct!([
-        status, endpoints, defaults, exceptions, explain, diff, apply, calls, voters, history
+        status, endpoints, defaults, exceptions, explain, diff, apply, calls, voters, history,
+        digest
     ])
     .to_options()
     .version(env!("CARGO_PKG_VERSION"))
