--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -68,8 +68,10 @@
     pub inputs: flume::Receiver<RosterInput>,
     /// The other end of `inputs`, for answers.
     pub answers: flume::Sender<RosterInput>,
-    /// Takes each roster; a full ring is passed over.
+    /// Takes each roster.
     pub rosters: flume::Sender<Arc<Roster>>,
+    /// The other end of `rosters`, to take an older roster out of a full ring.
+    pub older_rosters: flume::Receiver<Arc<Roster>>,
     /// Shows the newest roster.
     pub latest: Latest,
     /// Messages to other routers.
@@ -284,7 +286,10 @@
     fn publish(&self) {
         let roster = self.membership.roster(self.clock.now());
         self.rings.latest.store(Arc::clone(&roster));
-        let _ = self.rings.rosters.try_send(roster);
+        if let Err(flume::TrySendError::Full(roster)) = self.rings.rosters.try_send(roster) {
+            let _ = self.rings.older_rosters.try_recv();
+            let _ = self.rings.rosters.try_send(roster);
+        }
     }
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -5,10 +5,10 @@
     time::{Duration, Instant},
 };
 
-use base::{Incarnation, Revision, Sequence};
+use base::{Incarnation, Revision, Sequence, Term};
 use eyre::WrapErr as _;
 use member::{PeerState, PeerUpdate, Roster};
-use telemetry::{Exporter, Metrics, TraceConfig, Tracer, init_logs};
+use telemetry::{Exporter, Metrics, QuorumRole, TraceConfig, Tracer, init_logs};
 
 use crate::{
     Settings, SettingsError,
@@ -149,6 +149,9 @@
     fn start(cfg: &Arc<Settings>) -> eyre::Result<Self> {
         let clock = Clock::start();
         let metrics = Arc::new(Metrics::new()?);
+        // Series that are there from the start can be compared between hosts.
+        metrics.revision(Revision::ZERO);
+        metrics.quorum(QuorumRole::Observer, Term::ZERO);
         let (tracer, exporter) = tracing(cfg, &metrics)?;
         let incarnation = new_incarnation(clock);
         let (outbox_tx, outbox_rx) = flume::bounded(RING);
@@ -192,6 +195,7 @@
             inputs: roster_input_rx,
             answers: roster_input_tx.clone(),
             rosters: roster_tx,
+            older_rosters: roster_rx.clone(),
             latest: latest.clone(),
             outbox: outbox_tx,
             directory,
