bench: measure how a fleet's costs grow with its size

Cause: the design for 350 nodes and 1,800 servers had no measured slopes. Ruled out: a simulator of whole daemons; the cores run in memory, and only streams and idle peers need processes. What the kernel says of a process moves to a module of its own. Conclusion: docs/CAPACITY.md can quote it.

--- a/crates/bench/src/latency.rs
+++ b/crates/bench/src/latency.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::RefCell,
-    fs,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -18,6 +17,7 @@
     process::Program,
     report::{histogram, percentile_ms, record},
     site::{Site, SiteSpec, organisation_key},
+    usage::usage,
 };
 
 /// Streams at once, a measurement each.
@@ -35,9 +35,6 @@
 /// Time for an answer, about.
 const ANSWER_SPAN: Duration = Duration::from_millis(1_300);
 
-/// Clock ticks a second that the kernel counts processor time in.
-const TICKS_PER_SECOND: f64 = 100.0;
-
 /// One measurement.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
@@ -83,13 +80,6 @@
     took: Duration,
 }
 
-/// What the kernel says of a process.
-struct Usage {
-    cpu: Duration,
-    mib: f64,
-    threads: u64,
-}
-
 /// Measures direct calls and calls through one daemon in turn.
 ///
 /// # Errors
@@ -219,26 +209,6 @@
     }
 }
 
-/// Reads what the kernel says of a process.
-fn usage(pid: u32) -> eyre::Result<Usage> {
-    let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    let fields: Vec<_> = stat
-        .rsplit_once(')')
-        .map(|(_, rest)| rest.split_whitespace().collect())
-        .unwrap_or_default();
-    let ticks = |i: usize| fields.get(i).and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
-    let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let field = |name: &str| {
-        let line = status.lines().find_map(|line| line.strip_prefix(name));
-        line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0)
-    };
-    Ok(Usage {
-        cpu: Duration::from_secs_f64((ticks(11) + ticks(12)) / TICKS_PER_SECOND),
-        mib: field("VmRSS:") as f64 / 1024.0,
-        threads: field("Threads:"),
-    })
-}
-
 /// Returns the measurements as a table.
 pub fn table(rows: &[Row]) -> String {
     let mut table = Table::new();
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -24,5 +24,7 @@
 mod proxy;
 pub mod report;
 pub mod site;
+pub mod slopes;
+mod usage;
 
 pub use crate::proxy::{Fault, Proxy};
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use bench::{demo, latency, process::Program};
+use bench::{demo, latency, process::Program, slopes};
 use bpaf::Bpaf;
 
 /// Demonstrates and measures the router with fakes at its interfaces
@@ -24,6 +24,12 @@
         /// Print the measurements as one JSON array on the last line
         json: bool,
     },
+    /// Measure how messages, processor time and memory grow with the size of a fleet
+    #[bpaf(command)]
+    Slopes {
+        /// Print the slopes as one JSON array on the last line
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -69,6 +75,13 @@
                 println!("{}", serde_json::to_string(&rows)?);
             }
         }
+        Options::Slopes { json } => {
+            let slopes = slopes::run(&program)?;
+            println!("{}", slopes::table(&slopes));
+            if json {
+                println!("{}", serde_json::to_string(&slopes)?);
+            }
+        }
     }
     Ok(())
 }
