--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -32,7 +32,9 @@
 pub mod run;
 pub mod site;
 pub mod sites;
+pub mod slopes;
 pub mod stream;
+mod usage;
 pub mod workload;
 
 pub use crate::proxy::{Fault, Proxy};
