bench: measure the quorum; fleet: late claims of ended processes open nothing

Cause: a claim that was on its way when its host died opened after the notice of that death, and its key stayed claimed by nobody. No figures of the quorum stood. Change: the ledger remembers the last ended process of each host; bench quorum [--json]; tests of a full disk (file size limit) and of SIGTERM before the outcome.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod operator;
 pub mod process;
 mod proxy;
+pub mod quorum_bench;
 pub mod report;
 pub mod restarts;
 pub mod run;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,7 +5,7 @@
 use bench::{
     compare, demo, latency,
     process::Program,
-    restarts,
+    quorum_bench, restarts,
     run::{self, RunFault, RunSpec},
     sites::SiteKind,
 };
@@ -26,6 +26,15 @@
         #[bpaf(fallback(1))]
         seed: u64,
     },
+    /// Measure commits, elections and restarts of the quorum
+    #[bpaf(command)]
+    Quorum {
+        /// Print the figures as one JSON object on the last line
+        json: bool,
+        /// Decides everything that is random
+        #[bpaf(fallback(1))]
+        seed: u64,
+    },
     /// Measure what restarts of routers cost
     #[bpaf(command)]
     Restarts {
@@ -149,6 +158,13 @@
                 println!("{}", serde_json::json!({"site": site.as_str(), "policies": compared}));
             }
         }
+        Options::Quorum { json, seed } => {
+            let figures = quorum_bench::run(&program, seed)?;
+            print!("{figures}");
+            if json {
+                println!("{}", serde_json::to_string(&figures)?);
+            }
+        }
         Options::Restarts { json, seed } => {
             let report = restarts::run(&program, seed)?;
             println!("{}", restarts::table(&report));
--- a/crates/bench/tests/claims_faults.rs
+++ b/crates/bench/tests/claims_faults.rs
@@ -346,6 +346,22 @@
     });
 }
 
+#[test]
+fn host_that_is_told_to_end_leaves_the_outcome_behind() {
+    block_on(async {
+        let mut scene = Scene::start().await;
+        let order = scene.send_until(Step::Sent).await;
+        let sender = scene.sender;
+        scene.site.daemons[sender].terminate().unwrap();
+        scene.gate.hold_answers(false);
+        let first = order.await.unwrap();
+        assert!(matches!(first, CallOutcome::Answered { .. }), "{first:?}");
+        let status = scene.site.daemons[sender].wait_end(PATIENCE).unwrap();
+        assert_eq!(status.code(), Some(0));
+        assert_eq!(scene.checked_order(scene.third()).await, first);
+    });
+}
+
 #[test]
 fn all_voters_restarting_at_once_keep_the_answer() {
     block_on(async {
--- a/crates/bench/tests/quorum_disks.rs
+++ b/crates/bench/tests/quorum_disks.rs
@@ -200,3 +200,40 @@
     assert_eq!(status.code(), Some(1));
     block_on(async { change(&site, 1).await });
 }
+
+/// Bytes after which no file of the second host grows, in blocks of 512.
+const FULL: &str = "ulimit -f 96";
+
+/// Runs the daemons by a shell, which gives the second host a disk that fills up.
+fn program_with_full_disk() -> Program {
+    let daemon = env!("CARGO_BIN_EXE_bench");
+    let script = format!(
+        "trap '' XFSZ; case \"$*\" in *'--host host-2 '*) {FULL};; esac; exec {daemon} daemon \"$@\""
+    );
+    Program { path: "/bin/sh".into(), args: vec!["-c".into(), script, "sh".into()] }
+}
+
+#[test]
+fn voter_with_a_full_disk_acknowledges_nothing_and_says_so() {
+    let spec = SiteSpec { engines: vec![], services: vec![], ..SiteSpec::small() };
+    let mut site = Site::start(&program_with_full_disk(), spec).unwrap();
+    let admin = site.daemons[1].spec().admin_listen;
+    block_on(async {
+        let padding = "# padding\n".repeat(100);
+        let mut number = 0;
+        while operator::status(admin).unwrap().quorum.failure.is_none() {
+            assert!(number < 500, "the disk never fills");
+            let declaration = format!("{padding}{}", declaration(number));
+            let change = operator::change(&format!("change-{number}"), number, &declaration);
+            let reply = operator::submit_change(&site.daemons, change).await.unwrap();
+            number += 1;
+            assert_eq!(reply, ChangeReply::Changed(Revision::new(number)));
+        }
+        change(&site, number).await;
+        site.daemons[0].kill().unwrap();
+        assert_no_quorum(&site, number + 1).await;
+        assert!(operator::status(admin).unwrap().quorum.failure.is_some());
+        site.daemons[0].start_again().unwrap();
+        change(&site, number + 1).await;
+    });
+}
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -16,13 +16,15 @@
 
 use std::{collections::BTreeMap, ops::Bound, time::Duration};
 
-use base::{OrganisationId, UnixMillis};
+use base::{HostId, Incarnation, OrganisationId, UnixMillis};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     call::{Call, CallState, Conflict, Held, Resolved},
     calls::{Calls, Entry, Forgotten},
-    command::{Answer, CallKey, Claim, Finish, Outcome, OwnerGone, Release, Resolution, Resolve},
+    command::{
+        Answer, CallKey, Claim, Finish, Outcome, Owner, OwnerGone, Release, Resolution, Resolve,
+    },
     contents::Reason,
     reply::{ClaimReply, Doubt, FinishReply, ReleaseReply, ResolveReply},
     settings::Settings,
@@ -51,6 +53,8 @@
     kept_body_bytes: usize,
     /// The organisation that the last command swept in turn.
     swept: Option<OrganisationId>,
+    /// The last process of each host that is known to have ended.
+    ended: BTreeMap<HostId, Incarnation>,
 }
 
 /// A view of the effective settings of each organisation.
@@ -122,6 +126,9 @@
         if let Some(reply) = known {
             return reply;
         }
+        if self.has_ended(&claim.owner) {
+            return ClaimReply::AttemptReleased;
+        }
         let max_open = settings.max_open_claims.as_u32() as usize;
         if max_open <= self.open_claims(&claim.call.organisation) {
             return ClaimReply::TooMany;
@@ -237,6 +244,8 @@
 
     /// Marks every open claim of the ended processes; returns how many there were.
     pub(crate) fn owner_gone(&mut self, gone: &OwnerGone) -> u32 {
+        let ended = self.ended.entry(gone.owner.host.clone()).or_default();
+        *ended = gone.owner.incarnation.max(*ended);
         let held_by_ended: Vec<_> = self
             .organisations
             .iter()
@@ -285,6 +294,11 @@
         ReleaseReply::Released
     }
 
+    /// Returns whether a process is known to have ended, so that its late claims open nothing.
+    fn has_ended(&self, owner: &Owner) -> bool {
+        self.ended.get(&owner.host).is_some_and(|ended| owner.incarnation <= *ended)
+    }
+
     /// Returns the claim of an earlier life of the claimant's host.
     fn ended_holder(&self, claim: &Claim) -> Option<Held> {
         let CallState::Claimed(held) = &self.call(&claim.call)?.state else {
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -129,6 +129,9 @@
         then claim_by(1, "a") => Reply::Claim(ClaimReply::AttemptReleased);
     claim_that_arrives_after_its_release_of_a_released_key: [claim_by(2, "b"), release("k", 2, "b"), release("k", 1, "a")]
         then claim_by(1, "a") => Reply::Claim(ClaimReply::AttemptReleased);
+    claim_that_arrives_after_its_owner_has_ended: [gone(1)] then claim_by(1, "a")
+        => Reply::Claim(ClaimReply::AttemptReleased);
+    claim_of_a_later_life: [gone(0)] then claim_by(1, "a") => claimed();
     key_released_ahead_is_claimed: [release("k", 1, "a")] then claim_by(2, "b") => claimed();
     release_after_the_answer: [claim_by(1, "a"), answered()] then release("k", 1, "a")
         => Reply::Release(ReleaseReply::AlreadySettled);
