--- a/crates/bench/tests/claims_faults.rs
+++ b/crates/bench/tests/claims_faults.rs
@@ -287,7 +287,7 @@
 }
 
 #[test]
-fn outcome_is_told_after_a_cut_longer_than_a_report_lasts() {
+fn outcome_is_told_after_a_cut() {
     block_on(async {
         let scene = Scene::start().await;
         let order = scene.send_until(Step::Sent).await;
