route: let routers agree on the home of a longer prefix

Change: among the homes, the one that ranks highest for the prefix four blocks longer comes first; the others are next.

--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -34,6 +34,9 @@
 /// Part of an engine's requests that one prefix may make up before it gets another home.
 const HOT_SHARE: f64 = 0.4;
 
+/// Blocks beyond the placement level that tell prompts of one hot prefix apart.
+const FINE_BLOCKS: usize = 4;
+
 /// Chooses endpoints for requests.
 pub(super) struct Router {
     source: IpAddr,
@@ -371,10 +374,12 @@
         identity: &Identity,
         warm_blocks: usize,
     ) -> Candidate {
-        let home = identity.chain.at_level(wanted.preferences.level);
+        let level = wanted.preferences.level;
+        let rank = |level| identity.chain.at_level(level).map_or(0, |home| prefix::rank(home, id));
         let (load, report_age) = target.load(now);
         Candidate {
-            rank: home.map_or(0, |home| prefix::rank(home, id)),
+            rank: rank(level),
+            fine_rank: rank(level + FINE_BLOCKS),
             warm_tokens: TokenCount::new(warm_blocks as u64 * BLOCK_TOKENS),
             in_flight: target.in_flight(),
             own_prefill_tokens: target.prefill_tokens(),
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -135,11 +135,13 @@
         let slack = 1.0 + self.settings.load_slack;
         let bound = (mean * slack + 1.0).max(self.settings.free_requests.into());
         let mut homes = Homes::new(req.homes);
-        for (candidate, load) in candidates.iter().zip(&self.loads) {
-            if load.requests <= bound {
-                homes.add(candidate.rank);
-            }
-        }
+        let within_bound = || {
+            let loaded = candidates.iter().zip(&self.loads);
+            loaded.filter(|(_, load)| load.requests <= bound).map(|(candidate, _)| candidate)
+        };
+        within_bound().for_each(|candidate| homes.add(candidate.rank));
+        let fine_ranks = within_bound().filter(|candidate| homes.has(candidate.rank));
+        homes.first = fine_ranks.map(|candidate| candidate.fine_rank).max().unwrap_or(0);
         homes
     }
 
@@ -163,7 +165,7 @@
                 + load.beyond(candidate.slots) * hold_time;
             Estimate {
                 compute: compute * settings.warmth,
-                away: compute * settings.away * homes.distance(candidate.rank),
+                away: compute * settings.away * homes.distance(candidate),
                 wait: wait * settings.wait,
                 round_trip: seconds(candidate.round_trip),
             }
@@ -261,12 +263,14 @@
 struct Homes {
     ranks: [u64; MAX_HOMES + NEXT_HOMES],
     homes: usize,
+    /// The highest fine rank of a home.
+    first: u64,
 }
 
 impl Homes {
     fn new(homes: u32) -> Self {
         let homes = (homes as usize).clamp(1, MAX_HOMES);
-        Self { ranks: [0; MAX_HOMES + NEXT_HOMES], homes }
+        Self { ranks: [0; MAX_HOMES + NEXT_HOMES], homes, first: 0 }
     }
 
     fn add(&mut self, rank: u64) {
@@ -279,13 +283,19 @@
         self.ranks[place] = rank;
     }
 
-    /// Returns how far a candidate is from being a home: 0 for one, 1 for one far down by rank.
-    fn distance(&self, rank: u64) -> f64 {
-        let ranks = &self.ranks[self.homes - 1..self.homes + NEXT_HOMES];
-        if rank < ranks[NEXT_HOMES] {
-            return 1.0;
+    fn has(&self, rank: u64) -> bool {
+        self.ranks[self.homes - 1] <= rank
+    }
+
+    /// Returns how far a candidate is from being the first home: 0 for it, 1 for one far down by
+    /// rank.
+    fn distance(&self, candidate: &Candidate) -> f64 {
+        let step = 1.0 / (NEXT_HOMES + 1) as f64;
+        if self.has(candidate.rank) {
+            return if self.first <= candidate.fine_rank { 0.0 } else { step };
         }
-        let further = ranks.iter().filter(|&&higher| rank < higher).count();
-        further as f64 / (NEXT_HOMES + 1) as f64
+        let next = &self.ranks[self.homes..self.homes + NEXT_HOMES];
+        let higher = next.iter().filter(|&&higher| candidate.rank < higher).count();
+        (higher + 1) as f64 * step
     }
 }
--- a/crates/route/tests/policies.rs
+++ b/crates/route/tests/policies.rs
@@ -123,6 +123,17 @@
     assert_eq!(chosen(Some(0)).count() + chosen(Some(3)).count(), 0);
 }
 
+#[test]
+fn routers_agree_on_the_home_of_a_longer_prefix() {
+    let req = Request { homes: 2, ..request() };
+    let candidates = with(|c| {
+        c[1].fine_rank = 5;
+        c[2].fine_rank = 3;
+        c[3].fine_rank = 9;
+    });
+    assert!((0..100).all(|seed| choose(PolicyKind::Warm, req, &candidates, seed) == Some(1)));
+}
+
 #[test]
 fn settings_that_favour_hits_wait_longer_for_the_warm() {
     let busy = with(|c| {
@@ -187,6 +198,7 @@
         let candidates: Vec<_> = fields.iter().map(|&[rank, warm, busy, own, reported, millis]| {
             Candidate {
                 rank,
+                fine_rank: rank.rotate_left(7),
                 warm_tokens: tokens(warm),
                 in_flight: busy as u32,
                 own_prefill_tokens: tokens(own),
