route: spread hot prefixes wider and count the chance that an engine is full

Cause: hot engines ran at 1.3 to 1.4 times the mean load and queued; below its last slot an engine's load cost 2 ms a request, though it is known only roughly. Change: a prefix gets another home from a fifth of what an engine carries, not two fifths; a nearly full engine counts a part of a round's wait.

--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -32,7 +32,7 @@
 const BLOCK_TOKENS: u64 = (BLOCK_BYTES.as_usize() / BYTES_PER_TOKEN) as u64;
 
 /// Part of an engine's requests that one prefix may make up before it gets another home.
-const HOT_SHARE: f64 = 0.4;
+const HOT_SHARE: f64 = 0.2;
 
 /// Blocks beyond the placement level that tell prompts of one hot prefix apart.
 const FINE_BLOCKS: usize = 4;
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -209,12 +209,16 @@
     }
 
     /// Returns how many rounds of `slots` requests go before a new one.
+    ///
+    /// The load is known only to about its square root, so a nearly full endpoint counts too.
     fn beyond(self, slots: u32) -> f64 {
         if slots == 0 {
             return 0.0;
         }
         let slots = f64::from(slots);
-        (self.requests + 1.0 - slots).max(0.0) / slots
+        let excess = self.requests + 1.0 - slots;
+        let variance = self.requests.max(1.0);
+        (excess + (excess * excess + variance).sqrt()) / 2.0 / slots
     }
 
     /// Moves from `mean` towards `self` by `share`.
