--- a/crates/bench/src/slopes/cache.rs
+++ b/crates/bench/src/slopes/cache.rs
@@ -131,9 +131,13 @@
 }
 
 fn prompt(n: usize) -> Chain {
-    let text: Vec<u8> = (0..PROMPT_BLOCKS)
-        .flat_map(|block| ((n * PROMPT_BLOCKS + block) as u64).to_le_bytes())
-        .collect();
+    let numbers = (0..PROMPT_BLOCKS).map(|block| n * PROMPT_BLOCKS + block);
+    chain(numbers)
+}
+
+/// Returns the chain of a prompt that has a number in each block.
+pub(super) fn chain(numbers: impl Iterator<Item = usize>) -> Chain {
+    let text: Vec<u8> = numbers.flat_map(|number| (number as u64).to_le_bytes()).collect();
     let salt = Salt::new(
         &"school-1".parse().expect("a valid id"),
         &"model-1".parse().expect("a valid id"),
--- a/crates/bench/src/slopes/routing.rs
+++ b/crates/bench/src/slopes/routing.rs
@@ -3,12 +3,12 @@
 use std::time::{Duration, Instant};
 
 use base::{EndpointId, Incarnation, MonotonicTime, TokenCount};
-use prefix::{BlockBytes, Chain, IndexSettings, Salt, Slot, WarmIndex, Warmth, rank};
+use prefix::{Chain, IndexSettings, Slot, WarmIndex, Warmth, rank};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use route::{Candidate, Policy as _, Request, Warm};
 
-use super::{Slope, net::MODELS};
+use super::{Slope, cache::chain, net::MODELS};
 
 const ENDPOINTS: [usize; 5] = [18, 180, 600, 1_200, 1_800];
 const PROMPTS: usize = 500;
@@ -70,17 +70,8 @@
 
 /// Returns the chain of a prompt that shares its first half with a hundred others.
 fn prompt(n: usize) -> Chain {
-    let text: Vec<u8> = (0..BLOCKS)
-        .flat_map(|block| {
-            let shared = if block < BLOCKS / 2 { n / 100 } else { n + PROMPTS };
-            ((shared * BLOCKS + block) as u64).to_le_bytes()
-        })
-        .collect();
-    let salt = Salt::new(
-        &"school-1".parse().expect("a valid id"),
-        &"model-1".parse().expect("a valid id"),
-        &"v1".parse().expect("a valid id"),
-        None,
-    );
-    Chain::of(salt, BlockBytes::new(8).expect("not zero"), &text)
+    chain((0..BLOCKS).map(|block| {
+        let shared = if block < BLOCKS / 2 { n / 100 } else { n + PROMPTS };
+        shared * BLOCKS + block
+    }))
 }
