Prove endpoints that leave, die, come back or are cut off

Cause: an endpoint that left got work for up to 4 s at routers that missed its word (shortest lease 4 s at today's size); a router that woke from a freeze could route by a view from before; a deadline in the middle of an attempt gave a false "not run"; an answer ended when its only engine was back under a new life. Change: renewals each 500 ms at least, so the shortest lease is 2.5 s; a router that has heard nobody for 2 s stretches no lease; a view of the endpoints older than 1.5 s is not routed by; the verdict counts the attempt under way; engines that failed are tried again for an answer that has begun. At the design size the traffic budget makes the shortest lease longer; that is not measured here.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod load;
 pub mod model;
 pub mod operator;
+pub mod partition;
 pub mod process;
 mod proxy;
 pub mod report;
--- /dev/null
+++ b/crates/bench/src/partition.rs
@@ -0,0 +1,36 @@
+//! Network partitions of a site, by its proxies.
+
+use crate::{Fault, site::Site};
+
+/// Holds all bytes between a router and its peers; its endpoints and callers still reach it.
+pub fn cut_off_router(site: &Site, router: usize) {
+    site.peer_proxies[router].set(Fault::partition());
+    let ip = site.daemons[router].spec().listen.ip();
+    for proxy in &site.peer_proxies {
+        proxy.set_for(ip, Fault::partition());
+    }
+}
+
+/// Holds all bytes between a data centre's routers and engines and those of the others.
+///
+/// Announcements pass, since engines send them past the proxies: a router goes on to know engines
+/// that it can't reach.
+pub fn cut_off_data_centre(site: &Site, data_centre: &str) {
+    for (router, daemon) in site.daemons.iter().enumerate() {
+        let inside = daemon.spec().data_centre == data_centre;
+        if inside {
+            cut_off_router(site, router);
+        }
+        for (engine, of) in site.engines.iter().zip(&site.spec.engines) {
+            if (*of == data_centre) != inside {
+                engine.proxy.set_for(daemon.spec().listen.ip(), Fault::partition());
+            }
+        }
+    }
+}
+
+/// Ends all partitions.
+pub fn heal(site: &Site) {
+    site.peer_proxies.iter().for_each(crate::Proxy::heal);
+    site.engines.iter().for_each(|engine| engine.proxy.heal());
+}
--- a/crates/bench/tests/streams.rs
+++ b/crates/bench/tests/streams.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use base::Verdict;
+use base::{Incarnation, Verdict};
 use bench::{
     Fault,
     caller::{self, Ask, Outcome, block_on},
+    declare::declare,
     process::{Program, wait_until},
     site::{Site, SiteSpec, organisation_key},
     stream::{AnswerStream, StreamEnd, check_whole},
@@ -148,6 +149,45 @@
     });
 }
 
+#[test]
+fn only_engine_back_empty_goes_on_from_the_last_token() {
+    let mut site = site(&["a"], 1);
+    let ask = ask(&site, false);
+    block_on(async {
+        let mut stream = open(&site, 0, &ask).await;
+        stream.read_tokens(5).await.unwrap();
+        site.restart_engine(0, Incarnation::new(2));
+        assert_eq!(stream.finish().await.unwrap(), StreamEnd::Done);
+        check_whole(&ask, &[&stream]).unwrap();
+    });
+}
+
+#[test]
+fn slow_first_token_is_asked_of_another_engine() {
+    let site = site(&["a"], 2);
+    declare(&site, "[defaults]\nfirst-token-timeout = '400ms'\n").unwrap();
+    site.engines[0].proxy.set(Fault { hold_answers: true, ..Fault::default() });
+    for number in 0..4 {
+        let ask = Ask { prompt: format!("question {number}"), ..ask(&site, false) };
+        let outcome = block_on(caller::ask(site.routers()[0], &ask));
+        assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+    }
+}
+
+#[test]
+fn request_timeout_ends_the_stream_with_its_verdict() {
+    let site = site(&["a"], 1);
+    declare(&site, "[defaults]\nrequest-timeout = '300ms'\n").unwrap();
+    let ask = Ask { tokens: 10_000, ..ask(&site, false) };
+    block_on(async {
+        let mut stream = open(&site, 0, &ask).await;
+        let StreamEnd::Failed(problem) = stream.finish().await.unwrap() else { panic!("done") };
+        assert_eq!((problem.status, problem.verdict), (504, Some(Verdict::MayHaveRun)));
+    });
+    let engine = &site.engines[0].engine;
+    wait_until("the work is cancelled", SOON, || engine.counts().cancelled == 1).unwrap();
+}
+
 #[test]
 fn last_engine_killed_ends_the_stream_with_its_verdict() {
     let mut site = site(&["a"], 1);
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -30,7 +30,7 @@
     time::Duration,
 };
 
-use base::{EndpointId, Incarnation};
+use base::{EndpointId, Incarnation, MonotonicTime};
 use fleet::{Owner, Scope};
 use member::Roster;
 use rand::SeedableRng as _;
@@ -58,6 +58,9 @@
 /// Time that a request waits for the first endpoints, as right after the start.
 const ROSTER_WAIT: Duration = Duration::from_secs(1);
 
+/// Age from which a view of the endpoints is not believed, as after a pause of the whole process.
+const STALE_ROSTER: Duration = Duration::from_millis(1_500);
+
 /// Time between looks for the first endpoints.
 const ROSTER_POLL: Duration = Duration::from_millis(5);
 
@@ -106,6 +109,8 @@
     cfg: Arc<Settings>,
     keys: Keys,
     router: RefCell<Router>,
+    /// When the router's view of the endpoints was made.
+    roster_at: Cell<MonotonicTime>,
     gate: Gate,
     retries: Retries,
     active: RefCell<ActiveRequests>,
@@ -133,6 +138,7 @@
         Self {
             keys: Keys::new(&cfg, rings.configurations.clone()),
             router: RefCell::new(router),
+            roster_at: Cell::new(MonotonicTime::ZERO),
             gate: Gate::new(clock),
             retries: Retries::new(clock, seed),
             cfg,
@@ -156,14 +162,22 @@
         self.in_force.borrow().declaration.effective(scope, self.clock.wall())
     }
 
-    /// Waits a moment until some endpoint is known, so that a restarted router serves at once.
+    /// Waits a moment until a fresh view shows some endpoint.
+    ///
+    /// So a restarted router serves at once, and one that was frozen sends nothing to endpoints
+    /// whose leases have ended meanwhile.
     async fn wait_for_endpoints(&self) {
         let until = self.clock.now() + ROSTER_WAIT;
-        while self.router.borrow().is_empty() && self.clock.now() < until {
+        while !self.knows_endpoints() && self.clock.now() < until {
             tokio::time::sleep(ROSTER_POLL).await;
         }
     }
 
+    fn knows_endpoints(&self) -> bool {
+        let age = self.clock.now().saturating_since(self.roster_at.get());
+        age < STALE_ROSTER && !self.router.borrow().is_empty()
+    }
+
     /// Chooses an endpoint for a call to a plain service that isn't among `tried`.
     fn choose_service(
         &self,
@@ -228,6 +242,7 @@
         let is_drained = drains::is_drained(&in_force.declaration, edge.clock.wall());
         let mut router = edge.router.borrow_mut();
         router.update(edge.clock.now(), &roster, is_drained);
+        edge.roster_at.set(roster.at);
         edge.gate.size(router.engines(), router.routers());
     }
 }
--- a/crates/daemon/src/edge/relay/mod.rs
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -30,6 +30,9 @@
 /// Most attempts for one request.
 const MAX_ATTEMPTS: usize = 64;
 
+/// Time after which engines that failed are tried again for an answer that has begun.
+const ENGINE_PAUSE: Duration = Duration::from_millis(250);
+
 /// What callers are told to wait when no engine is available.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -126,13 +129,26 @@
             let chosen = match held.take().map_or_else(|| self.choose(), Ok) {
                 Ok(chosen) => chosen,
                 Err(why) => {
-                    return End::Broken(last.unwrap_or_else(|| no_engine(self.job, why).into()));
+                    let Some(broken) = last else {
+                        return End::Broken(no_engine(self.job, why).into());
+                    };
+                    fruitless += 1;
+                    if MAX_FRUITLESS <= fruitless || self.progress.tokens() == 0 {
+                        return End::Broken(broken);
+                    }
+                    // An engine that was tried may be back before the deadline.
+                    self.tried.clear();
+                    last = Some(broken);
+                    tokio::time::sleep(ENGINE_PAUSE).await;
+                    continue;
                 }
             };
             let before = self.progress.tokens();
+            // The deadline may end the attempt at any point.
+            let ran_before = std::mem::replace(&mut self.may_have_run, true);
             let end = self.attempt(&chosen, resumes).await;
             let End::Broken(broken) = end else { return end };
-            self.may_have_run |= broken.failure.verdict != Verdict::NotRun;
+            self.may_have_run = ran_before || broken.failure.verdict != Verdict::NotRun;
             let delivered = self.progress.tokens();
             fruitless = if delivered == before { fruitless + 1 } else { 0 };
             if !broken.failure.status.is_client_error() {
@@ -141,7 +157,7 @@
             let request = &self.job.request;
             let (endpoint, detail) = (&chosen.endpoint, &broken.failure.detail);
             log::info!(request:%, endpoint:%, tokens = delivered, detail; "attempt failed");
-            if fruitless == MAX_FRUITLESS || !self.may_go_on(&broken) {
+            if MAX_FRUITLESS <= fruitless || !self.may_go_on(&broken) {
                 return End::Broken(broken);
             }
             let fruitless_resume = resumes && delivered == before;
--- a/crates/member/src/budget.rs
+++ b/crates/member/src/budget.rs
@@ -13,7 +13,7 @@
 /// Number of times that a router sends the same renewal.
 pub(crate) const RENEWAL_COPIES: u32 = 3;
 
-const SHORTEST_SPACING: Duration = Duration::from_secs(1);
+const SHORTEST_SPACING: Duration = Duration::from_millis(500);
 const LONGEST_LOAD_SPACING: Duration = Duration::from_secs(5);
 
 /// Bytes that a router may spend on gossip, as encoded without the transport's own overhead.
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -299,7 +299,7 @@
     /// Sets the shortest lease; a router that hears from nobody stretches none.
     fn refresh_lease_floor(&mut self, now: MonotonicTime) {
         let routers = self.peers.live().count() + 1;
-        let floor = match self.peers.is_isolated(now) {
+        let floor = match self.peers.hears_nobody(now) {
             true => Duration::ZERO,
             false => self.budget.lease_floor(routers, self.endpoint_count()),
         };
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -103,6 +103,13 @@
         SILENCE <= now.saturating_since(self.last_heard) && 2 <= self.live().count()
     }
 
+    /// Returns whether this router has heard from no other for so long that it may have missed that
+    /// endpoints left.
+    pub(crate) fn hears_nobody(&self, now: MonotonicTime) -> bool {
+        const SILENCE: Duration = Duration::from_secs(2);
+        SILENCE <= now.saturating_since(self.last_heard)
+    }
+
     pub(crate) fn set_revision(&mut self, revision: Revision) {
         self.me.revision = self.me.revision.max(revision);
     }
