daemon: bound what a stranger at the peer address can make the process set aside

Cause: the RPC library takes messages of up to 64 MiB before anyone has proved the fleet's key. Change: 8 MiB, four times the longest declaration. After: the peer address's 7 cases pass.

--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -15,6 +15,7 @@
 use super::{
     Outgoing, PROTOCOL_VERSION, PeersConfig, Submitted,
     handshake::{FleetSecret, Nonces, Side, new_nonce, read_nonce},
+    reader_options,
 };
 
 /// Time for a connection with its handshake.
@@ -89,7 +90,7 @@
         .await
         .map_err(|e| capnp::Error::disconnected(e.to_string()))?;
     let (rx, tx) = stream.compat().split();
-    let network = VatNetwork::new(rx, tx, RpcSide::Client, capnp::message::ReaderOptions::new());
+    let network = VatNetwork::new(rx, tx, RpcSide::Client, reader_options());
     let mut system = RpcSystem::new(Box::new(network), None);
     let gate: gate::Client = system.bootstrap(RpcSide::Server);
     let broken = Rc::new(std::cell::Cell::new(false));
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -17,6 +17,7 @@
 };
 
 use base::{HostId, MonotonicTime, Revision};
+use capnp::message::ReaderOptions;
 
 use crate::{configurations::Configurations, replica::ReplicaInput, roster::RosterInput};
 
@@ -27,6 +28,9 @@
 /// Version of the messages between routers.
 const PROTOCOL_VERSION: u16 = 1;
 
+/// Longest message taken, in words of 8 bytes; a stranger can make the process set so much aside.
+const MAX_MESSAGE_WORDS: usize = 1 << 20;
+
 /// Messages that wait for one peer; more are dropped.
 const LINK_RING: usize = 256;
 
@@ -156,6 +160,13 @@
     Ok(())
 }
 
+/// Bounds what is taken from the other side of a connection.
+fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    options
+}
+
 /// Hands each message to the link to its receiver.
 async fn dispatch(cfg: PeersConfig, secret: Rc<FleetSecret>, outbox: flume::Receiver<Addressed>) {
     let mut links: HashMap<SocketAddr, flume::Sender<Outgoing>> = HashMap::new();
--- a/crates/daemon/src/peers/server.rs
+++ b/crates/daemon/src/peers/server.rs
@@ -12,6 +12,7 @@
 use super::{
     GossipCall, Inbox, PROTOCOL_VERSION, QuorumCall, SubmitCall, Submitted,
     handshake::{FleetSecret, Nonces, Side, new_nonce, read_nonce},
+    reader_options,
 };
 
 /// Time to wait after a failure to accept, such as too many open files.
@@ -45,7 +46,7 @@
 async fn serve(stream: TcpStream, gate: Gate) -> Result<(), capnp::Error> {
     stream.set_nodelay(true).map_err(io_error)?;
     let (rx, tx) = stream.compat().split();
-    let network = VatNetwork::new(rx, tx, RpcSide::Server, capnp::message::ReaderOptions::new());
+    let network = VatNetwork::new(rx, tx, RpcSide::Server, reader_options());
     let gate: gate::Client = capnp_rpc::new_client(gate);
     RpcSystem::new(Box::new(network), Some(gate.client)).await
 }
