--- a/crates/bench/tests/shutdown.rs
+++ b/crates/bench/tests/shutdown.rs
@@ -133,6 +133,21 @@
     assert_eq!(site.daemons[0].wait_end(SOON).unwrap().code(), Some(0));
 }
 
+#[test]
+fn request_on_an_idle_connection_right_after_accepting_ended_is_served() {
+    let mut site = site("1ms");
+    let key = ask(&site, 1).key;
+    let router = site.routers()[0];
+    let mut idle = KeptOpen::connect(router);
+    assert!(idle.ask_models(&key).starts_with("HTTP/1.1 200"));
+    site.daemons[0].terminate().unwrap();
+    wait_until("connections are refused", SOON, || TcpStream::connect(router).is_err()).unwrap();
+    let answer = idle.ask_models(&key);
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+    assert!(answer.to_lowercase().contains("connection: close"), "{answer}");
+    assert_eq!(site.daemons[0].wait_end(SOON).unwrap().code(), Some(0));
+}
+
 #[test]
 fn second_signal_ends_at_once_and_tells_what_was_cut() {
     let mut site = site("100ms");
--- a/crates/bench/tests/streams.rs
+++ b/crates/bench/tests/streams.rs
@@ -107,6 +107,8 @@
     let answer = block_on(whole_answer(&site, &ask, 1));
     assert_eq!(answer["choices"][0]["text"], ask.expected().concat(), "{answer}");
     assert_eq!(answer["usage"]["completion_tokens"], TOKENS, "{answer}");
+    let counts = site.engines[0].engine.counts();
+    assert_eq!((counts.requests, counts.generated), (1, TOKENS), "{counts:?}");
 }
 
 #[test]
--- a/crates/daemon/src/edge/listen.rs
+++ b/crates/daemon/src/edge/listen.rs
@@ -32,7 +32,7 @@
 /// Time from the end of accepting to the close of idle connections.
 ///
 /// A request that arrived before the close is read in that time, and then served.
-const IDLE_CLOSE: Duration = Duration::from_millis(100);
+const IDLE_CLOSE: Duration = Duration::from_millis(500);
 
 /// Time to wait after a failure to accept, such as too many open files.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
