--- a/crates/bench/tests/streams.rs
+++ b/crates/bench/tests/streams.rs
@@ -301,6 +301,15 @@
         let outcome = block_on(caller::ask(site.routers()[0], &ask(&site, chat)));
         assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
     }
+    assert_eq!(metric(&site, "crossed_answers_dropped"), 2 * TOKENS);
+}
+
+/// Returns the sum of a counter over all organisations, as host 0 shows it.
+fn metric(site: &Site, name: &str) -> u64 {
+    let url = format!("http://{}/metrics", site.daemons[0].spec().admin_listen);
+    let page = attohttpc::get(url).send().unwrap().text().unwrap();
+    let lines = page.lines().filter(|line| !line.starts_with('#') && line.contains(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok()).sum()
 }
 
 #[test]
