--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -35,21 +35,6 @@
         #[bpaf(fallback(1))]
         seed: u64,
     },
-    /// Measure what restarts of routers cost
-    #[bpaf(command)]
-    Restarts {
-        /// Print the figures as one JSON object on the last line
-        json: bool,
-        /// Decides everything that is random
-        #[bpaf(fallback(1))]
-        seed: u64,
-    },
-    /// Measure what a daemon adds to a direct call, at 1, 32 and 256 streams
-    #[bpaf(command)]
-    Latency {
-        /// Print the measurements as one JSON array on the last line
-        json: bool,
-    },
     /// Measure one policy on one site
     #[bpaf(command)]
     Run {
@@ -65,7 +50,7 @@
         /// Completions a second, as a share of what the engines can carry
         #[bpaf(fallback(0.7))]
         load: f64,
-        /// How long to send, in seconds
+        /// How long to measure after the warm-up, in seconds
         #[bpaf(fallback(20))]
         seconds: u64,
         /// What goes wrong at half time: engines or shift
@@ -86,7 +71,7 @@
         /// Completions a second, as a share of what the engines can carry
         #[bpaf(fallback(0.7))]
         load: f64,
-        /// How long to send, in seconds
+        /// How long to measure after the warm-up, in seconds
         #[bpaf(fallback(12))]
         seconds: u64,
         /// Draw the figures into this SVG file
@@ -95,6 +80,21 @@
         /// Print the figures as one JSON object on the last line
         json: bool,
     },
+    /// Measure what restarts of routers cost
+    #[bpaf(command)]
+    Restarts {
+        /// Print the figures as one JSON object on the last line
+        json: bool,
+        /// Decides everything that is random
+        #[bpaf(fallback(1))]
+        seed: u64,
+    },
+    /// Measure what a daemon adds to a direct call, at 1, 32 and 256 streams
+    #[bpaf(command)]
+    Latency {
+        /// Print the measurements as one JSON array on the last line
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -309,7 +309,7 @@
     let pid = std::process::id();
     let [low, high, ..] = pid.to_le_bytes();
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    IpAddr::V4(Ipv4Addr::new(127, 1 | high, low, number.wrapping_add(2)))
+    IpAddr::V4(Ipv4Addr::new(127, 128 | high, low, number.wrapping_add(2)))
 }
 
 /// Returns a free port from `first` on, below those that outgoing connections take.
--- a/crates/daemon/src/edge/relay/mod.rs
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -25,7 +25,7 @@
 };
 
 /// Most attempts in a row that deliver nothing.
-const MAX_FRUITLESS: u32 = 4;
+const MAX_FRUITLESS: usize = 4;
 
 /// Most attempts for one request.
 const MAX_ATTEMPTS: usize = 64;
@@ -122,10 +122,6 @@
         let mut fruitless = 0;
         let mut last = None;
         for _ in 0..MAX_ATTEMPTS {
-            // An attempt that delivered something made way for the next one; others multiply load.
-            if 0 < fruitless && !self.edge.retries.wait(fruitless - 1).await {
-                break;
-            }
             let resumes = held.is_some();
             let chosen = match held.take().map_or_else(|| self.choose(), Ok) {
                 Ok(chosen) => chosen,
@@ -137,11 +133,11 @@
             let end = self.attempt(&chosen, resumes).await;
             let End::Broken(broken) = end else { return end };
             self.may_have_run |= broken.failure.verdict != Verdict::NotRun;
-            if !broken.final_answer {
-                self.edge.router.borrow_mut().failed(self.edge.clock.now(), &chosen);
-            }
             let delivered = self.progress.tokens();
             fruitless = if delivered == before { fruitless + 1 } else { 0 };
+            if !broken.failure.status.is_client_error() {
+                self.edge.router.borrow_mut().failed(self.edge.clock.now(), &chosen);
+            }
             let request = &self.job.request;
             let (endpoint, detail) = (&chosen.endpoint, &broken.failure.detail);
             log::info!(request:%, endpoint:%, tokens = delivered, detail; "attempt failed");
@@ -154,6 +150,8 @@
             }
             if held.is_some() {
                 self.job.recorder.resume();
+            } else if !self.may_retry(fruitless).await {
+                return End::Broken(broken);
             } else {
                 self.job.recorder.retry();
             }
@@ -162,6 +160,16 @@
         End::Broken(last.expect("the loop ran at least once"))
     }
 
+    /// Takes a retry from the budget, which never ends an answer that has begun.
+    async fn may_retry(&self, fruitless: usize) -> bool {
+        if self.progress.tokens() != 0 {
+            self.edge.retries.try_spend();
+            return true;
+        }
+        let attempt = u32::try_from(fruitless.saturating_sub(1)).unwrap_or(u32::MAX);
+        self.edge.retries.wait(attempt).await
+    }
+
     /// Returns the failure with a verdict that counts the attempts before it.
     fn truthful(&self, mut failure: Failure) -> Failure {
         if self.may_have_run && failure.verdict == Verdict::NotRun {
@@ -172,9 +180,9 @@
 
     fn choose(&mut self) -> Result<Chosen, NoEndpoint> {
         let _span = self.job.span.child(Hop::Route);
+        let now = self.edge.clock.now();
         let prompt = self.job.completion.prompt_parts();
         let wanted = self.wanted(&prompt);
-        let now = self.edge.clock.now();
         let chosen = self.edge.router.borrow_mut().choose_engine(now, &wanted, &self.tried)?;
         self.tried.push(chosen.endpoint.clone());
         self.progress.go_on_elsewhere();
@@ -198,7 +206,7 @@
         let prompt = self.job.completion.prompt_parts();
         let wanted = Wanted { weights: Some(&id.weights), ..self.wanted(&prompt) };
         let now = self.edge.clock.now();
-        self.edge.router.borrow_mut().engine_of(now, &id.endpoint, id.incarnation, &wanted)
+        self.edge.router.borrow().engine_of(now, &id.endpoint, id.incarnation, &wanted)
     }
 
     fn wanted<'b>(&'b self, prompt: &'b [Cow<'b, [u8]>]) -> Wanted<'b> {
--- a/crates/daemon/src/edge/relay/pump.rs
+++ b/crates/daemon/src/edge/relay/pump.rs
@@ -26,6 +26,7 @@
         chosen: &Chosen,
         mut body: Incoming,
         first_token_by: MonotonicTime,
+        resumes: bool,
     ) -> End {
         self.progress.begin_attempt();
         let before = self.progress.tokens();
@@ -43,7 +44,6 @@
                 Err(broken) => return End::Broken(self.unless_unnumbered(broken)),
             };
             let Ok(data) = frame.into_data() else { continue };
-            self.note_first_token(chosen);
             if let Err(e) = parser.push(&data, &mut events) {
                 return End::Broken(Broken::cut(e.to_string()));
             }
@@ -56,6 +56,7 @@
                     continue;
                 }
                 if last_token.is_none() {
+                    self.note_first_token(chosen, resumes);
                     drop(std::mem::replace(&mut span, self.job.span.child(Hop::Stream)));
                     span.set("resumed_after", i64::try_from(before).unwrap_or(i64::MAX));
                 }
@@ -108,6 +109,15 @@
         None
     }
 
+    /// Tells the router and the gate how long an attempt's first token took.
+    fn note_first_token(&self, chosen: &Chosen, resumes: bool) {
+        let now = self.edge.clock.now();
+        let took = self.edge.router.borrow_mut().first_token(now, chosen);
+        if let (Some(took), false) = (took, resumes) {
+            self.edge.gate.first_token(took);
+        }
+    }
+
     /// Counts a token and returns its time; `last` is the attempt's token before.
     fn record_token(&self, last: Option<MonotonicTime>) -> MonotonicTime {
         let now = self.edge.clock.now();
@@ -121,19 +131,10 @@
         now
     }
 
-    /// Tells the router and the gate how long an attempt's first token took.
-    fn note_first_token(&self, chosen: &Chosen) {
-        let now = self.edge.clock.now();
-        let took = self.edge.router.borrow_mut().first_token(now, chosen);
-        if let Some(took) = took {
-            self.edge.gate.first_token(took);
-        }
-    }
-
     fn record_prompt(&self, chosen: &Chosen, usage: Usage) {
         let cached = TokenCount::new(usage.prompt_tokens_details.cached_tokens);
-        self.job.recorder.prompt(TokenCount::new(usage.prompt_tokens), cached);
         self.edge.router.borrow_mut().answered(self.edge.clock.now(), chosen, cached);
+        self.job.recorder.prompt(TokenCount::new(usage.prompt_tokens), cached);
     }
 
     /// Keeps a stream without numbers from being resumed at its engine.
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -158,6 +158,11 @@
         self.targets.values().filter(is_engine).count()
     }
 
+    /// Returns the most requests that an engine ran while others waited, 0 if none ever waited.
+    pub(super) fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Returns the number of routers that share the requests.
     pub(super) fn routers(&self) -> usize {
         self.routers
@@ -244,7 +249,7 @@
 
     /// Returns an engine that has begun an answer, if that life of it still serves the same.
     pub(super) fn engine_of(
-        &mut self,
+        &self,
         now: MonotonicTime,
         endpoint: &EndpointId,
         incarnation: Incarnation,
@@ -256,16 +261,15 @@
         }
         let weights = target.serves(|m| wanted.fits(m))?;
         let Identity { salt, chain, .. } = wanted.identity(&weights);
-        self.engine_outliers.sent(now, endpoint);
         Some(Chosen {
             was_idle: false,
-            in_flight: InFlight::begin(target, TokenCount::ZERO),
+            in_flight: InFlight::begin(target, TokenCount::new(0)),
             endpoint: endpoint.clone(),
             weights,
             salt,
-            believed: chain.blocks().len(),
             chain,
             prompt_tokens: wanted.prompt_tokens(),
+            believed: 0,
             sent: now,
             begun: Cell::new(None),
         })
