bench: orders while hosts fail in turn; changes over delay, loss and a one-way cut

Cause: the step-by-step tests fail one host once; orders under failures that follow each other, and changes over bad links, were not shown. Change: six senders at random hosts while each host is killed, frozen past its lease and cut off in turn; twenty changes over 5 ms, 2% loss and a leader cut one way.

--- /dev/null
+++ b/crates/bench/tests/claims_chaos.rs
@@ -0,0 +1,150 @@
+//! Many orders while hosts are killed, frozen and cut off in turn.
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use base::Verdict;
+use bench::{
+    Fault, Proxy,
+    caller::{self, CallOutcome},
+    fake::ServiceCounts,
+    operator,
+    process::Program,
+    site::{Site, SiteSpec, organisation_key},
+};
+use hyper::Method;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+const SENDERS: u64 = 6;
+const ROUNDS: usize = 2;
+/// Time after which an order without an outcome counts as in doubt.
+const SETTLED: Duration = Duration::from_secs(6);
+/// Longer than a lease and an election.
+const PAUSE: Duration = Duration::from_millis(900);
+const SHORT_WAIT: &str = "[defaults]\nclaim-wait = \"500ms\"\n";
+
+fn program() -> Program {
+    Program { path: PathBuf::from(env!("CARGO_BIN_EXE_bench")), args: vec!["daemon".into()] }
+}
+
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, future)
+}
+
+/// What senders need.
+#[derive(Clone)]
+struct Desk {
+    routers: Vec<SocketAddr>,
+    key: String,
+    counts: ServiceCounts,
+    stopped: Arc<AtomicBool>,
+}
+
+/// What became of a sender's orders.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    answered: u64,
+    in_doubt: u64,
+}
+
+impl Desk {
+    /// Sends orders one after another, each at random hosts until it is settled.
+    async fn send_orders(self, seed: u64) -> Tally {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut tally = Tally::default();
+        let mut number = 0;
+        while !self.stopped.load(Ordering::Relaxed) {
+            number += 1;
+            match self.settle(&format!("order-{seed}-{number}"), &mut rng).await {
+                Verdict::Ran => tally.answered += 1,
+                _ => tally.in_doubt += 1,
+            }
+        }
+        tally
+    }
+
+    async fn settle(&self, key: &str, rng: &mut Pcg64Mcg) -> Verdict {
+        let deadline = Instant::now() + SETTLED;
+        loop {
+            let router = self.routers[rng.random_range(0..self.routers.len())];
+            let path = "/services/orders/orders";
+            let sent = caller::call(router, Method::POST, path, &self.key, Some(key), "{}");
+            let outcome = sent.await;
+            let runs = self.counts.runs(key);
+            assert!(runs <= 1, "{key}: {runs} runs");
+            match (&outcome, outcome.verdict()) {
+                (CallOutcome::Answered { .. }, _) | (_, Some(Verdict::Ran)) => {
+                    assert_eq!(runs, 1, "{key}: {outcome:?}");
+                    return Verdict::Ran;
+                }
+                (_, Some(Verdict::NotRun)) => assert_eq!(runs, 0, "{key}: {outcome:?}"),
+                _ => {}
+            }
+            if deadline < Instant::now() {
+                return Verdict::MayHaveRun;
+            }
+        }
+    }
+}
+
+fn cut_off(site: &Site, host: usize) {
+    let ip = site.daemons[host].spec().listen.ip();
+    for (other, proxy) in site.peer_proxies.iter().enumerate() {
+        if other == host {
+            proxy.set(Fault::partition());
+        } else {
+            proxy.set_for(ip, Fault::partition());
+        }
+    }
+}
+
+fn fail_in_turn(site: &mut Site) {
+    let hosts = site.daemons.len();
+    for host in (0..ROUNDS * hosts).map(|turn| turn % hosts) {
+        site.daemons[host].restart().unwrap();
+        site.daemons[host].wait_ready(PATIENCE).unwrap();
+        let frozen = (host + 1) % hosts;
+        site.daemons[frozen].freeze().unwrap();
+        std::thread::sleep(PAUSE);
+        site.daemons[frozen].thaw().unwrap();
+        cut_off(site, (host + 2) % hosts);
+        std::thread::sleep(PAUSE);
+        site.peer_proxies.iter().for_each(Proxy::heal);
+    }
+}
+
+#[test]
+fn orders_run_at_most_once_while_hosts_fail_in_turn() {
+    let spec = SiteSpec { engines: vec![], ..SiteSpec::small() };
+    let mut site = Site::start(&program(), spec).unwrap();
+    block_on(operator::submit_change(&site.daemons, operator::change("c", 0, SHORT_WAIT))).unwrap();
+    let desk = Desk {
+        routers: site.routers(),
+        key: organisation_key(&site.spec.organisations[0]),
+        counts: site.orders.clone(),
+        stopped: Arc::default(),
+    };
+    let stopped = Arc::clone(&desk.stopped);
+    let senders = std::thread::spawn(move || {
+        let sending = (0..SENDERS).map(|seed| desk.clone().send_orders(seed));
+        block_on(futures_util::future::join_all(sending))
+    });
+    fail_in_turn(&mut site);
+    stopped.store(true, Ordering::Relaxed);
+    let tallies = senders.join().expect("no sender saw a wrong answer");
+    assert_eq!(site.orders.doubled(), 0);
+    let answered: u64 = tallies.iter().map(|tally| tally.answered).sum();
+    let in_doubt: u64 = tallies.iter().map(|tally| tally.in_doubt).sum();
+    println!("answered {answered}, in doubt {in_doubt}");
+    assert!(in_doubt < answered, "{tallies:?}");
+}
--- a/crates/bench/tests/configuration.rs
+++ b/crates/bench/tests/configuration.rs
@@ -147,6 +147,26 @@
     watch.finish();
 }
 
+#[test]
+fn change_is_in_force_in_time_over_delay_loss_and_a_one_way_cut() {
+    let site = site();
+    let watch = Watch::start(&site);
+    let lossy = Fault { loss: 0.02, ..Fault::delay(Duration::from_millis(5)) };
+    site.peer_proxies.iter().for_each(|proxy| proxy.set(lossy.clone()));
+    block_on(async {
+        let leader = operator::leader(&site.daemons).await.unwrap();
+        let ip = site.daemons[leader].spec().listen.ip();
+        let one_way = Fault { hold_requests: true, ..lossy };
+        site.peer_proxies[(leader + 1) % 3].set_for(ip, one_way);
+        for number in 0..20 {
+            let reply = change(&site, number).await;
+            assert_eq!(reply, ChangeReply::Changed(Revision::new(number + 1)));
+            wait_in_force(&site, number + 1);
+        }
+    });
+    watch.finish();
+}
+
 #[test]
 fn voter_alone_keeps_the_configuration_in_force_over_a_restart() {
     let mut site = site();
