--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod load;
 pub mod model;
 pub mod operator;
+pub mod partition;
 pub mod process;
 mod proxy;
 pub mod quorum_bench;
@@ -33,7 +34,9 @@
 pub mod run;
 pub mod site;
 pub mod sites;
+pub mod slopes;
 pub mod stream;
+mod usage;
 pub mod workload;
 
 pub use crate::proxy::{Fault, Proxy};
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
     quorum_bench, restarts,
     run::{self, RunFault, RunSpec},
     sites::SiteKind,
+    slopes,
 };
 use bpaf::Bpaf;
 use route::PolicyKind;
@@ -95,6 +96,12 @@
         /// Print the measurements as one JSON array on the last line
         json: bool,
     },
+    /// Measure how messages, processor time and memory grow with the size of a fleet
+    #[bpaf(command)]
+    Slopes {
+        /// Print the slopes as one JSON array on the last line
+        json: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -179,6 +186,13 @@
                 println!("{}", serde_json::to_string(&rows)?);
             }
         }
+        Options::Slopes { json } => {
+            let slopes = slopes::run(&program)?;
+            println!("{}", slopes::table(&slopes));
+            if json {
+                println!("{}", serde_json::to_string(&slopes)?);
+            }
+        }
     }
     Ok(())
 }
