daemon: split the router's feedback from its choice; bench: time a decision

Change: only routers alive share the engines' capacity; bench decision measures hashing, lookup and choice at 1800 endpoints and 7 models.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod caller;
 pub mod compare;
+pub mod decision;
 pub mod declare;
 pub mod demo;
 pub mod fake;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use bench::{
-    compare, demo,
+    compare, decision, demo,
     process::Program,
     run::{self, RunFault, RunSpec},
     sites::SiteKind,
@@ -49,6 +49,18 @@
         /// Print the figures as one JSON object on the last line
         json: bool,
     },
+    /// Measure what the cores of one routing decision cost
+    #[bpaf(command)]
+    Decision {
+        /// Endpoints to choose from
+        #[bpaf(fallback(1_800))]
+        endpoints: usize,
+        /// Decides everything that is random
+        #[bpaf(fallback(1))]
+        seed: u64,
+        /// Print the figures as one JSON object on the last line
+        json: bool,
+    },
     /// Measure every policy on one site
     #[bpaf(command)]
     Compare {
@@ -119,6 +131,9 @@
             let spec = RunSpec { site, policy, seed, load, span, fault };
             show(&run::run(&program, &spec)?, json)?;
         }
+        Options::Decision { endpoints, seed, json } => {
+            show(&decision::measure(endpoints, seed), json)?;
+        }
         Options::Compare { site, seeds, load, seconds, plot, json } => {
             let seeds: Vec<u64> = seeds.split(',').map(str::parse).collect::<Result<_, _>>()?;
             let span = Duration::from_secs(seconds);
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -1,27 +1,29 @@
 mod explain;
+mod feedback;
+mod wanted;
 
-use std::{borrow::Cow, cell::Cell, collections::BTreeMap, net::IpAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::BTreeMap, net::IpAddr, rc::Rc, time::Duration};
 
 use base::{
-    AdapterId, DataCentreId, EndpointId, ModelId, MonotonicTime, OrganisationId, ServiceId,
-    TokenCount, WeightsVersion,
+    DataCentreId, EndpointId, ModelId, MonotonicTime, ServiceId, TokenCount, WeightsVersion,
 };
-use member::{Announcement, EndpointKind, EndpointState, Known, Roster, ServedModel};
+use member::{Announcement, EndpointKind, EndpointState, Known, PeerState, Roster};
 use prefix::{BlockBytes, Chain, Salt};
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
-use route::{
-    Candidate, Outcome, OutlierSettings, Outliers, Policy as _, Request, Standing, StandingChange,
-    Warm,
-};
+use route::{Candidate, OutlierSettings, Outliers, Policy as _, Request, Standing, Warm};
 
 use super::{
-    policies::{Policies, Preferences},
+    policies::Policies,
     round_trips::RoundTrips,
     targets::{InFlight, Target},
     warmth::PrefixWarmth,
 };
 
+pub(super) use wanted::Wanted;
+
+use wanted::Identity;
+
 /// Bytes of prompt taken as one token.
 pub(super) const BYTES_PER_TOKEN: usize = 4;
 
@@ -53,17 +55,6 @@
     rng: Pcg64Mcg,
 }
 
-/// What a completion needs of an engine.
-pub(super) struct Wanted<'a> {
-    pub organisation: &'a OrganisationId,
-    pub model: &'a ModelId,
-    pub adapter: Option<&'a AdapterId>,
-    /// Set when part of the answer was made with these weights.
-    pub weights: Option<&'a WeightsVersion>,
-    pub prompt: &'a [Cow<'a, [u8]>],
-    pub preferences: Preferences,
-}
-
 /// An engine chosen for a completion.
 pub(super) struct Chosen {
     pub in_flight: InFlight,
@@ -95,14 +86,6 @@
     weights: W,
 }
 
-/// The identity of a prompt's prefixes under one version of the weights.
-struct Identity {
-    weights: WeightsVersion,
-    salt: Salt,
-    chain: Chain,
-    homes: u32,
-}
-
 impl Router {
     /// Creates a router in a data centre that connects from the own address `source`.
     pub(super) fn new(source: IpAddr, data_centre: DataCentreId, mut rng: Pcg64Mcg) -> Self {
@@ -128,7 +111,8 @@
         roster: &Roster,
         is_drained: impl Fn(&Announcement) -> bool,
     ) {
-        self.routers = roster.peers.len() + 1;
+        let alive = roster.peers.iter().filter(|peer| peer.update.state == PeerState::Alive);
+        self.routers = alive.count() + 1;
         self.warmth.set_routers(self.routers);
         let mut old = std::mem::take(&mut self.targets);
         let ready = roster.endpoints.iter().filter(|known| known.state == EndpointState::Ready);
@@ -245,48 +229,6 @@
         })
     }
 
-    /// Learns that the head of an engine's answer has arrived.
-    pub(super) fn head_arrived(&mut self, now: MonotonicTime, chosen: &Chosen) {
-        let data_centre = chosen.in_flight.target().data_centre();
-        self.round_trips.record(&data_centre, now.saturating_since(chosen.sent));
-    }
-
-    /// Learns that the engine's first token has arrived; returns the time it took.
-    pub(super) fn first_token(&mut self, now: MonotonicTime, chosen: &Chosen) -> Option<Duration> {
-        if chosen.begun.get().is_some() {
-            return None;
-        }
-        let took = now.saturating_since(chosen.sent);
-        chosen.begun.set(Some(took));
-        chosen.in_flight.prefilled();
-        let change = self.engine_outliers.record(now, &chosen.endpoint, Outcome::Answered(took));
-        log_change(&chosen.endpoint, change);
-        Some(took)
-    }
-
-    /// Learns how many of the prompt's tokens the engine had cached.
-    pub(super) fn answered(&mut self, now: MonotonicTime, chosen: &Chosen, cached: TokenCount) {
-        let cached_blocks = (cached.as_u64() / BLOCK_TOKENS) as usize;
-        if let Some(slot) = chosen.in_flight.target().slot() {
-            self.warmth.answered(now, slot, &chosen.chain, chosen.believed, cached_blocks);
-        }
-        let Some(took) = chosen.begun.get() else { return };
-        self.policies.learn_hold_time(now.saturating_since(chosen.sent + took));
-        if chosen.was_idle {
-            let computed = chosen.prompt_tokens.as_u64().saturating_sub(cached.as_u64());
-            self.policies.learn_prefill_rate(computed, took);
-        }
-    }
-
-    /// Learns that a request at an engine failed.
-    pub(super) fn failed(&mut self, now: MonotonicTime, chosen: &Chosen) {
-        let change = self.engine_outliers.record(now, &chosen.endpoint, Outcome::Failed);
-        log_change(&chosen.endpoint, change);
-        if let Some(slot) = chosen.in_flight.target().slot() {
-            self.warmth.failed(now, slot, &chosen.chain, 0);
-        }
-    }
-
     /// Chooses an endpoint of a plain service that isn't among `tried`.
     pub(super) fn choose_service(
         &mut self,
@@ -319,17 +261,6 @@
         Ok((able.id.clone(), InFlight::begin(able.target, TokenCount::ZERO)))
     }
 
-    /// Learns how a call at an endpoint of a plain service went.
-    pub(super) fn service_ended(
-        &mut self,
-        now: MonotonicTime,
-        endpoint: &EndpointId,
-        outcome: Outcome,
-    ) {
-        let change = self.service_outliers.record(now, endpoint, outcome);
-        log_change(endpoint, change);
-    }
-
     fn join(&mut self, now: MonotonicTime, known: &Known) -> Target {
         let announcement = &known.announcement;
         let endpoint = &announcement.endpoint;
@@ -392,26 +323,6 @@
     }
 }
 
-impl Wanted<'_> {
-    fn fits(&self, served: &ServedModel) -> bool {
-        served.model == *self.model
-            && self.weights.is_none_or(|weights| *weights == served.weights)
-            && self.adapter.is_none_or(|adapter| served.adapters.contains(adapter))
-    }
-
-    fn identity(&self, weights: &WeightsVersion) -> Identity {
-        let salt = Salt::new(self.organisation, self.model, weights, self.adapter);
-        let parts = self.prompt.iter().map(AsRef::as_ref);
-        let chain = Chain::of_parts(salt, BLOCK_BYTES, parts);
-        Identity { weights: weights.clone(), salt, chain, homes: 1 }
-    }
-
-    fn prompt_tokens(&self) -> TokenCount {
-        let bytes: usize = self.prompt.iter().map(|part| part.len()).sum();
-        TokenCount::new(bytes.div_ceil(BYTES_PER_TOKEN) as u64)
-    }
-}
-
 /// Returns those that may get new work, or else those kept from it for their failures.
 fn open<'a, 'b, W>(
     now: MonotonicTime,
@@ -442,11 +353,3 @@
 fn find<'a>(identities: &'a [Identity], weights: &WeightsVersion) -> Option<&'a Identity> {
     identities.iter().find(|identity| identity.weights == *weights)
 }
-
-fn log_change(endpoint: &EndpointId, change: Option<StandingChange>) {
-    match change {
-        Some(StandingChange::Ejected(_)) => log::warn!("endpoint={endpoint} ejected as an outlier"),
-        Some(StandingChange::Restored) => log::info!("endpoint={endpoint} restored"),
-        None => {}
-    }
-}
