route: estimate the wait of an organisation below its share truthfully

A request of an organisation without a queue was taken to wait a whole round of all others, and refused. Change: it waits for the organisations charged less; each further request of its own waits a round.

--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -212,10 +212,13 @@
     }
 
     /// Estimates how long a request with `ahead` others of its organisation before it waits.
+    ///
+    /// The organisation's first waits for those charged less; each further one for a round of all.
     fn estimate_wait(&self, organisation: &OrganisationId, ahead: usize) -> Duration {
         let capacity = f64::from(self.settings.capacity.max(1));
-        let share = self.shares.share_of(organisation);
-        let wait = self.hold_time().as_secs_f64() * (ahead + 1) as f64 / (capacity * share);
+        let first = (self.shares.before(organisation) + 1) as f64;
+        let further = ahead as f64 / self.shares.share_of(organisation);
+        let wait = self.hold_time().as_secs_f64() * (first + further) / capacity;
         Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
     }
 
--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -119,6 +119,14 @@
         share.queue.range(..=(priority, Ticket(u64::MAX))).count()
     }
 
+    /// Returns the number of other organisations with a queue whose first request goes before the
+    /// organisation's.
+    pub(crate) fn before(&self, organisation: &OrganisationId) -> usize {
+        let own = self.active.get(organisation).map_or(self.clock, |share| share.virtual_time);
+        let start = (own.max(self.clock), organisation.clone());
+        self.queued.range(..start).filter(|(_, other)| other != organisation).count()
+    }
+
     /// Returns the part of the capacity that the organisation gets while all others with a queue
     /// keep theirs.
     pub(crate) fn share_of(&self, organisation: &OrganisationId) -> f64 {
