--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod balancer;
 pub mod caller;
 pub mod compare;
+pub mod decision;
 pub mod declare;
 pub mod demo;
 pub mod fake;
