daemon: spans and metrics of calls to plain services

Cause: calls had no span of their own, no request id in the answer, and no metric; the claim's hop was missing from traces. Change: Tracked names a request for logs, metrics and spans, for completions and calls alike; services get the router's trace context; refusals, claims, retries, hedges and durations counted.

--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -9,7 +9,7 @@
     header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
 };
 use serde_json::json;
-use telemetry::Hop;
+use telemetry::{Hop, Refusal};
 use wire::{
     EventId,
     chunk::DONE,
@@ -23,6 +23,7 @@
     failure::Failure,
     relay::{self, Job, Piece},
     router,
+    tracked::Tracked,
     whole_answer::WholeAnswer,
 };
 
@@ -35,7 +36,6 @@
     req: Request<Incoming>,
     active: ActiveRequest,
 ) -> Result<Response<Body>, Failure> {
-    let arrived = edge.clock.now();
     let organisation = edge.keys.organisation(req.headers())?;
     let (parts, body) = req.into_parts();
     let body = body::read(edge, body).await?;
@@ -47,7 +47,9 @@
     if resume.is_some() && !stream {
         return Err(Failure::bad_request("\"Last-Event-ID\" resumes streams only"));
     }
-    let request = edge.new_request_id();
+    let tracked = Tracked::begin(edge, &organisation, &parts.headers);
+    let shown_id = tracked.shown_id(&parts.headers);
+    let request = tracked.id.clone();
     active.name(request.as_str());
     let scope = Scope {
         organisation: Some(organisation.clone()),
@@ -55,17 +57,16 @@
         ..Scope::default()
     };
     let settings = edge.settings(&scope);
-    let recorder = edge.metrics.recorder(&organisation);
-    let caller = text_header(&parts.headers, "traceparent").and_then(|text| text.parse().ok());
-    let mut span = edge.tracer.accept(caller);
-    span.set("request", request.to_string());
     let prompt_bytes = check_prompt(&completion, &settings)?;
     let cost = admission_cost(prompt_bytes, completion.max_tokens());
-    let queued = span.child(Hop::Queue);
-    let place = edge.gate.admit(&organisation, &settings, cost).await?;
+    let queued = tracked.span.child(Hop::Queue);
+    let place = edge.gate.admit(&organisation, &settings, cost).await.inspect_err(|_| {
+        tracked.recorder.refusal(Refusal::OverShare);
+    })?;
     drop(queued);
-    recorder.queue_wait(edge.clock.now().saturating_since(arrived));
+    tracked.recorder.queue_wait(edge.clock.now().saturating_since(tracked.arrived));
     edge.retries.earn(&settings);
+    let Tracked { arrived, recorder, span, .. } = tracked;
     let job = Job {
         request: request.clone(),
         organisation,
@@ -91,11 +92,7 @@
     } else {
         whole(&request, kind, rx, task).await?
     };
-    let shown = parts.headers.get("x-request-id").cloned();
-    let shown = shown.or_else(|| HeaderValue::from_str(request.as_str()).ok());
-    if let Some(id) = shown {
-        response.headers_mut().insert("x-request-id", id);
-    }
+    shown_id.show(&mut response);
     Ok(response)
 }
 
@@ -143,10 +140,6 @@
     }
 }
 
-pub(super) fn text_header(headers: &HeaderMap, name: &str) -> Option<String> {
-    headers.get(name)?.to_str().ok().map(str::to_owned)
-}
-
 /// Starts a streamed answer once the engine has sent its first piece.
 async fn streamed(
     rx: flume::Receiver<Piece>,
--- a/crates/daemon/src/edge/idempotent.rs
+++ b/crates/daemon/src/edge/idempotent.rs
@@ -26,6 +26,9 @@
         if last.is_some() && !edge.retries.wait(attempt - 1).await {
             break;
         }
+        if last.is_some() {
+            call.tracked.recorder.retry();
+        }
         let first = match edge.choose_service(call, &tried) {
             Ok(first) => first,
             Err(why) => return Err(last.unwrap_or_else(|| services::no_endpoint(call, why))),
@@ -60,6 +63,7 @@
     if !edge.retries.try_spend() {
         return first.await;
     }
+    call.tracked.recorder.hedge();
     tried.push(endpoint.clone());
     let second = attempt(edge, call, endpoint, in_flight);
     tokio::pin!(second);
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -17,6 +17,7 @@
 mod router;
 mod services;
 mod targets;
+mod tracked;
 mod upstream;
 mod warmth;
 mod whole_answer;
--- a/crates/daemon/src/edge/relay/mod.rs
+++ b/crates/daemon/src/edge/relay/mod.rs
@@ -109,6 +109,7 @@
         let (request, verdict) = (&job.request, failure.verdict);
         log::warn!(request:%, tokens, verdict:%, detail = failure.detail; "completion failed");
     }
+    job.recorder.request_duration(edge.clock.now().saturating_since(job.arrived));
     let _ = tx.send_async(last).await;
 }
 
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -11,6 +11,7 @@
     http::request::Parts,
 };
 use route::Outcome;
+use telemetry::{Hop, Refusal};
 
 use super::{
     ActiveRequest, Edge,
@@ -21,6 +22,7 @@
     idempotent,
     router::NoEndpoint,
     targets::InFlight,
+    tracked::Tracked,
     upstream,
 };
 
@@ -28,7 +30,7 @@
 pub(super) const PATH_PREFIX: &str = "/services/";
 
 /// Headers of a call that the service gets.
-const PASSED_HEADERS: [&str; 4] = ["idempotency-key", "x-request-id", "traceparent", "user-agent"];
+const PASSED_HEADERS: [&str; 3] = ["idempotency-key", "x-request-id", "user-agent"];
 
 /// Most endpoints that a call which may not be repeated tries to connect to.
 const MAX_CONNECTS: usize = 3;
@@ -43,6 +45,7 @@
     parts: Parts,
     body: Bytes,
     pub settings: fleet::Settings,
+    pub tracked: Tracked,
 }
 
 /// Answers calls to plain services.
@@ -61,15 +64,21 @@
         ..Scope::default()
     };
     let settings = edge.settings(&scope);
-    let counted = edge.gate.count(&organisation, &settings)?;
+    let tracked = Tracked::begin(edge, &organisation, &parts.headers);
+    let shown_id = tracked.shown_id(&parts.headers);
+    active.name(tracked.id.as_str());
+    let counted = edge.gate.count(&organisation, &settings).inspect_err(|_| {
+        tracked.recorder.refusal(Refusal::OverShare);
+    })?;
     edge.retries.earn(&settings);
-    let call = Call { organisation, service, path, parts, body, settings };
-    let call = Rc::new(call);
+    let call = Rc::new(Call { organisation, service, path, parts, body, settings, tracked });
     // A task of its own, so that a caller who hangs up cuts no call that may not be repeated.
     let sending = tokio::task::spawn_local(send(Rc::clone(edge), call, active, counted));
-    sending.await.unwrap_or_else(|_| {
+    let mut answer = sending.await.unwrap_or_else(|_| {
         Err(Failure::broken("the call ended without an answer", Verdict::MayHaveRun))
-    })
+    })?;
+    shown_id.show(&mut answer);
+    Ok(answer)
 }
 
 async fn send(
@@ -93,9 +102,21 @@
         }
     };
     let timeout = tokio::time::timeout(settings.request_timeout.as_duration(), sending).await;
-    timeout.unwrap_or_else(|_| {
+    let answer = timeout.unwrap_or_else(|_| {
         Err(Failure::timed_out("the service did not answer in time", Verdict::MayHaveRun))
-    })
+    });
+    record(&edge, &call, &answer);
+    answer
+}
+
+fn record(edge: &Edge, call: &Call, answer: &Result<Response<Body>, Failure>) {
+    let Tracked { id, arrived, recorder, .. } = &call.tracked;
+    recorder.request_duration(edge.clock.now().saturating_since(*arrived));
+    if let Err(failure) = answer {
+        recorder.verdict(failure.verdict);
+        let (service, verdict) = (&call.service, failure.verdict);
+        log::warn!(request:% = id, service:%, verdict:%, detail = failure.detail; "call failed");
+    }
 }
 
 fn split_path(parts: &Parts) -> Result<(ServiceId, String), Failure> {
@@ -127,7 +148,11 @@
     let connected = connect(edge, call).await;
     let claim_timeout = call.settings.claim_send_deadline.as_duration();
     let wait = call.settings.claim_wait.as_duration();
-    let permit = match keyed.claim(edge, claim_timeout, wait).await? {
+    let claiming = call.tracked.span.child(Hop::Claim);
+    call.tracked.recorder.claim();
+    let claimed = keyed.claim(edge, claim_timeout, wait).await?;
+    drop(claiming);
+    let permit = match claimed {
         Claimed::Send(permit) => permit,
         Claimed::Answered(answer) => return Ok(answer),
     };
@@ -151,12 +176,16 @@
     let mut tried = Vec::new();
     let mut last = None;
     for _ in 0..MAX_CONNECTS {
+        let routing = call.tracked.span.child(Hop::Route);
         let chosen = edge.choose_service(call, &tried);
+        drop(routing);
         let (endpoint, in_flight) = match chosen {
             Ok(chosen) => chosen,
             Err(why) => return Err(last.unwrap_or_else(|| no_endpoint(call, why))),
         };
         tried.push(endpoint.clone());
+        let mut connecting = call.tracked.span.child(Hop::Connect);
+        connecting.set("endpoint", endpoint.to_string());
         match in_flight.target().pool().connect(timeout).await {
             Ok(connection) => return Ok(Connected { connection, in_flight }),
             Err(failure) => {
@@ -208,6 +237,10 @@
         headers.insert(HOST, address.parse().expect("an address is a valid header"));
         let organisation = self.organisation.as_str();
         headers.insert("x-organisation", organisation.parse().expect("an id is a valid header"));
+        if let Some(context) = self.tracked.span.context() {
+            let context = context.to_string().parse().expect("a trace context is a valid header");
+            headers.insert("traceparent", context);
+        }
         req
     }
 }
