--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 mod leader_client;
 mod net;
 mod peers;
+mod process;
 mod readiness;
 mod replica;
 mod roster;
--- /dev/null
+++ b/crates/daemon/src/process.rs
@@ -0,0 +1,267 @@
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread::JoinHandle,
+};
+
+use base::{Incarnation, Revision, Sequence, Term};
+use eyre::WrapErr as _;
+use member::{PeerState, PeerUpdate, Roster};
+use telemetry::{Exporter, Metrics, QuorumRole, TraceConfig, Tracer};
+
+use crate::{
+    Settings,
+    admin::{self, Sources},
+    clock::Clock,
+    configurations::Configurations,
+    directory::Directory,
+    edge::{self, Control, EdgeEnd, Inquiry, Rings},
+    leader_client::LeaderClient,
+    net,
+    peers::{self, Addressed, Inbox, PeersConfig},
+    readiness::{self, News, Readiness},
+    replica::{self, ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaState},
+    roster::{self, Latest, RosterInput, RosterRings},
+};
+
+/// Messages in a ring between two threads.
+pub(crate) const RING: usize = 4096;
+
+/// Rosters in the ring to the edge thread.
+const ROSTER_RING: usize = 1;
+
+/// Operators' questions in the ring to the edge thread.
+const INQUIRY_RING: usize = 16;
+
+/// The process's threads, as far as its end needs them.
+pub(crate) struct Process {
+    pub edge: JoinHandle<EdgeEnd>,
+    pub control: flume::Sender<Control>,
+    pub readiness: Readiness,
+    pub news: News,
+    pub roster: flume::Sender<RosterInput>,
+    pub replica: Option<flume::Sender<ReplicaInput>>,
+    /// Sends the last spans on drop.
+    _exporter: Option<Exporter>,
+}
+
+/// What several threads hold.
+struct Shared {
+    cfg: Arc<Settings>,
+    clock: Clock,
+    incarnation: Incarnation,
+    metrics: Arc<Metrics>,
+    directory: Directory,
+    configurations: Configurations,
+    latest: Latest,
+    replica_state: ReplicaState,
+    readiness: Readiness,
+    outbox: flume::Sender<Addressed>,
+    roster: flume::Sender<RosterInput>,
+}
+
+impl Process {
+    /// Binds the addresses, opens the data folder and starts the threads.
+    pub(crate) fn start(cfg: &Arc<Settings>) -> eyre::Result<Self> {
+        let (outbox, outbox_rx) = flume::bounded(RING);
+        let (roster, roster_inputs) = flume::bounded(RING);
+        let shared = Shared::new(cfg, outbox, roster)?;
+        let (tracer, exporter) = tracing(cfg, &shared.metrics)?;
+        let edge_listener = bind(cfg.listen)?;
+        let peer_listener = bind(cfg.peer_listen)?;
+
+        let replica = shared.start_replica()?;
+        let leader = shared.leader_client(replica.clone());
+        let rosters = shared.start_roster(roster_inputs, replica.clone())?;
+        shared.start_peers(peer_listener, outbox_rx, replica.clone())?;
+        let news = shared.news(leader.clone())?;
+        let inquiries = shared.start_admin(leader.clone())?;
+        let (control, control_rx) = flume::bounded(RING);
+        let rings = Rings {
+            rosters,
+            announcements: shared.roster.clone(),
+            control: control_rx,
+            inquiries,
+            configurations: shared.configurations.clone(),
+            leader,
+            incarnation: shared.incarnation,
+            metrics: Arc::clone(&shared.metrics),
+            tracer,
+        };
+        let edge = edge::spawn(Arc::clone(cfg), shared.clock, edge_listener, rings)?;
+        Ok(Self {
+            edge,
+            control,
+            readiness: shared.readiness,
+            news,
+            roster: shared.roster,
+            replica,
+            _exporter: exporter,
+        })
+    }
+}
+
+impl Shared {
+    fn new(
+        cfg: &Arc<Settings>,
+        outbox: flume::Sender<Addressed>,
+        roster: flume::Sender<RosterInput>,
+    ) -> eyre::Result<Self> {
+        let clock = Clock::start();
+        let metrics = Arc::new(Metrics::new()?);
+        // Series that are there from the start can be compared between hosts.
+        metrics.revision(Revision::ZERO);
+        metrics.quorum(QuorumRole::Observer, Term::ZERO);
+        let configurations = match &cfg.data_dir {
+            Some(data_dir) => Configurations::open(data_dir)
+                .wrap_err("the configuration in the data folder can't be used")?,
+            None => Configurations::default(),
+        };
+        Ok(Self {
+            cfg: Arc::clone(cfg),
+            clock,
+            // Higher than that of any earlier process on this host.
+            incarnation: Incarnation::new(clock.wall().as_u64()),
+            metrics,
+            directory: Directory::default(),
+            configurations,
+            latest: Latest::default(),
+            replica_state: ReplicaState::default(),
+            readiness: Readiness::default(),
+            outbox,
+            roster,
+        })
+    }
+
+    /// Starts the replica thread on a host with a vote.
+    fn start_replica(&self) -> eyre::Result<Option<flume::Sender<ReplicaInput>>> {
+        let (Some(data_dir), true) = (&self.cfg.data_dir, self.cfg.voter) else { return Ok(None) };
+        let (tx, inputs) = flume::bounded(RING);
+        let replica_cfg = ReplicaConfig {
+            host: self.cfg.host.clone(),
+            founders: self.cfg.founders.clone(),
+            data_dir: data_dir.clone(),
+        };
+        let rings = ReplicaRings {
+            inputs,
+            outbox: self.outbox.clone(),
+            directory: self.directory.clone(),
+            configurations: self.configurations.clone(),
+            state: self.replica_state.clone(),
+        };
+        replica::spawn(replica_cfg, self.clock, rings)?;
+        Ok(Some(tx))
+    }
+
+    fn leader_client(&self, replica: Option<flume::Sender<ReplicaInput>>) -> LeaderClient {
+        let (outbox, directory) = (self.outbox.clone(), self.directory.clone());
+        LeaderClient::new(self.cfg.host.clone(), replica, outbox, directory)
+    }
+
+    /// Starts the roster thread; returns the ring of its rosters.
+    fn start_roster(
+        &self,
+        inputs: flume::Receiver<RosterInput>,
+        replica: Option<flume::Sender<ReplicaInput>>,
+    ) -> eyre::Result<flume::Receiver<Arc<Roster>>> {
+        let (rosters, rosters_rx) = flume::bounded(ROSTER_RING);
+        let me = self.myself(replica.is_some());
+        let rings = RosterRings {
+            inputs,
+            answers: self.roster.clone(),
+            rosters,
+            older_rosters: rosters_rx.clone(),
+            latest: self.latest.clone(),
+            outbox: self.outbox.clone(),
+            directory: self.directory.clone(),
+            configurations: self.configurations.clone(),
+            replica,
+            replica_state: self.replica_state.clone(),
+            metrics: Arc::clone(&self.metrics),
+        };
+        roster::spawn(self.clock, me, self.cfg.seeds.clone(), rings)?;
+        Ok(rosters_rx)
+    }
+
+    fn myself(&self, votes: bool) -> PeerUpdate {
+        PeerUpdate {
+            host: self.cfg.host.clone(),
+            data_centre: self.cfg.data_centre.clone(),
+            address: self.cfg.peer_advertise,
+            incarnation: self.incarnation,
+            sequence: Sequence::ZERO,
+            heartbeat: Sequence::ZERO,
+            revision: Revision::ZERO,
+            leader: None,
+            votes,
+            draining: false,
+            state: PeerState::Alive,
+        }
+    }
+
+    fn start_peers(
+        &self,
+        listener: TcpListener,
+        outbox: flume::Receiver<Addressed>,
+        replica: Option<flume::Sender<ReplicaInput>>,
+    ) -> eyre::Result<()> {
+        let inbox = Inbox {
+            roster: self.roster.clone(),
+            replica,
+            configurations: self.configurations.clone(),
+        };
+        let peers_cfg = PeersConfig {
+            host: self.cfg.host.clone(),
+            source: self.cfg.listen.ip(),
+            fleet_key: self.cfg.fleet_key.clone(),
+        };
+        peers::spawn(peers_cfg, listener, inbox, outbox)?;
+        Ok(())
+    }
+
+    fn news(&self, leader: LeaderClient) -> eyre::Result<News> {
+        Ok(News {
+            awaited: self.cfg.seeds.iter().any(|seed| *seed != self.cfg.peer_advertise),
+            roster: self.latest.clone(),
+            configurations: self.configurations.clone(),
+            committed: readiness::ask_leader(leader)?,
+        })
+    }
+
+    /// Starts the operator's pages; returns the ring of their questions to the edge thread.
+    fn start_admin(&self, leader: LeaderClient) -> eyre::Result<flume::Receiver<Inquiry>> {
+        let (inquiries, inquiries_rx) = flume::bounded(INQUIRY_RING);
+        let sources = Sources {
+            cfg: Arc::clone(&self.cfg),
+            clock: self.clock,
+            incarnation: self.incarnation,
+            readiness: self.readiness.clone(),
+            roster: self.latest.clone(),
+            replica: self.replica_state.clone(),
+            configurations: self.configurations.clone(),
+            leader,
+            inquiries,
+            metrics: Arc::clone(&self.metrics),
+        };
+        admin::spawn(self.cfg.admin_listen, sources)
+            .wrap_err("could not serve the operator's pages")?;
+        Ok(inquiries_rx)
+    }
+}
+
+/// Starts the export of spans, if an endpoint is set.
+fn tracing(cfg: &Settings, metrics: &Metrics) -> eyre::Result<(Tracer, Option<Exporter>)> {
+    let Some(endpoint) = &cfg.telemetry.trace_endpoint else { return Ok((Tracer::off(), None)) };
+    let trace_cfg = TraceConfig {
+        endpoint: endpoint.to_string(),
+        sample: cfg.telemetry.trace_sample,
+        host: cfg.host.to_string(),
+    };
+    let (tracer, exporter) = Tracer::start(trace_cfg)?;
+    metrics.watch_exporter(&exporter);
+    Ok((tracer, Some(exporter)))
+}
+
+fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    net::listen(address).wrap_err_with(|| format!("could not bind {address}"))
+}
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -2,7 +2,9 @@
 
 use base::{HostId, LogIndex, UnixMillis};
 use fleet::{Command, Fleet};
-use quorum::{Action, Config, Entry, Input, Message, Node, Payload, Restored, Snapshot, VoterSet};
+use quorum::{
+    Action, Config, Entry, Input, Message, Node, Payload, Restored, Role, Snapshot, VoterSet,
+};
 use rand_pcg::Pcg64Mcg;
 use store::{Disk, Log};
 use wire::{
@@ -44,6 +46,8 @@
     actions: Vec<Action>,
     rings: ReplicaRings,
     failure: Option<String>,
+    /// Told once this host leads no more.
+    handing_over: Option<flume::Sender<()>>,
 }
 
 impl<D: Disk> Driver<D> {
@@ -72,6 +76,7 @@
             actions: Vec::new(),
             rings,
             failure: None,
+            handing_over: None,
         };
         driver.offer_configuration();
         Ok(driver)
@@ -92,6 +97,9 @@
             self.step(Input::Tick);
             self.carry_out();
             self.compact();
+            if self.node.role() != Role::Leader {
+                self.handing_over = None;
+            }
             self.publish();
         }
     }
@@ -101,7 +109,10 @@
             ReplicaInput::Quorum(call) => self.take_message(call),
             ReplicaInput::Submit(call) => self.take_request(call),
             ReplicaInput::Learners(hosts) => self.step(Input::Learners(hosts)),
-            ReplicaInput::HandOver => self.step(Input::Transfer),
+            ReplicaInput::HandOver(done) => {
+                self.step(Input::Transfer);
+                self.handing_over = Some(done);
+            }
         }
     }
 
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -35,8 +35,8 @@
     Submit(SubmitCall),
     /// Hosts that may become voters, and so follow the log.
     Learners(Vec<HostId>),
-    /// The process is about to end; a leader hands over.
-    HandOver,
+    /// The process is about to end; a leader hands over, and tells when it leads no more.
+    HandOver(flume::Sender<()>),
 }
 
 /// What the thread needs.
