--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -315,7 +315,7 @@
             in_flight: target.in_flight(),
             own_prefill_tokens: target.prefill_tokens(),
             reported_requests: load.running.saturating_add(load.waiting),
-            reported_prefill_tokens: target.reported_prefill_tokens(&load),
+            reported_prefill_tokens: load.prefill_tokens,
             report_age,
             slots: if target.slots() == 0 { self.slots } else { target.slots() },
             round_trip: self.round_trips.to(&target.data_centre()),
--- a/crates/daemon/src/edge/targets.rs
+++ b/crates/daemon/src/edge/targets.rs
@@ -1,6 +1,5 @@
 use std::{
     cell::{Cell, Ref, RefCell},
-    collections::VecDeque,
     net::IpAddr,
     rc::Rc,
     sync::Arc,
@@ -13,9 +12,6 @@
 
 use super::upstream::Pool;
 
-/// Most ends of own prefills kept between two reports.
-const MAX_COMPUTED: usize = 4_096;
-
 /// An endpoint as this router uses it.
 pub(super) struct Target {
     announcement: RefCell<Arc<Announcement>>,
@@ -26,17 +22,9 @@
     slots: Cell<u32>,
     in_flight: Cell<u32>,
     prefill_tokens: Cell<u64>,
-    /// Prefills of own requests that the last report doesn't know to have ended.
-    computed: RefCell<VecDeque<Computed>>,
     pool: Pool,
 }
 
-/// The end of an own request's prefill.
-struct Computed {
-    at: MonotonicTime,
-    tokens: u64,
-}
-
 /// A request under way at an endpoint; ends on drop.
 pub(super) struct InFlight {
     target: Rc<Target>,
@@ -56,7 +44,6 @@
             slots: Cell::new(slots_of(&known.announcement)),
             in_flight: Cell::new(0),
             prefill_tokens: Cell::new(0),
-            computed: RefCell::default(),
             pool,
         }
     }
@@ -100,12 +87,6 @@
         self.slots.get()
     }
 
-    /// Returns the tokens that waited for prefill by the last report, without own ones computed since.
-    pub(super) fn reported_prefill_tokens(&self, load: &Load) -> TokenCount {
-        let computed: u64 = self.computed.borrow().iter().map(|own| own.tokens).sum();
-        TokenCount::new(load.prefill_tokens.as_u64().saturating_sub(computed))
-    }
-
     /// Returns whether operators want it to get no new work.
     pub(super) fn is_drained(&self) -> bool {
         self.drained.get()
@@ -124,7 +105,6 @@
         if same {
             known.clone_from(announcement);
             self.written.set(newer.written);
-            self.computed.borrow_mut().retain(|own| newer.written < own.at);
             self.slots.set(self.slots.get().max(slots_of(&newer.announcement)));
         }
         same
@@ -159,26 +139,16 @@
         &self.target
     }
 
-    /// Notes that the prompt has been prefilled by `now`.
-    pub(super) fn prefilled(&self, now: MonotonicTime) {
-        let tokens = self.end_prefill();
-        let mut computed = self.target.computed.borrow_mut();
-        computed.push_back(Computed { at: now, tokens });
-        if MAX_COMPUTED < computed.len() {
-            computed.pop_front();
-        }
-    }
-
-    fn end_prefill(&self) -> u64 {
+    /// Notes that the prompt has been prefilled.
+    pub(super) fn prefilled(&self) {
         let tokens = self.prefill_tokens.take();
         self.target.prefill_tokens.set(self.target.prefill_tokens.get() - tokens);
-        tokens
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.end_prefill();
+        self.prefilled();
         self.target.in_flight.set(self.target.in_flight.get() - 1);
     }
 }
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -116,12 +116,10 @@
     fn estimate_loads(&mut self, candidates: &[Candidate]) {
         let half_life = self.settings.report_half_life.as_secs_f64().max(f64::MIN_POSITIVE);
         let mean = Load::mean_of_others(candidates);
-        let prefill_rate = self.settings.prefill_rate.as_u64() as f64;
         self.loads.clear();
         self.loads.extend(candidates.iter().map(|candidate| {
             let freshness = half_life / (half_life + seconds(candidate.report_age));
-            let computed = prefill_rate * seconds(candidate.report_age);
-            let others = Load::of_others(candidate).after(computed).blend(mean, freshness);
+            let others = Load::of_others(candidate).blend(mean, freshness);
             Load {
                 requests: f64::from(candidate.in_flight) + others.requests,
                 prefill_tokens: candidate.own_prefill_tokens.as_u64() as f64
@@ -223,12 +221,6 @@
         (excess + (excess * excess + variance).sqrt()) / 2.0 / slots
     }
 
-    /// Returns the load once the endpoint has computed so many of the reported tokens.
-    fn after(self, computed_tokens: f64) -> Self {
-        let prefill_tokens = (self.prefill_tokens - computed_tokens).max(0.0);
-        Self { prefill_tokens, ..self }
-    }
-
     /// Moves from `mean` towards `self` by `share`.
     fn blend(self, mean: Self, share: f64) -> Self {
         let between = |from: f64, to: f64| from + (to - from) * share;
