kv: let engines fetch cached blocks from a neighbour or a store

Cause: a block that an engine evicted, or that only another engine holds, was computed again even where fetching it would cost less. Ruled out: a kind of endpoint of its own for the store; a plain service by the name kept-kv needs no new message, and callers can't ask it. Change: a cost model in route; the setting kv-transfer, off by default; the router names source, incarnation, salt, model and weights in kv_transfer_params, and drops what a caller puts there; fake engines export, import and keep what they evict; the demonstration starts a store. Conclusion: kept; off by default until it is measured.

--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::{
+    declare::declare,
     load::{self, Load, Observed},
     process::Program,
     report::Summary,
@@ -28,11 +29,13 @@
     let spec = SiteSpec {
         daemons: vec!["a", "b", "c", "a"],
         engines: vec!["a", "a", "b", "b", "c", "c"],
+        kept_kv: Some("a"),
         seed,
         ..SiteSpec::small()
     };
-    println!("starting 4 daemons, 6 engines and 2 plain services");
+    println!("starting 4 daemons, 6 engines, 2 plain services and a store of kept KV");
     let site = Site::start(program, spec)?;
+    declare(&site, "[defaults]\nkv-transfer = \"both\"\n")?;
     let load = Load {
         routers: site.routers(),
         organisations: site.spec.organisations.clone(),
--- a/crates/bench/src/fake/counts.rs
+++ b/crates/bench/src/fake/counts.rs
@@ -12,6 +12,8 @@
             prompt_tokens: self.prompt_tokens + other.prompt_tokens,
             cached_tokens: self.cached_tokens + other.cached_tokens,
             wasted_tokens: self.wasted_tokens + other.wasted_tokens,
+            fetches: self.fetches + other.fetches,
+            fetched_tokens: self.fetched_tokens + other.fetched_tokens,
         }
     }
 
@@ -26,6 +28,8 @@
             prompt_tokens: self.prompt_tokens - earlier.prompt_tokens,
             cached_tokens: self.cached_tokens - earlier.cached_tokens,
             wasted_tokens: self.wasted_tokens - earlier.wasted_tokens,
+            fetches: self.fetches - earlier.fetches,
+            fetched_tokens: self.fetched_tokens - earlier.fetched_tokens,
         }
     }
 }
--- a/crates/bench/src/fake/engine.rs
+++ b/crates/bench/src/fake/engine.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use base::{BlockCount, EndpointId, ModelId, TokenCount, WeightsVersion};
+use base::{BlockCount, EndpointId, Incarnation, ModelId, TokenCount, WeightsVersion};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::{Request, Response, StatusCode, body::Incoming};
@@ -14,11 +14,13 @@
 use wire::{
     announcement::{EngineBody, LoadBody, ModelBody},
     chunk::DONE,
+    kv_transfer::{self, KvTransfer},
     sse::Event,
 };
 
 use super::{
-    cache::{BLOCK_TOKENS, BlockCache, Lookup},
+    cache::{BLOCK_TOKENS, BlockCache, Evicted, Lookup, block_hashes},
+    kv::{self, KvName},
     server::{FakeBody, Server, streamed, whole},
     streams::{NotHeld, Reader, StreamKey, Streams},
 };
@@ -35,6 +37,9 @@
 /// Pieces of an answer that wait for a slow reader.
 const RING: usize = 16;
 
+/// Fewest missing blocks for which another place is asked.
+const MIN_FETCHED_BLOCKS: usize = 4;
+
 /// Start of the prompt's line that names the organisation.
 const ORGANISATION_LINE: &[u8] = b"organisation ";
 
@@ -57,6 +62,14 @@
     pub decode_share: Duration,
     /// Streams that run at once.
     pub max_running: usize,
+    /// The life of its process.
+    pub incarnation: Incarnation,
+    /// Time to import a fetched block.
+    pub import_block: Duration,
+    /// Time for another place to answer before the prompt is computed.
+    pub fetch_timeout: Duration,
+    /// The store that takes evicted blocks.
+    pub kept_kv: Option<SocketAddr>,
     /// Whether it refuses an order with an old fencing number.
     pub checks_fencing: bool,
     /// Whether each stream also carries chunks of another request.
@@ -75,6 +88,10 @@
             decode_token: Duration::from_millis(5),
             decode_share: Duration::from_micros(100),
             max_running: 32,
+            incarnation: Incarnation::new(1),
+            import_block: Duration::from_micros(250),
+            fetch_timeout: Duration::from_millis(200),
+            kept_kv: None,
             checks_fencing: true,
             crosses_answers: false,
         }
@@ -90,6 +107,8 @@
     pub salts: HashMap<String, String>,
     /// Requests whose salt was missing or belonged to another owner.
     pub wrong_salts: u64,
+    /// Fetched blocks whose name was not that of the request.
+    pub wrong_transfers: u64,
     /// Time from a request's arrival to its first token, by request id.
     pub first_tokens: HashMap<String, Duration>,
 }
@@ -122,6 +141,10 @@
     pub cached_tokens: u64,
     /// Prompt tokens computed again.
     pub wasted_tokens: u64,
+    /// Times that another place was asked for blocks.
+    pub fetches: u64,
+    /// Prompt tokens fetched, which then count as cached.
+    pub fetched_tokens: u64,
 }
 
 /// A model engine with a prefix cache, prefill and decode times, and continuous batching.
@@ -156,6 +179,7 @@
     /// Answers asked for.
     choices: u32,
     max_tokens: u64,
+    transfer: Option<KvTransfer>,
     arrived: Instant,
 }
 
@@ -251,9 +275,73 @@
         let span = self.cfg.prefill_token * u32::try_from(cold).unwrap_or(u32::MAX);
         inner.prefill_free = inner.prefill_free.max(Instant::now()) + span;
         inner.prefill_tokens += cold;
+        let evicted = inner.cache.take_evicted();
+        self.keep(evicted);
         (lookup, inner.prefill_free)
     }
 
+    fn kv_name(&self, salt: &str) -> KvName {
+        KvName {
+            salt: salt.to_owned(),
+            model: self.cfg.model.to_string(),
+            weights: self.cfg.weights.to_string(),
+        }
+    }
+
+    /// Gives blocks to another engine, if this one is what it asks for.
+    fn export(&self, req: &Request<Incoming>, name: &KvName, blocks: &[u64]) -> Response<FakeBody> {
+        let own = self.kv_name(&name.salt);
+        if own != *name || !kv::is_for(req, self.cfg.id.as_str(), self.cfg.incarnation) {
+            return whole(StatusCode::CONFLICT, "{}");
+        }
+        match self.lock().cache.leading(&name.salt, blocks) {
+            0 => whole(StatusCode::NOT_FOUND, "{}"),
+            held => kv::found(&own, held),
+        }
+    }
+
+    /// Fetches the blocks that the request says another place holds and this engine lacks.
+    ///
+    /// Whatever goes wrong is a miss.
+    async fn import(&self, job: &Job) {
+        let Some(transfer) = &job.transfer else { return };
+        let name = self.kv_name(&job.salt);
+        let named = (transfer.salt.as_str(), transfer.model.as_str(), transfer.weights.as_str());
+        if named != (&name.salt, &name.model, &name.weights) {
+            return;
+        }
+        let mut blocks = block_hashes(&job.salt, &job.prompt);
+        blocks.truncate(transfer.blocks.as_u64() as usize);
+        let held = self.lock().cache.leading(&job.salt, &blocks);
+        if blocks.len() - held < MIN_FETCHED_BLOCKS {
+            return;
+        }
+        self.lock().counts.fetches += 1;
+        let fetched = kv::fetch(transfer, &name, &blocks[held..], self.cfg.fetch_timeout).await;
+        let Some((found, count)) = fetched else { return };
+        if found != name {
+            self.tally.lock().wrong_transfers += 1;
+            return;
+        }
+        tokio::time::sleep(self.cfg.import_block * count as u32).await;
+        let mut inner = self.lock();
+        inner.counts.fetched_tokens += (count * BLOCK_TOKENS) as u64;
+        inner.cache.import(&job.salt, &blocks[..held + count]);
+        let evicted = inner.cache.take_evicted();
+        self.keep(evicted);
+    }
+
+    /// Puts evicted blocks into the store, if there is one.
+    fn keep(&self, evicted: Vec<Evicted>) {
+        let Some(store) = self.cfg.kept_kv else { return };
+        for evicted in evicted.chunk_by(|a, b| a.salt == b.salt) {
+            let blocks = evicted.iter().map(|evicted| evicted.block).collect();
+            let name = self.kv_name(&evicted[0].salt);
+            let timeout = self.cfg.fetch_timeout;
+            tokio::task::spawn_local(kv::put(store, name, blocks, timeout));
+        }
+    }
+
     fn decode_span(&self) -> Duration {
         let others = self.lock().running.saturating_sub(1);
         self.cfg.decode_token + self.cfg.decode_share * others
@@ -275,6 +363,9 @@
 
 async fn answer(state: Arc<State>, req: Request<Incoming>) -> Response<FakeBody> {
     let arrived = Instant::now();
+    if let Some((name, blocks)) = kv::parse(&req) {
+        return state.export(&req, &name, &blocks);
+    }
     let (parts, body) = req.into_parts();
     let request = parts.headers.get("x-request-id").and_then(|id| id.to_str().ok());
     let request = request.unwrap_or_default().to_owned();
@@ -298,6 +389,7 @@
         chat,
         choices: fields["n"].as_u64().and_then(|n| u32::try_from(n).ok()).unwrap_or(1),
         max_tokens: fields["max_tokens"].as_u64().unwrap_or(DEFAULT_MAX_TOKENS),
+        transfer: serde_json::from_value(fields[kv_transfer::FIELD].clone()).ok(),
         arrived,
     };
     let resume_after = parts.headers.get(RESUME_AFTER).and_then(|n| n.to_str().ok()?.parse().ok());
@@ -344,6 +436,7 @@
     state.lock().waiting += 1;
     let slot = state.slots.acquire().await;
     state.lock().waiting -= 1;
+    state.import(&job).await;
     let (lookup, prefilled) = state.begin_prefill(&job);
     tokio::time::sleep_until(prefilled.into()).await;
     {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,6 +11,7 @@
     slopes,
 };
 use bpaf::Bpaf;
+use fleet::setting::KvTransfer;
 use route::PolicyKind;
 use serde::Serialize;
 
@@ -54,6 +55,9 @@
         /// How long to measure after the warm-up, in seconds
         #[bpaf(fallback(20))]
         seconds: u64,
+        /// Where engines may fetch cached blocks from: off, neighbour, store or both
+        #[bpaf(argument("PLACE"), fallback(KvTransfer::Off))]
+        kv_transfer: KvTransfer,
         /// What goes wrong at half time: engines or shift
         #[bpaf(argument("NAME"), optional)]
         fault: Option<RunFault>,
@@ -146,16 +150,17 @@
             let summary = demo::run(&program, seed)?;
             show(&summary, json)?;
         }
-        Options::Run { site, policy, seed, load, seconds, fault, json } => {
+        Options::Run { site, policy, seed, load, seconds, kv_transfer, fault, json } => {
             let span = Duration::from_secs(seconds);
-            let spec = RunSpec { site, policy, seed, load, span, fault };
+            let spec = RunSpec { site, policy, seed, load, span, kv_transfer, fault };
             show(&run::run(&program, &spec)?, json)?;
         }
         Options::Compare { site, seeds, load, seconds, plot, json } => {
             let seeds: Vec<u64> = seeds.split(',').map(str::parse).collect::<Result<_, _>>()?;
             let span = Duration::from_secs(seconds);
             let policy = PolicyKind::default();
-            let spec = RunSpec { site, policy, seed: 1, load, span, fault: None };
+            let kv_transfer = KvTransfer::Off;
+            let spec = RunSpec { site, policy, seed: 1, load, span, kv_transfer, fault: None };
             let compared = compare::run(&program, &spec, &seeds)?;
             println!("{}", compare::table(&compared));
             if let Some(path) = plot {
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -120,10 +120,14 @@
     pub false_not_run: u64,
     /// Requests with a cache salt that belongs to another owner.
     pub wrong_salts: u64,
+    /// Fetches of cached blocks that gave blocks of another name.
+    pub wrong_transfers: u64,
     /// Share of prompt tokens found cached.
     pub hit_rate: f64,
     /// Prompt tokens computed again.
     pub wasted_tokens: u64,
+    /// Prompt tokens fetched from another engine or the store; they count as cached.
+    pub fetched_tokens: u64,
     /// Time to first token, median, in milliseconds.
     pub ttft_p50_ms: f64,
     /// Time to first token, 95th percentile, in milliseconds.
@@ -154,8 +158,10 @@
             may_have_run: counts.may_have_run,
             false_not_run: counts.false_not_run,
             wrong_salts: site.tally.lock().wrong_salts,
+            wrong_transfers: site.tally.lock().wrong_transfers,
             hit_rate: 0.0,
             wasted_tokens: 0,
+            fetched_tokens: 0,
             ttft_p50_ms: percentile_ms(&counts.first_token, 50.0),
             ttft_p95_ms: percentile_ms(&counts.first_token, 95.0),
             ttft_p99_ms: percentile_ms(&counts.first_token, 99.0),
@@ -171,5 +177,6 @@
     pub fn count_engines(&mut self, engines: &EngineCounts) {
         self.hit_rate = engines.cached_tokens as f64 / engines.prompt_tokens.max(1) as f64;
         self.wasted_tokens = engines.wasted_tokens;
+        self.fetched_tokens = engines.fetched_tokens;
     }
 }
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -9,6 +9,7 @@
 };
 
 use base::{Incarnation, OrganisationId, ParseError};
+use fleet::setting::KvTransfer;
 use route::PolicyKind;
 use serde::Serialize;
 
@@ -18,7 +19,7 @@
     load::{self, Observed},
     process::Program,
     report::{Completions, Summary},
-    site::Site,
+    site::{Site, SiteSpec},
     sites::{self, SiteKind},
     workload::{self, Workload},
 };
@@ -57,6 +58,8 @@
     pub load: f64,
     /// How long to measure, after the warm-up.
     pub span: Duration,
+    /// Where engines may fetch cached blocks from.
+    pub kv_transfer: KvTransfer,
     /// What goes wrong at half of that time.
     pub fault: Option<RunFault>,
 }
@@ -93,9 +96,12 @@
 ///
 /// Returns an error if the site doesn't come up.
 pub fn run(program: &Program, spec: &RunSpec) -> eyre::Result<RunSummary> {
-    let mut site = Site::start(program, spec.site.spec(spec.seed))?;
+    let kept_kv = spec.kv_transfer.asks_store().then_some("a");
+    let mut site = Site::start(program, SiteSpec { kept_kv, ..spec.site.spec(spec.seed) })?;
     sites::separate_data_centres(&site, spec.site.one_way());
-    declare(&site, &spec.site.declaration(spec.policy))?;
+    sites::place_kept_kv(&site, spec.site.one_way());
+    let declaration = spec.site.declaration(spec.policy);
+    declare(&site, &format!("{declaration}kv-transfer = \"{}\"\n", spec.kv_transfer))?;
     let workload = spec.workload(&site);
     let planned = workload.plan();
     let cache_blocks = sites::CACHE_BLOCKS;
--- a/crates/bench/src/site.rs
+++ b/crates/bench/src/site.rs
@@ -4,12 +4,15 @@
 
 use base::{Digest, EndpointId, Incarnation, ModelId, OrganisationId, ServiceId, WeightsVersion};
 use tempfile::TempDir;
-use wire::operator::{ENDPOINTS_PATH, EndpointState, Endpoints};
+use wire::{
+    kv_transfer::STORE,
+    operator::{ENDPOINTS_PATH, EndpointState, Endpoints},
+};
 
 use crate::{
     Fault, Proxy,
     fake::{
-        Announced, Announcer, Engine, EngineConfig, EngineCounts, Service, ServiceCounts,
+        Announced, Announcer, Engine, EngineConfig, EngineCounts, KeptKv, Service, ServiceCounts,
         SharedTally,
     },
     process::{Daemon, DaemonSpec, Program, wait_until},
@@ -30,6 +33,9 @@
 /// Time that a service takes for a call.
 const SERVICE_SPAN: Duration = Duration::from_millis(5);
 
+/// Blocks that the store of kept KV holds.
+const KEPT_BLOCKS: usize = 200_000;
+
 /// What a site consists of.
 #[derive(Clone, Debug)]
 pub struct SiteSpec {
@@ -41,6 +47,8 @@
     pub engines: Vec<&'static str>,
     /// Data centre of each endpoint of the plain service.
     pub services: Vec<&'static str>,
+    /// Data centre of the store of kept KV, if there is one.
+    pub kept_kv: Option<&'static str>,
     /// The model that the engines serve.
     pub model: ModelId,
     /// The plain service.
@@ -67,6 +75,8 @@
     pub engines: Vec<EngineNode>,
     /// The endpoints of the plain service.
     pub services: Vec<ServiceNode>,
+    /// The store of kept KV.
+    pub kept_kv: Option<KeptKvNode>,
     /// What the engines count together.
     pub tally: SharedTally,
     /// How often each order ran.
@@ -95,6 +105,16 @@
     pub announcer: Announcer,
 }
 
+/// A store of kept KV, behind a proxy.
+pub struct KeptKvNode {
+    /// The store.
+    pub store: KeptKv,
+    /// The proxy before it.
+    pub proxy: Proxy,
+    /// What announces it.
+    pub announcer: Announcer,
+}
+
 /// Returns the bearer key of an organisation.
 pub fn organisation_key(organisation: &OrganisationId) -> String {
     format!("key-of-{organisation}")
@@ -109,6 +129,7 @@
             voters: 3,
             engines: vec!["a", "b", "c"],
             services: vec!["a", "b"],
+            kept_kv: None,
             model: id_model("diary-8b"),
             service: "orders".parse().expect("a valid id"),
             organisations: (1..=8).map(|n| id(&format!("school-{n}"))).collect(),
@@ -156,6 +177,7 @@
             data,
             engines: Vec::new(),
             services: Vec::new(),
+            kept_kv: None,
             tally: SharedTally::default(),
             orders: ServiceCounts::default(),
             spec,
@@ -176,7 +198,8 @@
     ///
     /// Returns an error if that takes too long.
     pub fn wait_endpoints(&self) -> eyre::Result<()> {
-        let expected = self.engines.len() + self.services.len();
+        let expected =
+            self.engines.len() + self.services.len() + usize::from(self.kept_kv.is_some());
         self.daemons.iter().try_for_each(|daemon| self.wait_known_by(daemon, expected))
     }
 
@@ -196,6 +219,7 @@
     }
 
     fn start_endpoints(&mut self) {
+        self.kept_kv = self.spec.kept_kv.map(|data_centre| self.start_kept_kv(data_centre));
         for (i, data_centre) in self.spec.engines.clone().into_iter().enumerate() {
             let node = self.start_engine(i, data_centre);
             self.engines.push(node);
@@ -210,7 +234,7 @@
     ///
     /// Streams are cut, and what the old life counted is returned.
     pub fn restart_engine(&mut self, i: usize, incarnation: Incarnation) -> EngineCounts {
-        let engine = self.new_engine(i);
+        let engine = self.new_engine(i, incarnation);
         let node = &mut self.engines[i];
         let counts = node.engine.counts();
         node.proxy.set(Fault { refuse: true, ..Fault::default() });
@@ -223,22 +247,34 @@
         counts
     }
 
-    fn new_engine(&self, i: usize) -> Engine {
+    fn new_engine(&self, i: usize, incarnation: Incarnation) -> Engine {
         let weights: WeightsVersion = "v1".parse().expect("a valid id");
         let mut cfg = EngineConfig::new(engine_id(i), self.spec.model.clone(), weights);
+        cfg.incarnation = incarnation;
+        cfg.kept_kv = self.kept_kv.as_ref().map(|node| node.proxy.address());
         (self.spec.tune)(&mut cfg);
         Engine::start(cfg, self.tally.clone())
     }
 
     fn start_engine(&self, i: usize, data_centre: &str) -> EngineNode {
         let id = engine_id(i);
-        let engine = self.new_engine(i);
+        let engine = self.new_engine(i, Incarnation::new(1));
         let proxy = Proxy::start(engine.address(), self.spec.seed.wrapping_add(i as u64) << 32);
         let announced = announced(id, data_centre, &proxy);
         let announcer = Announcer::engine(announced, engine.describer(), self.routers(), FLEET_KEY);
         EngineNode { engine, proxy, announcer }
     }
 
+    fn start_kept_kv(&self, data_centre: &str) -> KeptKvNode {
+        let id: EndpointId = format!("{STORE}-1").parse().expect("a valid id");
+        let store = KeptKv::start(KEPT_BLOCKS);
+        let proxy = Proxy::start(store.address(), self.spec.seed);
+        let announced = announced(id, data_centre, &proxy);
+        let service = STORE.parse().expect("a valid id");
+        let announcer = Announcer::service(announced, service, self.routers(), FLEET_KEY);
+        KeptKvNode { store, proxy, announcer }
+    }
+
     fn start_service(&self, i: usize, data_centre: &str) -> ServiceNode {
         let id = format!("{}-{}", self.spec.service, i + 1).parse().expect("a valid id");
         let service = Service::start(SERVICE_SPAN, self.orders.clone());
--- /dev/null
+++ b/crates/bench/tests/kv.rs
@@ -0,0 +1,237 @@
+//! Transfer of cached blocks: only under their whole name, and never at the caller's cost.
+
+use std::{path::PathBuf, time::Duration};
+
+use base::Incarnation;
+use bench::{
+    Fault, Proxy,
+    caller::{self, Ask, Outcome},
+    declare::declare,
+    fake::{Engine, EngineConfig, EngineCounts, KeptKv, SharedTally, block_hashes},
+    process::{Program, wait_until},
+    site::{Site, SiteSpec, organisation_key},
+};
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Request, StatusCode};
+use serde_json::{Value, json};
+
+const IN_TIME: Duration = Duration::from_secs(10);
+const SALT: &str = "00000000000000aa";
+const PROMPT_BLOCKS: u64 = 20;
+const BLOCK_TOKENS: u64 = 16;
+
+/// Runs a future on a thread of its own, with what callers need.
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, future)
+}
+
+fn prompt() -> String {
+    (0..PROMPT_BLOCKS).map(|n| format!("{n:064}")).collect()
+}
+
+fn config(id: &str, tune: impl Fn(&mut EngineConfig)) -> EngineConfig {
+    let [model, weights] = ["m", "v1"];
+    let model = model.parse().unwrap();
+    let mut cfg = EngineConfig::new(id.parse().unwrap(), model, weights.parse().unwrap());
+    cfg.decode_token = Duration::ZERO;
+    tune(&mut cfg);
+    cfg
+}
+
+/// Asks an engine as a router would, and returns the answer's status.
+fn ask_engine(engine: &Engine, salt: &str, prompt: &str, params: Option<&Value>) -> StatusCode {
+    let mut body = json!({"model": "m", "prompt": prompt, "cache_salt": salt, "max_tokens": 1});
+    if let Some(params) = params {
+        body["kv_transfer_params"] = params.clone();
+    }
+    let req = Request::post("/v1/completions").header("host", "engine");
+    let req = req.body(Full::new(body.to_string().into())).unwrap();
+    block_on(async {
+        let response = caller::send(engine.address(), req).await.unwrap();
+        let status = response.status();
+        let text = response.into_body().collect().await.unwrap().to_bytes();
+        assert!(String::from_utf8_lossy(&text).contains("[DONE]"));
+        status
+    })
+}
+
+/// What a case changes of a transfer that would succeed.
+struct Case {
+    /// The engine that holds the blocks.
+    source: fn(&mut EngineConfig),
+    /// What the request tells the engine that lacks them.
+    params: fn(&mut Value),
+    /// The salt of the request that lacks them.
+    salt: &'static str,
+    /// What the way to the source does.
+    fault: Fault,
+}
+
+impl Default for Case {
+    fn default() -> Self {
+        Self { source: |_| {}, params: |_| {}, salt: SALT, fault: Fault::default() }
+    }
+}
+
+/// Returns what the engine that lacks the blocks counted.
+fn fetched(case: &Case) -> EngineCounts {
+    let tally = SharedTally::default();
+    let source = Engine::start(config("engine-1", case.source), SharedTally::default());
+    let proxy = Proxy::start(source.address(), 1);
+    ask_engine(&source, SALT, &prompt(), None);
+    proxy.set(case.fault.clone());
+    let asking = Engine::start(config("engine-2", |_| {}), tally.clone());
+    let mut params = json!({
+        "endpoint": "engine-1", "incarnation": 1, "address": proxy.address().to_string(),
+        "salt": SALT, "model": "m", "weights": "v1", "blocks": PROMPT_BLOCKS,
+    });
+    (case.params)(&mut params);
+    assert_eq!(ask_engine(&asking, case.salt, &prompt(), Some(&params)), StatusCode::OK);
+    assert_eq!(tally.lock().wrong_transfers, 0);
+    asking.counts()
+}
+
+macro_rules! fetches {
+    ($($name:ident: $case:expr => $blocks:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            assert_eq!(fetched(&$case).fetched_tokens, $blocks * BLOCK_TOKENS);
+        }
+    )*};
+}
+
+fetches! {
+    whole_name_gives_the_blocks: Case::default() => PROMPT_BLOCKS;
+    only_as_many_blocks_as_named:
+        Case { params: |p| p["blocks"] = 12.into(), ..Case::default() } => 12;
+    another_incarnation_gives_nothing: Case {
+        source: |cfg| cfg.incarnation = Incarnation::new(2),
+        ..Case::default()
+    } => 0;
+    another_endpoint_at_the_address_gives_nothing: Case {
+        source: |cfg| cfg.id = "engine-9".parse().unwrap(),
+        ..Case::default()
+    } => 0;
+    other_weights_at_the_source_give_nothing: Case {
+        source: |cfg| cfg.weights = "v2".parse().unwrap(),
+        ..Case::default()
+    } => 0;
+    other_weights_in_the_request_give_nothing:
+        Case { params: |p| p["weights"] = "v0".into(), ..Case::default() } => 0;
+    another_organisation_gets_nothing:
+        Case { salt: "00000000000000bb", ..Case::default() } => 0;
+    another_organisation_that_claims_its_own_salt_gets_nothing: Case {
+        salt: "00000000000000bb",
+        params: |p| p["salt"] = "00000000000000bb".into(),
+        ..Case::default()
+    } => 0;
+    dead_source_is_a_miss:
+        Case { fault: Fault { refuse: true, ..Fault::default() }, ..Case::default() } => 0;
+    silent_source_is_a_miss:
+        Case { fault: Fault { hold_answers: true, ..Fault::default() }, ..Case::default() } => 0;
+}
+
+#[test]
+fn store_gives_evicted_blocks_under_their_name_only() {
+    let store = KeptKv::start(1_000);
+    let address = store.address();
+    let small = move |cfg: &mut EngineConfig| {
+        cfg.cache_blocks = PROMPT_BLOCKS as usize;
+        cfg.kept_kv = Some(address);
+    };
+    let engine = Engine::start(config("engine-1", small), SharedTally::default());
+    ask_engine(&engine, SALT, &prompt(), None);
+    ask_engine(&engine, SALT, &prompt().replace('0', "x"), None);
+    wait_until("the blocks are kept", IN_TIME, || store.counts().held == PROMPT_BLOCKS).unwrap();
+    let hashes = block_hashes(SALT, prompt().as_bytes());
+    let hashes: Vec<_> = hashes.iter().map(|hash| format!("{hash:016x}")).collect();
+    let status = |salt: &str, weights: &str| {
+        let url = format!("http://{address}/kv/{salt}/{}", hashes.join(","));
+        let req = attohttpc::get(url).header("x-kv-model", "m").header("x-kv-weights", weights);
+        req.send().unwrap().status().as_u16()
+    };
+    assert_eq!(status(SALT, "v1"), 200);
+    assert_eq!(status("00000000000000bb", "v1"), 404);
+    assert_eq!(status(SALT, "v2"), 404);
+    assert_eq!(store.counts().hits, 1);
+}
+
+fn start(spec: SiteSpec, kv_transfer: &str) -> Site {
+    let program =
+        Program { path: PathBuf::from(env!("CARGO_BIN_EXE_bench")), args: vec!["daemon".into()] };
+    let spec = SiteSpec { daemons: vec!["a"], voters: 1, ..spec };
+    let site = Site::start(&program, spec).unwrap();
+    declare(&site, &format!("[defaults]\nkv-transfer = \"{kv_transfer}\"\n")).unwrap();
+    site
+}
+
+/// Asks the router; requests for the same `page` share 18 blocks.
+fn ask(site: &Site, page: usize, question: usize) {
+    let organisation = &site.spec.organisations[0];
+    let page = format!("house style: page {page} ").repeat(60);
+    let ask = Ask {
+        key: organisation_key(organisation),
+        model: site.spec.model.to_string(),
+        prompt: format!("organisation 0\n{page}\nquestion {question}"),
+        tokens: 2,
+        chat: false,
+    };
+    let outcome = block_on(caller::ask(site.daemons[0].spec().listen, &ask));
+    assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+}
+
+fn counts(site: &Site) -> EngineCounts {
+    let counts = site.engines.iter().map(|node| node.engine.counts());
+    counts.fold(EngineCounts::default(), |sum, counts| sum.plus(&counts))
+}
+
+/// Returns what an engine counted that got a page back after it had evicted it.
+fn after_eviction(kv_transfer: &str) -> EngineCounts {
+    let tune = |cfg: &mut EngineConfig| cfg.cache_blocks = 30;
+    let spec = SiteSpec { engines: vec!["a"], kept_kv: Some("a"), tune, ..SiteSpec::small() };
+    let site = start(spec, kv_transfer);
+    ask(&site, 0, 0);
+    ask(&site, 1, 0);
+    let store = &site.kept_kv.as_ref().unwrap().store;
+    wait_until("evicted blocks are kept", IN_TIME, || store.counts().held != 0).unwrap();
+    ask(&site, 0, 1);
+    assert_eq!(site.tally.lock().wrong_transfers, 0);
+    counts(&site)
+}
+
+#[test]
+fn evicted_blocks_come_back_from_the_store() {
+    let (without, with) = (after_eviction("off"), after_eviction("store"));
+    assert_eq!(without.fetched_tokens, 0);
+    assert!(0 < with.fetched_tokens, "{with:?}");
+    assert!(with.wasted_tokens < without.wasted_tokens, "{with:?}, without {without:?}");
+}
+
+#[test]
+fn engine_that_takes_over_fetches_from_its_neighbour() {
+    let spec = SiteSpec { engines: vec!["a", "a"], ..SiteSpec::small() };
+    let site = start(spec, "neighbour");
+    ask(&site, 0, 0);
+    let first = site.engines.iter().position(|node| node.engine.counts().requests != 0).unwrap();
+    let drain = format!(
+        "[defaults]\nkv-transfer = \"neighbour\"\n\
+         [[exceptions]]\nid = \"d\"\nreason = \"a test\"\n\
+         scope = {{ endpoint = \"engine-{}\" }}\nset = {{ drain = true }}\n",
+        first + 1
+    );
+    declare(&site, &drain).unwrap();
+    ask(&site, 0, 1);
+    assert!(0 < site.engines[1 - first].engine.counts().fetched_tokens, "{:?}", counts(&site));
+}
+
+#[test]
+fn callers_can_not_ask_the_store() {
+    let site = start(SiteSpec { kept_kv: Some("a"), ..SiteSpec::small() }, "both");
+    let router = site.daemons[0].spec().listen;
+    let url = format!("http://{router}/services/kept-kv/kv/{SALT}/00");
+    let key = organisation_key(&site.spec.organisations[0]);
+    let answer = attohttpc::get(url).bearer_auth(key).send().unwrap();
+    assert_eq!(answer.status().as_u16(), 404);
+    assert_eq!(site.kept_kv.as_ref().unwrap().store.counts().gets, 0);
+}
--- a/crates/daemon/src/edge/policies.rs
+++ b/crates/daemon/src/edge/policies.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use base::TokenRate;
-use fleet::setting::RoutingPolicy;
+use fleet::setting::{KvTransfer, RoutingPolicy};
 use rand::Rng;
 use route::{
     Candidate, Estimate, Hash, LeastInFlight, Policy as _, Request, RoundRobin, Warm, WarmSettings,
@@ -16,6 +16,7 @@
     pub wait: f64,
     /// Blocks of the prompt that decide its home.
     pub level: usize,
+    pub kv_transfer: KvTransfer,
 }
 
 impl From<&fleet::Settings> for Preferences {
@@ -25,6 +26,7 @@
             warmth: settings.warmth_weight.as_f64(),
             wait: settings.wait_weight.as_f64(),
             level: settings.placement_level.as_u32() as usize,
+            kv_transfer: settings.kv_transfer,
         }
     }
 }
@@ -101,10 +103,15 @@
         self.hold_time
     }
 
+    /// Returns the engines' prefill rate.
+    pub(super) fn prefill_rate(&self) -> TokenRate {
+        self.prefill_rate.map_or(WarmSettings::default().prefill_rate, TokenRate::new)
+    }
+
     fn warm_settings(&self, preferences: &Preferences) -> WarmSettings {
         let usual = WarmSettings::default();
         WarmSettings {
-            prefill_rate: self.prefill_rate.map_or(usual.prefill_rate, TokenRate::new),
+            prefill_rate: self.prefill_rate(),
             hold_time: self.hold_time.unwrap_or(usual.hold_time),
             warmth: preferences.warmth,
             wait: preferences.wait,
--- a/crates/daemon/src/edge/relay/attempt.rs
+++ b/crates/daemon/src/edge/relay/attempt.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use base::{CacheSalt, Verdict};
+use base::Verdict;
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
@@ -11,7 +11,10 @@
 use telemetry::Hop;
 use wire::completion::{CompletionKind, Delivered};
 
-use crate::edge::{failure::Failure, router::Chosen};
+use crate::edge::{
+    failure::Failure,
+    router::{Chosen, cache_salt},
+};
 
 use super::{End, Relay};
 
@@ -111,12 +114,11 @@
     }
 
     fn request(&self, chosen: &Chosen, resumes: bool) -> Request<Full<Bytes>> {
-        let salt: CacheSalt =
-            format!("{:016x}", chosen.salt.as_u64()).parse().expect("hexadecimal digits are an id");
+        let salt = cache_salt(chosen.salt);
         let priority = self.job.settings.priority.as_u32().cast_signed();
         let begun = Delivered::default();
         let taken = if resumes { &begun } else { self.progress.taken() };
-        let body = self.job.completion.to_engine(&salt, priority, taken);
+        let body = self.job.completion.to_engine(&salt, priority, taken, chosen.transfer.as_ref());
         let path = match self.job.completion.kind() {
             CompletionKind::Text => "/v1/completions",
             CompletionKind::Chat => "/v1/chat/completions",
--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -1,4 +1,5 @@
 mod explain;
+mod transfer;
 
 use std::{borrow::Cow, cell::Cell, collections::BTreeMap, net::IpAddr, rc::Rc, time::Duration};
 
@@ -6,6 +7,7 @@
     AdapterId, DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, OrganisationId,
     ServiceId, TokenCount, WeightsVersion,
 };
+use fleet::setting::KvTransfer as KvTransferSetting;
 use member::{Announcement, EndpointKind, EndpointState, Known, Roster, ServedModel};
 use prefix::{BlockBytes, Chain, Salt};
 use rand::RngExt as _;
@@ -14,6 +16,11 @@
     Candidate, Outcome, OutlierSettings, Outliers, Policy as _, Request, Standing, StandingChange,
     Warm,
 };
+use wire::kv_transfer::KvTransfer;
+
+pub(super) use self::transfer::cache_salt;
+
+use self::transfer::{Asking, is_kept_kv};
 
 use super::{
     policies::{Policies, Preferences},
@@ -67,6 +74,8 @@
     pub endpoint: EndpointId,
     pub weights: WeightsVersion,
     pub salt: Salt,
+    /// Where the engine may fetch cached blocks from.
+    pub transfer: Option<KvTransfer>,
     chain: Chain,
     prompt_tokens: TokenCount,
     /// Blocks of the chain that the engine was believed to hold.
@@ -228,6 +237,16 @@
         let Identity { salt, chain, .. } =
             identities.swap_remove(identity.ok_or(NoEndpoint::Unknown)?);
         let warm = candidates[chosen].warm_tokens;
+        let believed = (warm.as_u64() / BLOCK_TOKENS) as usize;
+        let mut transfer = None;
+        if wanted.preferences.kv_transfer != KvTransferSetting::Off {
+            self.warmth.measure(now, &chain);
+            let asking = Asking { endpoint: id, target, salt, held: believed };
+            transfer = self.find_transfer(wanted, &asking);
+        }
+        if let Some(slot) = self.store_slot(wanted) {
+            self.warmth.sent(now, slot, &chain);
+        }
         if let Some(slot) = target.slot() {
             self.warmth.sent(now, slot, &chain);
         }
@@ -239,9 +258,10 @@
             endpoint: (*id).clone(),
             weights: weights.clone(),
             salt,
+            transfer,
             chain,
             prompt_tokens: req.prompt_tokens,
-            believed: (warm.as_u64() / BLOCK_TOKENS) as usize,
+            believed,
             sent: now,
             begun: Cell::new(None),
         })
@@ -267,6 +287,7 @@
             endpoint: endpoint.clone(),
             weights,
             salt,
+            transfer: None,
             chain,
             prompt_tokens: wanted.prompt_tokens(),
             believed: 0,
@@ -324,6 +345,9 @@
         service: &ServiceId,
         tried: &[EndpointId],
     ) -> Result<(EndpointId, InFlight), NoEndpoint> {
+        if is_kept_kv(service) {
+            return Err(NoEndpoint::Unknown);
+        }
         let able: Vec<_> = self
             .targets
             .iter()
@@ -368,6 +392,9 @@
                 self.engine_outliers.join(now, endpoint.clone());
                 self.warmth.bind(endpoint, announcement.incarnation)
             }
+            EndpointKind::Service(service) if is_kept_kv(service) => {
+                self.warmth.bind(endpoint, announcement.incarnation)
+            }
             EndpointKind::Service(_) => {
                 self.service_outliers.join(now, endpoint.clone());
                 None
--- a/crates/fleet/src/setting.rs
+++ b/crates/fleet/src/setting.rs
@@ -11,7 +11,7 @@
 use serde::de;
 
 pub use self::{
-    choice::{HedgeDelay, Method, Methods, RoutingPolicy},
+    choice::{HedgeDelay, KvTransfer, Method, Methods, RoutingPolicy},
     number::{ByteLimit, Count, PlacementLevel, Priority, Share, WeightLoads},
     ratio::{Ratio, Weight},
     time::{EndTime, Retention, Timeout},
--- a/crates/fleet/src/setting/choice.rs
+++ b/crates/fleet/src/setting/choice.rs
@@ -55,6 +55,59 @@
     }
 }
 
+/// Where an engine may fetch cached blocks from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum KvTransfer {
+    /// Nowhere.
+    Off,
+    /// From another engine.
+    Neighbour,
+    /// From the store of kept KV.
+    Store,
+    /// From either.
+    Both,
+}
+
+impl KvTransfer {
+    const ALL: [Self; 4] = [Self::Off, Self::Neighbour, Self::Store, Self::Both];
+
+    /// Returns the choice's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Off => "off",
+            Self::Neighbour => "neighbour",
+            Self::Store => "store",
+            Self::Both => "both",
+        }
+    }
+
+    /// Returns whether another engine may be asked.
+    pub fn asks_engines(self) -> bool {
+        matches!(self, Self::Neighbour | Self::Both)
+    }
+
+    /// Returns whether the store may be asked.
+    pub fn asks_store(self) -> bool {
+        matches!(self, Self::Store | Self::Both)
+    }
+}
+
+impl fmt::Display for KvTransfer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for KvTransfer {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let found = Self::ALL.into_iter().find(|choice| choice.as_str() == text);
+        found.ok_or_else(|| ParseError::new("KV transfer", text, "off, neighbour, store or both"))
+    }
+}
+
 /// When a second endpoint is asked for an answer that is late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HedgeDelay {
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -5,8 +5,8 @@
 use crate::{
     scope::Dimensions,
     setting::{
-        ByteLimit, Count, HedgeDelay, Method, Methods, PlacementLevel, Priority, Ratio, Retention,
-        RoutingPolicy, Share, Timeout, Weight, WeightLoads,
+        ByteLimit, Count, HedgeDelay, KvTransfer, Method, Methods, PlacementLevel, Priority, Ratio,
+        Retention, RoutingPolicy, Share, Timeout, Weight, WeightLoads,
     },
 };
 
@@ -110,6 +110,8 @@
     wait_weight: Weight = Weight::new(1.0), "wait-weight", REQUEST, true;
     /// Depth of a prefix at which its home is chosen, in blocks.
     placement_level: PlacementLevel = PlacementLevel::clamped(4), "placement-level", REQUEST, true;
+    /// Where engines may fetch cached blocks from.
+    kv_transfer: KvTransfer = KvTransfer::Off, "kv-transfer", REQUEST, true;
     /// Time for a whole request.
     request_timeout: Timeout = Timeout::from_millis(120_000), "request-timeout", ANY, true;
     /// Time until the first token.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -31,6 +31,7 @@
 mod retry;
 mod share;
 mod ticket;
+mod transfer;
 mod warm;
 mod warm_v1;
 mod window;
@@ -46,6 +47,7 @@
     policy::{Candidate, Policy, Request},
     retry::{Backoff, BudgetSettings, RetryBudget},
     ticket::{Action, Arrival, Decision, Priority, Refusal, RefusalReason, Ticket},
+    transfer::{Source, TransferSettings, choose_source},
     warm::{Warm, WarmSettings},
     warm_v1::{WarmV1, Weights},
 };
--- a/crates/wire/src/completion.rs
+++ b/crates/wire/src/completion.rs
@@ -5,7 +5,10 @@
 use base::{AdapterId, CacheSalt, ModelId};
 use serde_json::{Map, Value};
 
-use crate::BodyError;
+use crate::{
+    BodyError,
+    kv_transfer::{self, KvTransfer},
+};
 
 /// Separates a model from an adapter in a request's `model`.
 const ADAPTER_SEPARATOR: char = '+';
@@ -106,8 +109,22 @@
 
     /// Writes the request for an engine: always streamed, with `salt` and `priority` in place of
     /// what the caller may have set, and going on after the text already `delivered`.
-    pub fn to_engine(&self, salt: &CacheSalt, priority: i32, delivered: &Delivered) -> Vec<u8> {
+    ///
+    /// Cached blocks are fetched only as `transfer` says: a caller could name another
+    /// organisation's.
+    pub fn to_engine(
+        &self,
+        salt: &CacheSalt,
+        priority: i32,
+        delivered: &Delivered,
+        transfer: Option<&KvTransfer>,
+    ) -> Vec<u8> {
         let mut fields = self.fields.clone();
+        fields.remove(kv_transfer::FIELD);
+        if let Some(transfer) = transfer {
+            let params = serde_json::to_value(transfer).expect("a transfer is JSON");
+            fields.insert(kv_transfer::FIELD.into(), params);
+        }
         fields.insert("stream".into(), true.into());
         fields.insert("stream_options".into(), serde_json::json!({"include_usage": true}));
         fields.insert("cache_salt".into(), salt.as_str().into());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod completion;
 mod error;
 mod event_id;
+pub mod kv_transfer;
 pub mod leader;
 pub mod operator;
 pub mod peer;
--- a/crates/wire/tests/streams.rs
+++ b/crates/wire/tests/streams.rs
@@ -127,7 +127,7 @@
         let body = serde_json::json!({"model": "m", "prompt": prompt, "max_tokens": 50});
         let completion = Completion::from_slice(body.to_string().as_bytes()).unwrap();
         let delivered = Delivered { tokens, text: text.clone() };
-        let written = completion.to_engine(&"salt".parse().unwrap(), 0, &delivered);
+        let written = completion.to_engine(&"salt".parse().unwrap(), 0, &delivered, None);
         let again = Completion::from_slice(&written).unwrap();
         prop_assert_eq!(again.prompt_parts().concat(), format!("{prompt}{text}").into_bytes());
         prop_assert_eq!(again.max_tokens(), Some(50 - tokens));
