--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -147,6 +147,10 @@
     pub fn new(counts: &Counts, site: &crate::site::Site) -> Self {
         let engines = site.engines.iter().map(|node| node.engine.counts());
         let engines = engines.fold(EngineCounts::default(), |sum, counts| sum.plus(&counts));
+        let (wrong_salts, wrong_transfers) = {
+            let tally = site.tally.lock();
+            (tally.wrong_salts, tally.wrong_transfers)
+        };
         let mut summary = Self {
             requests: counts.requests,
             answered: counts.answered,
@@ -157,8 +161,8 @@
             not_run: counts.not_run,
             may_have_run: counts.may_have_run,
             false_not_run: counts.false_not_run,
-            wrong_salts: site.tally.lock().wrong_salts,
-            wrong_transfers: site.tally.lock().wrong_transfers,
+            wrong_salts,
+            wrong_transfers,
             hit_rate: 0.0,
             wasted_tokens: 0,
             fetched_tokens: 0,
--- a/crates/fleet/tests/declaration.rs
+++ b/crates/fleet/tests/declaration.rs
@@ -127,7 +127,7 @@
 id = 'model-later'
 reason = 'longest proofs'
 scope = { model = 'n' }
-set = { request-timeout = '32s' }
+set = { request-timeout = '32s', kv-transfer = 'both' }
 
 [[exceptions]]
 id = 'desk'
@@ -175,6 +175,8 @@
     narrower_dimension_over_a_later_entry:
         "{ organisation = 'large', data-centre = 'hobart' }" at 0, request_timeout => "40s",
     later_wins_a_tie: "{ model = 'n' }" at 0, request_timeout => "32s",
+    transfers_of_a_model: "{ model = 'n' }" at 0, kv_transfer => "both",
+    no_transfers_elsewhere: "{ model = 'm' }" at 0, kv_transfer => "off",
     exception_over_entry: "{ organisation = 'large' }" at 0, share => "9",
     methods_of_a_service: "{ service = 'desk' }" at 0, idempotent_methods => "GET POST",
     methods_elsewhere: "{ service = 'rota' }" at 0, idempotent_methods => "GET",
