bench: tell the router's refusal of the store from the store's own

Cause: without the router's guard the test still passed, as the store answered 404 to a request without the headers. Change: send the headers and ask for the router's verdict.

--- a/crates/bench/tests/kv.rs
+++ b/crates/bench/tests/kv.rs
@@ -2,7 +2,7 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use base::Incarnation;
+use base::{Incarnation, Verdict};
 use bench::{
     Fault, Proxy,
     caller::{self, Ask, Outcome},
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::{Request, StatusCode};
 use serde_json::{Value, json};
+use wire::problem::Problem;
 
 const IN_TIME: Duration = Duration::from_secs(10);
 const SALT: &str = "00000000000000aa";
@@ -231,7 +232,11 @@
     let router = site.daemons[0].spec().listen;
     let url = format!("http://{router}/services/kept-kv/kv/{SALT}/00");
     let key = organisation_key(&site.spec.organisations[0]);
-    let answer = attohttpc::get(url).bearer_auth(key).send().unwrap();
+    let req = attohttpc::get(url).bearer_auth(key);
+    let req = req.header("x-kv-model", "m").header("x-kv-weights", "v1");
+    let answer = req.send().unwrap();
     assert_eq!(answer.status().as_u16(), 404);
+    let refusal: Problem = serde_json::from_str(&answer.text().unwrap()).unwrap();
+    assert_eq!(refusal.verdict, Some(Verdict::NotRun), "the router refuses, not the store");
     assert_eq!(site.kept_kv.as_ref().unwrap().store.counts().gets, 0);
 }
