--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -1,5 +1,6 @@
 mod explain;
 mod feedback;
+mod transfer;
 mod wanted;
 
 use std::{cell::Cell, collections::BTreeMap, net::IpAddr, rc::Rc, time::Duration};
@@ -8,11 +9,17 @@
     DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, ServiceId, TokenCount,
     WeightsVersion,
 };
+use fleet::setting::KvTransfer as KvTransferSetting;
 use member::{Announcement, EndpointKind, EndpointState, Known, PeerState, Roster};
 use prefix::{BlockBytes, Chain, Salt};
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
 use route::{Candidate, OutlierSettings, Outliers, Policy as _, Request, Standing, Warm};
+use wire::kv_transfer::KvTransfer;
+
+pub(super) use self::transfer::cache_salt;
+
+use self::transfer::{Asking, is_kept_kv};
 
 use super::{
     policies::Policies,
@@ -62,6 +69,8 @@
     pub endpoint: EndpointId,
     pub weights: WeightsVersion,
     pub salt: Salt,
+    /// Where the engine may fetch cached blocks from.
+    pub transfer: Option<KvTransfer>,
     chain: Chain,
     prompt_tokens: TokenCount,
     /// Blocks of the chain that the engine was believed to hold.
@@ -216,6 +225,16 @@
         let Identity { salt, chain, .. } =
             identities.swap_remove(identity.ok_or(NoEndpoint::Unknown)?);
         let warm = candidates[chosen].warm_tokens;
+        let believed = (warm.as_u64() / BLOCK_TOKENS) as usize;
+        let mut transfer = None;
+        if wanted.preferences.kv_transfer != KvTransferSetting::Off {
+            self.warmth.measure(now, &chain);
+            let asking = Asking { endpoint: id, target, salt, held: believed };
+            transfer = self.find_transfer(wanted, &asking);
+        }
+        if let Some(slot) = self.store_slot(wanted) {
+            self.warmth.sent(now, slot, &chain);
+        }
         if let Some(slot) = target.slot() {
             self.warmth.sent(now, slot, &chain);
         }
@@ -227,9 +246,10 @@
             endpoint: (*id).clone(),
             weights: weights.clone(),
             salt,
+            transfer,
             chain,
             prompt_tokens: req.prompt_tokens,
-            believed: (warm.as_u64() / BLOCK_TOKENS) as usize,
+            believed,
             sent: now,
             begun: Cell::new(None),
         })
@@ -255,6 +275,7 @@
             endpoint: endpoint.clone(),
             weights,
             salt,
+            transfer: None,
             chain,
             prompt_tokens: wanted.prompt_tokens(),
             believed: 0,
@@ -270,6 +291,9 @@
         service: &ServiceId,
         tried: &[EndpointId],
     ) -> Result<(EndpointId, InFlight), NoEndpoint> {
+        if is_kept_kv(service) {
+            return Err(NoEndpoint::Unknown);
+        }
         let able: Vec<_> = self
             .targets
             .iter()
@@ -303,6 +327,9 @@
                 self.engine_outliers.join(now, endpoint.clone());
                 self.warmth.bind(endpoint, announcement.incarnation)
             }
+            EndpointKind::Service(service) if is_kept_kv(service) => {
+                self.warmth.bind(endpoint, announcement.incarnation)
+            }
             EndpointKind::Service(_) => {
                 self.service_outliers.join(now, endpoint.clone());
                 None
