route: let a reported prefill drain where no queue stands behind it

Ruled out: endpoints not yet known (the test waits for all of them to be candidates). Change: reported tokens shrink by what the engine computes in the report's age, unless its slots are full; a full engine's queue is replaced by new arrivals.

--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -115,11 +115,12 @@
     /// Estimates the load of each candidate from own work and aged reports.
     fn estimate_loads(&mut self, candidates: &[Candidate]) {
         let half_life = self.settings.report_half_life.as_secs_f64().max(f64::MIN_POSITIVE);
-        let mean = Load::mean_of_others(candidates);
+        let rate = self.settings.prefill_rate;
+        let mean = Load::mean_of_others(candidates, rate);
         self.loads.clear();
         self.loads.extend(candidates.iter().map(|candidate| {
             let freshness = half_life / (half_life + seconds(candidate.report_age));
-            let others = Load::of_others(candidate).blend(mean, freshness);
+            let others = Load::of_others(candidate, rate).blend(mean, freshness);
             Load {
                 requests: f64::from(candidate.in_flight) + others.requests,
                 prefill_tokens: candidate.own_prefill_tokens.as_u64() as f64
@@ -191,10 +192,10 @@
 
 impl Load {
     /// Returns the mean of what others cause at the candidates.
-    fn mean_of_others(candidates: &[Candidate]) -> Self {
+    fn mean_of_others(candidates: &[Candidate], rate: TokenRate) -> Self {
         let (mut requests, mut prefill_tokens) = (0_u64, 0_u64);
         for candidate in candidates {
-            let (of_candidate, tokens) = reported_by_others(candidate);
+            let (of_candidate, tokens) = reported_by_others(candidate, rate);
             requests = requests.saturating_add(of_candidate.into());
             prefill_tokens = prefill_tokens.saturating_add(tokens);
         }
@@ -203,8 +204,8 @@
     }
 
     /// Returns the reported load without this router's part of it.
-    fn of_others(candidate: &Candidate) -> Self {
-        let (requests, tokens) = reported_by_others(candidate);
+    fn of_others(candidate: &Candidate, rate: TokenRate) -> Self {
+        let (requests, tokens) = reported_by_others(candidate, rate);
         Self { requests: f64::from(requests), prefill_tokens: tokens as f64 }
     }
 
@@ -232,12 +233,23 @@
 }
 
 /// Returns the reported requests and tokens that this router did not send.
-fn reported_by_others(candidate: &Candidate) -> (u32, u64) {
+fn reported_by_others(candidate: &Candidate, rate: TokenRate) -> (u32, u64) {
     let own = candidate.own_prefill_tokens.as_u64();
-    let tokens = candidate.reported_prefill_tokens.as_u64().saturating_sub(own);
+    let tokens = prefill_left(candidate, rate).saturating_sub(own);
     (candidate.reported_requests.saturating_sub(candidate.in_flight), tokens)
 }
 
+/// Returns the reported tokens that wait for prefill, less those computed since the report where
+/// no queue stands behind them.
+fn prefill_left(candidate: &Candidate, rate: TokenRate) -> u64 {
+    let reported = candidate.reported_prefill_tokens.as_u64();
+    if candidate.slots != 0 && candidate.slots <= candidate.reported_requests {
+        return reported;
+    }
+    let computed = seconds(candidate.report_age) * rate.as_u64() as f64;
+    reported.saturating_sub(computed as u64)
+}
+
 /// Returns a span in seconds; unlike `as_secs_f64` it does not divide.
 fn seconds(span: Duration) -> f64 {
     const NANOSECOND: f64 = 1e-9;
--- a/crates/route/tests/regression/main.rs
+++ b/crates/route/tests/regression/main.rs
@@ -1,3 +1,4 @@
 //! Faults found before, one a module.
 
+mod drained_report;
 mod outgrown_queue;
