--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -5,19 +5,28 @@
 };
 
 use base::HostId;
+use quorum::LeaderHints;
 
-/// Where other routers listen, and which of them vote.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Directory(Arc<Mutex<Known>>);
+use crate::clock::Clock;
+
+/// Where other routers listen, and which of them vote or lead.
+#[derive(Clone, Debug)]
+pub(crate) struct Directory {
+    clock: Clock,
+    known: Arc<Mutex<Known>>,
+}
 
 #[derive(Debug, Default)]
 struct Known {
     addresses: BTreeMap<HostId, SocketAddr>,
-    voters: Vec<HostId>,
-    leader: Option<HostId>,
+    hints: LeaderHints,
 }
 
 impl Directory {
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self { clock, known: Arc::default() }
+    }
+
     /// Returns where a router listens.
     pub(crate) fn address(&self, host: &HostId) -> Option<SocketAddr> {
         self.lock().addresses.get(host).copied()
@@ -27,31 +36,36 @@
     pub(crate) fn insert(&self, host: HostId, address: SocketAddr, votes: bool) {
         let mut known = self.lock();
         known.addresses.insert(host.clone(), address);
-        known.voters.retain(|voter| *voter != host);
-        if votes {
-            known.voters.push(host);
-        }
+        known.hints.set_voter(host, votes);
     }
 
     /// Notes which host was last said to lead.
     pub(crate) fn set_leader(&self, leader: Option<HostId>) {
-        self.lock().leader = leader;
+        self.lock().hints.set_leader(leader);
     }
 
     /// Returns the host that was last said to lead.
     pub(crate) fn leader(&self) -> Option<HostId> {
-        self.lock().leader.clone()
+        self.lock().hints.leader().cloned()
+    }
+
+    /// Notes that a host answered a request to the leader.
+    pub(crate) fn answered(&self, host: &HostId) {
+        self.lock().hints.answered(host);
+    }
+
+    /// Notes that a host did not answer a request to the leader in time.
+    pub(crate) fn timed_out(&self, host: &HostId) {
+        let now = self.clock.now();
+        self.lock().hints.timed_out(now, host);
     }
 
     /// Returns the hosts that may take a request to the leader, the likeliest first.
     pub(crate) fn voters(&self) -> Vec<HostId> {
-        let known = self.lock();
-        let leader = known.leader.iter();
-        let others = known.voters.iter().filter(|voter| Some(*voter) != known.leader.as_ref());
-        leader.chain(others).cloned().collect()
+        self.lock().hints.order(self.clock.now())
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -12,6 +12,9 @@
 /// Longest wait for the leader's answer before the loss of the leader is noted.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time from which an answer is late: longer than questions are held, and a way there and back.
+const LATE: Duration = Duration::from_millis(700);
+
 /// Pause after a question without an answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
 
@@ -52,6 +55,7 @@
                 if std::mem::take(&mut lost) {
                     log::info!(term:% = view.version.term; "the leader answers again");
                 }
+                note_late(gateway.clock.now().saturating_since(sent));
                 version = view.version;
                 gateway.take_view(sent, &view);
             }
@@ -69,6 +73,13 @@
     }
 }
 
+/// Logs an answer that took longer than questions are held.
+fn note_late(took: Duration) {
+    if LATE <= took {
+        log::info!(took_ms = took.as_millis() as u64; "the leader's answer was late");
+    }
+}
+
 impl<D: Dialect> Gateway<D> {
     /// Takes the answer to a question sent at `sent`; what is in force never goes back.
     fn take_view(&self, sent: MonotonicTime, view: &PublishedView) {
--- a/crates/daemon/src/leader_client.rs
+++ b/crates/daemon/src/leader_client.rs
@@ -59,17 +59,19 @@
                     let before = worst.replace(NoAnswer::Unknown);
                     match self.attempt(&host, bytes.clone()).await {
                         Submitted::Reply(answer) => {
+                            self.directory.answered(&host);
                             self.directory.set_leader(Some(host));
                             return LeaderAnswer::from_bytes(&answer)
                                 .map_err(|_| NoAnswer::Unknown);
                         }
                         Submitted::NotWritten { leader } => {
                             worst.set(before);
+                            self.directory.answered(&host);
                             if leader.as_ref().is_some_and(|leader| *leader != host) {
                                 self.directory.set_leader(leader);
                             }
                         }
-                        Submitted::Unknown => {}
+                        Submitted::Unknown => self.directory.timed_out(&host),
                     }
                 }
                 let pause = rand::rng().random_range(PAUSE_MS);
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -174,7 +174,7 @@
             // Higher than that of any earlier process on this host.
             incarnation: Incarnation::new(clock.wall().as_u64()),
             metrics,
-            directory: Directory::default(),
+            directory: Directory::new(clock),
             configurations,
             latest: Latest::default(),
             replica_state: ReplicaState::default(),
--- /dev/null
+++ b/crates/fleet/tests/rollout.rs
@@ -0,0 +1,136 @@
+//! Bringing named weights to all engines.
+
+use std::time::Duration;
+
+use base::{Incarnation, MonotonicTime};
+use fleet::{
+    EngineView, LoadOrder, NamedWeights, OrderOutcome, Rollout, RolloutSettings,
+};
+
+const ENGINES: usize = 10;
+
+/// Time between two rounds, in milliseconds.
+const PERIOD: u64 = 50;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn named(version: u32) -> Vec<NamedWeights> {
+    vec![NamedWeights { model: "m".parse().unwrap(), version }]
+}
+
+fn engine(i: usize, version: u32) -> EngineView {
+    EngineView {
+        endpoint: format!("engine-{i}").parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        model: "m".parse().unwrap(),
+        version,
+        is_ready: true,
+    }
+}
+
+fn rollout(version: u32) -> Rollout {
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.set_named(&named(version));
+    rollout.set_engines(&(0..ENGINES).map(|i| engine(i, 1)).collect::<Vec<_>>());
+    rollout
+}
+
+/// Runs rounds until `end`; each order is carried out within `load`.
+fn play(rollout: &mut Rollout, from: u64, end: u64, load: u64) -> Vec<(u64, LoadOrder)> {
+    let mut orders: Vec<(u64, LoadOrder)> = Vec::new();
+    let mut most = 0;
+    for now in (from..end).step_by(PERIOD as usize) {
+        for (given, order) in &orders {
+            if given + load <= now {
+                rollout.reported(&order.endpoint, order.incarnation, order.weights.version);
+            }
+        }
+        for order in rollout.orders(at(now)) {
+            rollout.ordered(at(now), &order, OrderOutcome::Accepted);
+            orders.push((now, order));
+        }
+        most = most.max(rollout.news().iter().filter(|news| news.paused).count());
+    }
+    assert!(most <= 4, "{most} of {ENGINES} engines were paused at once");
+    orders
+}
+
+#[test]
+fn all_engines_load_once_and_few_at_a_time() {
+    let mut rollout = rollout(2);
+    let orders = play(&mut rollout, 0, 5_000, 600);
+    assert_eq!(orders.len(), ENGINES);
+    assert!(rollout.is_done());
+    assert!(rollout.news().iter().all(|news| !news.paused && news.version == 2));
+}
+
+#[test]
+fn engine_gets_no_requests_before_its_order() {
+    let mut rollout = rollout(2);
+    assert_eq!(rollout.orders(at(0)), []);
+    let paused: Vec<_> = rollout.news().into_iter().filter(|news| news.paused).collect();
+    let orders = rollout.orders(at(200));
+    assert!(!orders.is_empty());
+    assert!(orders.iter().all(|order| paused.iter().any(|news| news.endpoint == order.endpoint)));
+}
+
+#[test]
+fn oldest_weights_go_first() {
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.set_named(&named(3));
+    let engines: Vec<_> = (0..ENGINES).map(|i| engine(i, if i < 7 { 2 } else { 1 })).collect();
+    rollout.set_engines(&engines);
+    rollout.orders(at(0));
+    let first: Vec<_> = rollout.orders(at(200)).into_iter().map(|order| order.endpoint).collect();
+    for i in 7..ENGINES {
+        assert!(first.contains(&engine(i, 1).endpoint), "engine-{i} has the oldest weights");
+    }
+}
+
+#[test]
+fn newer_version_overtakes_one_under_way() {
+    let mut rollout = rollout(2);
+    play(&mut rollout, 0, 500, 600);
+    rollout.set_named(&named(3));
+    let orders = play(&mut rollout, 500, 6_000, 600);
+    assert!(rollout.is_done());
+    assert!(orders.iter().all(|(_, order)| order.weights.version == 3));
+}
+
+#[test]
+fn order_without_effect_is_given_again() {
+    let mut rollout = rollout(2);
+    rollout.set_engines(&[engine(0, 1), engine(1, 2)]);
+    rollout.orders(at(0));
+    let [order] = &rollout.orders(at(200))[..] else { panic!("one engine is behind") };
+    rollout.ordered(at(200), order, OrderOutcome::Unknown);
+    assert_eq!(rollout.orders(at(1_000)), []);
+    let retry = RolloutSettings::default().retry_after.as_millis() as u64;
+    rollout.orders(at(200 + retry));
+    assert_eq!(rollout.orders(at(400 + retry)).len(), 1);
+}
+
+#[test]
+fn restarted_engine_starts_anew() {
+    let mut rollout = rollout(2);
+    rollout.orders(at(0));
+    let orders = rollout.orders(at(200));
+    let reborn = EngineView { incarnation: Incarnation::new(2), ..engine(0, 2) };
+    let engines: Vec<_> = std::iter::once(reborn).chain((1..ENGINES).map(|i| engine(i, 1))).collect();
+    rollout.set_engines(&engines);
+    let old = orders.iter().find(|order| order.endpoint == engine(0, 1).endpoint).unwrap();
+    rollout.ordered(at(300), old, OrderOutcome::Accepted);
+    assert!(!rollout.news().iter().any(|news| news.endpoint == old.endpoint && news.paused));
+}
+
+#[test]
+fn lone_engine_is_updated_too() {
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.set_named(&named(2));
+    rollout.set_engines(&[engine(0, 1)]);
+    rollout.orders(at(0));
+    assert_eq!(rollout.orders(at(200)).len(), 1);
+    assert!(Duration::ZERO < RolloutSettings::default().drain_time);
+}
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -76,6 +76,7 @@
 mod follower;
 mod founding;
 mod healing;
+mod hints;
 mod leader;
 mod log;
 mod message;
@@ -90,6 +91,7 @@
     action::{Action, Input, Refusal},
     config::Config,
     healing::{HealingSettings, LeaderView, next_voters},
+    hints::LeaderHints,
     message::{AppendOutcome, Ballot, Body, Founding, Message},
     node::Node,
     progress::Progress,
--- /dev/null
+++ b/crates/quorum/tests/hints.rs
@@ -0,0 +1,55 @@
+//! Whom a host outside the quorum asks for the leader.
+
+use base::{HostId, MonotonicTime};
+use quorum::LeaderHints;
+
+use crate::cluster::host;
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn hints() -> LeaderHints {
+    let mut hints = LeaderHints::default();
+    (0..5).for_each(|i| hints.set_voter(host(i), true));
+    hints
+}
+
+fn first(hints: &LeaderHints, now: u64, count: usize) -> Vec<HostId> {
+    hints.order(at(now)).into_iter().take(count).collect()
+}
+
+#[test]
+fn leader_is_asked_first() {
+    let mut hints = hints();
+    hints.set_leader(Some(host(3)));
+    assert_eq!(first(&hints, 0, 2), [host(3), host(0)]);
+}
+
+#[test]
+fn silent_hosts_are_asked_last_even_if_said_to_lead() {
+    let mut hints = hints();
+    hints.set_leader(Some(host(0)));
+    hints.timed_out(at(600), &host(0));
+    hints.set_leader(Some(host(0)));
+    hints.timed_out(at(1_200), &host(1));
+    assert_eq!(first(&hints, 1_300, 3), [host(2), host(3), host(4)]);
+    assert_eq!(hints.order(at(1_300))[3..], [host(0), host(1)]);
+}
+
+#[test]
+fn host_that_answers_again_is_no_longer_silent() {
+    let mut hints = hints();
+    hints.timed_out(at(0), &host(0));
+    hints.answered(&host(0));
+    assert_eq!(first(&hints, 100, 1), [host(0)]);
+}
+
+#[test]
+fn silence_is_forgotten() {
+    let mut hints = hints();
+    hints.timed_out(at(0), &host(0));
+    hints.set_leader(Some(host(0)));
+    assert_ne!(first(&hints, 1_000, 1), [host(0)]);
+    assert_eq!(first(&hints, 3_000, 1), [host(0)]);
+}
--- a/crates/quorum/tests/main.rs
+++ b/crates/quorum/tests/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod election;
 mod healing;
+mod hints;
 mod lease;
 mod lost_disk;
 mod messages;
