--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -21,7 +21,7 @@
 
 use super::{
     Arrival, AttemptHead, Dialect, EngineHead, Gateway,
-    follow::{InForce, WantedWeights},
+    follow::{InForce, NONE_NAMED},
     placement::{self, NoTarget, PromptWanted, Wanted},
     targets::{InFlight, Target},
 };
@@ -38,9 +38,6 @@
 /// Time between looks for such an endpoint.
 const SOON_POLL: Duration = Duration::from_millis(10);
 
-/// When a refused caller may come again.
-pub(super) const RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// Part of the time left that an attempt may take while another one is allowed.
 const ATTEMPT_PART: f64 = 0.5;
 
@@ -48,7 +45,10 @@
 const MIN_ATTEMPT: Duration = Duration::from_millis(250);
 
 /// Longest wait for a resumable stream's next event before it goes on elsewhere.
-pub(super) const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Time between looks at whether an endpoint that is waited for can still be reached.
+pub(super) const REACH_POLL: Duration = Duration::from_millis(100);
 
 /// A request that may be sent to endpoints.
 pub(super) struct Exchange<D: Dialect> {
@@ -142,7 +142,7 @@
         let now = self.gateway.clock.now();
         let (why, is_run) = match unanswered {
             Unanswered::Unreached(why) => {
-                target.refused(now);
+                target.not_reached(now);
                 log::info!(request:%, endpoint:%, why; "endpoint not reached");
                 if self.progress.tried.len() < MAX_TRIES {
                     return Ok(());
@@ -172,7 +172,7 @@
         if is_run || self.verdict() != Verdict::NotRun {
             return Failure::broken(why, Verdict::MayHaveRun);
         }
-        Failure::unavailable(why, RETRY_AFTER)
+        Failure::unavailable(why, self.gateway.retry_after())
     }
 
     /// Chooses an endpoint; waits a moment for one that can be had soon.
@@ -184,7 +184,7 @@
                     self.progress.tried.push(target.endpoint.clone());
                     return Ok(target);
                 }
-                Err(NoTarget::Soon) if Instant::now() < until => {
+                Err(why) if self.may_come_soon(why) && Instant::now() < until => {
                     tokio::time::sleep(SOON_POLL).await;
                 }
                 Err(why) => return Err(self.failure(no_target(why).to_owned(), false)),
@@ -192,16 +192,22 @@
         }
     }
 
+    /// Returns whether an endpoint may be had after a moment.
+    fn may_come_soon(&self, why: NoTarget) -> bool {
+        why == NoTarget::Soon || why == NoTarget::Unknown && self.gateway.is_starting()
+    }
+
     fn choose(&self) -> Result<Rc<Target>, NoTarget> {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
         let draw = self.service_draw();
         let service = self.route.service_at(draw).ok_or(NoTarget::Unknown)?;
+        let newest = gateway.in_force();
         let table = &self.in_force.table;
         let engine = table.service(service).and_then(|service| service.engine.as_ref());
         let wanted = Wanted {
             service,
-            prompt: self.prompt_wanted(now),
+            prompt: self.prompt_wanted(&newest),
             tried: &self.progress.tried,
             now,
             here: &gateway.data_centre,
@@ -218,26 +224,18 @@
         f64::from(u32::from_le_bytes(bytes)) / (f64::from(u32::MAX) + 1.0)
     }
 
-    fn prompt_wanted(&self, now: MonotonicTime) -> Option<PromptWanted<'_>> {
+    /// Returns what the prompt needs, by the versions named now rather than at the arrival.
+    fn prompt_wanted<'a>(&'a self, newest: &'a Option<Rc<InForce>>) -> Option<PromptWanted<'a>> {
         let prompt = self.arrival.prompt.as_ref()?;
-        let chain = self.chain.as_ref()?;
-        let weights = self.wanted_weights(prompt);
-        let age = weights.map_or(Duration::ZERO, |weights| now.saturating_since(weights.since));
+        let named = newest.as_ref().and_then(|held| held.weights.get(&prompt.model));
         Some(PromptWanted {
             model: &prompt.model,
-            chain,
-            version: weights.map_or(0, |weights| weights.version),
-            age,
-            older_allowed: age < self.gateway.cfg.weights_bound,
+            chain: self.chain.as_ref()?,
+            weights: named.unwrap_or(&NONE_NAMED),
+            weights_bound: self.gateway.cfg.weights_bound,
         })
     }
 
-    /// Returns the newest version named, which may be newer than when the request arrived.
-    fn wanted_weights(&self, prompt: &super::Prompt) -> Option<WantedWeights> {
-        let in_force = self.gateway.in_force()?;
-        in_force.weights.get(&prompt.model).copied()
-    }
-
     async fn attempt(
         &mut self,
         target: &Rc<Target>,
@@ -253,17 +251,25 @@
 
         let request = self.request(target, resume_after);
         if let Some(chain) = &self.chain {
-            target.reads(self.gateway.clock.now(), chain);
+            self.gateway.note_sent(target, chain);
         }
         let began = self.gateway.clock.now();
         self.progress.sent += 1;
         let sending =
             tokio::time::timeout_at(self.attempt_deadline(), sender.send_request(request));
-        let response = match sending.await {
-            Ok(Ok(response)) => response,
-            Ok(Err(e)) if e.is_canceled() => return Err(Unanswered::Unreached(e.to_string())),
-            Ok(Err(e)) => return Err(self.may_have_run(format!("no answer: {e}"))),
-            Err(_) => return Err(self.may_have_run("no answer in time".to_owned())),
+        let lost = lost(&self.gateway, target, self.route.repetition.may_repeat());
+        let response = tokio::select! {
+            biased;
+            sent = sending => match sent {
+                Ok(Ok(response)) => response,
+                Ok(Err(e)) if e.is_canceled() => return Err(Unanswered::Unreached(e.to_string())),
+                Ok(Err(e)) => return Err(self.may_have_run(format!("no answer: {e}"))),
+                Err(_) => return Err(self.may_have_run("no answer in time".to_owned())),
+            },
+            () = lost => {
+                let why = "the endpoint can't be reached any more".to_owned();
+                return Err(self.may_have_run(why));
+            }
         };
         self.check(target, response).map(|response| Opened {
             response,
@@ -283,10 +289,6 @@
         let head = self.gateway.dialect.answer(&parts);
         let status = parts.status;
         if head.not_run {
-            if status == StatusCode::SERVICE_UNAVAILABLE && target.model.is_some() {
-                // It loads weights or is full; the next news tells.
-                target.refused(self.gateway.clock.now());
-            }
             if let Some(version) = head.weights {
                 target.learn_version(version);
             }
@@ -382,6 +384,16 @@
     }
 }
 
+/// Waits until an endpoint is found to be out of reach; forever if the request can't go elsewhere.
+pub(super) async fn lost<D: Dialect>(gateway: &Rc<Gateway<D>>, target: &Rc<Target>, matters: bool) {
+    loop {
+        tokio::time::sleep(REACH_POLL).await;
+        if matters && target.is_avoided(gateway.clock.now()) {
+            return;
+        }
+    }
+}
+
 fn no_target(why: NoTarget) -> &'static str {
     match why {
         NoTarget::Unknown => "no endpoint of the service is known",
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -5,13 +5,19 @@
 use base::{ModelId, MonotonicTime};
 use fleet::ConfigurationNumber;
 use routes::Table;
-use wire::leader::{LeaderAnswer, LeaderRequest, PublishedView, Seen, ViewVersion};
+use wire::leader::{Follow, LeaderAnswer, LeaderRequest, PublishedView, Seen, ViewVersion};
 
 use super::{Dialect, Gateway};
 
 /// Longest wait for the leader's answer before the loss of the leader is noted.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a question may be held where the answer's loads place callers' requests.
+const CALLERS_HOLD: Duration = Duration::from_millis(150);
+
+/// How long a question may be held elsewhere.
+const IDLE_HOLD: Duration = Duration::from_millis(400);
+
 /// Time from which an answer is late: longer than questions are held, and a way there and back.
 const LATE: Duration = Duration::from_millis(700);
 
@@ -27,12 +33,43 @@
     pub confirmed: MonotonicTime,
 }
 
-/// The version of a model's weights that is to be served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// The versions of a model's weights that were named, the newest last.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct WantedWeights {
-    pub version: u32,
-    /// When this host learnt of it.
-    pub since: MonotonicTime,
+    named: Vec<NamedVersion>,
+}
+
+/// A version of weights with the time at which this host learnt of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct NamedVersion {
+    version: u32,
+    since: MonotonicTime,
+}
+
+/// What is known of a model of which no version was named.
+pub(super) static NONE_NAMED: WantedWeights = WantedWeights { named: Vec::new() };
+
+/// Versions that are remembered; older ones have long been out of bounds.
+const MAX_NAMED: usize = 16;
+
+impl WantedWeights {
+    /// Returns the newest version, 0 if none was named.
+    pub(super) fn version(&self) -> u32 {
+        self.named.last().map_or(0, |named| named.version)
+    }
+
+    /// Notes a newer version.
+    fn name(&mut self, version: u32, since: MonotonicTime) {
+        self.named.push(NamedVersion { version, since });
+        let excess = self.named.len().saturating_sub(MAX_NAMED);
+        self.named.drain(..excess);
+    }
+
+    /// Returns for how long `version` has not been the newest.
+    pub(super) fn outdated_for(&self, version: u32, now: MonotonicTime) -> Duration {
+        let newer = self.named.iter().find(|named| version < named.version);
+        newer.map_or(Duration::ZERO, |named| now.saturating_since(named.since))
+    }
 }
 
 impl InForce {
@@ -44,19 +81,29 @@
 
 /// Follows what the leader says is published until the thread ends.
 pub(super) async fn run<D: Dialect>(gateway: Rc<Gateway<D>>) {
-    let mut version = ViewVersion::default();
+    let (mut version, mut next_sent) = (ViewVersion::default(), 0);
     let mut lost = false;
     loop {
         let sent = gateway.clock.now();
         let number = gateway.in_force().map_or(ConfigurationNumber::default(), |held| held.number);
-        let request = LeaderRequest::FollowPublished(Seen { number, version });
+        let loads = gateway.targets.borrow().sent_loads();
+        let told = gateway.untold.borrow_mut().take();
+        let request = LeaderRequest::FollowPublished(Follow {
+            from: gateway.host.clone(),
+            seen: Seen { number, version, next_sent },
+            hold: if gateway.cfg.callers.is_some() { CALLERS_HOLD } else { IDLE_HOLD },
+            loads: loads.clone(),
+            sent: told.clone(),
+        });
         match gateway.leader.ask(&request, ASK_TIMEOUT).await {
             Ok(LeaderAnswer::Published(view)) => {
                 if std::mem::take(&mut lost) {
                     log::info!(term:% = view.version.term; "the leader answers again");
                 }
                 note_late(gateway.clock.now().saturating_since(sent));
-                version = view.version;
+                (version, next_sent) = (view.version, view.next_sent);
+                gateway.targets.borrow_mut().set_loads(gateway.clock.now(), &loads, &view.loads);
+                gateway.targets.borrow().note_sent(gateway.clock.now(), &view.sent);
                 gateway.take_view(sent, &view);
             }
             Ok(other) => {
@@ -64,6 +111,7 @@
                 tokio::time::sleep(RETRY_PAUSE).await;
             }
             Err(why) => {
+                gateway.untold.borrow_mut().restore(told);
                 if !std::mem::replace(&mut lost, true) {
                     log::warn!(why:? = why; "no leader answers");
                 }
@@ -129,15 +177,14 @@
         sent: MonotonicTime,
         view: &PublishedView,
     ) -> BTreeMap<ModelId, WantedWeights> {
-        let held = self.in_force().map(|held| held.weights.clone()).unwrap_or_default();
-        let mut weights = held.clone();
+        let mut weights = self.in_force().map(|held| held.weights.clone()).unwrap_or_default();
         for named in &view.weights {
-            if held.get(&named.model).is_some_and(|held| named.version <= held.version) {
+            let known = weights.entry(named.model.clone()).or_default();
+            if named.version <= known.version() {
                 continue;
             }
             log::info!(model:% = named.model, version = named.version; "weights named");
-            let wanted = WantedWeights { version: named.version, since: sent };
-            weights.insert(named.model.clone(), wanted);
+            known.name(named.version, sent);
         }
         weights
     }
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -20,7 +20,7 @@
 use super::{
     ActiveRequest, Arrival, Dialect, Gateway,
     body::Body,
-    exchange::{self, Exchange, Opened, Progress},
+    exchange::{Exchange, Opened, Progress},
     follow::InForce,
     headers, relay,
 };
@@ -28,6 +28,12 @@
 /// How long a caller without a deadline is taken to wait.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
+/// Longest wait of a request for the first configuration after the start.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
+
+/// Time between looks for it.
+const CONFIGURATION_POLL: Duration = Duration::from_millis(10);
+
 /// Largest answer that is held as a whole, in bytes.
 const MAX_ANSWER: usize = 16 << 20;
 
@@ -67,6 +73,21 @@
     response
 }
 
+/// Returns the configuration in force, for which a process that has just started waits a moment.
+async fn in_force<D: Dialect>(gateway: &Gateway<D>) -> Result<Rc<InForce>, Failure> {
+    let until = Instant::now() + CONFIGURATION_WAIT;
+    loop {
+        if let Some(in_force) = gateway.in_force() {
+            return Ok(in_force);
+        }
+        if until <= Instant::now() || !gateway.is_starting() {
+            let detail = "no configuration is in force yet";
+            return Err(Failure::unavailable(detail, gateway.retry_after()));
+        }
+        tokio::time::sleep(CONFIGURATION_POLL).await;
+    }
+}
+
 async fn answer<D: Dialect>(
     gateway: &Rc<Gateway<D>>,
     head: request::Parts,
@@ -75,9 +96,7 @@
     active: ActiveRequest,
 ) -> Result<Response<Body>, Failure> {
     let started = Instant::now();
-    let in_force = gateway.in_force().ok_or_else(|| {
-        Failure::unavailable("no configuration is in force yet", exchange::RETRY_AFTER)
-    })?;
+    let in_force = in_force(gateway).await?;
     let route = route(&in_force.table, &head)?;
     let organisation = organisation(gateway, &in_force, &route, &arrival)?;
     let leaves = started + arrival.deadline.unwrap_or(DEFAULT_DEADLINE);
@@ -131,7 +150,7 @@
     let age = in_force.age(gateway.clock.now());
     if gateway.cfg.key_lease <= age {
         let detail = "this host can't confirm that the keys it knows still count";
-        return Err(Failure::unavailable(detail, exchange::RETRY_AFTER));
+        return Err(Failure::unavailable(detail, gateway.retry_after()));
     }
     holder.map(Some).ok_or_else(Failure::unauthorised)
 }
@@ -193,7 +212,10 @@
 
 fn timed_out<D: Dialect>(exchange: &Exchange<D>) -> Failure {
     match exchange.attempts() {
-        0 => Failure::unavailable("no endpoint took the request in time", exchange::RETRY_AFTER),
+        0 => {
+            let detail = "no endpoint took the request in time";
+            Failure::unavailable(detail, exchange.gateway.retry_after())
+        }
         _ => Failure::timed_out("no whole answer came in time", Verdict::MayHaveRun),
     }
 }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 
 use base::{DataCentreId, HostId, MonotonicTime, ServiceId};
 use member::Roster;
+use prefix::{PartChain, Sent, Untold};
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
 use route::{BudgetSettings, RetryBudget, Warm, WarmSettings};
@@ -59,6 +60,12 @@
 /// Age from which the view of the endpoints is not believed, as after a pause of the process.
 const STALE_ROSTER: Duration = Duration::from_millis(1_500);
 
+/// Time after the start in which configuration and endpoints become known.
+const STARTING: Duration = Duration::from_millis(2_500);
+
+/// When a refused caller may come again.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Age of the proof of the newest configuration from which this host is not ready.
 const STALE_PROOF: Duration = Duration::from_millis(2_500);
 
@@ -108,8 +115,11 @@
     data_centre: DataCentreId,
     source: IpAddr,
     clock: Clock,
+    started: MonotonicTime,
     published: RefCell<Option<Rc<InForce>>>,
     targets: RefCell<Targets>,
+    /// Prompts sent that other hosts don't know of yet.
+    untold: RefCell<Untold>,
     /// When the view of the endpoints was made.
     roster_at: Cell<MonotonicTime>,
     /// Hosts that share the fleet's retries.
@@ -159,8 +169,10 @@
             data_centre: identity.data_centre,
             source: identity.source,
             clock,
+            started: clock.now(),
             published: RefCell::new(None),
             targets: RefCell::default(),
+            untold: RefCell::default(),
             roster_at: Cell::new(MonotonicTime::ZERO),
             routers: Cell::new(1),
             budgets: RefCell::default(),
@@ -182,6 +194,14 @@
         placement::choose(&self.targets.borrow(), wanted, &mut warm, &mut *rng)
     }
 
+    /// Notes that an engine reads a prompt, here and soon at all other hosts.
+    fn note_sent(&self, target: &Target, chain: &PartChain) {
+        target.reads(self.clock.now(), chain);
+        let sent =
+            Sent { engine: target.key.as_u32(), weights: target.version(), chain: chain.clone() };
+        self.untold.borrow_mut().push(sent);
+    }
+
     /// Counts a request, which earns its part of a retry.
     fn count_request(&self, route: &Route) {
         self.with_budget(route, RetryBudget::earn);
@@ -218,6 +238,17 @@
         }
     }
 
+    /// Returns whether this process has just started and still hears of what it needs.
+    fn is_starting(&self) -> bool {
+        self.clock.now().saturating_since(self.started) < STARTING
+    }
+
+    /// Returns when a caller that is refused now may come again with a better chance.
+    fn retry_after(&self) -> Duration {
+        let up = self.clock.now().saturating_since(self.started);
+        RETRY_AFTER.max(STARTING.saturating_sub(up))
+    }
+
     /// Returns whether callers may be sent here.
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -5,7 +5,10 @@
 use rand::{Rng, RngExt as _};
 use route::{Candidate, Policy as _, Request, Warm};
 
-use super::targets::{Target, Targets};
+use super::{
+    follow::WantedWeights,
+    targets::{Target, Targets},
+};
 
 /// What an endpoint in another data centre costs against one in this one, as time.
 const AWAY_COST: Duration = Duration::from_millis(15);
@@ -19,6 +22,9 @@
 /// Time after the naming of new weights from which answers made on older ones are worth less.
 const OLD_AFTER: Duration = Duration::from_millis(1_200);
 
+/// Part of the time to read tokens that their transfer from another engine saves.
+const FETCH_GAIN: f64 = 0.7;
+
 /// Fewest tokens that are worth a transfer between engines.
 const MIN_FETCHED_TOKENS: u64 = 64;
 
@@ -47,12 +53,10 @@
 pub(super) struct PromptWanted<'a> {
     pub model: &'a base::ModelId,
     pub chain: &'a PartChain,
-    /// The version of the weights in force.
-    pub version: u32,
-    /// How long that version has been in force.
-    pub age: Duration,
-    /// Whether older versions may still serve.
-    pub older_allowed: bool,
+    /// The versions of the weights that were named.
+    pub weights: &'a WantedWeights,
+    /// Time after which an outdated version may not serve.
+    pub weights_bound: Duration,
 }
 
 /// Why no endpoint can be had.
@@ -91,7 +95,7 @@
     // Where all are avoided, a try costs less than a refusal.
     let usable = if reachable.is_empty() { fit } else { reachable };
     let chosen = match &wanted.prompt {
-        Some(prompt) => warmest(&usable, wanted, prompt, warm, rng),
+        Some(prompt) => warmest(targets, &usable, wanted, prompt, warm, rng),
         None => least_busy(&usable, wanted, rng),
     };
     chosen.cloned().ok_or(NoTarget::Soon)
@@ -102,47 +106,86 @@
         let Some(prompt) = &self.prompt else { return true };
         target.model.as_ref() == Some(prompt.model)
             && !target.is_paused()
-            && (prompt.version <= target.version() || prompt.older_allowed)
+            && prompt.weights.outdated_for(target.version(), self.now) < prompt.weights_bound
     }
 }
 
 fn warmest<'a, R: Rng>(
+    targets: &Targets,
     usable: &[&'a Rc<Target>],
     wanted: &Wanted<'_>,
     prompt: &PromptWanted<'_>,
     warm: &mut Warm,
     rng: &mut R,
 ) -> Option<&'a Rc<Target>> {
-    let candidates: Vec<Candidate> =
-        usable.iter().map(|target| candidate(target, wanted, prompt)).collect();
+    let report_age = targets.loads_age(wanted.now);
+    let holders = Holders::of(targets, wanted, prompt);
+    let candidates: Vec<Candidate> = usable
+        .iter()
+        .map(|target| candidate(target, wanted, prompt, report_age, &holders))
+        .collect();
     let req = Request { prompt_tokens: prompt.chain.tokens(), homes: HOMES };
     warm.choose(&req, &candidates, rng).map(|i| usable[i])
 }
 
-fn candidate(target: &Target, wanted: &Wanted<'_>, prompt: &PromptWanted<'_>) -> Candidate {
+fn candidate(
+    target: &Target,
+    wanted: &Wanted<'_>,
+    prompt: &PromptWanted<'_>,
+    report_age: Duration,
+    holders: &Holders,
+) -> Candidate {
+    let others = target.others();
+    let own_prefill = target.prefill_tokens().as_u64();
     let mut cost = Duration::ZERO;
     let place = prompt.chain.shared_hash().map_or(0, |hash| rank(hash, &target.endpoint));
     if target.data_centre != *wanted.here {
         let bytes = u32::try_from(wanted.body.as_u64()).unwrap_or(u32::MAX);
         cost += AWAY_COST + AWAY_COST_PER_BYTE.saturating_mul(bytes);
     }
-    if target.version() < prompt.version && OLD_AFTER <= prompt.age {
+    if OLD_AFTER <= prompt.weights.outdated_for(target.version(), wanted.now) {
         cost += OLD_WEIGHTS_COST;
     }
     Candidate {
         rank: place,
         fine_rank: place,
-        warm_tokens: target.warm_tokens(prompt.chain),
+        warm_tokens: holders.effective(target.version(), target.warm_tokens(prompt.chain)),
         in_flight: target.in_flight(),
         own_prefill_tokens: target.prefill_tokens(),
-        reported_requests: 0,
-        reported_prefill_tokens: TokenCount::ZERO,
-        report_age: Duration::ZERO,
+        reported_requests: target.in_flight().saturating_add(others.requests),
+        reported_prefill_tokens: TokenCount::new(own_prefill + u64::from(others.prefill_tokens)),
+        report_age,
         slots: wanted.slots,
         round_trip: cost,
     }
 }
 
+/// How much of a prompt's shared parts some engine is believed to hold, by version of the weights.
+struct Holders(Vec<(u32, u64)>);
+
+impl Holders {
+    fn of(targets: &Targets, wanted: &Wanted<'_>, prompt: &PromptWanted<'_>) -> Self {
+        let shared = prompt.chain.shared_tokens().as_u64();
+        let mut most: Vec<(u32, u64)> = Vec::new();
+        for target in targets.of_service(wanted.service) {
+            let held = target.warm_tokens(prompt.chain).as_u64().min(shared);
+            match most.iter_mut().find(|(version, _)| *version == target.version()) {
+                Some((_, tokens)) => *tokens = held.max(*tokens),
+                None => most.push((target.version(), held)),
+            }
+        }
+        Self(most)
+    }
+
+    /// Returns the tokens that an engine need not read, those that it can fetch in part.
+    fn effective(&self, version: u32, warm: TokenCount) -> TokenCount {
+        let held =
+            self.0.iter().find(|(held, _)| *held == version).map_or(0, |(_, tokens)| *tokens);
+        let fetched = held.saturating_sub(warm.as_u64()) as f64 * FETCH_GAIN;
+        TokenCount::new(warm.as_u64() + fetched as u64)
+    }
+}
+
 /// Returns the engine from which `target` may fetch the shared parts of a prompt that it lacks.
 ///
 /// One that this host has seen read them comes first, then the prompt's home among all engines,
@@ -179,7 +222,7 @@
 ) -> Option<&'a Rc<Target>> {
     let burden = |target: &Target| {
         let away = target.data_centre != *wanted.here;
-        target.in_flight() + if away { AWAY_REQUESTS } else { 0 }
+        target.in_flight() + target.others().requests + if away { AWAY_REQUESTS } else { 0 }
     };
     let least = usable.iter().map(|target| burden(target)).min()?;
     let equals: Vec<_> = usable.iter().filter(|target| burden(target) == least).collect();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -12,7 +12,7 @@
 use super::{
     ActiveRequest, Dialect,
     body::{Body, Cut},
-    exchange::{EVENT_TIMEOUT, Exchange, Opened},
+    exchange::{self, EVENT_TIMEOUT, Exchange, Opened},
     forward, headers,
 };
 
@@ -113,7 +113,15 @@
         let silence = if resumable { Instant::now() + EVENT_TIMEOUT } else { exchange.deadline };
         let until = silence.min(exchange.deadline);
         let body = opened.response.body_mut();
-        let frame = match tokio::time::timeout_at(until, body.frame()).await {
+        let lost = exchange::lost(&exchange.gateway, opened.in_flight.target(), resumable);
+        let framed = tokio::select! {
+            biased;
+            framed = tokio::time::timeout_at(until, body.frame()) => framed,
+            () = lost => {
+                return PartEnd::Broken("the endpoint can't be reached any more".to_owned());
+            }
+        };
+        let frame = match framed {
             Err(_) if exchange.deadline <= Instant::now() => return PartEnd::TimedOut,
             Err(_) => return PartEnd::Broken("no event in time".to_owned()),
             Ok(None) if cutter.is_within_event() => {
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -9,13 +9,17 @@
 use base::{DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, ServiceId, TokenCount};
 use fleet::EngineNews;
 use member::{Announcement, EndpointKind, EndpointState, Known, Roster};
-use prefix::{PartChain, PartMemory};
+use prefix::{PartChain, PartMemory, Sent};
+use route::{EndpointKey, SentLoad};
 
-/// Time for which an endpoint that refused a connection gets no other; it doubles each time.
-const FIRST_AVOIDANCE: Duration = Duration::from_millis(500);
+/// Longest time for which an endpoint that can't be reached gets no requests.
+const MAX_AVOIDANCE: Duration = Duration::from_secs(5);
 
-/// Longest time for which an endpoint that refuses connections gets none.
-const MAX_AVOIDANCE: Duration = Duration::from_secs(4);
+/// Age of an announcement from which its endpoint gets requests only if there is no other.
+const MAX_SILENCE: Duration = Duration::from_millis(4_500);
+
+/// Error in the age of an announcement.
+const HEARD_MARGIN: Duration = Duration::from_millis(100);
 
 /// Tokens that an engine's memory is taken to hold until a configuration tells.
 const DEFAULT_KV_TOKENS: TokenCount = TokenCount::new(60_000);
@@ -23,6 +27,8 @@
 /// An endpoint as this host uses it.
 pub(super) struct Target {
     pub endpoint: EndpointId,
+    /// The endpoint's short name between hosts.
+    pub key: EndpointKey,
     pub incarnation: Incarnation,
     pub address: SocketAddr,
     pub data_centre: DataCentreId,
@@ -35,8 +41,12 @@
     in_flight: Cell<u32>,
     prefill_tokens: Cell<u64>,
     memory: RefCell<PartMemory>,
-    avoided_until: Cell<MonotonicTime>,
-    refusals: Cell<u32>,
+    /// When the announcement was written that was heard last.
+    heard: Cell<MonotonicTime>,
+    /// When it could not be reached, until it is heard again.
+    unreached: Cell<Option<MonotonicTime>>,
+    /// What other routers have sent to it.
+    others: Cell<SentLoad>,
 }
 
 /// A request under way at an endpoint; ends on drop.
@@ -47,10 +57,12 @@
 }
 
 impl Target {
-    fn new(announcement: &Announcement, service: ServiceId, kv_tokens: TokenCount) -> Self {
+    fn new(known: &Known, service: ServiceId, kv_tokens: TokenCount) -> Self {
+        let (announcement, written) = (known.announcement.as_ref(), known.written);
         let model = served(announcement);
         Self {
             endpoint: announcement.endpoint.clone(),
+            key: EndpointKey::of(&announcement.endpoint),
             incarnation: announcement.incarnation,
             address: announcement.address,
             data_centre: announcement.data_centre.clone(),
@@ -61,8 +73,9 @@
             in_flight: Cell::new(0),
             prefill_tokens: Cell::new(0),
             memory: RefCell::new(PartMemory::new(kv_tokens)),
-            avoided_until: Cell::new(MonotonicTime::ZERO),
-            refusals: Cell::new(0),
+            heard: Cell::new(written),
+            unreached: Cell::new(None),
+            others: Cell::default(),
         }
     }
 
@@ -83,11 +96,6 @@
         self.paused.get()
     }
 
-    /// Sends it nothing until the next news of it.
-    pub(super) fn pause(&self) {
-        self.paused.set(true);
-    }
-
     pub(super) fn in_flight(&self) -> u32 {
         self.in_flight.get()
     }
@@ -105,21 +113,29 @@
         self.memory.borrow_mut().record(now, chain);
     }
 
+    /// Returns what other routers have sent to it.
+    pub(super) fn others(&self) -> SentLoad {
+        self.others.get()
+    }
+
+    /// Returns whether it is silent, or could not be reached and has not been heard since.
     pub(super) fn is_avoided(&self, now: MonotonicTime) -> bool {
-        now < self.avoided_until.get()
+        if MAX_SILENCE <= now.saturating_since(self.heard.get()) {
+            return true;
+        }
+        let Some(since) = self.unreached.get() else { return false };
+        let heard_since = since + HEARD_MARGIN < self.heard.get();
+        !heard_since && now.saturating_since(since) < MAX_AVOIDANCE
     }
 
-    /// Avoids it for some time, as it can't be reached.
-    pub(super) fn refused(&self, now: MonotonicTime) {
-        let factor = 2_u32.saturating_pow(self.refusals.get());
-        self.refusals.set(self.refusals.get().saturating_add(1));
-        self.avoided_until.set(now + FIRST_AVOIDANCE.saturating_mul(factor).min(MAX_AVOIDANCE));
+    /// Avoids it until it is heard again, as it can't be reached.
+    pub(super) fn not_reached(&self, now: MonotonicTime) {
+        self.unreached.set(Some(now));
     }
 
     /// Notes that it could be reached.
     pub(super) fn reached(&self) {
-        self.refusals.set(0);
-        self.avoided_until.set(MonotonicTime::ZERO);
+        self.unreached.set(None);
     }
 }
 
@@ -156,6 +172,8 @@
     by_id: BTreeMap<EndpointId, Rc<Target>>,
     news: HashMap<EndpointId, EngineNews>,
     kv_tokens: HashMap<ServiceId, TokenCount>,
+    /// When the loads of other hosts came.
+    loads_at: MonotonicTime,
 }
 
 /// How the endpoints changed.
@@ -171,21 +189,25 @@
         let usable = usable(&roster.endpoints);
         let mut changes = TargetChanges::default();
         self.by_id.retain(|id, target| {
-            let stays = usable.get(id).is_some_and(|known| known.incarnation == target.incarnation);
+            let stays = usable
+                .get(id)
+                .is_some_and(|known| known.announcement.incarnation == target.incarnation);
             if !stays {
                 changes.left.push(id.clone());
             }
             stays
         });
-        for (id, announcement) in usable {
+        for (id, known) in usable {
+            let announcement = known.announcement.as_ref();
             let version = served(announcement).map_or(0, |(_, version)| version);
             if let Some(target) = self.by_id.get(id) {
                 target.learn_version(version);
+                target.heard.set(known.written);
                 continue;
             }
             let Some(service) = service(announcement) else { continue };
             let kv_tokens = self.kv_tokens.get(service).copied().unwrap_or(DEFAULT_KV_TOKENS);
-            let target = Target::new(announcement, service.clone(), kv_tokens);
+            let target = Target::new(known, service.clone(), kv_tokens);
             self.by_id.insert(id.clone(), Rc::new(target));
             changes.joined.push(id.clone());
         }
@@ -199,6 +221,50 @@
         self.apply_news();
     }
 
+    /// Returns what this host has sent to endpoints.
+    pub(super) fn sent_loads(&self) -> Vec<SentLoad> {
+        let busy = self.by_id.values().filter(|target| target.in_flight() != 0);
+        busy.map(|target| SentLoad {
+            endpoint: target.key,
+            requests: target.in_flight(),
+            prefill_tokens: u32::try_from(target.prefill_tokens.get()).unwrap_or(u32::MAX),
+        })
+        .collect()
+    }
+
+    /// Takes what all hosts have sent, of which `own` is this host's part.
+    pub(super) fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
+        let find = |loads: &[SentLoad], endpoint| {
+            loads.iter().find(|load| load.endpoint == endpoint).copied().unwrap_or_default()
+        };
+        for target in self.by_id.values() {
+            let endpoint = target.key;
+            let (own, all) = (find(own, endpoint), find(all, endpoint));
+            target.others.set(SentLoad {
+                endpoint,
+                requests: all.requests.saturating_sub(own.requests),
+                prefill_tokens: all.prefill_tokens.saturating_sub(own.prefill_tokens),
+            });
+        }
+        self.loads_at = now;
+    }
+
+    /// Takes which prompts other hosts have sent.
+    pub(super) fn note_sent(&self, now: MonotonicTime, sent: &[Sent]) {
+        for sent in sent {
+            let key = EndpointKey::new(sent.engine);
+            let target = self.by_id.values().find(|target| target.key == key);
+            if let Some(target) = target.filter(|target| target.version() == sent.weights) {
+                target.reads(now, &sent.chain);
+            }
+        }
+    }
+
+    /// Returns the age of what is known of other hosts' load.
+    pub(super) fn loads_age(&self, now: MonotonicTime) -> Duration {
+        now.saturating_since(self.loads_at)
+    }
+
     /// Takes how much fits into the memory of a service's engines.
     pub(super) fn set_kv_tokens(&mut self, service: &ServiceId, tokens: TokenCount) {
         self.kv_tokens.insert(service.clone(), tokens);
@@ -230,7 +296,7 @@
 /// Returns the announcements of endpoints that want requests.
 ///
 /// Of two at one address only the younger process can be there.
-fn usable(endpoints: &[Known]) -> BTreeMap<&EndpointId, &Announcement> {
+fn usable(endpoints: &[Known]) -> BTreeMap<&EndpointId, &Known> {
     let mut youngest: HashMap<SocketAddr, &Announcement> = HashMap::new();
     for known in endpoints.iter().filter(|known| is_running(known)) {
         let announcement = known.announcement.as_ref();
@@ -241,11 +307,11 @@
     }
     let ready = endpoints.iter().filter(|known| known.state == EndpointState::Ready);
     ready
-        .map(|known| known.announcement.as_ref())
-        .filter(|announcement| {
+        .filter(|known| {
+            let announcement = &known.announcement;
             youngest.get(&announcement.address).is_some_and(|y| y.endpoint == announcement.endpoint)
         })
-        .map(|announcement| (&announcement.endpoint, announcement))
+        .map(|known| (&known.announcement.endpoint, known))
         .collect()
 }
 
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -2,9 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::{Incarnation, MonotonicTime, Term};
+use base::{EndpointId, Incarnation, MonotonicTime, Term};
 use bytes::Bytes;
-use fleet::{EngineView, LoadOrder, OrderOutcome, Rollout, RolloutSettings};
+use fleet::{EngineLoad, EngineView, LoadOrder, OrderOutcome, Rollout, RolloutSettings};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
     Request, Response,
@@ -12,6 +12,7 @@
     http::response,
 };
 use member::{EndpointState, Roster};
+use route::{EndpointKey, SentLoad};
 
 use crate::{
     net::{self, AbortOnDrop},
@@ -43,7 +44,7 @@
     term: Term,
     since: MonotonicTime,
     rollout: Rollout,
-    asked: std::collections::HashMap<base::EndpointId, MonotonicTime>,
+    asked: std::collections::HashMap<EndpointId, MonotonicTime>,
     outcomes: flume::Receiver<Outcome>,
     report: flume::Sender<Outcome>,
 }
@@ -51,7 +52,7 @@
 /// What came of a call to an engine.
 enum Outcome {
     Ordered(LoadOrder, OrderOutcome),
-    Reported { order: base::EndpointId, incarnation: Incarnation, report: EngineReport },
+    Reported { order: EndpointId, incarnation: Incarnation, report: EngineReport },
 }
 
 impl Office {
@@ -108,6 +109,7 @@
     let Some(roster) = gateway.latest.load() else { return };
     office.rollout.set_named(&view.published.weights());
     office.rollout.set_engines(&engines(&roster));
+    office.rollout.set_loads(|endpoint| load_of(&view.loads, endpoint));
     let waits = now.saturating_since(office.since) < gateway.cfg.order_lease;
     if !waits {
         for order in office.rollout.orders(now) {
@@ -118,6 +120,12 @@
     tell_routers(gateway, office);
 }
 
+fn load_of(loads: &[SentLoad], endpoint: &EndpointId) -> EngineLoad {
+    let key = EndpointKey::of(endpoint);
+    let sent = loads.iter().find(|load| load.endpoint == key).copied().unwrap_or_default();
+    EngineLoad { requests: sent.requests, prefill_tokens: sent.prefill_tokens }
+}
+
 /// Returns the engines that take requests.
 fn engines(roster: &Roster) -> Vec<EngineView> {
     let known = roster.endpoints.iter().filter(|known| known.state == EndpointState::Ready);
@@ -130,6 +138,7 @@
                 model,
                 version,
                 is_ready: true,
+                heard: known.written,
             })
         })
         .collect()
@@ -215,7 +224,7 @@
     }
 }
 
-fn address(roster: &Roster, endpoint: &base::EndpointId) -> Option<std::net::SocketAddr> {
+fn address(roster: &Roster, endpoint: &EndpointId) -> Option<std::net::SocketAddr> {
     let known = roster.endpoints.iter().find(|known| known.announcement.endpoint == *endpoint)?;
     Some(known.announcement.address)
 }
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -2,14 +2,18 @@
 
 use base::{HostId, LogIndex, MonotonicTime, Term, UnixMillis};
 use fleet::{Command, EngineNews, Fleet};
+use prefix::SentLog;
 use quorum::{
     Action, Config, Entry, HealingSettings, Input, LeaderView, Message, Node, Payload, Restored,
     Role, Snapshot, VoterSet, next_voters,
 };
 use rand_pcg::Pcg64Mcg;
+use route::LoadBoard;
 use store::{Disk, Log};
 use wire::{
-    leader::{LeaderAnswer, LeaderRequest, PublishedView, Seen, UnsettledCall, ViewVersion},
+    leader::{
+        Follow, LeaderAnswer, LeaderRequest, PublishedView, Seen, UnsettledCall, ViewVersion,
+    },
     peer::{quorum_from_bytes, quorum_to_bytes},
 };
 
@@ -39,7 +43,13 @@
 /// Longest time for which a follower's question for what is published is held.
 ///
 /// Shorter than the time for which the follower waits.
-const FOLLOW_HOLD: Duration = Duration::from_millis(400);
+const MAX_FOLLOW_HOLD: Duration = Duration::from_millis(400);
+
+/// Time for which a router's report of what it has sent counts.
+const LOAD_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Prompts that are kept to be told to routers; more than come in between two questions.
+const MAX_SENT: usize = 4096;
 
 /// Time between looks at whether the voters should change.
 const HEALING_PERIOD: Duration = Duration::from_millis(100);
@@ -71,11 +81,13 @@
     /// How often what followers are told has changed.
     changes: u64,
     engines: Vec<EngineNews>,
+    loads: LoadBoard,
+    sent: SentLog,
 }
 
 /// A held question for what is published.
 struct Follower {
-    seen: Seen,
+    question: Follow,
     until: MonotonicTime,
     reply: Reply,
 }
@@ -125,6 +137,8 @@
             followers: Vec::new(),
             changes: 0,
             engines: Vec::new(),
+            loads: LoadBoard::new(LOAD_LIFETIME),
+            sent: SentLog::new(MAX_SENT),
         };
         driver.offer_configuration();
         Ok(driver)
@@ -215,29 +229,34 @@
                 let id = self.waiting.read(Reading { request, reply });
                 self.step(Input::Read { id });
             }
-            Ok(LeaderRequest::FollowPublished(seen)) => self.follow(seen, reply),
+            Ok(LeaderRequest::FollowPublished(question)) => self.follow(question, reply),
             Err(e) => reply.answer(&LeaderAnswer::Refused(e.to_string())),
         }
     }
 
     /// Holds a follower's question, unless another host should answer it.
-    fn follow(&mut self, seen: Seen, reply: Reply) {
+    fn follow(&mut self, mut question: Follow, reply: Reply) {
         if self.node.role() != Role::Leader {
             return reply.not_written(self.node.leader().cloned());
         }
-        self.followers.push(Follower { seen, until: self.clock.now() + FOLLOW_HOLD, reply });
+        let now = self.clock.now();
+        self.loads.report(now, question.from.clone(), std::mem::take(&mut question.loads));
+        self.sent.extend(&question.from, std::mem::take(&mut question.sent));
+        let until = now + question.hold.min(MAX_FOLLOW_HOLD);
+        self.followers.push(Follower { question, until, reply });
     }
 
     /// Lets the questions be answered that saw something else, or were held long enough.
     fn answer_followers(&mut self) {
         let (now, version) = (self.clock.now(), self.view_version());
         let leads = self.node.role() == Role::Leader;
-        let due = |held: &Follower| !leads || held.seen.version != version || held.until <= now;
+        let due =
+            |held: &Follower| !leads || held.question.seen.version != version || held.until <= now;
         let (due, held) = std::mem::take(&mut self.followers).into_iter().partition(due);
         self.followers = held;
         let due: Vec<Follower> = due;
-        for Follower { seen, reply, .. } in due {
-            let request = LeaderRequest::FollowPublished(seen);
+        for Follower { question, reply, .. } in due {
+            let request = LeaderRequest::FollowPublished(question);
             let id = self.waiting.read(Reading { request, reply });
             self.step(Input::Read { id });
         }
@@ -248,7 +267,11 @@
         ViewVersion { term: self.node.term(), changes: self.changes }
     }
 
-    fn view(&self, seen: &Seen) -> PublishedView {
+    fn view(&mut self, seen: &Seen, asker: Option<&HostId>) -> PublishedView {
+        let same_leader = seen.version.term == self.node.term();
+        let first = if same_leader { seen.next_sent } else { self.sent.next() };
+        let sent = asker.map(|asker| self.sent.since(first, asker).cloned().collect());
+        let loads = self.loads.totals(self.clock.now());
         let published = self.fleet.published();
         let publication = published.publication();
         let held = seen.number == publication.number;
@@ -258,6 +281,9 @@
             content: (!held).then(|| publication.content.clone()),
             weights: published.weights(),
             engines: self.engines.clone(),
+            loads,
+            sent: sent.unwrap_or_default(),
+            next_sent: self.sent.next(),
         }
     }
 
@@ -455,7 +481,7 @@
         });
     }
 
-    fn answer_read(&self, reading: Reading) {
+    fn answer_read(&mut self, reading: Reading) {
         let answer = match &reading.request {
             LeaderRequest::ReadCall(key) => {
                 LeaderAnswer::Call(self.fleet.ledger().call(key).cloned().map(Box::new))
@@ -473,10 +499,10 @@
             }
             LeaderRequest::ReadVoters => LeaderAnswer::Voters(self.node.status().voters),
             LeaderRequest::ReadPublished => {
-                LeaderAnswer::Published(Box::new(self.view(&Seen::default())))
+                LeaderAnswer::Published(Box::new(self.view(&Seen::default(), None)))
             }
-            LeaderRequest::FollowPublished(seen) => {
-                LeaderAnswer::Published(Box::new(self.view(seen)))
+            LeaderRequest::FollowPublished(question) => {
+                LeaderAnswer::Published(Box::new(self.view(&question.seen, Some(&question.from))))
             }
             _ => return,
         };
@@ -497,7 +523,8 @@
         self.carry_out();
     }
 
-    fn publish(&self) {
+    fn publish(&mut self) {
+        let loads = self.loads.totals(self.clock.now());
         let history = self.fleet.configuration().history();
         let skipped = history.size_hint().0.saturating_sub(SHOWN_CHANGES);
         self.rings.state.store(ReplicaView {
@@ -507,6 +534,7 @@
             unsettled: self.fleet.ledger().unsettled().count(),
             lease_until: self.node.lease_until(self.clock.now()),
             published: self.fleet.published().clone(),
+            loads,
             failure: self.failure.clone(),
         });
     }
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -16,6 +16,7 @@
 use quorum::HealingSettings;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
+use route::SentLoad;
 use store::{Log, RealDisk};
 
 use crate::{
@@ -94,6 +95,8 @@
     pub lease_until: Option<MonotonicTime>,
     /// The numbered configuration and the weights named, as applied here.
     pub published: Arc<Published>,
+    /// What all routers have sent to endpoints, as far as they told this host.
+    pub loads: Vec<SentLoad>,
     /// Why the thread acknowledges nothing any more, if so.
     pub failure: Option<String>,
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -68,7 +68,9 @@
         ChangeRecord, ChangeReply, ClaimReply, Doubt, FinishReply, ReleaseReply, Reply,
         ResolveReply,
     },
-    rollout::{EngineNews, EngineView, LoadOrder, OrderOutcome, Rollout, RolloutSettings},
+    rollout::{
+        EngineLoad, EngineNews, EngineView, LoadOrder, OrderOutcome, Rollout, RolloutSettings,
+    },
     scope::Scope,
     settings::{Overrides, SettingKey, SettingValue, Settings},
     state::Fleet,
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -11,26 +11,50 @@
 
 use crate::NamedWeights;
 
+/// Most times that an engine's pause after a refusal doubles.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// Bounds of a [`Rollout`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutSettings {
-    /// Part of the engines that may drain or load at once; the others carry their requests.
+    /// Part of the engines that may drain, load or be out of reach at once; the others carry their
+    /// requests.
     pub share: f64,
     /// Fewest engines that may drain or load at once, if there are more than that.
     pub fewest: usize,
-    /// Time without new requests before an engine is told to load, so that all routers know.
+    /// Engines that may drain or load at once even if as many as may be are out of reach.
+    pub always: usize,
+    /// Shortest time without new requests before an engine is told to load, so that all routers
+    /// know.
     pub drain_time: Duration,
+    /// Longest wait for the requests that an engine still has, before it is told to load.
+    pub drain_limit: Duration,
+    /// Engines that load at once; more would only take longer each.
+    pub loads: usize,
+    /// Time that a load takes, after which the next one may begin.
+    pub load_time: Duration,
     /// Time after which an order without visible effect is given again.
     pub retry_after: Duration,
+    /// Time for which an engine that can't be reached, or refuses, is left alone; it doubles each
+    /// time.
+    pub refusal_pause: Duration,
+    /// Age of an announcement from which its engine comes last, as it may be gone.
+    pub silence: Duration,
 }
 
 impl Default for RolloutSettings {
     fn default() -> Self {
         Self {
             share: 0.4,
-            fewest: 3,
-            drain_time: Duration::from_millis(100),
+            fewest: 4,
+            always: 2,
+            drain_time: Duration::from_millis(250),
+            drain_limit: Duration::from_millis(1_200),
+            loads: 3,
+            load_time: Duration::from_millis(600),
             retry_after: Duration::from_millis(2_500),
+            refusal_pause: Duration::from_millis(1_000),
+            silence: Duration::from_millis(2_000),
         }
     }
 }
@@ -48,6 +72,8 @@
     pub version: u32,
     /// Whether it takes new requests.
     pub is_ready: bool,
+    /// When its newest announcement was written.
+    pub heard: MonotonicTime,
 }
 
 /// What routers must know of an engine beyond its own announcements.
@@ -63,6 +89,15 @@
     pub paused: bool,
 }
 
+/// Work that all routers have under way at an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineLoad {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens that wait for prefill.
+    pub prefill_tokens: u32,
+}
+
 /// An order to load weights.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LoadOrder {
@@ -97,6 +132,13 @@
     announced: u32,
     is_ready: bool,
     step: Step,
+    /// Until when it is left alone.
+    rests_until: MonotonicTime,
+    /// Orders in a row that it refused or that did not reach it.
+    refusals: u32,
+    /// When its newest announcement was written.
+    heard: MonotonicTime,
+    load: EngineLoad,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -136,11 +178,19 @@
                 *known = new(view);
             }
             known.is_ready = view.is_ready;
+            known.heard = view.heard;
             known.announced = view.version;
             known.raise(view.version);
         }
     }
 
+    /// Takes what is under way at the engines.
+    pub fn set_loads(&mut self, load_of: impl Fn(&EndpointId) -> EngineLoad) {
+        for (id, engine) in &mut self.engines {
+            engine.load = load_of(id);
+        }
+    }
+
     /// Takes the version that an engine itself reported when asked.
     pub fn reported(&mut self, endpoint: &EndpointId, incarnation: Incarnation, version: u32) {
         let known = self.engines.get_mut(endpoint);
@@ -158,11 +208,15 @@
         let target = order.weights.version;
         match outcome {
             OrderOutcome::Holds => engine.raise(target),
-            OrderOutcome::Accepted | OrderOutcome::Unknown => {
+            OrderOutcome::Accepted | OrderOutcome::Unknown | OrderOutcome::Busy => {
                 engine.step = Step::Loading { since: now, target };
+                engine.refusals = 0;
             }
-            OrderOutcome::Busy | OrderOutcome::Refused => {
-                engine.step = Step::Draining { since: now };
+            OrderOutcome::Refused => {
+                engine.step = Step::Idle;
+                let factor = 2_u32.saturating_pow(engine.refusals);
+                engine.refusals = engine.refusals.saturating_add(1).min(MAX_DOUBLINGS);
+                engine.rests_until = now + self.settings.refusal_pause.saturating_mul(factor);
             }
         }
     }
@@ -178,10 +232,13 @@
                 Step::Draining { since } => since,
                 _ => now,
             };
-            (drained, engine.version, (*id).clone())
+            let silent = self.settings.silence <= now.saturating_since(engine.heard);
+            (silent, drained, engine.version, engine.load.requests, (*id).clone())
         });
         let ids: Vec<EndpointId> = behind.into_iter().map(|(id, _)| id.clone()).collect();
-        let ready: Vec<&EndpointId> = ids.iter().filter(|id| self.is_drained(id, now)).collect();
+        let free = self.settings.loads.saturating_sub(self.loading_now(now));
+        let drained = ids.iter().filter(|id| self.is_drained(id, now));
+        let ready: Vec<&EndpointId> = drained.take(free).collect();
         for id in ready {
             let Some(engine) = self.engines.get_mut(id) else { continue };
             let version = self.named.get(&engine.model).copied().unwrap_or_default();
@@ -240,7 +297,10 @@
     fn is_drained(&self, id: &EndpointId, now: MonotonicTime) -> bool {
         match self.engines.get(id).map(|engine| engine.step) {
             Some(Step::Draining { since }) => {
-                self.settings.drain_time <= now.saturating_since(since)
+                let drained = now.saturating_since(since);
+                let is_idle = self.engines.get(id).is_some_and(|e| e.load.requests == 0);
+                let wait = if is_idle { Duration::ZERO } else { self.settings.drain_limit };
+                wait.max(self.settings.drain_time) <= drained
             }
             _ => false,
         }
@@ -248,11 +308,10 @@
 
     /// Stops new requests at the engines that load next.
     fn drain_next(&mut self, behind: &[EndpointId], now: MonotonicTime) {
-        let busy = self.engines.values().filter(|engine| engine.step != Step::Idle).count();
-        let places = self.most_at_once().saturating_sub(busy);
+        let places = self.places(now);
         let idle = behind
             .iter()
-            .filter(|id| self.engines.get(*id).is_some_and(|engine| engine.step == Step::Idle));
+            .filter(|id| self.engines.get(*id).is_some_and(|engine| engine.may_drain(now)));
         let next: Vec<EndpointId> = idle.take(places).cloned().collect();
         for id in next {
             if let Some(engine) = self.engines.get_mut(&id) {
@@ -261,6 +320,23 @@
         }
     }
 
+    /// Returns how many engines load at `now`, as far as the time since their orders tells.
+    fn loading_now(&self, now: MonotonicTime) -> usize {
+        let loads = |engine: &&Engine| match engine.step {
+            Step::Loading { since, .. } => now.saturating_since(since) < self.settings.load_time,
+            _ => false,
+        };
+        self.engines.values().filter(loads).count()
+    }
+
+    /// Returns how many more engines may drain; some always may, however many are out of reach.
+    fn places(&self, now: MonotonicTime) -> usize {
+        let busy = self.engines.values().filter(|engine| engine.step != Step::Idle).count();
+        let resting = self.engines.values().filter(|engine| now < engine.rests_until).count();
+        let left = self.most_at_once().saturating_sub(busy + resting);
+        left.max(self.settings.always.saturating_sub(busy))
+    }
+
     /// Lets engines whose order showed no effect, or that are no longer behind, be chosen anew.
     fn forget_lost_orders(&mut self, now: MonotonicTime) {
         let retry_after = self.settings.retry_after;
@@ -278,6 +354,10 @@
 }
 
 impl Engine {
+    fn may_drain(&self, now: MonotonicTime) -> bool {
+        self.step == Step::Idle && self.rests_until <= now
+    }
+
     /// Notes a version that the engine has; a load that aimed at it has ended.
     fn raise(&mut self, version: u32) {
         self.version = version.max(self.version);
@@ -297,5 +377,9 @@
         announced: view.version,
         is_ready: view.is_ready,
         step: Step::Idle,
+        rests_until: MonotonicTime::ZERO,
+        refusals: 0,
+        heard: view.heard,
+        load: EngineLoad::default(),
     }
 }
--- a/crates/prefix/src/chain.rs
+++ b/crates/prefix/src/chain.rs
@@ -1,6 +1,7 @@
 use std::num::NonZeroUsize;
 
 use base::{AdapterId, ModelId, OrganisationId, WeightsVersion};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
 /// The size of a prompt's blocks, in bytes.
@@ -50,7 +51,7 @@
 }
 
 /// The identity of a block and of all blocks before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct BlockHash(u64);
 
 impl BlockHash {
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -27,6 +27,7 @@
 mod index;
 mod parts;
 mod placement;
+mod shared;
 mod slot;
 mod table;
 
@@ -37,5 +38,6 @@
     index::{IndexSettings, WarmIndex, Warmth},
     parts::{Part, PartChain, PartMemory},
     placement::{Replication, homes, rank},
+    shared::{Sent, SentLog, Untold},
     slot::Slot,
 };
--- a/crates/prefix/src/parts.rs
+++ b/crates/prefix/src/parts.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 
 use base::{MonotonicTime, TokenCount};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::BlockHash;
@@ -15,12 +16,12 @@
 }
 
 /// A prompt in parts, each known by itself and all parts before it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartChain {
     levels: Vec<Level>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct Level {
     hash: BlockHash,
     tokens: TokenCount,
--- /dev/null
+++ b/crates/prefix/src/shared.rs
@@ -0,0 +1,93 @@
+use std::collections::VecDeque;
+
+use base::HostId;
+use serde::{Deserialize, Serialize};
+
+use crate::PartChain;
+
+/// A prompt that a router has sent to an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sent {
+    /// The engine, by the short name under which routers report on it.
+    pub engine: u32,
+    /// The version of the weights that read it.
+    pub weights: u32,
+    /// The prompt.
+    pub chain: PartChain,
+}
+
+/// The latest prompts that the routers of a site have sent, to be told to all of them.
+///
+/// So each router knows where a prompt is warm although it sees only its own part of the requests.
+#[derive(Clone, Debug)]
+pub struct SentLog {
+    capacity: usize,
+    next: u64,
+    entries: VecDeque<Entry>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    number: u64,
+    from: HostId,
+    sent: Sent,
+}
+
+impl SentLog {
+    /// Creates a log that keeps `capacity` entries; the oldest go first.
+    pub fn new(capacity: usize) -> Self {
+        Self { capacity, next: 0, entries: VecDeque::new() }
+    }
+
+    /// Adds what a router has sent.
+    pub fn extend(&mut self, from: &HostId, sent: Vec<Sent>) {
+        for sent in sent {
+            self.entries.push_back(Entry { number: self.next, from: from.clone(), sent });
+            self.next += 1;
+        }
+        let excess = self.entries.len().saturating_sub(self.capacity);
+        self.entries.drain(..excess);
+    }
+
+    /// Returns what others than `host` have sent from number `first` on.
+    pub fn since<'a>(&'a self, first: u64, host: &'a HostId) -> impl Iterator<Item = &'a Sent> {
+        let news = self.entries.iter().filter(move |entry| first <= entry.number);
+        news.filter(move |entry| entry.from != *host).map(|entry| &entry.sent)
+    }
+
+    /// Returns the number of the next entry.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+}
+
+/// Prompts that this router has sent and not told yet.
+#[derive(Clone, Debug, Default)]
+pub struct Untold {
+    sent: Vec<Sent>,
+}
+
+/// Most prompts that are kept to be told; a router that can't tell them drops the oldest.
+const MAX_UNTOLD: usize = 512;
+
+impl Untold {
+    /// Notes a prompt.
+    pub fn push(&mut self, sent: Sent) {
+        if MAX_UNTOLD <= self.sent.len() {
+            self.sent.remove(0);
+        }
+        self.sent.push(sent);
+    }
+
+    /// Takes all that is to be told.
+    pub fn take(&mut self) -> Vec<Sent> {
+        std::mem::take(&mut self.sent)
+    }
+
+    /// Takes back what could not be told.
+    pub fn restore(&mut self, mut sent: Vec<Sent>) {
+        sent.append(&mut self.sent);
+        let excess = sent.len().saturating_sub(MAX_UNTOLD);
+        self.sent = sent.split_off(excess);
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod admission;
 mod baseline;
+mod board;
 mod capacity;
 mod estimate;
 mod hedge;
@@ -39,6 +40,7 @@
 pub use crate::{
     admission::{Admission, AdmissionSettings},
     baseline::{Hash, LeastInFlight, RoundRobin},
+    board::{EndpointKey, LoadBoard, SentLoad},
     capacity::{Capacity, CapacitySettings},
     estimate::Estimate,
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
--- /dev/null
+++ b/crates/route/tests/board.rs
@@ -0,0 +1,44 @@
+//! Loads that routers report to each other.
+
+use std::time::Duration;
+
+use base::{EndpointId, HostId, MonotonicTime};
+use route::{EndpointKey, LoadBoard, SentLoad};
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+fn host(i: u32) -> HostId {
+    format!("host-{i}").parse().unwrap()
+}
+
+fn load(endpoint: &str, requests: u32, prefill_tokens: u32) -> SentLoad {
+    let endpoint: EndpointId = endpoint.parse().unwrap();
+    SentLoad { endpoint: EndpointKey::of(&endpoint), requests, prefill_tokens }
+}
+
+#[test]
+fn totals_add_up_over_hosts() {
+    let mut board = LoadBoard::new(Duration::from_secs(1));
+    board.report(at(0), host(1), vec![load("a", 2, 100), load("b", 1, 0)]);
+    board.report(at(0), host(2), vec![load("a", 3, 50)]);
+    let totals = board.totals(at(10));
+    assert!(totals.contains(&load("a", 5, 150)));
+    assert!(totals.contains(&load("b", 1, 0)));
+}
+
+#[test]
+fn newer_report_replaces_the_older() {
+    let mut board = LoadBoard::new(Duration::from_secs(1));
+    board.report(at(0), host(1), vec![load("a", 2, 100)]);
+    board.report(at(5), host(1), vec![load("b", 1, 10)]);
+    assert_eq!(board.totals(at(10)), [load("b", 1, 10)]);
+}
+
+#[test]
+fn silent_hosts_stop_counting() {
+    let mut board = LoadBoard::new(Duration::from_secs(1));
+    board.report(at(0), host(1), vec![load("a", 2, 100)]);
+    assert_eq!(board.totals(at(1_000)), []);
+}
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -1,12 +1,14 @@
 //! Requests to the quorum's leader, and its answers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use base::{HostId, Revision, Term};
 use fleet::{
     Call, CallKey, ChangeRecord, Command, ConfigurationNumber, EngineNews, NamedWeights, Reply,
 };
+use prefix::Sent;
 use quorum::{FolderId, VoterSet};
+use route::SentLoad;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::BodyError;
@@ -41,7 +43,22 @@
     /// Reads the numbered configuration in force and the weights named.
     ReadPublished,
     /// Reads what is published, once it differs from what was seen or some time has passed.
-    FollowPublished(Seen),
+    FollowPublished(Follow),
+}
+
+/// A question for what is published, with what its sender tells in turn.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Follow {
+    /// The router that asks.
+    pub from: HostId,
+    /// What it has seen.
+    pub seen: Seen,
+    /// How long the question may be held for news.
+    pub hold: Duration,
+    /// What it has under way at endpoints.
+    pub loads: Vec<SentLoad>,
+    /// The prompts that it has sent since the last question.
+    pub sent: Vec<Sent>,
 }
 
 /// What a follower of the published state has seen.
@@ -51,6 +68,8 @@
     pub number: ConfigurationNumber,
     /// The version of the last answer.
     pub version: ViewVersion,
+    /// The position after the prompts that the last answer told of, in the same term.
+    pub next_sent: u64,
 }
 
 /// The version of a leader's answer; equal ones come from the same leader and say the same.
@@ -75,6 +94,12 @@
     pub weights: Vec<NamedWeights>,
     /// What is known of engines beyond their announcements.
     pub engines: Vec<EngineNews>,
+    /// What all routers have under way at endpoints, the asker included.
+    pub loads: Vec<SentLoad>,
+    /// Prompts that other routers have sent since the last answer.
+    pub sent: Vec<Sent>,
+    /// The position after those.
+    pub next_sent: u64,
 }
 
 /// The leader's answer.
