--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -47,8 +47,11 @@
 /// Longest wait for a resumable stream's next event before it goes on elsewhere.
 pub(super) const EVENT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Time between looks at whether an endpoint that is waited for can still be reached.
-pub(super) const REACH_POLL: Duration = Duration::from_millis(100);
+/// Silence after which it is looked at whether an endpoint can still be reached.
+const REACH_SILENCE: Duration = Duration::from_millis(600);
+
+/// Time between such looks.
+const REACH_POLL: Duration = Duration::from_millis(100);
 
 /// A request that may be sent to endpoints.
 pub(super) struct Exchange<D: Dialect> {
@@ -384,13 +387,12 @@
     }
 }
 
-/// Waits until an endpoint is found to be out of reach; forever if the request can't go elsewhere.
+/// Waits until an endpoint that stays silent is found to be out of reach; forever if the request
+/// can't go elsewhere.
 pub(super) async fn lost<D: Dialect>(gateway: &Rc<Gateway<D>>, target: &Rc<Target>, matters: bool) {
-    loop {
+    tokio::time::sleep(REACH_SILENCE).await;
+    while !matters || !target.is_unreached(gateway.clock.now()) {
         tokio::time::sleep(REACH_POLL).await;
-        if matters && target.is_avoided(gateway.clock.now()) {
-            return;
-        }
     }
 }
 
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -1,9 +1,9 @@
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use base::{ByteCount, DataCentreId, EndpointId, MonotonicTime, ServiceId, TokenCount};
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
-use route::{Candidate, Policy as _, Request, Warm};
+use route::{Candidate, EndpointKey, Policy as _, Request, Warm};
 
 use super::{
     follow::WantedWeights,
@@ -11,7 +11,7 @@
 };
 
 /// What an endpoint in another data centre costs against one in this one, as time.
-const AWAY_COST: Duration = Duration::from_millis(15);
+const AWAY_COST: Duration = Duration::from_millis(100);
 
 /// What each byte that a request sends to another data centre costs besides, as time.
 const AWAY_COST_PER_BYTE: Duration = Duration::from_nanos(500);
@@ -22,6 +22,15 @@
 /// Time after the naming of new weights from which answers made on older ones are worth less.
 const OLD_AFTER: Duration = Duration::from_millis(1_200);
 
+/// Length from which a prompt counts as long: more than engines read in one step.
+const LONG_PROMPT: TokenCount = TokenCount::new(2_049);
+
+/// Part of the engines that take long prompts by preference.
+const LONG_SHARE: f64 = 0.6;
+
+/// What a prompt costs at an engine that takes prompts of the other kind, as time.
+const MISPLACED_COST: Duration = Duration::from_millis(150);
+
 /// Part of the time to read tokens that their transfer from another engine saves.
 const FETCH_GAIN: f64 = 0.7;
 
@@ -119,10 +128,15 @@
     rng: &mut R,
 ) -> Option<&'a Rc<Target>> {
     let report_age = targets.loads_age(wanted.now);
+    let groups = Groups::of(targets, wanted);
+    let is_long = LONG_PROMPT <= prompt.chain.tokens();
     let holders = Holders::of(targets, wanted, prompt);
     let candidates: Vec<Candidate> = usable
         .iter()
-        .map(|target| candidate(target, wanted, prompt, report_age, &holders))
+        .map(|target| {
+            let is_misplaced = groups.is_for_long(target) != is_long;
+            candidate(target, wanted, prompt, report_age, &holders, is_misplaced)
+        })
         .collect();
     let req = Request { prompt_tokens: prompt.chain.tokens(), homes: HOMES };
     warm.choose(&req, &candidates, rng).map(|i| usable[i])
@@ -134,10 +148,11 @@
     prompt: &PromptWanted<'_>,
     report_age: Duration,
     holders: &Holders,
+    is_misplaced: bool,
 ) -> Candidate {
     let others = target.others();
     let own_prefill = target.prefill_tokens().as_u64();
-    let mut cost = Duration::ZERO;
+    let mut cost = if is_misplaced { MISPLACED_COST } else { Duration::ZERO };
     let place = prompt.chain.shared_hash().map_or(0, |hash| rank(hash, &target.endpoint));
     if target.data_centre != *wanted.here {
         let bytes = u32::try_from(wanted.body.as_u64()).unwrap_or(u32::MAX);
@@ -160,6 +175,34 @@
     }
 }
 
+/// Which engines of each data centre take long prompts by preference.
+///
+/// A long prompt that is read delays every stream of its engine, so that short requests fare better
+/// among themselves.
+struct Groups(Vec<EndpointKey>);
+
+impl Groups {
+    fn of(targets: &Targets, wanted: &Wanted<'_>) -> Self {
+        let mut by_centre: BTreeMap<&DataCentreId, Vec<EndpointKey>> = BTreeMap::new();
+        for target in targets.of_service(wanted.service) {
+            if !target.is_avoided(wanted.now) {
+                by_centre.entry(&target.data_centre).or_default().push(target.key);
+            }
+        }
+        let mut for_long = Vec::new();
+        for mut keys in by_centre.into_values() {
+            keys.sort_unstable();
+            keys.truncate((keys.len() as f64 * LONG_SHARE).round() as usize);
+            for_long.append(&mut keys);
+        }
+        Self(for_long)
+    }
+
+    fn is_for_long(&self, target: &Target) -> bool {
+        self.0.contains(&target.key)
+    }
+}
+
 /// How much of a prompt's shared parts some engine is believed to hold, by version of the weights.
 struct Holders(Vec<(u32, u64)>);
 
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -1,6 +1,8 @@
 //! Streams of events from endpoints to callers.
 
-use base::ByteCount;
+use std::time::Duration;
+
+use base::{ByteCount, MonotonicTime};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::{Response, StatusCode};
@@ -13,7 +15,7 @@
     ActiveRequest, Dialect,
     body::{Body, Cut},
     exchange::{self, EVENT_TIMEOUT, Exchange, Opened},
-    forward, headers,
+    headers,
 };
 
 /// Pieces that wait for a slow caller.
@@ -34,6 +36,45 @@
     TimedOut,
 }
 
+/// When a stream's events came.
+struct Pace {
+    arrived: MonotonicTime,
+    /// From the request's arrival to the first event.
+    first: Option<Duration>,
+    /// From one event to the next, at most.
+    longest_gap: Duration,
+    last: MonotonicTime,
+}
+
+impl Pace {
+    fn new(arrived: MonotonicTime) -> Self {
+        Self { arrived, first: None, longest_gap: Duration::ZERO, last: arrived }
+    }
+
+    fn event(&mut self, now: MonotonicTime) {
+        match self.first {
+            None => self.first = Some(now.saturating_since(self.arrived)),
+            Some(_) => {
+                let gap = now.saturating_since(self.last);
+                self.longest_gap = gap.max(self.longest_gap);
+            }
+        }
+        self.last = now;
+    }
+}
+
+fn log_complete<D: Dialect>(exchange: &Exchange<D>, opened: &Opened, pace: &Pace) {
+    let took = exchange.gateway.clock.now().saturating_since(exchange.arrived);
+    log::info!(request:% = exchange.arrival.id, route = &*exchange.route.name,
+        endpoint:% = opened.in_flight.target().endpoint, attempts = exchange.attempts(),
+        first_ms = millis(pace.first.unwrap_or_default()), gap_ms = millis(pace.longest_gap),
+        took_ms = millis(took); "stream answered");
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Passes a stream on to the caller, under the head of its first endpoint.
 pub(super) fn begin<D: Dialect>(
     exchange: Exchange<D>,
@@ -55,10 +96,11 @@
     tx: flume::Sender<Result<Bytes, Cut>>,
 ) {
     let mut last_id: Option<String> = None;
+    let mut pace = Pace::new(exchange.arrived);
     loop {
-        let end = pass_events(&exchange, &mut opened, &tx, &mut last_id).await;
+        let end = pass_events(&exchange, &mut opened, &tx, &mut last_id, &mut pace).await;
         let why = match end {
-            PartEnd::Complete => return forward::log_answered(&exchange, StatusCode::OK),
+            PartEnd::Complete => return log_complete(&exchange, &opened, &pace),
             PartEnd::CallerGone => {
                 log::info!(request:% = exchange.arrival.id; "the caller left");
                 return;
@@ -106,6 +148,7 @@
     opened: &mut Opened,
     tx: &flume::Sender<Result<Bytes, Cut>>,
     last_id: &mut Option<String>,
+    pace: &mut Pace,
 ) -> PartEnd {
     let mut cutter = Cutter::new(MAX_EVENT);
     let resumable = exchange.route.repetition.may_repeat();
@@ -140,6 +183,7 @@
             continue;
         }
         opened.in_flight.prefilled();
+        pace.event(exchange.gateway.clock.now());
         if let Some(id) = cut.last_id {
             *last_id = Some(id);
         }
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -118,11 +118,13 @@
         self.others.get()
     }
 
-    /// Returns whether it is silent, or could not be reached and has not been heard since.
+    /// Returns whether new requests go elsewhere if they can.
     pub(super) fn is_avoided(&self, now: MonotonicTime) -> bool {
-        if MAX_SILENCE <= now.saturating_since(self.heard.get()) {
-            return true;
-        }
+        MAX_SILENCE <= now.saturating_since(self.heard.get()) || self.is_unreached(now)
+    }
+
+    /// Returns whether it could not be reached and has not been heard since.
+    pub(super) fn is_unreached(&self, now: MonotonicTime) -> bool {
         let Some(since) = self.unreached.get() else { return false };
         let heard_since = since + HEARD_MARGIN < self.heard.get();
         !heard_since && now.saturating_since(since) < MAX_AVOIDANCE
