--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -89,7 +89,6 @@
 pub(super) struct Opened {
     pub response: Response<Incoming>,
     pub in_flight: InFlight,
-    pub began: MonotonicTime,
     _driver: AbortOnDrop,
 }
 
@@ -256,7 +255,6 @@
         if let Some(chain) = &self.chain {
             self.gateway.note_sent(target, chain);
         }
-        let began = self.gateway.clock.now();
         self.progress.sent += 1;
         let sending =
             tokio::time::timeout_at(self.attempt_deadline(), sender.send_request(request));
@@ -274,12 +272,7 @@
                 return Err(self.may_have_run(why));
             }
         };
-        self.check(target, response).map(|response| Opened {
-            response,
-            in_flight,
-            began,
-            _driver: driver,
-        })
+        self.check(target, response).map(|response| Opened { response, in_flight, _driver: driver })
     }
 
     /// Accepts an answer that belongs to the request, whatever its status.
@@ -376,8 +369,8 @@
     /// Returns the text under which cached parts are kept apart: by wall and by weights.
     fn salt(&self, weights: u32) -> String {
         match self.organisation.as_ref().filter(|organisation| organisation.isolated) {
-            Some(organisation) => format!("{}.{weights}", organisation.name),
-            None => format!("shared.{weights}"),
+            Some(organisation) => format!("isolated:{}:{weights}", organisation.name),
+            None => format!("shared:{weights}"),
         }
     }
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -252,7 +252,8 @@
     /// Returns whether callers may be sent here.
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
-        let proved = self.in_force().is_some_and(|held| held.age(now) < STALE_PROOF);
+        let longest = STALE_PROOF.min(self.cfg.key_lease);
+        let proved = self.in_force().is_some_and(|held| held.age(now) < longest);
         let sees = now.saturating_since(self.roster_at.get()) < STALE_ROSTER;
         proved && sees && !self.leaving.get() && !self.targets.borrow().is_empty()
     }
