--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -100,7 +100,7 @@
             .args(["--admin-listen", &self.admin_listen.to_string()])
             .args(&self.flags)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log_output(log)?)
             .stderr(log_output(log)?);
         for (name, _) in std::env::vars_os() {
             if name.to_string_lossy().starts_with("DOTTERELREACH_") {
@@ -292,7 +292,8 @@
 /// Shows the daemons' logs to those who ask for them, and keeps them otherwise.
 fn log_output(log: &File) -> io::Result<Stdio> {
     if std::env::var_os("RUST_LOG").is_some() {
-        return Ok(Stdio::inherit());
+        // The measurements' own output is left alone.
+        return Ok(Stdio::from(io::stderr()));
     }
     log.try_clone().map(Stdio::from)
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -38,6 +38,9 @@
 /// Time between looks for such an endpoint.
 const SOON_POLL: Duration = Duration::from_millis(10);
 
+/// Shortest time after which a caller comes back for whom there was no room.
+const MIN_FULL_WAIT: Duration = Duration::from_millis(300);
+
 /// Part of the time left that an attempt may take while another one is allowed.
 const ATTEMPT_PART: f64 = 0.5;
 
@@ -177,6 +180,17 @@
         Failure::unavailable(why, self.gateway.retry_after())
     }
 
+    /// Refuses a request for which there is no room; those refused come back spread out.
+    fn full(&self, wait: Duration) -> Failure {
+        let wait = wait.max(MIN_FULL_WAIT).mul_f64(1.0 + self.service_draw());
+        let why = "no engine would answer in time".to_owned();
+        let mut failure = self.failure(why, false);
+        if failure.retry_after.is_some() {
+            failure.retry_after = Some(wait);
+        }
+        failure
+    }
+
     /// Chooses an endpoint; waits a moment for one that can be had soon.
     async fn pick(&mut self) -> Result<Rc<Target>, Failure> {
         let until = (Instant::now() + SOON).min(self.deadline);
@@ -189,6 +203,7 @@
                 Err(why) if self.may_come_soon(why) && Instant::now() < until => {
                     tokio::time::sleep(SOON_POLL).await;
                 }
+                Err(NoTarget::Full(wait)) => return Err(self.full(wait)),
                 Err(why) => return Err(self.failure(no_target(why).to_owned(), false)),
             }
         }
@@ -215,6 +230,7 @@
             here: &gateway.data_centre,
             slots: engine.map_or(0, |engine| engine.slots),
             body: ByteCount::new(self.body.len() as u64),
+            aim: self.route.objective.saturating_sub(now.saturating_since(self.arrived)),
         };
         gateway.choose(&wanted)
     }
@@ -392,6 +408,7 @@
 fn no_target(why: NoTarget) -> &'static str {
     match why {
         NoTarget::Unknown => "no endpoint of the service is known",
+        NoTarget::Full(_) => "no engine would answer in time",
         NoTarget::Soon => "no endpoint of the service can be had at present",
         NoTarget::AllTried => "no endpoint of the service took the request",
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -33,7 +33,7 @@
 use prefix::{PartChain, Sent, Untold};
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
-use route::{BudgetSettings, RetryBudget, Warm, WarmSettings};
+use route::{BudgetSettings, EngineSpeed, RetryBudget, Warm, WarmSettings};
 use routes::Route;
 
 use crate::{
@@ -176,7 +176,7 @@
             roster_at: Cell::new(MonotonicTime::ZERO),
             routers: Cell::new(1),
             budgets: RefCell::default(),
-            warm: RefCell::new(Warm::new(WarmSettings::default())),
+            warm: RefCell::new(Warm::new(warm_settings())),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
             active: Rc::default(),
             connections: Cell::new(0),
@@ -259,6 +259,15 @@
     }
 }
 
+/// Returns how engines are scored: each stream slows the others of its engine down.
+fn warm_settings() -> WarmSettings {
+    WarmSettings {
+        prefill_rate: EngineSpeed::default().prefill_rate,
+        request_time: Duration::from_millis(8),
+        ..WarmSettings::default()
+    }
+}
+
 /// Starts the gateway's thread on listeners that are already bound.
 ///
 /// # Errors
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -3,7 +3,7 @@
 use base::{ByteCount, DataCentreId, EndpointId, MonotonicTime, ServiceId, TokenCount};
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
-use route::{Candidate, EndpointKey, Policy as _, Request, Warm};
+use route::{Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Warm};
 
 use super::{
     follow::WantedWeights,
@@ -28,8 +28,11 @@
 /// Part of the engines that take long prompts by preference.
 const LONG_SHARE: f64 = 0.6;
 
-/// What a prompt costs at an engine that takes prompts of the other kind, as time.
-const MISPLACED_COST: Duration = Duration::from_millis(150);
+/// What a long prompt costs at an engine that takes short ones by preference, as time.
+const LONG_MISPLACED_COST: Duration = Duration::from_millis(400);
+
+/// What a short prompt costs at an engine that takes long ones by preference, as time.
+const SHORT_MISPLACED_COST: Duration = Duration::from_millis(250);
 
 /// Part of the time to read tokens that their transfer from another engine saves.
 const FETCH_GAIN: f64 = 0.7;
@@ -56,6 +59,8 @@
     pub slots: u32,
     /// The size of the request.
     pub body: ByteCount,
+    /// Time in which the first event is wanted.
+    pub aim: Duration,
 }
 
 /// What a prompt needs of an engine.
@@ -77,6 +82,8 @@
     Soon,
     /// Each one was tried.
     AllTried,
+    /// None would answer in time; there should be room after this time.
+    Full(Duration),
 }
 
 /// Chooses the endpoint for a request.
@@ -107,7 +114,37 @@
         Some(prompt) => warmest(targets, &usable, wanted, prompt, warm, rng),
         None => least_busy(&usable, wanted, rng),
     };
-    chosen.cloned().ok_or(NoTarget::Soon)
+    let chosen = chosen.ok_or(NoTarget::Soon)?;
+    match &wanted.prompt {
+        Some(prompt) if wanted.tried.is_empty() => with_room(chosen, &usable, wanted, prompt),
+        _ => Ok(Rc::clone(chosen)),
+    }
+}
+
+/// Returns the chosen engine if it answers in time, else the one that answers first, if that does.
+fn with_room(
+    chosen: &Rc<Target>,
+    usable: &[&Rc<Target>],
+    wanted: &Wanted<'_>,
+    prompt: &PromptWanted<'_>,
+) -> Result<Rc<Target>, NoTarget> {
+    let speed = EngineSpeed::default();
+    let headroom = |target: &Target| {
+        let cold = prompt.chain.tokens().as_u64();
+        let cold = TokenCount::new(cold.saturating_sub(target.warm_tokens(prompt.chain).as_u64()));
+        speed.headroom(target.under_way(), cold, wanted.aim)
+    };
+    let mut shortest = match headroom(chosen) {
+        Headroom::Enough => return Ok(Rc::clone(chosen)),
+        Headroom::After(wait) => wait,
+    };
+    for target in usable {
+        match headroom(target) {
+            Headroom::Enough => return Ok(Rc::clone(target)),
+            Headroom::After(wait) => shortest = wait.min(shortest),
+        }
+    }
+    Err(NoTarget::Full(shortest))
 }
 
 impl Wanted<'_> {
@@ -134,8 +171,8 @@
     let candidates: Vec<Candidate> = usable
         .iter()
         .map(|target| {
-            let is_misplaced = groups.is_for_long(target) != is_long;
-            candidate(target, wanted, prompt, report_age, &holders, is_misplaced)
+            let misplaced = groups.misplaced_cost(target, is_long);
+            candidate(target, wanted, prompt, report_age, &holders, misplaced)
         })
         .collect();
     let req = Request { prompt_tokens: prompt.chain.tokens(), homes: HOMES };
@@ -148,11 +185,11 @@
     prompt: &PromptWanted<'_>,
     report_age: Duration,
     holders: &Holders,
-    is_misplaced: bool,
+    misplaced: Duration,
 ) -> Candidate {
     let others = target.others();
     let own_prefill = target.prefill_tokens().as_u64();
-    let mut cost = if is_misplaced { MISPLACED_COST } else { Duration::ZERO };
+    let mut cost = misplaced;
     let place = prompt.chain.shared_hash().map_or(0, |hash| rank(hash, &target.endpoint));
     if target.data_centre != *wanted.here {
         let bytes = u32::try_from(wanted.body.as_u64()).unwrap_or(u32::MAX);
@@ -198,8 +235,12 @@
         Self(for_long)
     }
 
-    fn is_for_long(&self, target: &Target) -> bool {
-        self.0.contains(&target.key)
+    fn misplaced_cost(&self, target: &Target, is_long: bool) -> Duration {
+        match (self.0.contains(&target.key), is_long) {
+            (true, false) => SHORT_MISPLACED_COST,
+            (false, true) => LONG_MISPLACED_COST,
+            (true, true) | (false, false) => Duration::ZERO,
+        }
     }
 }
 
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -10,7 +10,7 @@
 use fleet::EngineNews;
 use member::{Announcement, EndpointKind, EndpointState, Known, Roster};
 use prefix::{PartChain, PartMemory, Sent};
-use route::{EndpointKey, SentLoad};
+use route::{EndpointKey, SentLoad, UnderWay};
 
 /// Longest time for which an endpoint that can't be reached gets no requests.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(5);
@@ -113,6 +113,16 @@
         self.memory.borrow_mut().record(now, chain);
     }
 
+    /// Returns what all routers have under way there.
+    pub(super) fn under_way(&self) -> UnderWay {
+        let others = self.others();
+        let tokens = self.prefill_tokens().as_u64() + u64::from(others.prefill_tokens);
+        UnderWay {
+            requests: self.in_flight().saturating_add(others.requests),
+            prefill_tokens: TokenCount::new(tokens),
+        }
+    }
+
     /// Returns what other routers have sent to it.
     pub(super) fn others(&self) -> SentLoad {
         self.others.get()
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -53,10 +53,13 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    if let Err(e) = init_logs(cfg.telemetry.log_format, cfg.telemetry.log_level) {
-        eprintln!("{e:#}");
-        return ExitCode::from(EXIT_FAILED);
-    }
+    let _logs = match init_logs(cfg.telemetry.log_format, cfg.telemetry.log_level) {
+        Ok(guard) => guard,
+        Err(e) => {
+            eprintln!("{e:#}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
     ended(run(cfg))
 }
 
@@ -100,10 +103,13 @@
     gateway_cfg: GatewaySettings,
     dialect: D,
 ) -> ExitCode {
-    if let Err(e) = init_logs(cfg.telemetry.log_format, cfg.telemetry.log_level) {
-        eprintln!("{e:#}");
-        return ExitCode::from(EXIT_FAILED);
-    }
+    let _logs = match init_logs(cfg.telemetry.log_format, cfg.telemetry.log_level) {
+        Ok(guard) => guard,
+        Err(e) => {
+            eprintln!("{e:#}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
     ended(run_gateway(cfg, gateway_cfg, dialect))
 }
 
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::{EndpointId, Incarnation, ModelId, MonotonicTime};
+use base::{Digest, EndpointId, Hasher, Incarnation, ModelId, MonotonicTime};
 use serde::{Deserialize, Serialize};
 
 use crate::NamedWeights;
@@ -233,7 +233,7 @@
                 _ => now,
             };
             let silent = self.settings.silence <= now.saturating_since(engine.heard);
-            (silent, drained, engine.version, engine.load.requests, (*id).clone())
+            (silent, drained, engine.version, spread(id))
         });
         let ids: Vec<EndpointId> = behind.into_iter().map(|(id, _)| id.clone()).collect();
         let free = self.settings.loads.saturating_sub(self.loading_now(now));
@@ -369,6 +369,12 @@
     }
 }
 
+/// Orders engines at random, but the same way each time, so that those that load together have
+/// nothing in common.
+fn spread(id: &EndpointId) -> Digest {
+    Hasher::default().field(b"rollout").field(id.as_str().as_bytes()).finish()
+}
+
 fn new(view: &EngineView) -> Engine {
     Engine {
         incarnation: view.incarnation,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,6 +25,7 @@
 mod board;
 mod capacity;
 mod estimate;
+mod headroom;
 mod hedge;
 mod kind;
 mod outlier;
@@ -43,6 +44,7 @@
     board::{EndpointKey, LoadBoard, SentLoad},
     capacity::{Capacity, CapacitySettings},
     estimate::Estimate,
+    headroom::{EngineSpeed, Headroom, UnderWay},
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
     kind::{AnyPolicy, PolicyKind},
     outlier::{Outcome, OutlierSettings, Outliers, Standing, StandingChange},
--- /dev/null
+++ b/crates/route/tests/headroom.rs
@@ -0,0 +1,36 @@
+//! Whether engines have room for a request in time.
+
+use std::time::Duration;
+
+use base::TokenCount;
+use route::{EngineSpeed, Headroom, UnderWay};
+use yare::parameterized;
+
+const AIM: Duration = Duration::from_millis(600);
+
+fn load(requests: u32, prefill_tokens: u64) -> UnderWay {
+    UnderWay { requests, prefill_tokens: TokenCount::new(prefill_tokens) }
+}
+
+#[parameterized(
+    idle = { load(0, 0), 800, true },
+    some_reading = { load(5, 9_000), 800, true },
+    much_reading = { load(5, 30_000), 800, false },
+    many_streams = { load(32, 0), 800, false },
+    long_prompt_at_an_idle_engine = { load(0, 0), 60_000, true },
+    long_prompt_behind_another = { load(1, 9_000), 60_000, false },
+)]
+fn room(load: UnderWay, cold: u64, enough: bool) {
+    let headroom = EngineSpeed::default().headroom(load, TokenCount::new(cold), AIM);
+    assert_eq!(headroom == Headroom::Enough, enough, "{headroom:?}");
+}
+
+#[test]
+fn refused_caller_is_told_when_there_is_room() {
+    let speed = EngineSpeed::default();
+    let Headroom::After(wait) = speed.headroom(load(5, 30_000), TokenCount::new(800), AIM) else {
+        panic!("too much to read")
+    };
+    let left = speed.first_token(load(5, 30_000), TokenCount::new(800)) - AIM;
+    assert_eq!(wait, left);
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -27,6 +27,7 @@
 mod context;
 mod export;
 mod instruments;
+mod log_ring;
 mod logs;
 mod metrics;
 mod otlp;
@@ -36,6 +37,7 @@
 pub use crate::{
     context::{ParseTraceContextError, TraceContext},
     export::{ExportCounts, Exporter, Flush},
+    log_ring::{LogBudget, LogGuard, LogRing},
     logs::{LogFormat, init_logs},
     metrics::{MAX_LABELLED_ORGANISATIONS, Metrics, OTHER_ORGANISATION, QuorumRole},
     recorder::{InFlight, Recorder, Refusal},
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -11,6 +11,11 @@
     kv::{self, Key, Value, VisitSource},
 };
 
+use crate::{LogBudget, LogGuard, LogRing};
+
+/// Length of a usual line, in bytes.
+const LINE_BYTES: usize = 256;
+
 /// How a log line is written.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LogFormat {
@@ -21,22 +26,30 @@
     Json,
 }
 
-/// Starts logging to standard error.
+/// Starts logging to standard output, with lines left out rather than a caller held up.
+///
+/// The last lines are written when the guard is dropped.
 ///
 /// A line that concerns a request carries its id: `log::info!(request_id:% = id; "answered")`.
 ///
 /// # Errors
 ///
 /// Returns an error if a logger was started before.
-pub fn init_logs(format: LogFormat, level: LevelFilter) -> eyre::Result<()> {
+pub fn init_logs(format: LogFormat, level: LevelFilter) -> eyre::Result<LogGuard> {
+    let (ring, guard) = LogRing::start(io::stdout(), LogBudget::default())
+        .wrap_err("cannot start the log's writer")?;
     env_logger::Builder::new()
         .filter_level(level)
         .format(move |buf, record| {
             let time = buf.timestamp_millis().to_string();
-            format.write_record(buf, &time, record)
+            let mut line = Vec::with_capacity(LINE_BYTES);
+            format.write_record(&mut line, &time, record)?;
+            ring.push(record.level(), line);
+            Ok(())
         })
         .try_init()
-        .wrap_err("cannot start logging")
+        .wrap_err("cannot start logging")?;
+    Ok(guard)
 }
 
 impl LogFormat {
