--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, and its attempts at endpoints.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use base::{ByteCount, EndpointId, MonotonicTime, TokenCount, Verdict};
 use bytes::Bytes;
@@ -22,7 +22,7 @@
 use super::{
     Arrival, AttemptHead, Dialect, EngineHead, Gateway,
     follow::{InForce, NONE_NAMED},
-    placement::{self, NoTarget, PromptWanted, Wanted},
+    placement::{self, NoTarget, PromptWanted, Transfers, Wanted},
     targets::{InFlight, Target},
 };
 
@@ -267,9 +267,10 @@
         let (mut sender, driver) = (connection.sender, AbortOnDrop(connection.driver));
         target.reached();
 
-        let request = self.request(target, resume_after);
+        let transfers = self.transfers(target);
+        let request = self.request(target, resume_after, transfers);
         if let Some(chain) = &self.chain {
-            self.gateway.note_sent(target, chain);
+            self.gateway.note_sent(target, chain, transfers.save_to.is_some());
         }
         self.progress.sent += 1;
         let sending =
@@ -344,13 +345,18 @@
         TokenCount::new(chain.tokens().as_u64().saturating_sub(warm))
     }
 
-    fn request(&self, target: &Target, resume_after: Option<&str>) -> Request<Full<Bytes>> {
+    fn request(
+        &self,
+        target: &Target,
+        resume_after: Option<&str>,
+        transfers: Transfers,
+    ) -> Request<Full<Bytes>> {
         let salt = self.salt(target.version());
         let engine = self.chain.as_ref().map(|_| EngineHead {
             weights: target.version(),
             salt: &salt,
-            fetch_from: self.source_of_parts(target),
-            save_to: None,
+            fetch_from: transfers.fetch_from,
+            save_to: transfers.save_to,
         });
         let head = AttemptHead {
             endpoint: &target.endpoint,
@@ -375,11 +381,11 @@
         req
     }
 
-    /// Returns where the engine may fetch shared parts of the prompt that it lacks.
-    fn source_of_parts(&self, target: &Target) -> Option<SocketAddr> {
-        let chain = self.chain.as_ref()?;
+    /// Returns where the engine may fetch shared parts that it lacks, and where it saves them.
+    fn transfers(&self, target: &Target) -> Transfers {
+        let Some(chain) = &self.chain else { return Transfers::default() };
         let targets = self.gateway.targets.borrow();
-        placement::source_of_parts(&targets, target, chain, self.gateway.clock.now())
+        placement::transfers(&targets, target, chain, self.gateway.clock.now())
     }
 
     /// Returns the text under which cached parts are kept apart: by wall and by weights.
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -163,6 +163,7 @@
             }
         };
         let mut targets = self.targets.borrow_mut();
+        targets.set_store(table.stores().first());
         for service in table.services() {
             if let Some(engine) = &service.engine {
                 targets.set_kv_tokens(&service.name, engine.kv_tokens);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -195,10 +195,13 @@
     }
 
     /// Notes that an engine reads a prompt, here and soon at all other hosts.
-    fn note_sent(&self, target: &Target, chain: &PartChain) {
-        target.reads(self.clock.now(), chain);
-        let sent =
-            Sent { engine: target.key.as_u32(), weights: target.version(), chain: chain.clone() };
+    fn note_sent(&self, target: &Target, chain: &PartChain, saved: bool) {
+        let (now, weights) = (self.clock.now(), target.version());
+        target.reads(now, chain);
+        if let Some(store) = self.targets.borrow().store().filter(|_| saved) {
+            store.holds(now, weights, chain);
+        }
+        let sent = Sent { engine: target.key.as_u32(), weights, chain: chain.clone(), saved };
         self.untold.borrow_mut().push(sent);
     }
 
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -270,33 +270,63 @@
     }
 }
 
-/// Returns the engine from which `target` may fetch the shared parts of a prompt that it lacks.
+/// Where an engine may fetch parts of a prompt, and where it saves what it reads.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Transfers {
+    pub fetch_from: Option<SocketAddr>,
+    pub save_to: Option<SocketAddr>,
+}
+
+/// Returns the transfers for a prompt that `target` is to read.
 ///
-/// One that this host has seen read them comes first, then the prompt's home among all engines,
-/// which gets all requests with these parts from its own data centre.
-pub(super) fn source_of_parts(
+/// It answers loads whose shared parts don't fit into the engines' memories: what an engine lacks
+/// comes from another one that is believed to hold it, else from the store. What the store lacks is
+/// saved there once.
+pub(super) fn transfers(
     targets: &Targets,
     target: &Target,
     chain: &PartChain,
     now: MonotonicTime,
-) -> Option<SocketAddr> {
+) -> Transfers {
     let shared = chain.shared_tokens().as_u64();
-    let held = target.warm_tokens(chain).as_u64();
+    let held = target.warm_tokens(chain).as_u64().min(shared);
+    let stored = targets.store().map(|store| {
+        (store.address, store.warm_tokens(target.version(), chain).as_u64().min(shared))
+    });
+    let is_long = LONG_PROMPT.as_u64() <= shared;
+    let save_to = stored.filter(|(_, tokens)| is_long && *tokens < shared).map(|(store, _)| store);
     if shared < held + MIN_FETCHED_TOKENS {
-        return None;
+        return Transfers { fetch_from: None, save_to };
     }
+    let engine = source_among_engines(targets, target, chain, now);
+    let engine_tokens = engine.map_or(0, |(_, tokens)| tokens);
+    let fetch_from = match stored {
+        Some((store, tokens)) if engine_tokens < tokens && held < tokens => Some(store),
+        _ => engine.map(|(address, _)| address),
+    };
+    Transfers { fetch_from, save_to }
+}
+
+/// Returns the engine that is believed to hold most of a prompt's shared parts, and how much.
+///
+/// Where none is, it is the prompt's home, which most requests with these parts were sent to.
+fn source_among_engines(
+    targets: &Targets,
+    target: &Target,
+    chain: &PartChain,
+    now: MonotonicTime,
+) -> Option<(SocketAddr, u64)> {
     let hash = chain.shared_hash()?;
+    let shared = chain.shared_tokens().as_u64();
     let others = targets.of_service(&target.service).filter(|other| {
         other.endpoint != target.endpoint
             && other.version() == target.version()
             && other.model == target.model
             && !other.is_avoided(now)
     });
-    let source = others.max_by_key(|other| {
-        let warm = other.warm_tokens(chain).as_u64().min(shared);
-        (warm, rank(hash, &other.endpoint))
-    })?;
-    Some(source.address)
+    let held = |other: &Target| other.warm_tokens(chain).as_u64().min(shared);
+    let source = others.max_by_key(|other| (held(other), rank(hash, &other.endpoint)))?;
+    Some((source.address, held(source)))
 }
 
 fn least_busy<'a, R: Rng>(
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -11,6 +11,7 @@
 use member::{Announcement, EndpointKind, EndpointState, Known, Roster};
 use prefix::{PartChain, PartMemory, Sent};
 use route::{EndpointKey, SentLoad, UnderWay};
+use routes::KvStore;
 
 /// Longest time for which an endpoint that can't be reached gets no requests.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(5);
@@ -21,6 +22,9 @@
 /// Error in the age of an announcement.
 const HEARD_MARGIN: Duration = Duration::from_millis(100);
 
+/// Part of an engine's memory that holds parts, beside the requests that run.
+const CACHED_SHARE: f64 = 0.7;
+
 /// Tokens that an engine's memory is taken to hold until a configuration tells.
 const DEFAULT_KV_TOKENS: TokenCount = TokenCount::new(60_000);
 
@@ -49,6 +53,39 @@
     others: Cell<SentLoad>,
 }
 
+/// The store of cached prompts, as this host believes it to be.
+pub(super) struct Store {
+    pub address: SocketAddr,
+    memory: RefCell<HashMap<u32, PartMemory>>,
+    kv_tokens: TokenCount,
+}
+
+impl Store {
+    fn new(store: &KvStore) -> Self {
+        let (address, kv_tokens) = (store.address, store.kv_tokens);
+        Self { address, memory: RefCell::default(), kv_tokens }
+    }
+
+    /// Returns how much of a prompt's beginning it holds for a version of the weights.
+    pub(super) fn warm_tokens(&self, weights: u32, chain: &PartChain) -> TokenCount {
+        let memory = self.memory.borrow();
+        memory.get(&weights).map_or(TokenCount::ZERO, |memory| memory.warm_tokens(chain))
+    }
+
+    /// Notes that a prompt is saved to it, or fetched from it.
+    pub(super) fn holds(&self, now: MonotonicTime, weights: u32, chain: &PartChain) {
+        let mut memory = self.memory.borrow_mut();
+        // What was saved for older weights is never fetched again.
+        memory.retain(|version, _| weights <= *version + 1);
+        let memory = memory.entry(weights).or_insert_with(|| PartMemory::new(self.kv_tokens));
+        memory.record(now, chain);
+    }
+}
+
+fn cached(kv_tokens: TokenCount) -> TokenCount {
+    TokenCount::new((kv_tokens.as_u64() as f64 * CACHED_SHARE) as u64)
+}
+
 /// A request under way at an endpoint; ends on drop.
 pub(super) struct InFlight {
     target: Rc<Target>,
@@ -72,7 +109,7 @@
             paused: Cell::new(false),
             in_flight: Cell::new(0),
             prefill_tokens: Cell::new(0),
-            memory: RefCell::new(PartMemory::new(kv_tokens)),
+            memory: RefCell::new(PartMemory::new(cached(kv_tokens))),
             heard: Cell::new(written),
             unreached: Cell::new(None),
             others: Cell::default(),
@@ -186,6 +223,7 @@
     kv_tokens: HashMap<ServiceId, TokenCount>,
     /// When the loads of other hosts came.
     loads_at: MonotonicTime,
+    store: Option<Store>,
 }
 
 /// How the endpoints changed.
@@ -266,6 +304,9 @@
         for sent in sent {
             let key = EndpointKey::new(sent.engine);
             let target = self.by_id.values().find(|target| target.key == key);
+            if let Some(store) = self.store.as_ref().filter(|_| sent.saved) {
+                store.holds(now, sent.weights, &sent.chain);
+            }
             if let Some(target) = target.filter(|target| target.version() == sent.weights) {
                 target.reads(now, &sent.chain);
             }
@@ -277,6 +318,18 @@
         now.saturating_since(self.loads_at)
     }
 
+    /// Takes which store of cached prompts there is.
+    pub(super) fn set_store(&mut self, store: Option<&KvStore>) {
+        let same = self.store.as_ref().map(|held| held.address) == store.map(|named| named.address);
+        if !same {
+            self.store = store.map(Store::new);
+        }
+    }
+
+    pub(super) fn store(&self) -> Option<&Store> {
+        self.store.as_ref()
+    }
+
     /// Takes how much fits into the memory of a service's engines.
     pub(super) fn set_kv_tokens(&mut self, service: &ServiceId, tokens: TokenCount) {
         self.kv_tokens.insert(service.clone(), tokens);
--- a/crates/prefix/src/parts.rs
+++ b/crates/prefix/src/parts.rs
@@ -93,6 +93,11 @@
         Self { capacity: capacity.as_u64(), held: HashMap::new(), tokens: 0 }
     }
 
+    /// Returns whether all parts of the prompt that others share are believed to be held.
+    pub fn holds_shared(&self, chain: &PartChain) -> bool {
+        chain.shared_tokens() <= self.warm_tokens(chain)
+    }
+
     /// Returns how much of the prompt's beginning is believed to be held.
     pub fn warm_tokens(&self, chain: &PartChain) -> TokenCount {
         let levels = chain.levels.iter();
--- a/crates/prefix/src/shared.rs
+++ b/crates/prefix/src/shared.rs
@@ -14,6 +14,8 @@
     pub weights: u32,
     /// The prompt.
     pub chain: PartChain,
+    /// Whether the engine was told to save what it reads to the store.
+    pub saved: bool,
 }
 
 /// The latest prompts that the routers of a site have sent, to be told to all of them.
--- a/crates/prefix/tests/shared.rs
+++ b/crates/prefix/tests/shared.rs
@@ -9,7 +9,7 @@
 
 fn sent(id: u64) -> Sent {
     let chain = PartChain::new(1, &[Part { id, tokens: TokenCount::new(10) }]);
-    Sent { engine: 7, weights: 1, chain }
+    Sent { engine: 7, weights: 1, chain, saved: false }
 }
 
 #[test]
