--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -39,7 +39,13 @@
         known.hints.set_voter(host, votes);
     }
 
-    /// Notes which host was last said to lead.
+    /// Notes that a voter just named the leader.
+    pub(crate) fn named(&self, leader: &HostId) {
+        let now = self.clock.now();
+        self.lock().hints.named(now, leader);
+    }
+
+    /// Notes which host is said to lead, by word that may be old.
     pub(crate) fn set_leader(&self, leader: Option<HostId>) {
         self.lock().hints.set_leader(leader);
     }
--- a/crates/daemon/src/leader_client.rs
+++ b/crates/daemon/src/leader_client.rs
@@ -67,8 +67,8 @@
                         Submitted::NotWritten { leader } => {
                             worst.set(before);
                             self.directory.answered(&host);
-                            if leader.as_ref().is_some_and(|leader| *leader != host) {
-                                self.directory.set_leader(leader);
+                            if let Some(leader) = leader.filter(|leader| *leader != host) {
+                                self.directory.named(&leader);
                             }
                         }
                         Submitted::Unknown => self.directory.timed_out(&host),
--- a/crates/quorum/src/hints.rs
+++ b/crates/quorum/src/hints.rs
@@ -23,7 +23,17 @@
         }
     }
 
-    /// Notes which host was last said to lead.
+    /// Notes that a voter names the leader in its answer at `now`.
+    ///
+    /// That is news: a host that was silent before is asked first again.
+    pub fn named(&mut self, now: MonotonicTime, leader: &HostId) {
+        if self.silent.get(leader).is_some_and(|since| *since < now) {
+            self.silent.remove(leader);
+        }
+        self.leader = Some(leader.clone());
+    }
+
+    /// Notes which host is said to lead, by word that may be old.
     pub fn set_leader(&mut self, leader: Option<HostId>) {
         self.leader = leader;
     }
@@ -38,8 +48,8 @@
         self.silent.remove(host);
     }
 
-    /// Notes that a host did not answer in time; it is asked last for a while, whoever says that it
-    /// leads.
+    /// Notes that a host did not answer in time; it is asked last for a while, unless a voter names
+    /// it afterwards.
     pub fn timed_out(&mut self, now: MonotonicTime, host: &HostId) {
         self.silent.insert(host.clone(), now);
         if self.leader.as_ref() == Some(host) {
--- a/crates/quorum/tests/hints.rs
+++ b/crates/quorum/tests/hints.rs
@@ -27,7 +27,7 @@
 }
 
 #[test]
-fn silent_hosts_are_asked_last_even_if_said_to_lead() {
+fn silent_hosts_are_asked_last_even_if_old_word_says_that_they_lead() {
     let mut hints = hints();
     hints.set_leader(Some(host(0)));
     hints.timed_out(at(600), &host(0));
@@ -37,6 +37,15 @@
     assert_eq!(hints.order(at(1_300))[3..], [host(0), host(1)]);
 }
 
+#[test]
+fn slow_leader_that_a_voter_names_is_asked_first_again() {
+    let mut hints = hints();
+    hints.set_leader(Some(host(0)));
+    hints.timed_out(at(600), &host(0));
+    hints.named(at(610), &host(0));
+    assert_eq!(first(&hints, 620, 1), [host(0)]);
+}
+
 #[test]
 fn host_that_answers_again_is_no_longer_silent() {
     let mut hints = hints();
