--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Directory {
     clock: Clock,
+    /// Port of hosts that are named by their addresses, if they are.
+    port: Option<u16>,
     known: Arc<Mutex<Known>>,
 }
 
@@ -23,13 +25,14 @@
 }
 
 impl Directory {
-    pub(crate) fn new(clock: Clock) -> Self {
-        Self { clock, known: Arc::default() }
+    pub(crate) fn new(clock: Clock, port: Option<u16>) -> Self {
+        Self { clock, port, known: Arc::default() }
     }
 
     /// Returns where a router listens.
     pub(crate) fn address(&self, host: &HostId) -> Option<SocketAddr> {
-        self.lock().addresses.get(host).copied()
+        let told = self.lock().addresses.get(host).copied();
+        told.or_else(|| Some(SocketAddr::new(host.as_str().parse().ok()?, self.port?)))
     }
 
     /// Notes where a router listens, and whether it votes.
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -53,6 +53,9 @@
 /// Silence after which it is looked at whether an endpoint can still be reached.
 const REACH_SILENCE: Duration = Duration::from_millis(600);
 
+/// Time between looks at whether an engine is about to load weights.
+const PAUSE_POLL: Duration = Duration::from_millis(100);
+
 /// Time between such looks.
 const REACH_POLL: Duration = Duration::from_millis(100);
 
@@ -211,7 +214,11 @@
 
     /// Returns whether an endpoint may be had after a moment.
     fn may_come_soon(&self, why: NoTarget) -> bool {
-        why == NoTarget::Soon || why == NoTarget::Unknown && self.gateway.is_starting()
+        match why {
+            NoTarget::Soon => true,
+            NoTarget::Unknown | NoTarget::Full(_) => self.gateway.is_starting(),
+            NoTarget::AllTried => false,
+        }
     }
 
     fn choose(&self) -> Result<Rc<Target>, NoTarget> {
@@ -411,6 +418,13 @@
     }
 }
 
+/// Waits until an engine gets no new requests as it is about to load weights.
+pub(super) async fn paused(target: &Target) {
+    while !target.is_paused() {
+        tokio::time::sleep(PAUSE_POLL).await;
+    }
+}
+
 fn no_target(why: NoTarget) -> &'static str {
     match why {
         NoTarget::Unknown => "no endpoint of the service is known",
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -29,7 +29,10 @@
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(60);
 
 /// Longest wait of a request for the first configuration after the start.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(500);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Part of a caller's time that it waits for it at most.
+const WAIT_PART: f64 = 0.3;
 
 /// Time between looks for it.
 const CONFIGURATION_POLL: Duration = Duration::from_millis(10);
@@ -74,8 +77,12 @@
 }
 
 /// Returns the configuration in force, for which a process that has just started waits a moment.
-async fn in_force<D: Dialect>(gateway: &Gateway<D>) -> Result<Rc<InForce>, Failure> {
-    let until = Instant::now() + CONFIGURATION_WAIT;
+async fn in_force<D: Dialect>(
+    gateway: &Gateway<D>,
+    deadline: Option<Duration>,
+) -> Result<Rc<InForce>, Failure> {
+    let part = deadline.map_or(CONFIGURATION_WAIT, |deadline| deadline.mul_f64(WAIT_PART));
+    let until = Instant::now() + CONFIGURATION_WAIT.min(part);
     loop {
         if let Some(in_force) = gateway.in_force() {
             return Ok(in_force);
@@ -96,7 +103,7 @@
     active: ActiveRequest,
 ) -> Result<Response<Body>, Failure> {
     let started = Instant::now();
-    let in_force = in_force(gateway).await?;
+    let in_force = in_force(gateway, arrival.deadline).await?;
     let route = route(&in_force.table, &head)?;
     let organisation = organisation(gateway, &in_force, &route, &arrival)?;
     let leaves = started + arrival.deadline.unwrap_or(DEFAULT_DEADLINE);
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -32,6 +32,8 @@
     CallerGone,
     /// It broke off, or no event came in time.
     Broken(String),
+    /// It is to go on elsewhere, as its engine is about to load weights; the retry is paid for.
+    Moved,
     /// The request's time is over.
     TimedOut,
 }
@@ -105,6 +107,18 @@
                 log::info!(request:% = exchange.arrival.id; "the caller left");
                 return;
             }
+            PartEnd::Moved => {
+                let endpoint = opened.in_flight.target().endpoint.clone();
+                log::info!(request:% = exchange.arrival.id, endpoint:%; "a stream moves");
+                drop(opened);
+                match go_on(&mut exchange, last_id.as_deref()).await {
+                    Ok(next) => {
+                        opened = next;
+                        continue;
+                    }
+                    Err(why) => why,
+                }
+            }
             PartEnd::TimedOut => "the request's time is over".to_owned(),
             PartEnd::Broken(why) => {
                 let endpoint = opened.in_flight.target().endpoint.clone();
@@ -134,6 +148,14 @@
     if !exchange.may_repeat() {
         return Err("it may not be sent again".to_owned());
     }
+    go_on(exchange, last_id).await
+}
+
+/// Opens the rest of a stream at another endpoint.
+async fn go_on<D: Dialect>(
+    exchange: &mut Exchange<D>,
+    last_id: Option<&str>,
+) -> Result<Opened, String> {
     let opening = tokio::time::timeout_at(exchange.deadline, exchange.open(last_id)).await;
     let opened = opening.map_err(|_| "no endpoint went on in time".to_owned())?;
     let opened = opened.map_err(|failure| failure.detail)?;
@@ -152,6 +174,7 @@
 ) -> PartEnd {
     let mut cutter = Cutter::new(MAX_EVENT);
     let resumable = exchange.route.repetition.may_repeat();
+    let mut may_move = resumable;
     loop {
         let silence = if resumable { Instant::now() + EVENT_TIMEOUT } else { exchange.deadline };
         let until = silence.min(exchange.deadline);
@@ -160,6 +183,13 @@
         let framed = tokio::select! {
             biased;
             framed = tokio::time::timeout_at(until, body.frame()) => framed,
+            () = exchange::paused(opened.in_flight.target()), if may_move && last_id.is_some() => {
+                if exchange.may_repeat() {
+                    return PartEnd::Moved;
+                }
+                may_move = false;
+                continue;
+            }
             () = lost => {
                 return PartEnd::Broken("the endpoint can't be reached any more".to_owned());
             }
--- a/crates/daemon/src/peers/link.rs
+++ b/crates/daemon/src/peers/link.rs
@@ -21,6 +21,10 @@
 /// Time for a connection with its handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for the connection alone; a host without power answers nothing, and TCP asks again only
+/// after a second.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time for a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -86,8 +90,9 @@
     address: SocketAddr,
     secret: &FleetSecret,
 ) -> Result<Session, capnp::Error> {
-    let stream = net::connect(cfg.source, address)
-        .await
+    let opening = tokio::time::timeout(OPEN_TIMEOUT, net::connect(cfg.source, address)).await;
+    let stream = opening
+        .map_err(|_| capnp::Error::disconnected("the host does not answer".into()))?
         .map_err(|e| capnp::Error::disconnected(e.to_string()))?;
     let (rx, tx) = stream.compat().split();
     let network = VatNetwork::new(rx, tx, RpcSide::Client, reader_options());
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -174,7 +174,7 @@
             // Higher than that of any earlier process on this host.
             incarnation: Incarnation::new(clock.wall().as_u64()),
             metrics,
-            directory: Directory::new(clock),
+            directory: directory(cfg, clock),
             configurations,
             latest: Latest::default(),
             replica_state: ReplicaState::default(),
@@ -301,6 +301,20 @@
     }
 }
 
+/// Returns what is known of other hosts before any of them has spoken.
+fn directory(cfg: &Settings, clock: Clock) -> Directory {
+    if !cfg.hosts_by_address {
+        return Directory::new(clock, None);
+    }
+    let directory = Directory::new(clock, Some(cfg.peer_advertise.port()));
+    for seed in &cfg.seeds {
+        if let Ok(host) = seed.ip().to_string().parse() {
+            directory.insert(host, *seed, true);
+        }
+    }
+    directory
+}
+
 /// Starts the export of spans, if an endpoint is set.
 fn tracing(cfg: &Settings, metrics: &Metrics) -> eyre::Result<(Tracer, Option<Exporter>)> {
     let Some(endpoint) = &cfg.telemetry.trace_endpoint else { return Ok((Tracer::off(), None)) };
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -51,6 +51,7 @@
         peer_advertise: parsed(&raw.addresses.peer_advertise, &mut faults).unwrap_or(peer_listen),
         admin_listen: address(&raw.addresses.admin_listen, DEFAULT_ADMIN_PORT, &mut faults),
         seeds: all_parsed(&raw.addresses.seeds, &mut faults),
+        hosts_by_address: switch(&raw.addresses.hosts_by_address, &mut faults),
         data_dir: raw.state.data_dir.text.clone().map(Into::into),
         voter: switch(&raw.state.voter, &mut faults),
         founders: all_parsed(&raw.state.founders, &mut faults),
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -25,6 +25,10 @@
     pub admin_listen: SocketAddr,
     /// Peer addresses of some other routers.
     pub seeds: Vec<SocketAddr>,
+    /// Whether hosts are named by their IP addresses, and listen for peers at this host's port.
+    ///
+    /// They can then be reached before any other host has told where they are.
+    pub hosts_by_address: bool,
     /// Folder for the state that must survive; only on hosts with a disk.
     pub data_dir: Option<PathBuf>,
     /// Whether this host votes in the quorum.
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -41,6 +41,7 @@
     pub peer_advertise: One,
     pub admin_listen: One,
     pub seeds: Many,
+    pub hosts_by_address: One,
 }
 
 #[derive(Clone, Debug)]
@@ -219,8 +220,30 @@
         "ADDRESS",
         "Peer address of another router; may be given several times"
     );
-    construct!(RawAddresses { listen, peer_listen, peer_advertise, admin_listen, seeds })
-        .group_help("Addresses")
+    let hosts_by_address = long("hosts-by-address")
+        .help(
+            "Hosts are named by their IP addresses and listen for peers at this host's port \
+             (environment: DOTTERELREACH_HOSTS_BY_ADDRESS, true or false)",
+        )
+        .switch()
+        .map(|set| Setting {
+            flag: "--hosts-by-address",
+            env: "DOTTERELREACH_HOSTS_BY_ADDRESS",
+            text: if set {
+                Some("true".into())
+            } else {
+                env::var("DOTTERELREACH_HOSTS_BY_ADDRESS").ok()
+            },
+        });
+    construct!(RawAddresses {
+        listen,
+        peer_listen,
+        peer_advertise,
+        admin_listen,
+        seeds,
+        hosts_by_address
+    })
+    .group_help("Addresses")
 }
 
 fn state() -> impl Parser<RawState> {
