--- a/crates/daemon/src/gateway/dialect.rs
+++ b/crates/daemon/src/gateway/dialect.rs
@@ -154,6 +154,8 @@
 pub struct AnswerHead {
     /// The request that it answers.
     pub request: Option<String>,
+    /// The endpoint that answers, if it says.
+    pub endpoint: Option<String>,
     /// Whether it bears an endpoint's signature.
     pub signed: bool,
     /// Whether the endpoint says that it has not run the request.
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 };
 
 use super::{
-    Arrival, AttemptHead, Dialect, EngineHead, Gateway,
+    AnswerHead, Arrival, AttemptHead, Dialect, EngineHead, Gateway,
     follow::{InForce, NONE_NAMED},
     placement::{self, NoTarget, PromptWanted, Transfers, Wanted},
     targets::{InFlight, Target},
@@ -32,6 +32,9 @@
 /// Most endpoints that are tried without running the request.
 const MAX_TRIES: usize = 5;
 
+/// Most endpoints that a request is sent to.
+const MAX_SENT: u32 = 4;
+
 /// Longest wait for an endpoint that can be had soon, as while weights are loaded.
 const SOON: Duration = Duration::from_millis(500);
 
@@ -128,10 +131,20 @@
     ///
     /// A retry that is granted is taken from the budget.
     pub(super) fn may_repeat(&self) -> bool {
+        self.may_attempt_again() && self.gateway.try_retry(&self.route)
+    }
+
+    fn may_attempt_again(&self) -> bool {
         self.route.repetition.may_repeat()
             && self.progress.ran < self.route.max_attempts
             && self.progress.tried.len() < MAX_TRIES
-            && self.gateway.try_retry(&self.route)
+    }
+
+    /// Returns whether a resumable stream may go on elsewhere although it could stay.
+    ///
+    /// A move that is granted is taken from the budget.
+    pub(super) fn may_move(&self) -> bool {
+        self.may_attempt_again() && self.gateway.try_move(&self.route)
     }
 
     /// Returns the verdict on the request as a whole.
@@ -160,7 +173,7 @@
             Unanswered::Refused(status) => {
                 log::info!(request:%, endpoint:%, status = status.as_u16();
                     "the endpoint did not run the request");
-                if self.progress.tried.len() < MAX_TRIES && self.gateway.try_retry(&self.route) {
+                if self.progress.sent < MAX_SENT && self.gateway.try_retry(&self.route) {
                     return Ok(());
                 }
                 (format!("the endpoint refused with {status}"), false)
@@ -309,9 +322,7 @@
         let head = self.gateway.dialect.answer(&parts);
         let status = parts.status;
         if head.not_run {
-            if let Some(version) = head.weights {
-                target.learn_version(version);
-            }
+            self.learn_from_refusal(target, status, &head);
             return Err(Unanswered::Refused(status));
         }
         if head.request.as_deref() != Some(self.arrival.id.as_str()) {
@@ -327,6 +338,24 @@
         Ok(Response::from_parts(parts, body))
     }
 
+    /// Learns that another process is there, or that the engine has newer weights.
+    fn learn_from_refusal(&mut self, target: &Target, status: StatusCode, head: &AnswerHead) {
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        if head.endpoint.as_deref().is_some_and(|there| there != target.endpoint.as_str()) {
+            return target.not_reached(self.gateway.clock.now());
+        }
+        let newest = self.gateway.in_force();
+        let prompt = self.arrival.prompt.as_ref();
+        let named = prompt.and_then(|prompt| newest.as_ref()?.weights.get(&prompt.model));
+        if let Some(version) = named.and_then(|named| named.next_after(target.version())) {
+            target.learn_version(version);
+            // It is asked again, for the weights that it has.
+            self.progress.tried.retain(|tried| *tried != target.endpoint);
+        }
+    }
+
     fn may_have_run(&mut self, why: String) -> Unanswered {
         self.progress.ran += 1;
         Unanswered::MayHaveRun(why)
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -57,6 +57,13 @@
 /// Part of the fleet's retries that hosts spend, so that restarts don't exceed the whole.
 const RETRY_SHARE: f64 = 0.8;
 
+/// Part of the retries that are there at once which comes again over a window, where there are no
+/// requests.
+const REFILL_SHARE: f64 = 0.3;
+
+/// Retries that are left to requests that fail when streams leave engines that load.
+const RETRY_RESERVE: f64 = 2.0;
+
 /// Age from which the view of the endpoints is not believed, as after a pause of the process.
 const STALE_ROSTER: Duration = Duration::from_millis(1_500);
 
@@ -215,6 +222,11 @@
         self.with_budget(route, RetryBudget::try_spend)
     }
 
+    /// Takes a retry for a stream that could stay, if enough are left for requests that fail.
+    fn try_move(&self, route: &Route) -> bool {
+        self.with_budget(route, |budget, now| budget.try_spend_beyond(now, RETRY_RESERVE))
+    }
+
     fn with_budget<T>(
         &self,
         route: &Route,
@@ -226,18 +238,22 @@
         let service = service.expect("a route has a service");
         let settings = self.budget_settings();
         let budget = budgets.entry(service).or_insert_with(|| RetryBudget::new(now, settings));
+        budget.set_settings(settings);
         act(budget, now)
     }
 
     fn budget_settings(&self) -> BudgetSettings {
         let retries = &self.cfg.retries;
         let routers = f64::from(self.routers.get().max(1));
-        let extra = f64::from(retries.extra) * RETRY_SHARE / routers;
-        // Half is there at once, half comes over the window.
+        // A host that starts doesn't know yet how many share the extra retries.
+        let extra = match self.is_starting() {
+            true => 0.0,
+            false => f64::from(retries.extra) * RETRY_SHARE / routers,
+        };
         BudgetSettings {
             ratio: retries.ratio * RETRY_SHARE,
-            min_rate: extra / 2.0 / retries.window.as_secs_f64(),
-            burst: (extra / 2.0).max(1.0),
+            min_rate: extra * REFILL_SHARE / retries.window.as_secs_f64(),
+            burst: extra.max(1.0),
         }
     }
 
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -184,7 +184,7 @@
             biased;
             framed = tokio::time::timeout_at(until, body.frame()) => framed,
             () = exchange::paused(opened.in_flight.target()), if may_move && last_id.is_some() => {
-                if exchange.may_repeat() {
+                if exchange.may_move() {
                     return PartEnd::Moved;
                 }
                 may_move = false;
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -40,6 +40,12 @@
         self.settings.ratio = ratio;
     }
 
+    /// Replaces the bounds; retries saved up beyond the new ones are gone.
+    pub fn set_settings(&mut self, settings: BudgetSettings) {
+        self.settings = settings;
+        self.tokens = self.tokens.min(settings.burst);
+    }
+
     /// Counts a request that is not a retry.
     pub fn earn(&mut self, now: MonotonicTime) {
         self.refill(now);
@@ -56,6 +62,16 @@
         true
     }
 
+    /// Takes one retry if `reserve` are left for those that need one more.
+    pub fn try_spend_beyond(&mut self, now: MonotonicTime, reserve: f64) -> bool {
+        self.refill(now);
+        if self.tokens < reserve + 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
     fn refill(&mut self, now: MonotonicTime) {
         let elapsed = now.saturating_since(self.updated).as_secs_f64();
         self.updated = self.updated.max(now);
--- a/crates/route/tests/retry.rs
+++ b/crates/route/tests/retry.rs
@@ -118,3 +118,23 @@
     call_that_may_not_repeat_is_never_hedged:
         NotIdempotent, waited 900, burst 1.0 => HedgeDecision::Never,
 }
+
+#[test]
+fn reserve_is_left_to_those_that_need_it_more() {
+    let settings = BudgetSettings { ratio: 0.0, min_rate: 0.0, burst: 3.0 };
+    let mut budget = RetryBudget::new(MonotonicTime::ZERO, settings);
+    assert!(budget.try_spend_beyond(MonotonicTime::ZERO, 2.0));
+    assert!(!budget.try_spend_beyond(MonotonicTime::ZERO, 2.0));
+    assert!(budget.try_spend(MonotonicTime::ZERO));
+    assert!(budget.try_spend(MonotonicTime::ZERO));
+    assert!(!budget.try_spend(MonotonicTime::ZERO));
+}
+
+#[test]
+fn narrower_bounds_take_saved_retries_away() {
+    let wide = BudgetSettings { ratio: 0.0, min_rate: 0.0, burst: 40.0 };
+    let mut budget = RetryBudget::new(MonotonicTime::ZERO, wide);
+    budget.set_settings(BudgetSettings { burst: 1.0, ..wide });
+    assert!(budget.try_spend(MonotonicTime::ZERO));
+    assert!(!budget.try_spend(MonotonicTime::ZERO));
+}
