--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -338,22 +338,16 @@
         Ok(Response::from_parts(parts, body))
     }
 
-    /// Learns that another process is there, or that the engine has newer weights.
-    fn learn_from_refusal(&mut self, target: &Target, status: StatusCode, head: &AnswerHead) {
+    /// Learns that another process is there, or that the engine has other weights.
+    fn learn_from_refusal(&self, target: &Target, status: StatusCode, head: &AnswerHead) {
         if status != StatusCode::MISDIRECTED_REQUEST {
             return;
         }
         if head.endpoint.as_deref().is_some_and(|there| there != target.endpoint.as_str()) {
             return target.not_reached(self.gateway.clock.now());
         }
-        let newest = self.gateway.in_force();
-        let prompt = self.arrival.prompt.as_ref();
-        let named = prompt.and_then(|prompt| newest.as_ref()?.weights.get(&prompt.model));
-        if let Some(version) = named.and_then(|named| named.next_after(target.version())) {
-            target.learn_version(version);
-            // It is asked again, for the weights that it has.
-            self.progress.tried.retain(|tried| *tried != target.endpoint);
-        }
+        // It has other weights than believed; its next heartbeat or the leader tells which.
+        target.distrust(self.gateway.clock.now());
     }
 
     fn may_have_run(&mut self, why: String) -> Unanswered {
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -65,11 +65,6 @@
         self.named.drain(..excess);
     }
 
-    /// Returns the oldest version named that is newer than `version`.
-    pub(super) fn next_after(&self, version: u32) -> Option<u32> {
-        self.named.iter().map(|named| named.version).find(|named| version < *named)
-    }
-
     /// Returns for how long `version` has not been the newest.
     pub(super) fn outdated_for(&self, version: u32, now: MonotonicTime) -> Duration {
         let newer = self.named.iter().find(|named| version < named.version);
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -21,6 +21,9 @@
 /// Pieces that wait for a slow caller.
 const RING: usize = 16;
 
+/// Longest wait for another engine to begin while the one before still works.
+const MOVE_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Longest event that is held to be passed on whole.
 const MAX_EVENT: ByteCount = ByteCount::new(1 << 20);
 
@@ -32,8 +35,8 @@
     CallerGone,
     /// It broke off, or no event came in time.
     Broken(String),
-    /// It is to go on elsewhere, as its engine is about to load weights; the retry is paid for.
-    Moved,
+    /// It had better go on elsewhere, as its engine is about to load weights; the retry is paid for.
+    MayMove,
     /// The request's time is over.
     TimedOut,
 }
@@ -94,40 +97,33 @@
 /// Moves events until the stream's end; a resumable one goes on at another endpoint.
 async fn pump<D: Dialect>(
     mut exchange: Exchange<D>,
-    mut opened: Opened,
+    opened: Opened,
     tx: flume::Sender<Result<Bytes, Cut>>,
 ) {
     let mut last_id: Option<String> = None;
     let mut pace = Pace::new(exchange.arrived);
+    let mut part = Part::new(&exchange, opened);
     loop {
-        let end = pass_events(&exchange, &mut opened, &tx, &mut last_id, &mut pace).await;
+        let end = pass_events(&exchange, &mut part, &tx, &mut last_id, &mut pace).await;
         let why = match end {
-            PartEnd::Complete => return log_complete(&exchange, &opened, &pace),
+            PartEnd::Complete => return log_complete(&exchange, &part.opened, &pace),
             PartEnd::CallerGone => {
                 log::info!(request:% = exchange.arrival.id; "the caller left");
                 return;
             }
-            PartEnd::Moved => {
-                let endpoint = opened.in_flight.target().endpoint.clone();
-                log::info!(request:% = exchange.arrival.id, endpoint:%; "a stream moves");
-                drop(opened);
-                match go_on(&mut exchange, last_id.as_deref()).await {
-                    Ok(next) => {
-                        opened = next;
-                        continue;
-                    }
-                    Err(why) => why,
-                }
+            PartEnd::MayMove => {
+                move_on(&mut exchange, &mut part, last_id.as_deref()).await;
+                continue;
             }
             PartEnd::TimedOut => "the request's time is over".to_owned(),
             PartEnd::Broken(why) => {
-                let endpoint = opened.in_flight.target().endpoint.clone();
+                let endpoint = part.opened.in_flight.target().endpoint.clone();
                 log::info!(request:% = exchange.arrival.id, endpoint:%, why; "a stream broke off");
                 // The endpoint's connection closes before the stream goes on elsewhere.
-                drop(opened);
+                drop(part);
                 match resume(&mut exchange, last_id.as_deref()).await {
                     Ok(next) => {
-                        opened = next;
+                        part = Part::new(&exchange, next);
                         continue;
                     }
                     Err(why) => why,
@@ -141,6 +137,40 @@
     }
 }
 
+/// An endpoint's part of a stream.
+struct Part {
+    opened: Opened,
+    cutter: Cutter,
+    /// Whether it may go on elsewhere before it has ended.
+    may_move: bool,
+}
+
+impl Part {
+    fn new<D: Dialect>(exchange: &Exchange<D>, opened: Opened) -> Self {
+        let may_move = exchange.route.repetition.may_repeat();
+        Self { opened, cutter: Cutter::new(MAX_EVENT), may_move }
+    }
+}
+
+/// Opens the rest of a stream elsewhere and leaves its engine; where that fails, it stays.
+async fn move_on<D: Dialect>(exchange: &mut Exchange<D>, part: &mut Part, last_id: Option<&str>) {
+    part.may_move = false;
+    let from = part.opened.in_flight.target().endpoint.clone();
+    let moving = tokio::time::timeout(MOVE_TIMEOUT, go_on(exchange, last_id)).await;
+    let outcome = match moving {
+        Ok(Ok(next)) => {
+            // The engine before stops as its connection closes.
+            *part = Part::new(exchange, next);
+            "moved".to_owned()
+        }
+        Ok(Err(why)) => why,
+        Err(_) => "no other engine began in time".to_owned(),
+    };
+    let to = &part.opened.in_flight.target().endpoint;
+    log::info!(request:% = exchange.arrival.id, from:%, to:%, outcome;
+        "a stream leaves an engine that loads weights");
+}
+
 async fn resume<D: Dialect>(
     exchange: &mut Exchange<D>,
     last_id: Option<&str>,
@@ -167,14 +197,13 @@
 
 async fn pass_events<D: Dialect>(
     exchange: &Exchange<D>,
-    opened: &mut Opened,
+    part: &mut Part,
     tx: &flume::Sender<Result<Bytes, Cut>>,
     last_id: &mut Option<String>,
     pace: &mut Pace,
 ) -> PartEnd {
-    let mut cutter = Cutter::new(MAX_EVENT);
     let resumable = exchange.route.repetition.may_repeat();
-    let mut may_move = resumable;
+    let Part { opened, cutter, may_move } = part;
     loop {
         let silence = if resumable { Instant::now() + EVENT_TIMEOUT } else { exchange.deadline };
         let until = silence.min(exchange.deadline);
@@ -183,11 +212,11 @@
         let framed = tokio::select! {
             biased;
             framed = tokio::time::timeout_at(until, body.frame()) => framed,
-            () = exchange::paused(opened.in_flight.target()), if may_move && last_id.is_some() => {
+            () = exchange::paused(opened.in_flight.target()), if *may_move && last_id.is_some() => {
                 if exchange.may_move() {
-                    return PartEnd::Moved;
+                    return PartEnd::MayMove;
                 }
-                may_move = false;
+                *may_move = false;
                 continue;
             }
             () = lost => {
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -19,6 +19,9 @@
 /// Age of an announcement from which its endpoint gets requests only if there is no other.
 const MAX_SILENCE: Duration = Duration::from_millis(4_500);
 
+/// Time for which an endpoint gets nothing that was not what it was believed to be.
+const DISTRUST: Duration = Duration::from_millis(400);
+
 /// Error in the age of an announcement.
 const HEARD_MARGIN: Duration = Duration::from_millis(100);
 
@@ -49,6 +52,8 @@
     heard: Cell<MonotonicTime>,
     /// When it could not be reached, until it is heard again.
     unreached: Cell<Option<MonotonicTime>>,
+    /// Until when what is believed of it is known to be wrong.
+    distrusted_until: Cell<MonotonicTime>,
     /// What other routers have sent to it.
     others: Cell<SentLoad>,
 }
@@ -112,6 +117,7 @@
             memory: RefCell::new(PartMemory::new(cached(kv_tokens))),
             heard: Cell::new(written),
             unreached: Cell::new(None),
+            distrusted_until: Cell::new(MonotonicTime::ZERO),
             others: Cell::default(),
         }
     }
@@ -167,7 +173,9 @@
 
     /// Returns whether new requests go elsewhere if they can.
     pub(super) fn is_avoided(&self, now: MonotonicTime) -> bool {
-        MAX_SILENCE <= now.saturating_since(self.heard.get()) || self.is_unreached(now)
+        MAX_SILENCE <= now.saturating_since(self.heard.get())
+            || self.is_unreached(now)
+            || now < self.distrusted_until.get()
     }
 
     /// Returns whether it could not be reached and has not been heard since.
@@ -182,6 +190,11 @@
         self.unreached.set(Some(now));
     }
 
+    /// Sends it nothing for a moment, as it is not what it is believed to be.
+    pub(super) fn distrust(&self, now: MonotonicTime) {
+        self.distrusted_until.set(now + DISTRUST);
+    }
+
     /// Notes that it could be reached.
     pub(super) fn reached(&self) {
         self.unreached.set(None);
