--- a/crates/daemon/src/edge/targets.rs
+++ b/crates/daemon/src/edge/targets.rs
@@ -1,7 +1,6 @@
 use std::{
     cell::{Cell, Ref, RefCell},
     net::IpAddr,
-    rc::Rc,
     sync::Arc,
     time::Duration,
 };
@@ -10,6 +9,8 @@
 use member::{Announcement, EndpointKind, Known, Load, ServedModel};
 use prefix::Slot;
 
+use crate::in_flight::{self, Busy, Work};
+
 use super::upstream::Pool;
 
 /// An endpoint as this router uses it.
@@ -20,16 +21,17 @@
     drained: Cell<bool>,
     /// Most requests that it ran while others waited.
     slots: Cell<u32>,
-    in_flight: Cell<u32>,
-    prefill_tokens: Cell<u64>,
+    work: Work,
     pool: Pool,
 }
 
 /// A request under way at an endpoint; ends on drop.
-pub(super) struct InFlight {
-    target: Rc<Target>,
-    /// Tokens of the request that wait for prefill.
-    prefill_tokens: Cell<u64>,
+pub(super) type InFlight = in_flight::InFlight<Target>;
+
+impl Busy for Target {
+    fn work(&self) -> &Work {
+        &self.work
+    }
 }
 
 impl Target {
@@ -42,8 +44,7 @@
             slot,
             drained: Cell::new(false),
             slots: Cell::new(slots_of(&known.announcement)),
-            in_flight: Cell::new(0),
-            prefill_tokens: Cell::new(0),
+            work: Work::default(),
             pool,
         }
     }
@@ -65,12 +66,12 @@
     }
 
     pub(super) fn in_flight(&self) -> u32 {
-        self.in_flight.get()
+        self.work.requests()
     }
 
     /// Returns the tokens that this router sent and that wait for prefill.
     pub(super) fn prefill_tokens(&self) -> TokenCount {
-        TokenCount::new(self.prefill_tokens.get())
+        self.work.prefill_tokens()
     }
 
     /// Returns the load that the endpoint reported last, and the report's age at `now`.
@@ -125,30 +126,3 @@
         EndpointKind::Engine(_) | EndpointKind::Service(_) => 0,
     }
 }
-
-impl InFlight {
-    /// Counts a request with so many tokens to prefill.
-    pub(super) fn begin(target: &Rc<Target>, prefill_tokens: TokenCount) -> Self {
-        let tokens = prefill_tokens.as_u64();
-        target.in_flight.set(target.in_flight.get() + 1);
-        target.prefill_tokens.set(target.prefill_tokens.get() + tokens);
-        Self { target: Rc::clone(target), prefill_tokens: Cell::new(tokens) }
-    }
-
-    pub(super) fn target(&self) -> &Target {
-        &self.target
-    }
-
-    /// Notes that the prompt has been prefilled.
-    pub(super) fn prefilled(&self) {
-        let tokens = self.prefill_tokens.take();
-        self.target.prefill_tokens.set(self.target.prefill_tokens.get() - tokens);
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.prefilled();
-        self.target.in_flight.set(self.target.in_flight.get() - 1);
-    }
-}
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -13,6 +13,8 @@
 use route::{EndpointKey, SentLoad, UnderWay};
 use routes::KvStore;
 
+use crate::in_flight::{self, Busy, Work};
+
 /// Longest time for which an endpoint that can't be reached gets no requests.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(5);
 
@@ -45,8 +47,7 @@
     version: Cell<u32>,
     /// Whether it loads weights, or loads them next.
     paused: Cell<bool>,
-    in_flight: Cell<u32>,
-    prefill_tokens: Cell<u64>,
+    work: Work,
     memory: RefCell<PartMemory>,
     /// When the announcement was written that was heard last.
     heard: Cell<MonotonicTime>,
@@ -92,10 +93,12 @@
 }
 
 /// A request under way at an endpoint; ends on drop.
-pub(super) struct InFlight {
-    target: Rc<Target>,
-    /// Tokens of the request that wait for prefill.
-    prefill_tokens: Cell<u64>,
+pub(super) type InFlight = in_flight::InFlight<Target>;
+
+impl Busy for Target {
+    fn work(&self) -> &Work {
+        &self.work
+    }
 }
 
 impl Target {
@@ -112,8 +115,7 @@
             version: Cell::new(model.as_ref().map_or(0, |(_, version)| *version)),
             model: model.map(|(model, _)| model),
             paused: Cell::new(false),
-            in_flight: Cell::new(0),
-            prefill_tokens: Cell::new(0),
+            work: Work::default(),
             memory: RefCell::new(PartMemory::new(cached(kv_tokens))),
             heard: Cell::new(written),
             unreached: Cell::new(None),
@@ -140,11 +142,11 @@
     }
 
     pub(super) fn in_flight(&self) -> u32 {
-        self.in_flight.get()
+        self.work.requests()
     }
 
     pub(super) fn prefill_tokens(&self) -> TokenCount {
-        TokenCount::new(self.prefill_tokens.get())
+        self.work.prefill_tokens()
     }
 
     pub(super) fn warm_tokens(&self, chain: &PartChain) -> TokenCount {
@@ -201,33 +203,6 @@
     }
 }
 
-impl InFlight {
-    /// Counts a request with so many tokens to prefill.
-    pub(super) fn begin(target: &Rc<Target>, prefill_tokens: TokenCount) -> Self {
-        let tokens = prefill_tokens.as_u64();
-        target.in_flight.set(target.in_flight.get() + 1);
-        target.prefill_tokens.set(target.prefill_tokens.get() + tokens);
-        Self { target: Rc::clone(target), prefill_tokens: Cell::new(tokens) }
-    }
-
-    pub(super) fn target(&self) -> &Rc<Target> {
-        &self.target
-    }
-
-    /// Notes that the prompt has been prefilled.
-    pub(super) fn prefilled(&self) {
-        let tokens = self.prefill_tokens.take();
-        self.target.prefill_tokens.set(self.target.prefill_tokens.get() - tokens);
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.prefilled();
-        self.target.in_flight.set(self.target.in_flight.get() - 1);
-    }
-}
-
 /// The endpoints that may get requests.
 #[derive(Default)]
 pub(super) struct Targets {
@@ -290,7 +265,7 @@
         busy.map(|target| SentLoad {
             endpoint: target.key,
             requests: target.in_flight(),
-            prefill_tokens: u32::try_from(target.prefill_tokens.get()).unwrap_or(u32::MAX),
+            prefill_tokens: u32::try_from(target.prefill_tokens().as_u64()).unwrap_or(u32::MAX),
         })
         .collect()
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -27,6 +27,7 @@
 mod edge;
 mod failure;
 mod gateway;
+mod in_flight;
 mod leader_client;
 mod net;
 mod peers;
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -1,19 +1,15 @@
 use std::time::Duration;
 
 use base::{HostId, LogIndex, MonotonicTime, Term, UnixMillis};
-use fleet::{Command, EngineNews, Fleet};
-use prefix::SentLog;
+use fleet::{Command, Fleet};
 use quorum::{
     Action, Config, Entry, HealingSettings, Input, LeaderView, Message, Node, Payload, Restored,
     Role, Snapshot, VoterSet, next_voters,
 };
 use rand_pcg::Pcg64Mcg;
-use route::LoadBoard;
 use store::{Disk, Log};
 use wire::{
-    leader::{
-        Follow, LeaderAnswer, LeaderRequest, PublishedView, Seen, UnsettledCall, ViewVersion,
-    },
+    leader::{Follow, LeaderAnswer, LeaderRequest, Seen, UnsettledCall},
     peer::{quorum_from_bytes, quorum_to_bytes},
 };
 
@@ -25,6 +21,7 @@
 
 use super::{
     ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaView,
+    followers::{Followers, Held},
     waiting::{Reading, Reply, Waiting},
 };
 
@@ -40,17 +37,6 @@
 /// Bytes of commands applied after which a snapshot replaces the log.
 const SNAPSHOT_BYTES: usize = 4 << 20;
 
-/// Longest time for which a follower's question for what is published is held.
-///
-/// Shorter than the time for which the follower waits.
-const MAX_FOLLOW_HOLD: Duration = Duration::from_millis(400);
-
-/// Time for which a router's report of what it has sent counts.
-const LOAD_LIFETIME: Duration = Duration::from_secs(1);
-
-/// Prompts that are kept to be told to routers; more than come in between two questions.
-const MAX_SENT: usize = 4096;
-
 /// Time between looks at whether the voters should change.
 const HEALING_PERIOD: Duration = Duration::from_millis(100);
 
@@ -77,19 +63,7 @@
     healed: MonotonicTime,
     /// The term in which this host leads, and since when.
     leading: Option<(Term, MonotonicTime)>,
-    followers: Vec<Follower>,
-    /// How often what followers are told has changed.
-    changes: u64,
-    engines: Vec<EngineNews>,
-    loads: LoadBoard,
-    sent: SentLog,
-}
-
-/// A held question for what is published.
-struct Follower {
-    question: Follow,
-    until: MonotonicTime,
-    reply: Reply,
+    followers: Followers,
 }
 
 /// Why a driver ended.
@@ -134,11 +108,7 @@
             healing: cfg.healing,
             healed: MonotonicTime::ZERO,
             leading: None,
-            followers: Vec::new(),
-            changes: 0,
-            engines: Vec::new(),
-            loads: LoadBoard::new(LOAD_LIFETIME),
-            sent: SentLog::new(MAX_SENT),
+            followers: Followers::default(),
         };
         driver.offer_configuration();
         Ok(driver)
@@ -177,12 +147,7 @@
             ReplicaInput::Quorum(call) => self.take_message(call),
             ReplicaInput::Submit(call) => self.take_request(call),
             ReplicaInput::Learners(hosts) => self.step(Input::Learners(hosts)),
-            ReplicaInput::EngineNews(engines) => {
-                if self.engines != engines {
-                    self.engines = engines;
-                    self.changes += 1;
-                }
-            }
+            ReplicaInput::EngineNews(engines) => self.followers.set_engines(engines),
             ReplicaInput::HandOver(done) => {
                 self.step(Input::Transfer);
                 self.handing_over = Some(done);
@@ -235,27 +200,18 @@
     }
 
     /// Holds a follower's question, unless another host should answer it.
-    fn follow(&mut self, mut question: Follow, reply: Reply) {
+    fn follow(&mut self, question: Follow, reply: Reply) {
         if self.node.role() != Role::Leader {
             return reply.not_written(self.node.leader().cloned());
         }
-        let now = self.clock.now();
-        self.loads.report(now, question.from.clone(), std::mem::take(&mut question.loads));
-        self.sent.extend(&question.from, std::mem::take(&mut question.sent));
-        let until = now + question.hold.min(MAX_FOLLOW_HOLD);
-        self.followers.push(Follower { question, until, reply });
+        self.followers.hold(self.clock.now(), question, reply);
     }
 
-    /// Lets the questions be answered that saw something else, or were held long enough.
+    /// Reads for the held questions that are due, so that each answer proves that this host leads.
     fn answer_followers(&mut self) {
-        let (now, version) = (self.clock.now(), self.view_version());
         let leads = self.node.role() == Role::Leader;
-        let due =
-            |held: &Follower| !leads || held.question.seen.version != version || held.until <= now;
-        let (due, held) = std::mem::take(&mut self.followers).into_iter().partition(due);
-        self.followers = held;
-        let due: Vec<Follower> = due;
-        for Follower { question, reply, .. } in due {
+        let due = self.followers.take_due(self.clock.now(), self.node.term(), leads);
+        for Held { question, reply, .. } in due {
             let request = LeaderRequest::FollowPublished(question);
             let id = self.waiting.read(Reading { request, reply });
             self.step(Input::Read { id });
@@ -263,28 +219,10 @@
         self.carry_out();
     }
 
-    fn view_version(&self) -> ViewVersion {
-        ViewVersion { term: self.node.term(), changes: self.changes }
-    }
-
-    fn view(&mut self, seen: &Seen, asker: Option<&HostId>) -> PublishedView {
-        let same_leader = seen.version.term == self.node.term();
-        let first = if same_leader { seen.next_sent } else { self.sent.next() };
-        let sent = asker.map(|asker| self.sent.since(first, asker).cloned().collect());
-        let loads = self.loads.totals(self.clock.now());
-        let published = self.fleet.published();
-        let publication = published.publication();
-        let held = seen.number == publication.number;
-        PublishedView {
-            version: self.view_version(),
-            number: publication.number,
-            content: (!held).then(|| publication.content.clone()),
-            weights: published.weights(),
-            engines: self.engines.clone(),
-            loads,
-            sent: sent.unwrap_or_default(),
-            next_sent: self.sent.next(),
-        }
+    fn view(&mut self, seen: &Seen, asker: Option<&HostId>) -> LeaderAnswer {
+        let (now, term) = (self.clock.now(), self.node.term());
+        let view = self.followers.view(now, term, self.fleet.published(), seen, asker);
+        LeaderAnswer::Published(Box::new(view))
     }
 
     /// Notes when this host began to lead.
@@ -294,14 +232,14 @@
                 log::info!(term:% = self.node.term(); "leads no more");
             }
             // What a former leader knew of loads is no longer true.
-            self.engines.clear();
+            self.followers.forget_engines();
             return;
         }
         let term = self.node.term();
         if self.leading.is_none_or(|(led, _)| led != term) {
             self.leading = Some((term, self.clock.now()));
-            self.engines.clear();
-            self.changes += 1;
+            self.followers.forget_engines();
+            self.followers.note_change();
             log::info!(term:%; "leads");
         }
     }
@@ -457,7 +395,7 @@
                     self.offer_configuration();
                 }
                 if matches!(command, Command::Publish(_) | Command::NameWeights(_)) {
-                    self.changes += 1;
+                    self.followers.note_change();
                 }
                 LeaderAnswer::Reply(reply)
             }
@@ -498,11 +436,9 @@
                 LeaderAnswer::History(self.fleet.configuration().history().cloned().collect())
             }
             LeaderRequest::ReadVoters => LeaderAnswer::Voters(self.node.status().voters),
-            LeaderRequest::ReadPublished => {
-                LeaderAnswer::Published(Box::new(self.view(&Seen::default(), None)))
-            }
+            LeaderRequest::ReadPublished => self.view(&Seen::default(), None),
             LeaderRequest::FollowPublished(question) => {
-                LeaderAnswer::Published(Box::new(self.view(&question.seen, Some(&question.from))))
+                self.view(&question.seen, Some(&question.from))
             }
             _ => return,
         };
@@ -524,7 +460,7 @@
     }
 
     fn publish(&mut self) {
-        let loads = self.loads.totals(self.clock.now());
+        let loads = self.followers.loads(self.clock.now());
         let history = self.fleet.configuration().history();
         let skipped = history.size_hint().0.saturating_sub(SHOWN_CHANGES);
         self.rings.state.store(ReplicaView {
--- /dev/null
+++ b/crates/daemon/src/replica/followers.rs
@@ -0,0 +1,125 @@
+//! What the leader tells the hosts that follow it, and what they tell it.
+
+use std::time::Duration;
+
+use base::{HostId, MonotonicTime, Term};
+use fleet::{EngineNews, Published};
+use prefix::SentLog;
+use route::{LoadBoard, SentLoad};
+use wire::leader::{Follow, PublishedView, Seen, ViewVersion};
+
+use super::waiting::Reply;
+
+/// Longest time for which a question for what is published is held.
+///
+/// Shorter than the time for which the follower waits.
+const MAX_HOLD: Duration = Duration::from_millis(400);
+
+/// Time for which a router's report of what it has under way counts.
+const LOAD_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Prompts that are kept to be told to routers; more than come in between two questions.
+const MAX_SENT: usize = 4096;
+
+/// Questions that are held until there is news, and what is told in answer.
+pub(super) struct Followers {
+    held: Vec<Held>,
+    engines: Vec<EngineNews>,
+    loads: LoadBoard,
+    sent: SentLog,
+    /// How often what followers are told at once has changed.
+    changes: u64,
+}
+
+/// A held question.
+pub(super) struct Held {
+    pub question: Follow,
+    pub reply: Reply,
+    until: MonotonicTime,
+}
+
+impl Default for Followers {
+    fn default() -> Self {
+        Self {
+            held: Vec::new(),
+            engines: Vec::new(),
+            loads: LoadBoard::new(LOAD_LIFETIME),
+            sent: SentLog::new(MAX_SENT),
+            changes: 0,
+        }
+    }
+}
+
+impl Followers {
+    /// Takes a question with what its sender tells.
+    pub(super) fn hold(&mut self, now: MonotonicTime, mut question: Follow, reply: Reply) {
+        self.loads.report(now, question.from.clone(), std::mem::take(&mut question.loads));
+        self.sent.extend(&question.from, std::mem::take(&mut question.sent));
+        let until = now + question.hold.min(MAX_HOLD);
+        self.held.push(Held { question, reply, until });
+    }
+
+    /// Takes out the questions that saw something else or were held long enough; all of them once
+    /// this host leads no more.
+    pub(super) fn take_due(&mut self, now: MonotonicTime, term: Term, leads: bool) -> Vec<Held> {
+        let version = self.version(term);
+        let due =
+            |held: &Held| !leads || held.question.seen.version != version || held.until <= now;
+        let (due, held) = std::mem::take(&mut self.held).into_iter().partition(due);
+        self.held = held;
+        due
+    }
+
+    /// Notes that what is published has changed.
+    pub(super) fn note_change(&mut self) {
+        self.changes += 1;
+    }
+
+    /// Takes what the rollout of weights knows of engines.
+    pub(super) fn set_engines(&mut self, engines: Vec<EngineNews>) {
+        if self.engines != engines {
+            self.engines = engines;
+            self.changes += 1;
+        }
+    }
+
+    /// Forgets what is known of engines, as after another host has led.
+    pub(super) fn forget_engines(&mut self) {
+        self.engines.clear();
+    }
+
+    /// Returns what all routers have under way.
+    pub(super) fn loads(&mut self, now: MonotonicTime) -> Vec<SentLoad> {
+        self.loads.totals(now)
+    }
+
+    /// Returns what `asker` is told, given what it has seen.
+    pub(super) fn view(
+        &mut self,
+        now: MonotonicTime,
+        term: Term,
+        published: &Published,
+        seen: &Seen,
+        asker: Option<&HostId>,
+    ) -> PublishedView {
+        let publication = published.publication();
+        let is_held = seen.number == publication.number;
+        let same_leader = seen.version.term == term;
+        let first = if same_leader { seen.next_sent } else { self.sent.next() };
+        let sent = asker.map(|asker| self.sent.since(first, asker).cloned().collect());
+        PublishedView {
+            version: self.version(term),
+            number: publication.number,
+            content: (!is_held).then(|| publication.content.clone()),
+            weights: published.weights(),
+            engines: self.engines.clone(),
+            loads: self.loads.totals(now),
+            sent: sent.unwrap_or_default(),
+            next_sent: self.sent.next(),
+        }
+    }
+
+    fn version(&self, term: Term) -> ViewVersion {
+        ViewVersion { term, changes: self.changes }
+    }
+}
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! The thread that holds this host's part in the quorum and the replicated state.
 
 mod driver;
+mod followers;
 mod waiting;
 
 use std::{
