--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -16,7 +16,7 @@
 const CALLERS_HOLD: Duration = Duration::from_millis(150);
 
 /// How long a question may be held elsewhere.
-const IDLE_HOLD: Duration = Duration::from_millis(400);
+const IDLE_HOLD: Duration = Duration::from_millis(300);
 
 /// Time from which an answer is late: longer than questions are held, and a way there and back.
 const LATE: Duration = Duration::from_millis(700);
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -4,7 +4,9 @@
 
 use base::{EndpointId, Incarnation, MonotonicTime, Term};
 use bytes::Bytes;
-use fleet::{EngineLoad, EngineView, LoadOrder, OrderOutcome, Rollout, RolloutSettings};
+use fleet::{
+    EngineLoad, EngineNews, EngineView, LoadOrder, OrderOutcome, Rollout, RolloutSettings,
+};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
     Request, Response,
@@ -47,6 +49,8 @@
     asked: std::collections::HashMap<EndpointId, MonotonicTime>,
     outcomes: flume::Receiver<Outcome>,
     report: flume::Sender<Outcome>,
+    /// What the replica was told last.
+    told: Vec<EngineNews>,
 }
 
 /// What came of a call to an engine.
@@ -59,7 +63,8 @@
     fn begin(term: Term, since: MonotonicTime) -> Self {
         let (report, outcomes) = flume::unbounded();
         let rollout = Rollout::new(RolloutSettings::default());
-        Self { term, since, rollout, asked: Default::default(), outcomes, report }
+        let (asked, told) = (Default::default(), Vec::new());
+        Self { term, since, rollout, asked, outcomes, report, told }
     }
 }
 
@@ -144,9 +149,11 @@
         .collect()
 }
 
-fn tell_routers<D: Dialect>(gateway: &Gateway<D>, office: &Office) {
-    if let Some(replica) = &gateway.replica {
-        let _ = replica.try_send(ReplicaInput::EngineNews(office.rollout.news()));
+fn tell_routers<D: Dialect>(gateway: &Gateway<D>, office: &mut Office) {
+    let news = office.rollout.news();
+    let Some(replica) = gateway.replica.as_ref().filter(|_| news != office.told) else { return };
+    if replica.try_send(ReplicaInput::EngineNews(news.clone())).is_ok() {
+        office.told = news;
     }
 }
 
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -22,6 +22,9 @@
 /// Time to wait for a newer configuration before asking for it again.
 const CONFIGURATION_RETRY: Duration = Duration::from_millis(300);
 
+/// Pause between two ticks from which the process, or its host, was suspended or starved.
+const STANDSTILL: Duration = Duration::from_secs(1);
+
 /// Time between looks at which hosts may become voters.
 const LEARNERS_PERIOD: Duration = Duration::from_millis(500);
 
@@ -109,6 +112,7 @@
         rng,
         rings,
         next_tick: clock.now(),
+        ticked: MonotonicTime::ZERO,
         asked: MonotonicTime::ZERO,
         learners_told: MonotonicTime::ZERO,
     };
@@ -122,6 +126,7 @@
     rng: Pcg64Mcg,
     rings: RosterRings,
     next_tick: MonotonicTime,
+    ticked: MonotonicTime,
     asked: MonotonicTime,
     learners_told: MonotonicTime,
 }
@@ -195,6 +200,11 @@
     }
 
     fn tick(&mut self, now: MonotonicTime) {
+        let stood_still = now.saturating_since(self.ticked);
+        if STANDSTILL <= stood_still && self.ticked != MonotonicTime::ZERO {
+            log::warn!(stood_still_ms = stood_still.as_millis() as u64; "the process stood still");
+        }
+        self.ticked = now;
         let revision = self.rings.configurations.revision();
         self.membership.set_revision(revision);
         self.rings.metrics.revision(revision);
