--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -153,7 +153,8 @@
     let address = taken.local_addr().unwrap().to_string();
     let run = run(&["--fleet-key", KEY, "--listen", &address], &[]);
     assert_eq!(run.code, Some(1), "{run:?}");
-    assert!(run.stderr.contains("could not bind"), "{run:?}");
+    assert!(run.stdout.contains("could not bind"), "{run:?}");
+    assert_eq!(run.stderr, "", "{run:?}");
 }
 
 #[test]
@@ -162,7 +163,9 @@
     let address = taken.local_addr().unwrap().to_string();
     let failing = |args: &[&str]| {
         let args = [&["--fleet-key", KEY, "--listen", &address][..], args].concat();
-        run(&args, &[]).stderr
+        let run = run(&args, &[]);
+        assert_eq!(run.stderr, "", "{run:?}");
+        run.stdout
     };
     assert!(failing(&[]).starts_with("time="), "{}", failing(&[]));
     assert!(failing(&["--log-format", "json"]).starts_with("{\"time\":"));
