--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -160,9 +160,6 @@
             self.heard_count -= self.heard_count.div_ceil(COUNT_MEMORY_PERIODS);
             self.pull_again(now);
             out.extend(self.probe_due(now, rng));
-        } else if self.peers.live().next().is_none() {
-            // A router that starts alone finds the others as soon as they are there.
-            out.extend(self.probe_seed(now, rng));
         }
         out.extend(self.pull_from_random(now, rng));
         out.extend(self.spread_news(now, rng));
