--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -19,6 +19,9 @@
 /// Longest wait for the leader, a little below the callers' own.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Shortest time for which an announcement counts; heartbeats may be seconds late.
+const MIN_LEASE: Duration = Duration::from_secs(6);
+
 /// Answers a call.
 pub(super) async fn handle<D: Dialect>(
     gateway: Rc<Gateway<D>>,
@@ -74,7 +77,8 @@
 }
 
 /// Passes an announcement on to the roster, unless this host can't spread it.
-fn announce<D: Dialect>(gateway: &Gateway<D>, announcement: Announcement) -> ControlAnswer {
+fn announce<D: Dialect>(gateway: &Gateway<D>, mut announcement: Announcement) -> ControlAnswer {
+    announcement.lease = announcement.lease.max(MIN_LEASE);
     if gateway.latest.load().is_some_and(|roster| roster.isolated) {
         return ControlAnswer::Unavailable("this host hears no other router");
     }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -241,7 +241,8 @@
         let service = self.route.service_at(draw).ok_or(NoTarget::Unknown)?;
         let newest = gateway.in_force();
         let table = &self.in_force.table;
-        let engine = table.service(service).and_then(|service| service.engine.as_ref());
+        let configured = table.service(service);
+        let engine = configured.and_then(|service| service.engine.as_ref());
         let wanted = Wanted {
             service,
             prompt: self.prompt_wanted(&newest),
@@ -249,6 +250,7 @@
             now,
             here: &gateway.data_centre,
             slots: engine.map_or(0, |engine| engine.slots),
+            max_connections: configured.map_or(u32::MAX, |service| service.max_connections),
             body: ByteCount::new(self.body.len() as u64),
             aim: self.route.objective.saturating_sub(now.saturating_since(self.arrived)),
         };
@@ -270,7 +272,7 @@
             model: &prompt.model,
             chain: self.chain.as_ref()?,
             weights: named.unwrap_or(&NONE_NAMED),
-            weights_bound: self.gateway.cfg.weights_bound,
+            weights_age: self.gateway.cfg.weights_age(),
         })
     }
 
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -155,7 +155,7 @@
         return Ok(holder);
     }
     let age = in_force.age(gateway.clock.now());
-    if gateway.cfg.key_lease <= age {
+    if gateway.cfg.key_lease() <= age {
         let detail = "this host can't confirm that the keys it knows still count";
         return Err(Failure::unavailable(detail, gateway.retry_after()));
     }
--- a/crates/daemon/src/gateway/listen.rs
+++ b/crates/daemon/src/gateway/listen.rs
@@ -143,7 +143,7 @@
 /// Waits until every request has ended and its answer is sent, the limit has passed, or an order
 /// to abort comes.
 async fn drain<D: Dialect>(gateway: &Gateway<D>, orders: &flume::Receiver<Control>) {
-    let until = Instant::now() + gateway.cfg.drain_limit;
+    let until = Instant::now() + gateway.cfg.drain_limit(gateway.drain_notice);
     let is_idle = || gateway.active.get() == 0 && gateway.connections.get() == 0;
     while !is_idle() && Instant::now() < until {
         tokio::select! {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -112,6 +112,8 @@
     pub data_centre: DataCentreId,
     /// The address that connections to endpoints come from.
     pub source: IpAddr,
+    /// Time from the signal to end to the end of accepting.
+    pub drain_notice: Duration,
 }
 
 /// State of the gateway's thread, shared by its tasks.
@@ -121,6 +123,7 @@
     host: HostId,
     data_centre: DataCentreId,
     source: IpAddr,
+    drain_notice: Duration,
     clock: Clock,
     started: MonotonicTime,
     published: RefCell<Option<Rc<InForce>>>,
@@ -175,6 +178,7 @@
             host: identity.host,
             data_centre: identity.data_centre,
             source: identity.source,
+            drain_notice: identity.drain_notice,
             clock,
             started: clock.now(),
             published: RefCell::new(None),
@@ -271,7 +275,7 @@
     /// Returns whether callers may be sent here.
     fn is_ready(&self) -> bool {
         let now = self.clock.now();
-        let longest = STALE_PROOF.min(self.cfg.key_lease);
+        let longest = STALE_PROOF.min(self.cfg.key_lease());
         let proved = self.in_force().is_some_and(|held| held.age(now) < longest);
         let sees = now.saturating_since(self.roster_at.get()) < STALE_ROSTER;
         proved && sees && !self.leaving.get() && !self.targets.borrow().is_empty()
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -57,6 +57,8 @@
     pub here: &'a DataCentreId,
     /// Requests that an endpoint runs at once, 0 if unknown.
     pub slots: u32,
+    /// Connections that an endpoint accepts from all hosts together; each carries one request.
+    pub max_connections: u32,
     /// The size of the request.
     pub body: ByteCount,
     /// Time in which the first event is wanted.
@@ -70,7 +72,7 @@
     /// The versions of the weights that were named.
     pub weights: &'a WantedWeights,
     /// Time after which an outdated version may not serve.
-    pub weights_bound: Duration,
+    pub weights_age: Duration,
 }
 
 /// Why no endpoint can be had.
@@ -149,10 +151,13 @@
 
 impl Wanted<'_> {
     fn fits(&self, target: &Target) -> bool {
+        if self.max_connections <= target.under_way().requests {
+            return false;
+        }
         let Some(prompt) = &self.prompt else { return true };
         target.model.as_ref() == Some(prompt.model)
             && !target.is_paused()
-            && prompt.weights.outdated_for(target.version(), self.now) < prompt.weights_bound
+            && prompt.weights.outdated_for(target.version(), self.now) < prompt.weights_age
     }
 }
 
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -1,5 +1,18 @@
 use std::{net::SocketAddr, time::Duration};
 
+/// Time before the end of a lease on keys from which a host doesn't count on it.
+const KEY_LEASE_MARGIN: Duration = Duration::from_millis(250);
+
+/// Time that news of weights takes to reach all hosts, and that a request may wait in an engine's
+/// queue.
+const WEIGHTS_MARGIN: Duration = Duration::from_millis(3_000);
+
+/// Time after which no order of an earlier holder is under way any more.
+const ORDER_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time that the end of the process itself takes.
+const END_MARGIN: Duration = Duration::from_millis(900);
+
 /// Settings of the gateway, beside those of the daemon.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -9,16 +22,39 @@
     pub readiness: Option<SocketAddr>,
     /// Where operators and endpoints connect.
     pub control: Option<SocketAddr>,
-    /// Longest time for which a proof that the configuration is the newest counts.
-    pub key_lease: Duration,
-    /// Time after the naming of new weights up to which requests may begin on older ones.
+    /// Longest time for which a revoked key may still be used.
+    pub revocation_bound: Duration,
+    /// Longest time for which requests may begin on weights that are no longer the newest.
     pub weights_bound: Duration,
-    /// Time in which the orders of another holder may still count, so that this one waits.
+    /// Time between the last order of one holder and the first of the next.
     pub order_lease: Duration,
     /// Bounds on what all hosts together send again.
     pub retries: FleetRetries,
-    /// Time from the end of accepting to the end of the process, whatever is under way.
-    pub drain_limit: Duration,
+    /// Time from the signal to end until the process is killed.
+    pub grace: Duration,
+}
+
+impl GatewaySettings {
+    /// Returns how long a proof that the configuration is the newest counts.
+    pub(super) fn key_lease(&self) -> Duration {
+        self.revocation_bound.saturating_sub(KEY_LEASE_MARGIN)
+    }
+
+    /// Returns the age of newer weights from which older ones serve nothing.
+    pub(super) fn weights_age(&self) -> Duration {
+        self.weights_bound.saturating_sub(WEIGHTS_MARGIN)
+    }
+
+    /// Returns how long a new holder waits before its first order.
+    pub(super) fn order_wait(&self) -> Duration {
+        self.order_lease + ORDER_MARGIN
+    }
+
+    /// Returns the time from the end of accepting, which comes `notice` after the signal, to the end
+    /// of the process, whatever is under way.
+    pub(super) fn drain_limit(&self, notice: Duration) -> Duration {
+        self.grace.saturating_sub(notice + END_MARGIN)
+    }
 }
 
 /// Bounds on what all hosts together send again to one service.
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -115,7 +115,7 @@
     office.rollout.set_named(&view.published.weights());
     office.rollout.set_engines(&engines(&roster));
     office.rollout.set_loads(|endpoint| load_of(&view.loads, endpoint));
-    let waits = now.saturating_since(office.since) < gateway.cfg.order_lease;
+    let waits = now.saturating_since(office.since) < gateway.cfg.order_wait();
     if !waits {
         for order in office.rollout.orders(now) {
             give(gateway, office, &roster, order);
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -138,6 +138,7 @@
             host: cfg.host.clone(),
             data_centre: cfg.data_centre.clone(),
             source: cfg.listen.ip(),
+            drain_notice: cfg.timeouts.drain_notice,
         };
         let edge = gateway::spawn(gateway_cfg, dialect, identity, shared.clock, listeners, rings)?;
         Ok(Self {
