--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -4,6 +4,7 @@
 
 use base::{ModelId, MonotonicTime};
 use fleet::ConfigurationNumber;
+use member::{EndpointState, LifeKey};
 use routes::Table;
 use wire::leader::{Follow, LeaderAnswer, LeaderRequest, PublishedView, Seen, ViewVersion};
 
@@ -94,6 +95,7 @@
             hold: if gateway.cfg.callers.is_some() { CALLERS_HOLD } else { IDLE_HOLD },
             loads: loads.clone(),
             sent: told.clone(),
+            leaving: gateway.leaving_endpoints(),
         });
         match gateway.leader.ask(&request, ASK_TIMEOUT).await {
             Ok(LeaderAnswer::Published(view)) => {
@@ -104,6 +106,7 @@
                 (version, next_sent) = (view.version, view.next_sent);
                 gateway.targets.borrow_mut().set_loads(gateway.clock.now(), &loads, &view.loads);
                 gateway.targets.borrow().note_sent(gateway.clock.now(), &view.sent);
+                gateway.targets.borrow_mut().set_leaving(&view.leaving);
                 gateway.take_view(sent, &view);
             }
             Ok(other) => {
@@ -154,6 +157,13 @@
         self.published.replace(Some(Rc::new(in_force)));
     }
 
+    /// Returns the lives of endpoints that this host has heard to leave.
+    fn leaving_endpoints(&self) -> Vec<LifeKey> {
+        let Some(roster) = self.latest.load() else { return Vec::new() };
+        let leaving = roster.endpoints.iter().filter(|known| known.state == EndpointState::Leaving);
+        leaving.map(|known| LifeKey::of(&known.announcement)).collect()
+    }
+
     fn read_table(&self, number: ConfigurationNumber, content: &[u8]) -> Option<Arc<Table>> {
         let table = match self.dialect.table(content) {
             Ok(table) => table,
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -1,6 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -8,7 +8,7 @@
 
 use base::{DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, ServiceId, TokenCount};
 use fleet::EngineNews;
-use member::{Announcement, EndpointKind, EndpointState, Known, Roster};
+use member::{Announcement, EndpointKind, EndpointState, Known, LifeKey, Roster};
 use prefix::{PartChain, PartMemory, Sent};
 use route::{EndpointKey, SentLoad, UnderWay};
 use routes::KvStore;
@@ -39,6 +39,7 @@
     /// The endpoint's short name between hosts.
     pub key: EndpointKey,
     pub incarnation: Incarnation,
+    life: LifeKey,
     pub address: SocketAddr,
     pub data_centre: DataCentreId,
     pub service: ServiceId,
@@ -109,6 +110,7 @@
             endpoint: announcement.endpoint.clone(),
             key: EndpointKey::of(&announcement.endpoint),
             incarnation: announcement.incarnation,
+            life: LifeKey::of(announcement),
             address: announcement.address,
             data_centre: announcement.data_centre.clone(),
             service,
@@ -212,6 +214,8 @@
     /// When the loads of other hosts came.
     loads_at: MonotonicTime,
     store: Option<Store>,
+    /// Lives of endpoints that other hosts have heard to leave.
+    leaving: BTreeSet<LifeKey>,
 }
 
 /// How the endpoints changed.
@@ -224,7 +228,8 @@
 impl Targets {
     /// Takes a newer view of the endpoints.
     pub(super) fn update(&mut self, roster: &Roster) -> TargetChanges {
-        let usable = usable(&roster.endpoints);
+        let mut usable = usable(&roster.endpoints);
+        usable.retain(|_, known| !self.leaving.contains(&LifeKey::of(&known.announcement)));
         let mut changes = TargetChanges::default();
         self.by_id.retain(|id, target| {
             let stays = usable
@@ -306,6 +311,22 @@
         now.saturating_since(self.loads_at)
     }
 
+    /// Takes which endpoints leave by any host's word; they get nothing from now on.
+    pub(super) fn set_leaving(&mut self, leaving: &[LifeKey]) {
+        if leaving.iter().all(|life| self.leaving.contains(life)) {
+            return;
+        }
+        self.leaving = leaving.iter().copied().collect();
+        let leaving = &self.leaving;
+        self.by_id.retain(|id, target| {
+            let leaves = leaving.contains(&target.life);
+            if leaves {
+                log::info!(endpoint:% = id; "endpoint leaves by another host's word");
+            }
+            !leaves
+        });
+    }
+
     /// Takes which store of cached prompts there is.
     pub(super) fn set_store(&mut self, store: Option<&KvStore>) {
         let same = self.store.as_ref().map(|held| held.address) == store.map(|named| named.address);
--- a/crates/daemon/src/replica/followers.rs
+++ b/crates/daemon/src/replica/followers.rs
@@ -4,6 +4,7 @@
 
 use base::{HostId, MonotonicTime, Term};
 use fleet::{EngineNews, Published};
+use member::Leavers;
 use prefix::SentLog;
 use route::{LoadBoard, SentLoad};
 use wire::leader::{Follow, PublishedView, Seen, ViewVersion};
@@ -18,6 +19,9 @@
 /// Time for which a router's report of what it has under way counts.
 const LOAD_LIFETIME: Duration = Duration::from_secs(1);
 
+/// Time for which an endpoint that leaves is told of after the last word of it.
+const LEAVERS_MEMORY: Duration = Duration::from_secs(30);
+
 /// Prompts that are kept to be told to routers; more than come in between two questions.
 const MAX_SENT: usize = 4096;
 
@@ -27,6 +31,7 @@
     engines: Vec<EngineNews>,
     loads: LoadBoard,
     sent: SentLog,
+    leavers: Leavers,
     /// How often what followers are told at once has changed.
     changes: u64,
 }
@@ -45,6 +50,7 @@
             engines: Vec::new(),
             loads: LoadBoard::new(LOAD_LIFETIME),
             sent: SentLog::new(MAX_SENT),
+            leavers: Leavers::new(LEAVERS_MEMORY),
             changes: 0,
         }
     }
@@ -55,6 +61,9 @@
     pub(super) fn hold(&mut self, now: MonotonicTime, mut question: Follow, reply: Reply) {
         self.loads.report(now, question.from.clone(), std::mem::take(&mut question.loads));
         self.sent.extend(&question.from, std::mem::take(&mut question.sent));
+        if self.leavers.hear(now, &question.leaving) {
+            self.changes += 1;
+        }
         let until = now + question.hold.min(MAX_HOLD);
         self.held.push(Held { question, reply, until });
     }
@@ -114,6 +123,7 @@
             weights: published.weights(),
             engines: self.engines.clone(),
             loads: self.loads.totals(now),
+            leaving: self.leavers.lives(now),
             sent: sent.unwrap_or_default(),
             next_sent: self.sent.next(),
         }
--- /dev/null
+++ b/crates/member/src/leavers.rs
@@ -0,0 +1,36 @@
+use std::{collections::BTreeMap, time::Duration};
+
+use base::MonotonicTime;
+
+use crate::LifeKey;
+
+/// Lives of endpoints that are known to leave, from several routers' words.
+///
+/// It answers sites that promise when a leaving endpoint gets its last request: gossip reaches
+/// every router soon, but by chance, and now and then one hears of it seconds late.
+#[derive(Clone, Debug)]
+pub struct Leavers {
+    memory: Duration,
+    heard: BTreeMap<LifeKey, MonotonicTime>,
+}
+
+impl Leavers {
+    /// Creates an empty set that remembers a life for `memory` after the last word of it.
+    pub fn new(memory: Duration) -> Self {
+        Self { memory, heard: BTreeMap::new() }
+    }
+
+    /// Takes a router's word; returns whether any of the lives was not known to leave.
+    pub fn hear(&mut self, now: MonotonicTime, lives: &[LifeKey]) -> bool {
+        let before = self.heard.len();
+        self.heard.extend(lives.iter().map(|life| (*life, now)));
+        before < self.heard.len()
+    }
+
+    /// Returns the lives that leave, and forgets those not heard of for long.
+    pub fn lives(&mut self, now: MonotonicTime) -> Vec<LifeKey> {
+        let memory = self.memory;
+        self.heard.retain(|_, heard| now.saturating_since(*heard) < memory);
+        self.heard.keys().copied().collect()
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -50,6 +50,7 @@
 mod detector;
 mod endpoints;
 mod exchange;
+mod leavers;
 mod link;
 mod membership;
 mod message;
@@ -63,6 +64,7 @@
         Change, EndpointState, Endpoints, Known, MAX_ENDPOINTS, MAX_TOMBSTONES, RenewedLife, Stale,
         TOMBSTONE_TIME,
     },
+    leavers::Leavers,
     membership::{Membership, Outgoing, Roster, TICK},
     message::{
         Checksums, EndpointUpdate, Gossip, LifeKey, PeerState, PeerUpdate, Pull, Renewal, Rumour,
--- /dev/null
+++ b/crates/member/tests/leavers.rs
@@ -0,0 +1,48 @@
+//! Lives that are known to leave from several routers' words.
+
+use std::time::Duration;
+
+use base::{Incarnation, MonotonicTime, Sequence};
+use member::{Announcement, EndpointKind, Leavers, LifeKey};
+
+fn life(incarnation: u64) -> LifeKey {
+    LifeKey::of(&Announcement {
+        endpoint: "desk-1".parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        sequence: Sequence::ZERO,
+        data_centre: "north".parse().unwrap(),
+        address: ([127, 0, 0, 1], 80).into(),
+        lease: Duration::from_secs(1),
+        leaving: true,
+        kind: EndpointKind::Service("desk".parse().unwrap()),
+    })
+}
+
+fn at(millis: u64) -> MonotonicTime {
+    MonotonicTime::from_millis(millis)
+}
+
+#[test]
+fn only_a_life_not_heard_of_is_news() {
+    let mut leavers = Leavers::new(Duration::from_secs(10));
+    assert!(leavers.hear(at(0), &[life(1)]));
+    assert!(!leavers.hear(at(10), &[life(1)]));
+    assert!(leavers.hear(at(20), &[life(1), life(2)]));
+    assert_eq!(leavers.lives(at(20)).len(), 2);
+}
+
+#[test]
+fn next_life_of_an_endpoint_does_not_leave() {
+    let mut leavers = Leavers::new(Duration::from_secs(10));
+    leavers.hear(at(0), &[life(1)]);
+    assert!(!leavers.lives(at(0)).contains(&life(2)));
+}
+
+#[test]
+fn lives_are_forgotten_after_the_last_word() {
+    let mut leavers = Leavers::new(Duration::from_secs(10));
+    leavers.hear(at(0), &[life(1)]);
+    leavers.hear(at(8_000), &[life(1)]);
+    assert_eq!(leavers.lives(at(17_000)), [life(1)]);
+    assert_eq!(leavers.lives(at(18_000)), []);
+}
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -6,6 +6,7 @@
 use fleet::{
     Call, CallKey, ChangeRecord, Command, ConfigurationNumber, EngineNews, NamedWeights, Reply,
 };
+use member::LifeKey;
 use prefix::Sent;
 use quorum::{FolderId, VoterSet};
 use route::SentLoad;
@@ -59,6 +60,8 @@
     pub loads: Vec<SentLoad>,
     /// The prompts that it has sent since the last question.
     pub sent: Vec<Sent>,
+    /// Lives of endpoints that it has heard to leave.
+    pub leaving: Vec<LifeKey>,
 }
 
 /// What a follower of the published state has seen.
@@ -96,6 +99,8 @@
     pub engines: Vec<EngineNews>,
     /// What all routers have under way at endpoints, the asker included.
     pub loads: Vec<SentLoad>,
+    /// Lives of endpoints that any router has heard to leave.
+    pub leaving: Vec<LifeKey>,
     /// Prompts that other routers have sent since the last answer.
     pub sent: Vec<Sent>,
     /// The position after those.
