--- a/crates/daemon/src/failure.rs
+++ b/crates/daemon/src/failure.rs
@@ -8,6 +8,7 @@
     Response, StatusCode,
     header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
 };
+use telemetry::{Recorder, Refusal};
 use wire::problem::{self, Problem};
 
 /// Why a request got no answer, and whether it may have run.
@@ -101,6 +102,24 @@
         Self::new(StatusCode::GATEWAY_TIMEOUT, "timeout", detail, verdict)
     }
 
+    /// Counts the failure: as refused if the request was not run, by its verdict otherwise.
+    pub(crate) fn record(&self, recorder: &Recorder) {
+        match self.verdict {
+            Verdict::NotRun => recorder.refusal(self.reason()),
+            verdict => recorder.verdict(verdict),
+        }
+    }
+
+    fn reason(&self) -> Refusal {
+        match self.status {
+            StatusCode::UNAUTHORIZED => Refusal::Unauthorised,
+            StatusCode::NOT_FOUND => Refusal::Unknown,
+            StatusCode::GATEWAY_TIMEOUT => Refusal::Deadline,
+            status if status.is_client_error() => Refusal::Malformed,
+            _ => Refusal::NoEndpoint,
+        }
+    }
+
     pub(crate) fn to_problem(&self) -> Problem {
         Problem::new(self.status.as_u16(), self.title)
             .with_detail(self.detail.as_str())
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -12,6 +12,7 @@
 };
 use prefix::PartChain;
 use routes::{Organisation, Route};
+use telemetry::Recorder;
 use tokio::time::Instant;
 
 use crate::{
@@ -80,6 +81,7 @@
     pub caller_leaves: Instant,
     pub arrived: MonotonicTime,
     pub chain: Option<PartChain>,
+    pub recorder: Recorder,
     pub progress: Progress,
 }
 
@@ -131,7 +133,7 @@
     ///
     /// A retry that is granted is taken from the budget.
     pub(super) fn may_repeat(&self) -> bool {
-        self.may_attempt_again() && self.gateway.try_retry(&self.route)
+        self.may_attempt_again() && self.try_retry()
     }
 
     fn may_attempt_again(&self) -> bool {
@@ -144,7 +146,18 @@
     ///
     /// A move that is granted is taken from the budget.
     pub(super) fn may_move(&self) -> bool {
-        self.may_attempt_again() && self.gateway.try_move(&self.route)
+        self.may_attempt_again() && self.counted_retry(self.gateway.try_move(&self.route))
+    }
+
+    fn try_retry(&self) -> bool {
+        self.counted_retry(self.gateway.try_retry(&self.route))
+    }
+
+    fn counted_retry(&self, is_granted: bool) -> bool {
+        if is_granted {
+            self.recorder.retry();
+        }
+        is_granted
     }
 
     /// Returns the verdict on the request as a whole.
@@ -173,7 +186,7 @@
             Unanswered::Refused(status) => {
                 log::info!(request:%, endpoint:%, status = status.as_u16();
                     "the endpoint did not run the request");
-                if self.progress.sent < MAX_SENT && self.gateway.try_retry(&self.route) {
+                if self.progress.sent < MAX_SENT && self.try_retry() {
                     return Ok(());
                 }
                 (format!("the endpoint refused with {status}"), false)
@@ -328,6 +341,7 @@
             return Err(Unanswered::Refused(status));
         }
         if head.request.as_deref() != Some(self.arrival.id.as_str()) {
+            self.recorder.crossed_answer();
             return Err(self.may_have_run("the answer belongs to another request".to_owned()));
         }
         if !head.signed {
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -179,6 +179,7 @@
                 targets.set_kv_tokens(&service.name, engine.kv_tokens);
             }
         }
+        self.label_organisations(&table);
         log::info!(number:%, routes = table.routes().count(); "configuration in force");
         Some(Arc::new(table))
     }
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -13,6 +13,7 @@
 };
 use prefix::PartChain;
 use routes::{Organisation, Route, Table};
+use telemetry::Recorder;
 use tokio::time::Instant;
 
 use crate::failure::Failure;
@@ -56,14 +57,16 @@
     let (head, body) = req.into_parts();
     let arrival = gateway.dialect.arrival(&head);
     let id = arrival.as_ref().map_or("-", |arrival| arrival.id.as_str()).to_owned();
+    let mut recorder = gateway.recorder(None);
     let answer = match arrival {
-        Ok(arrival) => answer(&gateway, head, body, arrival, active).await,
+        Ok(arrival) => answer(&gateway, head, body, arrival, active, &mut recorder).await,
         Err(e) => Err(Failure::bad_request(e.to_string())),
     };
     let mut response = answer.unwrap_or_else(|failure| {
         let took = gateway.clock.now().saturating_since(arrived).as_millis() as u64;
         log::info!(request = id, status = failure.status.as_u16(), verdict:% = failure.verdict,
             took_ms = took, why = failure.detail; "request failed");
+        failure.record(&recorder);
         let mut response: Response<Body> = failure.to_response();
         if let Some(after) = failure.retry_after {
             response.headers_mut().insert(RETRY_AFTER, gateway.dialect.retry_after(after));
@@ -101,11 +104,13 @@
     body: Incoming,
     arrival: Arrival,
     active: ActiveRequest,
+    recorder: &mut Recorder,
 ) -> Result<Response<Body>, Failure> {
     let started = Instant::now();
     let in_force = in_force(gateway, arrival.deadline).await?;
     let route = route(&in_force.table, &head)?;
     let organisation = organisation(gateway, &in_force, &route, &arrival)?;
+    *recorder = gateway.recorder(organisation.as_deref());
     let leaves = started + arrival.deadline.unwrap_or(DEFAULT_DEADLINE);
     let deadline = leaves.min(started + route.timeout);
     let body = tokio::time::timeout_at(deadline, read(&in_force.table, body)).await;
@@ -125,6 +130,7 @@
         deadline,
         caller_leaves: leaves,
         arrived: gateway.clock.now(),
+        recorder: recorder.clone(),
         progress: Progress::default(),
     };
     if route.repetition.is_stream() {
@@ -274,6 +280,7 @@
 
 pub(super) fn log_answered<D: Dialect>(exchange: &Exchange<D>, status: StatusCode) {
     let took = exchange.gateway.clock.now().saturating_since(exchange.arrived);
+    exchange.recorder.request_duration(took);
     log::info!(request:% = exchange.arrival.id, route = &*exchange.route.name,
         status = status.as_u16(), attempts = exchange.attempts(),
         took_ms = took.as_millis() as u64; "request answered");
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -28,13 +28,14 @@
     time::Duration,
 };
 
-use base::{DataCentreId, HostId, MonotonicTime, ServiceId};
+use base::{DataCentreId, HostId, MonotonicTime, OrganisationId, ServiceId};
 use member::Roster;
 use prefix::{PartChain, Sent, Untold};
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
 use route::{BudgetSettings, EngineSpeed, RetryBudget, Warm, WarmSettings};
-use routes::Route;
+use routes::{Organisation, Route, Table};
+use telemetry::{Metrics, Recorder};
 
 use crate::{
     clock::Clock,
@@ -92,6 +93,8 @@
     pub replica: Option<flume::Sender<ReplicaInput>>,
     /// The replica thread's state.
     pub replica_state: ReplicaState,
+    /// Counts what befalls requests.
+    pub metrics: Arc<Metrics>,
 }
 
 /// The addresses that the gateway's thread listens on.
@@ -146,6 +149,7 @@
     latest: Latest,
     replica: Option<flume::Sender<ReplicaInput>>,
     replica_state: ReplicaState,
+    metrics: Arc<Metrics>,
 }
 
 /// Counts a request as under way; ends on drop.
@@ -197,6 +201,7 @@
             latest: rings.latest.clone(),
             replica: rings.replica.clone(),
             replica_state: rings.replica_state.clone(),
+            metrics: Arc::clone(&rings.metrics),
         }
     }
 
@@ -216,6 +221,20 @@
         self.untold.borrow_mut().push(sent);
     }
 
+    /// Gives the organisations of a configuration their own series.
+    fn label_organisations(&self, table: &Table) {
+        let ids: Vec<_> = table.organisations().filter_map(|named| metrics_id(named)).collect();
+        self.metrics.label_organisations(&ids);
+    }
+
+    /// Returns the recorder of a caller's requests; strangers share one.
+    fn recorder(&self, organisation: Option<&Organisation>) -> Recorder {
+        match organisation.and_then(metrics_id) {
+            Some(id) => self.metrics.recorder(&id),
+            None => self.metrics.unknown_recorder(),
+        }
+    }
+
     /// Counts a request, which earns its part of a retry.
     fn count_request(&self, route: &Route) {
         self.with_budget(route, RetryBudget::earn);
@@ -282,6 +301,11 @@
     }
 }
 
+/// Returns an organisation's id in metrics; one whose name can't be an id has none.
+fn metrics_id(organisation: &Organisation) -> Option<OrganisationId> {
+    organisation.name.parse().ok()
+}
+
 /// Returns how engines are scored: each stream slows the others of its engine down.
 fn warm_settings() -> WarmSettings {
     WarmSettings {
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use base::{ByteCount, MonotonicTime};
+use base::{ByteCount, MonotonicTime, Verdict};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::{Response, StatusCode};
+use telemetry::Recorder;
 use tokio::time::Instant;
 use wire::sse::Cutter;
 
@@ -56,11 +57,16 @@
         Self { arrived, first: None, longest_gap: Duration::ZERO, last: arrived }
     }
 
-    fn event(&mut self, now: MonotonicTime) {
+    fn event(&mut self, now: MonotonicTime, recorder: &Recorder) {
         match self.first {
-            None => self.first = Some(now.saturating_since(self.arrived)),
+            None => {
+                let first = now.saturating_since(self.arrived);
+                recorder.first_token(first);
+                self.first = Some(first);
+            }
             Some(_) => {
                 let gap = now.saturating_since(self.last);
+                recorder.between_tokens(gap);
                 self.longest_gap = gap.max(self.longest_gap);
             }
         }
@@ -70,6 +76,7 @@
 
 fn log_complete<D: Dialect>(exchange: &Exchange<D>, opened: &Opened, pace: &Pace) {
     let took = exchange.gateway.clock.now().saturating_since(exchange.arrived);
+    exchange.recorder.request_duration(took);
     log::info!(request:% = exchange.arrival.id, route = &*exchange.route.name,
         endpoint:% = opened.in_flight.target().endpoint, attempts = exchange.attempts(),
         first_ms = millis(pace.first.unwrap_or_default()), gap_ms = millis(pace.longest_gap),
@@ -132,6 +139,7 @@
         };
         let last_id = last_id.unwrap_or_default();
         log::warn!(request:% = exchange.arrival.id, last_event = last_id, why; "stream cut");
+        exchange.recorder.verdict(Verdict::MayHaveRun);
         let _ = tx.send_async(Err(Cut)).await;
         return;
     }
@@ -190,7 +198,10 @@
     let opened = opening.map_err(|_| "no endpoint went on in time".to_owned())?;
     let opened = opened.map_err(|failure| failure.detail)?;
     match opened.response.status() {
-        StatusCode::OK => Ok(opened),
+        StatusCode::OK => {
+            exchange.recorder.resume();
+            Ok(opened)
+        }
         status => Err(format!("the next endpoint answered {status}")),
     }
 }
@@ -242,7 +253,7 @@
             continue;
         }
         opened.in_flight.prefilled();
-        pace.event(exchange.gateway.clock.now());
+        pace.event(exchange.gateway.clock.now(), &exchange.recorder);
         if let Some(id) = cut.last_id {
             *last_id = Some(id);
         }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -133,6 +133,7 @@
             leader,
             replica: replica.clone(),
             replica_state: shared.replica_state.clone(),
+            metrics: Arc::clone(&shared.metrics),
         };
         let identity = Identity {
             host: cfg.host.clone(),
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -84,6 +84,11 @@
         self.keys.get(key).map(|&i| &self.organisations[i])
     }
 
+    /// Returns the organisations.
+    pub fn organisations(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.organisations.iter()
+    }
+
     /// Returns whether callers need keys at all.
     pub fn has_organisations(&self) -> bool {
         !self.organisations.is_empty()
