--- a/crates/bench/tests/operator/tool.rs
+++ b/crates/bench/tests/operator/tool.rs
@@ -88,5 +88,7 @@
     let req = attohttpc::post(url).bearer_auth(OPERATOR_KEY).timeout(TIMEOUT);
     let response = req.bytes(body).send().unwrap();
     let status = response.status().as_u16();
-    (status, serde_json::from_str(&response.text().unwrap()).unwrap())
+    let text = response.text().unwrap();
+    let answer = serde_json::from_str(&text);
+    (status, answer.unwrap_or_else(|e| panic!("{e} in the answer {status}: {text}")))
 }
