--- a/crates/daemon/src/edge/relay/attempt.rs
+++ b/crates/daemon/src/edge/relay/attempt.rs
@@ -13,7 +13,7 @@
 
 use crate::edge::router::{Chosen, cache_salt};
 
-use crate::failure::Failure;
+use crate::{failure::Failure, net};
 
 use super::{End, Relay};
 
@@ -124,7 +124,7 @@
         };
         let address = chosen.in_flight.target().announcement().address;
         let mut req = Request::post(path)
-            .header(HOST, address.to_string())
+            .header(HOST, net::host_value(address))
             .header(CONTENT_TYPE, "application/json")
             .header(AUTHORIZATION, format!("Bearer {}", self.edge.cfg.fleet_key))
             .header("x-request-id", self.engine_request().as_str());
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -13,7 +13,7 @@
 use route::Outcome;
 use telemetry::{Hop, Refusal};
 
-use crate::failure::Failure;
+use crate::{failure::Failure, net};
 
 use super::{
     ActiveRequest, Edge,
@@ -234,8 +234,7 @@
         *req.uri_mut() = self.path.parse().expect("a path taken from a valid one is valid");
         let headers = req.headers_mut();
         copy_headers(&self.parts.headers, headers);
-        let address = target.announcement().address.to_string();
-        headers.insert(HOST, address.parse().expect("an address is a valid header"));
+        headers.insert(HOST, net::host_value(target.announcement().address));
         let organisation = self.organisation.as_str();
         headers.insert("x-organisation", organisation.parse().expect("an id is a valid header"));
         if let Some(context) = self.tracked.span.context() {
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -5,11 +5,7 @@
 use base::{ByteCount, EndpointId, MonotonicTime, TokenCount, Verdict};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, Uri,
-    body::Incoming,
-    header::{HOST, HeaderValue},
-};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header::HOST};
 use prefix::PartChain;
 use routes::{Organisation, Route};
 use telemetry::Recorder;
@@ -169,6 +165,13 @@
         self.progress.sent
     }
 
+    /// Notes the end of the answer; returns the time since the request's arrival.
+    pub(super) fn finish(&self) -> Duration {
+        let took = self.gateway.clock.now().saturating_since(self.arrived);
+        self.recorder.request_duration(took);
+        took
+    }
+
     /// Decides what follows an attempt without an answer.
     fn after(&mut self, target: &Target, unanswered: Unanswered) -> Result<(), Failure> {
         let request = &self.arrival.id;
@@ -420,9 +423,7 @@
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self.gateway.dialect.outgoing(&self.headers, &head);
         if !req.headers().contains_key(HOST) {
-            let address = target.address.to_string();
-            let value = HeaderValue::from_str(&address).expect("an address is a valid header");
-            req.headers_mut().insert(HOST, value);
+            req.headers_mut().insert(HOST, net::host_value(target.address));
         }
         req
     }
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -102,11 +102,10 @@
                 if std::mem::take(&mut lost) {
                     log::info!(term:% = view.version.term; "the leader answers again");
                 }
-                note_late(gateway.clock.now().saturating_since(sent));
+                let now = gateway.clock.now();
+                note_late(now.saturating_since(sent));
                 (version, next_sent) = (view.version, view.next_sent);
-                gateway.targets.borrow_mut().set_loads(gateway.clock.now(), &loads, &view.loads);
-                gateway.targets.borrow().note_sent(gateway.clock.now(), &view.sent);
-                gateway.targets.borrow_mut().set_leaving(&view.leaving);
+                gateway.targets.borrow_mut().hear(now, &loads, &view);
                 gateway.take_view(sent, &view);
             }
             Ok(other) => {
@@ -134,7 +133,6 @@
 impl<D: Dialect> Gateway<D> {
     /// Takes the answer to a question sent at `sent`; what is in force never goes back.
     fn take_view(&self, sent: MonotonicTime, view: &PublishedView) {
-        self.targets.borrow_mut().set_news(&view.engines);
         let held = self.in_force();
         let held_number = held.as_ref().map(|held| held.number);
         if held_number.is_some_and(|held| view.number < held) {
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -279,8 +279,7 @@
 }
 
 pub(super) fn log_answered<D: Dialect>(exchange: &Exchange<D>, status: StatusCode) {
-    let took = exchange.gateway.clock.now().saturating_since(exchange.arrived);
-    exchange.recorder.request_duration(took);
+    let took = exchange.finish();
     log::info!(request:% = exchange.arrival.id, route = &*exchange.route.name,
         status = status.as_u16(), attempts = exchange.attempts(),
         took_ms = took.as_millis() as u64; "request answered");
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -75,8 +75,7 @@
 }
 
 fn log_complete<D: Dialect>(exchange: &Exchange<D>, opened: &Opened, pace: &Pace) {
-    let took = exchange.gateway.clock.now().saturating_since(exchange.arrived);
-    exchange.recorder.request_duration(took);
+    let took = exchange.finish();
     log::info!(request:% = exchange.arrival.id, route = &*exchange.route.name,
         endpoint:% = opened.in_flight.target().endpoint, attempts = exchange.attempts(),
         first_ms = millis(pace.first.unwrap_or_default()), gap_ms = millis(pace.longest_gap),
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -1,6 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -8,10 +8,11 @@
 
 use base::{DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, ServiceId, TokenCount};
 use fleet::EngineNews;
-use member::{Announcement, EndpointKind, EndpointState, Known, LifeKey, Roster};
+use member::{Announcement, EndpointKind, EndpointState, Known, Leavers, LifeKey, Roster};
 use prefix::{PartChain, PartMemory, Sent};
 use route::{EndpointKey, SentLoad, UnderWay};
 use routes::KvStore;
+use wire::leader::PublishedView;
 
 use crate::in_flight::{self, Busy, Work};
 
@@ -39,7 +40,6 @@
     /// The endpoint's short name between hosts.
     pub key: EndpointKey,
     pub incarnation: Incarnation,
-    life: LifeKey,
     pub address: SocketAddr,
     pub data_centre: DataCentreId,
     pub service: ServiceId,
@@ -110,7 +110,6 @@
             endpoint: announcement.endpoint.clone(),
             key: EndpointKey::of(&announcement.endpoint),
             incarnation: announcement.incarnation,
-            life: LifeKey::of(announcement),
             address: announcement.address,
             data_centre: announcement.data_centre.clone(),
             service,
@@ -214,8 +213,8 @@
     /// When the loads of other hosts came.
     loads_at: MonotonicTime,
     store: Option<Store>,
-    /// Lives of endpoints that other hosts have heard to leave.
-    leaving: BTreeSet<LifeKey>,
+    /// Lives of endpoints that any host has heard to leave.
+    leavers: Leavers,
 }
 
 /// How the endpoints changed.
@@ -229,7 +228,7 @@
     /// Takes a newer view of the endpoints.
     pub(super) fn update(&mut self, roster: &Roster) -> TargetChanges {
         let mut usable = usable(&roster.endpoints);
-        usable.retain(|_, known| !self.leaving.contains(&LifeKey::of(&known.announcement)));
+        usable.retain(|id, known| !self.leavers.contains(id, known.announcement.incarnation));
         let mut changes = TargetChanges::default();
         self.by_id.retain(|id, target| {
             let stays = usable
@@ -258,8 +257,16 @@
         changes
     }
 
+    /// Takes what the leader tells of endpoints; `own` is this host's part of the loads.
+    pub(super) fn hear(&mut self, now: MonotonicTime, own: &[SentLoad], view: &PublishedView) {
+        self.set_loads(now, own, &view.loads);
+        self.note_sent(now, &view.sent);
+        self.hear_leavers(now, &view.leaving);
+        self.set_news(&view.engines);
+    }
+
     /// Takes what is known of engines beyond their announcements; it replaces what was known.
-    pub(super) fn set_news(&mut self, news: &[EngineNews]) {
+    fn set_news(&mut self, news: &[EngineNews]) {
         self.news = news.iter().map(|news| (news.endpoint.clone(), news.clone())).collect();
         self.apply_news();
     }
@@ -276,7 +283,7 @@
     }
 
     /// Takes what all hosts have sent, of which `own` is this host's part.
-    pub(super) fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
+    fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
         let find = |loads: &[SentLoad], endpoint| {
             loads.iter().find(|load| load.endpoint == endpoint).copied().unwrap_or_default()
         };
@@ -293,7 +300,7 @@
     }
 
     /// Takes which prompts other hosts have sent.
-    pub(super) fn note_sent(&self, now: MonotonicTime, sent: &[Sent]) {
+    fn note_sent(&self, now: MonotonicTime, sent: &[Sent]) {
         for sent in sent {
             let key = EndpointKey::new(sent.engine);
             let target = self.by_id.values().find(|target| target.key == key);
@@ -312,14 +319,12 @@
     }
 
     /// Takes which endpoints leave by any host's word; they get nothing from now on.
-    pub(super) fn set_leaving(&mut self, leaving: &[LifeKey]) {
-        if leaving.iter().all(|life| self.leaving.contains(life)) {
-            return;
-        }
-        self.leaving = leaving.iter().copied().collect();
-        let leaving = &self.leaving;
+    ///
+    /// A leader that has just begun may know of none yet, so what was heard counts on.
+    fn hear_leavers(&mut self, now: MonotonicTime, lives: &[LifeKey]) {
+        self.leavers.hear(now, lives);
         self.by_id.retain(|id, target| {
-            let leaves = leaving.contains(&target.life);
+            let leaves = self.leavers.contains(id, target.incarnation);
             if leaves {
                 log::info!(endpoint:% = id; "endpoint leaves by another host's word");
             }
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -1,6 +1,6 @@
 //! The leader's orders to engines to load the weights that operators named.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use base::{EndpointId, Incarnation, MonotonicTime, Term};
 use bytes::Bytes;
@@ -8,11 +8,7 @@
     EngineLoad, EngineNews, EngineView, LoadOrder, OrderOutcome, Rollout, RolloutSettings,
 };
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{
-    Request, Response,
-    header::{HOST, HeaderValue},
-    http::response,
-};
+use hyper::{Request, Response, header::HOST, http::response};
 use member::{EndpointState, Roster};
 use route::{EndpointKey, SentLoad};
 
@@ -46,7 +42,7 @@
     term: Term,
     since: MonotonicTime,
     rollout: Rollout,
-    asked: std::collections::HashMap<EndpointId, MonotonicTime>,
+    asked: HashMap<EndpointId, MonotonicTime>,
     outcomes: flume::Receiver<Outcome>,
     report: flume::Sender<Outcome>,
     /// What the replica was told last.
@@ -142,7 +138,6 @@
                 incarnation: known.announcement.incarnation,
                 model,
                 version,
-                is_ready: true,
                 heard: known.written,
             })
         })
@@ -183,7 +178,7 @@
 
 async fn send<D: Dialect>(
     gateway: &Gateway<D>,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     order: &LoadOrder,
     term: Term,
     expected_orders: u64,
@@ -231,15 +226,12 @@
     }
 }
 
-fn address(roster: &Roster, endpoint: &EndpointId) -> Option<std::net::SocketAddr> {
+fn address(roster: &Roster, endpoint: &EndpointId) -> Option<SocketAddr> {
     let known = roster.endpoints.iter().find(|known| known.announcement.endpoint == *endpoint)?;
     Some(known.announcement.address)
 }
 
-async fn ask<D: Dialect>(
-    gateway: &Gateway<D>,
-    address: std::net::SocketAddr,
-) -> Option<EngineReport> {
+async fn ask<D: Dialect>(gateway: &Gateway<D>, address: SocketAddr) -> Option<EngineReport> {
     let (head, body) = exchange(gateway, address, gateway.dialect.report_call()).await.ok()?;
     match gateway.dialect.report(head.status, &body) {
         Ok(report) => Some(report),
@@ -258,7 +250,7 @@
 
 async fn exchange<D: Dialect>(
     gateway: &Gateway<D>,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     call: Request<Bytes>,
 ) -> Result<(response::Parts, Bytes), NoReply> {
     let connected = net::connect_http(gateway.source, address, ANSWER_TIMEOUT).await;
@@ -266,8 +258,7 @@
     let _driver = AbortOnDrop(connection.driver);
     let mut sender = connection.sender;
     let mut call = call.map(Full::new);
-    let host = HeaderValue::from_str(&address.to_string()).expect("an address is a valid header");
-    call.headers_mut().insert(HOST, host);
+    call.headers_mut().insert(HOST, net::host_value(address));
     let answering = async {
         let response: Response<_> = sender.send_request(call).await.ok()?;
         let (head, body) = response.into_parts();
--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -6,7 +6,10 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    client::conn::http1::{self, SendRequest},
+    header::HeaderValue,
+};
 use hyper_util::rt::TokioIo;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{
@@ -38,6 +41,11 @@
     socket.connect(address).await
 }
 
+/// Returns the `Host` field of a request to `address`.
+pub(crate) fn host_value(address: SocketAddr) -> HeaderValue {
+    HeaderValue::from_str(&address.to_string()).expect("an address is a valid header")
+}
+
 /// A task that ends when its owner is dropped.
 pub(crate) struct AbortOnDrop(pub JoinHandle<()>);
 
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -62,6 +62,13 @@
     roster: flume::Sender<RosterInput>,
 }
 
+/// The ways to the threads that keep to the other hosts.
+struct Common {
+    replica: Option<flume::Sender<ReplicaInput>>,
+    leader: LeaderClient,
+    rosters: flume::Receiver<Arc<Roster>>,
+}
+
 impl Process {
     /// Binds the addresses, opens the data folder and starts the threads.
     pub(crate) fn start(cfg: &Arc<Settings>) -> eyre::Result<Self> {
@@ -72,10 +79,8 @@
         let edge_listener = bind(cfg.listen)?;
         let peer_listener = bind(cfg.peer_listen)?;
 
-        let replica = shared.start_replica()?;
-        let leader = shared.leader_client(replica.clone());
-        let rosters = shared.start_roster(roster_inputs, replica.clone())?;
-        shared.start_peers(peer_listener, outbox_rx, replica.clone())?;
+        let Common { replica, leader, rosters } =
+            shared.start_common(peer_listener, outbox_rx, roster_inputs)?;
         let news = shared.news(leader.clone())?;
         let inquiries = shared.start_admin(leader.clone())?;
         let (control, control_rx) = flume::bounded(RING);
@@ -118,10 +123,8 @@
             control: gateway_cfg.control.map(bind_nonblocking).transpose()?,
         };
         let peer_listener = bind(cfg.peer_listen)?;
-        let replica = shared.start_replica()?;
-        let leader = shared.leader_client(replica.clone());
-        let rosters = shared.start_roster(roster_inputs, replica.clone())?;
-        shared.start_peers(peer_listener, outbox_rx, replica.clone())?;
+        let Common { replica, leader, rosters } =
+            shared.start_common(peer_listener, outbox_rx, roster_inputs)?;
         // Questions that need the own interface stay without an answer.
         let _ = shared.start_admin(leader.clone())?;
         let (control, control_rx) = flume::bounded(RING);
@@ -186,6 +189,20 @@
         })
     }
 
+    /// Starts the threads that keep to the other hosts.
+    fn start_common(
+        &self,
+        peer_listener: TcpListener,
+        outbox: flume::Receiver<Addressed>,
+        roster_inputs: flume::Receiver<RosterInput>,
+    ) -> eyre::Result<Common> {
+        let replica = self.start_replica()?;
+        let leader = self.leader_client(replica.clone());
+        let rosters = self.start_roster(roster_inputs, replica.clone())?;
+        self.start_peers(peer_listener, outbox, replica.clone())?;
+        Ok(Common { replica, leader, rosters })
+    }
+
     /// Starts the replica thread on a host with a vote.
     fn start_replica(&self) -> eyre::Result<Option<flume::Sender<ReplicaInput>>> {
         let (Some(data_dir), true) = (&self.cfg.data_dir, self.cfg.voter) else { return Ok(None) };
--- a/crates/daemon/src/replica/followers.rs
+++ b/crates/daemon/src/replica/followers.rs
@@ -19,9 +19,6 @@
 /// Time for which a router's report of what it has under way counts.
 const LOAD_LIFETIME: Duration = Duration::from_secs(1);
 
-/// Time for which an endpoint that leaves is told of after the last word of it.
-const LEAVERS_MEMORY: Duration = Duration::from_secs(30);
-
 /// Prompts that are kept to be told to routers; more than come in between two questions.
 const MAX_SENT: usize = 4096;
 
@@ -50,7 +47,7 @@
             engines: Vec::new(),
             loads: LoadBoard::new(LOAD_LIFETIME),
             sent: SentLog::new(MAX_SENT),
-            leavers: Leavers::new(LEAVERS_MEMORY),
+            leavers: Leavers::default(),
             changes: 0,
         }
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -53,6 +53,11 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
+    logged(cfg, run)
+}
+
+/// Runs the daemon with its log and turns the way it ended into an exit code.
+fn logged(cfg: Settings, run: impl FnOnce(Settings) -> eyre::Result<EdgeEnd>) -> ExitCode {
     let _logs = match init_logs(cfg.telemetry.log_format, cfg.telemetry.log_level) {
         Ok(guard) => guard,
         Err(e) => {
@@ -103,14 +108,7 @@
     gateway_cfg: GatewaySettings,
     dialect: D,
 ) -> ExitCode {
-    let _logs = match init_logs(cfg.telemetry.log_format, cfg.telemetry.log_level) {
-        Ok(guard) => guard,
-        Err(e) => {
-            eprintln!("{e:#}");
-            return ExitCode::from(EXIT_FAILED);
-        }
-    };
-    ended(run_gateway(cfg, gateway_cfg, dialect))
+    logged(cfg, |cfg| run_gateway(cfg, gateway_cfg, dialect))
 }
 
 /// Runs the daemon as a gateway in `dialect` until a signal ends it.
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -70,8 +70,6 @@
     pub model: ModelId,
     /// The version of its weights.
     pub version: u32,
-    /// Whether it takes new requests.
-    pub is_ready: bool,
     /// When its newest announcement was written.
     pub heard: MonotonicTime,
 }
@@ -130,7 +128,6 @@
     model: ModelId,
     version: u32,
     announced: u32,
-    is_ready: bool,
     step: Step,
     /// Until when it is left alone.
     rests_until: MonotonicTime,
@@ -169,7 +166,7 @@
         }
     }
 
-    /// Takes the engines as announced; those missing are forgotten.
+    /// Takes the engines that take requests, as announced; those missing are forgotten.
     pub fn set_engines(&mut self, engines: &[EngineView]) {
         self.engines.retain(|id, _| engines.iter().any(|view| view.endpoint == *id));
         for view in engines {
@@ -177,7 +174,6 @@
             if known.incarnation != view.incarnation || known.model != view.model {
                 *known = new(view);
             }
-            known.is_ready = view.is_ready;
             known.heard = view.heard;
             known.announced = view.version;
             known.raise(view.version);
@@ -273,13 +269,13 @@
         .collect()
     }
 
-    /// Returns whether every known engine that is ready has the weights named.
+    /// Returns whether every known engine has the weights named.
     pub fn is_done(&self) -> bool {
         self.behind().is_empty()
     }
 
     fn behind(&self) -> Vec<(&EndpointId, &Engine)> {
-        let engines = self.engines.iter().filter(|(_, engine)| engine.is_ready);
+        let engines = self.engines.iter();
         engines.filter(|(_, engine)| engine.version < self.wanted(&engine.model)).collect()
     }
 
@@ -381,7 +377,6 @@
         model: view.model.clone(),
         version: view.version,
         announced: view.version,
-        is_ready: view.is_ready,
         step: Step::Idle,
         rests_until: MonotonicTime::ZERO,
         refusals: 0,
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -26,7 +26,6 @@
         incarnation: Incarnation::new(1),
         model: "m".parse().unwrap(),
         version,
-        is_ready: true,
         heard: MonotonicTime::ZERO,
     }
 }
--- a/crates/member/src/leavers.rs
+++ b/crates/member/src/leavers.rs
@@ -1,9 +1,12 @@
 use std::{collections::BTreeMap, time::Duration};
 
-use base::MonotonicTime;
+use base::{EndpointId, Incarnation, MonotonicTime};
 
 use crate::LifeKey;
 
+/// Time for which a life counts after the last word of it: longer than gossip takes to reach all.
+const MEMORY: Duration = Duration::from_secs(30);
+
 /// Lives of endpoints that are known to leave, from several routers' words.
 ///
 /// It answers sites that promise when a leaving endpoint gets its last request: gossip reaches
@@ -14,6 +17,12 @@
     heard: BTreeMap<LifeKey, MonotonicTime>,
 }
 
+impl Default for Leavers {
+    fn default() -> Self {
+        Self::new(MEMORY)
+    }
+}
+
 impl Leavers {
     /// Creates an empty set that remembers a life for `memory` after the last word of it.
     pub fn new(memory: Duration) -> Self {
@@ -22,15 +31,25 @@
 
     /// Takes a router's word; returns whether any of the lives was not known to leave.
     pub fn hear(&mut self, now: MonotonicTime, lives: &[LifeKey]) -> bool {
+        self.forget(now);
         let before = self.heard.len();
         self.heard.extend(lives.iter().map(|life| (*life, now)));
         before < self.heard.len()
     }
 
+    /// Returns whether a life is known to leave.
+    pub fn contains(&self, endpoint: &EndpointId, incarnation: Incarnation) -> bool {
+        !self.heard.is_empty() && self.heard.contains_key(&LifeKey::new(endpoint, incarnation))
+    }
+
     /// Returns the lives that leave, and forgets those not heard of for long.
     pub fn lives(&mut self, now: MonotonicTime) -> Vec<LifeKey> {
+        self.forget(now);
+        self.heard.keys().copied().collect()
+    }
+
+    fn forget(&mut self, now: MonotonicTime) {
         let memory = self.memory;
         self.heard.retain(|_, heard| now.saturating_since(*heard) < memory);
-        self.heard.keys().copied().collect()
     }
 }
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use base::{DataCentreId, Hasher, HostId, Incarnation, Revision, Sequence};
+use base::{DataCentreId, EndpointId, Hasher, HostId, Incarnation, Revision, Sequence};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -132,9 +132,14 @@
 
     /// Names the life that made `announcement`.
     pub fn of(announcement: &Announcement) -> Self {
+        Self::new(&announcement.endpoint, announcement.incarnation)
+    }
+
+    /// Names the life of `endpoint` that has `incarnation`.
+    pub fn new(endpoint: &EndpointId, incarnation: Incarnation) -> Self {
         let digest = Hasher::default()
-            .field(announcement.endpoint.as_str().as_bytes())
-            .field(&announcement.incarnation.as_u64().to_le_bytes())
+            .field(endpoint.as_str().as_bytes())
+            .field(&incarnation.as_u64().to_le_bytes())
             .finish();
         Self(std::array::from_fn(|i| digest.as_bytes()[i]))
     }
--- a/crates/member/tests/leavers.rs
+++ b/crates/member/tests/leavers.rs
@@ -2,20 +2,15 @@
 
 use std::time::Duration;
 
-use base::{Incarnation, MonotonicTime, Sequence};
-use member::{Announcement, EndpointKind, Leavers, LifeKey};
+use base::{EndpointId, Incarnation, MonotonicTime};
+use member::{Leavers, LifeKey};
+
+fn endpoint() -> EndpointId {
+    "desk-1".parse().unwrap()
+}
 
 fn life(incarnation: u64) -> LifeKey {
-    LifeKey::of(&Announcement {
-        endpoint: "desk-1".parse().unwrap(),
-        incarnation: Incarnation::new(incarnation),
-        sequence: Sequence::ZERO,
-        data_centre: "north".parse().unwrap(),
-        address: ([127, 0, 0, 1], 80).into(),
-        lease: Duration::from_secs(1),
-        leaving: true,
-        kind: EndpointKind::Service("desk".parse().unwrap()),
-    })
+    LifeKey::new(&endpoint(), Incarnation::new(incarnation))
 }
 
 fn at(millis: u64) -> MonotonicTime {
@@ -46,3 +41,14 @@
     assert_eq!(leavers.lives(at(17_000)), [life(1)]);
     assert_eq!(leavers.lives(at(18_000)), []);
 }
+
+#[test]
+fn word_of_nothing_forgets_nothing() {
+    let mut leavers = Leavers::new(Duration::from_secs(10));
+    leavers.hear(at(0), &[life(1)]);
+    leavers.hear(at(9_000), &[]);
+    assert!(leavers.contains(&endpoint(), Incarnation::new(1)));
+    assert!(!leavers.contains(&endpoint(), Incarnation::new(2)));
+    leavers.hear(at(10_000), &[]);
+    assert!(!leavers.contains(&endpoint(), Incarnation::new(1)));
+}
