bench: totals, first asks and stream checks are written once

Not merged: the whole and real numbers of settings (their errors differ in kind), and the test nets of two crates.

--- a/crates/bench/src/compare.rs
+++ b/crates/bench/src/compare.rs
@@ -35,7 +35,7 @@
     Figure { name: "TTFT p95 ms", of: |run| run.summary.ttft_p95_ms },
     Figure { name: "TTFT p99 ms", of: |run| run.summary.ttft_p99_ms },
     Figure { name: "gap p95 ms", of: |run| run.summary.gap_p95_ms },
-    Figure { name: "not run", of: |run| run.summary.not_run as f64 },
+    Figure { name: "not run", of: |run| run.summary.totals.not_run as f64 },
     Figure { name: "load spread", of: |run| run.load_spread },
 ];
 
--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -51,8 +51,8 @@
     let counts = {
         let bar = bar.clone();
         load::run(&load, &observed, move |counts| {
-            bar.set_position(counts.requests);
-            bar.set_message(format!("{} answered", counts.answered));
+            bar.set_position(counts.totals.requests);
+            bar.set_message(format!("{} answered", counts.totals.answered));
         })
     };
     bar.finish_and_clear();
--- a/crates/bench/src/latency.rs
+++ b/crates/bench/src/latency.rs
@@ -13,10 +13,10 @@
 
 use crate::{
     caller::{self, Ask, Outcome},
-    load::prompt,
+    load::first_ask,
     process::Program,
     report::{histogram, percentile_ms, record},
-    site::{Site, SiteSpec, organisation_key},
+    site::{Site, SiteSpec},
     usage::usage,
 };
 
@@ -136,7 +136,7 @@
     tasks.block_on(&runtime, async {
         let streams = (0..streams).map(|number| {
             let target = targets[number % targets.len()];
-            let ask = plan(site, number as u64);
+            let ask = first_ask(site, number as u64, TOKENS);
             let offset = ANSWER_SPAN.mul_f64(number as f64 / streams as f64);
             tokio::task::spawn_local(stream(ask, target, offset, begun + SPAN, Rc::clone(&path)))
         });
@@ -164,17 +164,6 @@
     }
 }
 
-fn plan(site: &Site, number: u64) -> Ask {
-    let organisation = &site.spec.organisations[0];
-    Ask {
-        key: organisation_key(organisation),
-        model: site.spec.model.to_string(),
-        prompt: prompt(organisation, 0, 0, number),
-        tokens: TOKENS,
-        chat: false,
-    }
-}
-
 impl Path {
     fn new() -> Self {
         Self {
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -11,7 +11,7 @@
     caller::{self, Ask, CallOutcome, Outcome},
     fake::{ServiceCounts, SharedTally},
     report::{Counts, record},
-    site::organisation_key,
+    site::{Site, organisation_key},
 };
 
 /// Texts at the second level of each organisation's prompts.
@@ -189,6 +189,18 @@
     }
 }
 
+/// Returns a completion to ask for in the name of a site's first organisation.
+pub fn first_ask(site: &Site, question: u64, tokens: u64) -> Ask {
+    let organisation = &site.spec.organisations[0];
+    Ask {
+        key: organisation_key(organisation),
+        model: site.spec.model.to_string(),
+        prompt: prompt(organisation, 0, 0, question),
+        tokens,
+        chat: false,
+    }
+}
+
 /// Returns a prompt: house style, book, page, and a question of its own.
 pub fn prompt(organisation: &OrganisationId, book: u64, page: u64, question: u64) -> String {
     let mut text = format!("organisation {organisation}\n");
@@ -203,7 +215,7 @@
 }
 
 async fn send_one(planned: Planned, observed: &Observed, counts: &RefCell<Counts>) {
-    counts.borrow_mut().requests += 1;
+    counts.borrow_mut().totals.requests += 1;
     let key = organisation_key(&planned.organisation);
     match planned.kind {
         Kind::Ask(ask) => {
@@ -231,7 +243,7 @@
 fn count_ask(outcome: Outcome, measured: bool, observed: &Observed, counts: &mut Counts) {
     match outcome {
         Outcome::Answered(timing) => {
-            counts.answered += 1;
+            counts.totals.answered += 1;
             if !measured {
                 return;
             }
@@ -246,26 +258,26 @@
         Outcome::Failed(problem) => counts.fail(problem.verdict),
         Outcome::Incomplete(why) => {
             log::debug!("incomplete: {why}");
-            counts.incomplete += 1;
+            counts.totals.incomplete += 1;
         }
         Outcome::Crossed(why) => {
             log::debug!("crossed: {why}");
-            counts.crossed += 1;
+            counts.totals.crossed += 1;
         }
     }
 }
 
 fn count_call(outcome: &CallOutcome, counts: &mut Counts) {
     match outcome {
-        CallOutcome::Answered { .. } => counts.answered += 1,
+        CallOutcome::Answered { .. } => counts.totals.answered += 1,
         CallOutcome::Failed(problem) => counts.fail(problem.verdict),
-        CallOutcome::Unknown(_) => counts.incomplete += 1,
+        CallOutcome::Unknown(_) => counts.totals.incomplete += 1,
     }
 }
 
 fn count_order(outcome: &CallOutcome, runs: u64, counts: &mut Counts) {
     let verdict = outcome.verdict();
-    counts.doubled += u64::from(1 < runs);
-    counts.lost += u64::from(verdict == Some(Verdict::Ran) && runs == 0);
-    counts.false_not_run += u64::from(verdict == Some(Verdict::NotRun) && 0 < runs);
+    counts.totals.doubled += u64::from(1 < runs);
+    counts.totals.lost += u64::from(verdict == Some(Verdict::Ran) && runs == 0);
+    counts.totals.false_not_run += u64::from(verdict == Some(Verdict::NotRun) && 0 < runs);
 }
--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -26,6 +26,9 @@
 /// Ports tried for one purpose.
 const PORTS: u16 = 1_000;
 
+/// Lines of a daemon's log that a failing test shows.
+const SHOWN_LINES: usize = 400;
+
 /// Time between looks at a condition.
 const POLL: Duration = Duration::from_millis(5);
 
@@ -258,6 +261,20 @@
         self.child.id()
     }
 
+    /// Prints the end of its log, for a test that fails.
+    #[expect(clippy::print_stderr, reason = "a failing test shows it")]
+    fn show_log(&self) {
+        let host = &self.spec.host;
+        match self.log() {
+            Ok(log) => {
+                let skipped = log.lines().count().saturating_sub(SHOWN_LINES);
+                eprintln!("-- log of {host}, {skipped} lines left out");
+                log.lines().skip(skipped).for_each(|line| eprintln!("{line}"));
+            }
+            Err(e) => eprintln!("-- log of {host} can't be read: {e}"),
+        }
+    }
+
     fn signal(&self, signal: Signal) -> eyre::Result<()> {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         kill_process(pid.ok_or_else(|| eyre::eyre!("no process id"))?, signal)?;
@@ -268,6 +285,9 @@
 impl Drop for Daemon {
     fn drop(&mut self) {
         let _ = self.kill();
+        if std::thread::panicking() {
+            self.show_log();
+        }
     }
 }
 
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -11,9 +11,9 @@
 /// Longest time that a histogram holds, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 
-/// Counts and times of a run, as fakes and callers saw them.
-#[derive(Debug)]
-pub struct Counts {
+/// What became of a run's requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Totals {
     /// Requests sent.
     pub requests: u64,
     /// Requests answered whole.
@@ -32,6 +32,13 @@
     pub may_have_run: u64,
     /// Orders refused as not run that did run.
     pub false_not_run: u64,
+}
+
+/// Counts and times of a run, as fakes and callers saw them.
+#[derive(Debug)]
+pub struct Counts {
+    /// What became of requests.
+    pub totals: Totals,
     /// Completions by organisation.
     pub organisations: BTreeMap<OrganisationId, Completions>,
     /// From request to first token.
@@ -54,15 +61,7 @@
 impl Default for Counts {
     fn default() -> Self {
         Self {
-            requests: 0,
-            answered: 0,
-            lost: 0,
-            doubled: 0,
-            crossed: 0,
-            incomplete: 0,
-            not_run: 0,
-            may_have_run: 0,
-            false_not_run: 0,
+            totals: Totals::default(),
             organisations: BTreeMap::new(),
             first_token: histogram(),
             gap: histogram(),
@@ -75,9 +74,9 @@
     /// Counts a failure by its verdict; a failure without one ends in silence.
     pub fn fail(&mut self, verdict: Option<Verdict>) {
         match verdict {
-            Some(Verdict::NotRun) => self.not_run += 1,
-            Some(Verdict::MayHaveRun | Verdict::Ran) => self.may_have_run += 1,
-            None => self.incomplete += 1,
+            Some(Verdict::NotRun) => self.totals.not_run += 1,
+            Some(Verdict::MayHaveRun | Verdict::Ran) => self.totals.may_have_run += 1,
+            None => self.totals.incomplete += 1,
         }
     }
 }
@@ -100,24 +99,9 @@
 /// The figures of a run, as printed.
 #[derive(Clone, Debug, Serialize)]
 pub struct Summary {
-    /// Requests sent.
-    pub requests: u64,
-    /// Requests answered whole.
-    pub answered: u64,
-    /// Orders answered as run that never ran.
-    pub lost: u64,
-    /// Orders that ran more than once.
-    pub doubled: u64,
-    /// Answers to something else.
-    pub crossed: u64,
-    /// Answers that ended early without saying so.
-    pub incomplete: u64,
-    /// Requests refused or failed as not run.
-    pub not_run: u64,
-    /// Requests that may have run.
-    pub may_have_run: u64,
-    /// Orders refused as not run that did run.
-    pub false_not_run: u64,
+    /// What became of requests.
+    #[serde(flatten)]
+    pub totals: Totals,
     /// Requests with a cache salt that belongs to another owner.
     pub wrong_salts: u64,
     /// Fetches of cached blocks that gave blocks of another name.
@@ -152,15 +136,7 @@
             (tally.wrong_salts, tally.wrong_transfers)
         };
         let mut summary = Self {
-            requests: counts.requests,
-            answered: counts.answered,
-            lost: counts.lost,
-            doubled: counts.doubled,
-            crossed: counts.crossed,
-            incomplete: counts.incomplete,
-            not_run: counts.not_run,
-            may_have_run: counts.may_have_run,
-            false_not_run: counts.false_not_run,
+            totals: counts.totals,
             wrong_salts,
             wrong_transfers,
             hit_rate: 0.0,
--- a/crates/bench/src/slopes/streams.rs
+++ b/crates/bench/src/slopes/streams.rs
@@ -9,9 +9,9 @@
 
 use crate::{
     caller::{self, Ask, Outcome},
-    load::prompt,
+    load::first_ask,
     process::Program,
-    site::{Site, SiteSpec, organisation_key},
+    site::{Site, SiteSpec},
     usage::usage,
 };
 
@@ -90,7 +90,7 @@
     tasks.block_on(&runtime, async {
         let streams = (0..streams).map(|number| {
             let offset = RAMP.mul_f64(number as f64 / streams as f64);
-            stream(target, ask(site, number as u64), offset, until, failed)
+            stream(target, first_ask(site, number as u64, TOKENS), offset, until, failed)
         });
         futures_util::future::join_all(streams).await;
     });
@@ -110,14 +110,3 @@
         }
     }
 }
-
-fn ask(site: &Site, number: u64) -> Ask {
-    let organisation = &site.spec.organisations[0];
-    Ask {
-        key: organisation_key(organisation),
-        model: site.spec.model.to_string(),
-        prompt: prompt(organisation, 0, 0, number),
-        tokens: TOKENS,
-        chat: false,
-    }
-}
--- a/crates/bench/tests/streams.rs
+++ b/crates/bench/tests/streams.rs
@@ -50,6 +50,25 @@
     }
 }
 
+/// Opens a stream and reads its first tokens.
+async fn begin(site: &Site, ask: &Ask) -> AnswerStream {
+    let mut stream = open(site, 0, ask).await;
+    stream.read_tokens(5).await.unwrap();
+    stream
+}
+
+/// Resumes a stream at the second host.
+async fn resume_elsewhere(site: &Site, ask: &Ask, first: &AnswerStream) -> AnswerStream {
+    let id = first.last_id.clone().unwrap();
+    let second = AnswerStream::open(site.routers()[1], ask, Some(&id)).await.unwrap();
+    second.stream().unwrap()
+}
+
+async fn check_finishes(ask: &Ask, mut stream: AnswerStream) {
+    assert_eq!(stream.finish().await.unwrap(), StreamEnd::Done);
+    check_whole(ask, &[&stream]).unwrap();
+}
+
 async fn open(site: &Site, host: usize, ask: &Ask) -> AnswerStream {
     AnswerStream::open(site.routers()[host], ask, None).await.unwrap().stream().unwrap()
 }
@@ -127,12 +146,10 @@
     let mut site = site(&["a"], 2);
     let ask = ask(&site, false);
     block_on(async {
-        let mut stream = open(&site, 0, &ask).await;
-        stream.read_tokens(5).await.unwrap();
+        let stream = begin(&site, &ask).await;
         let engine = engine_of(&site, &stream);
         drop(site.engines.remove(engine));
-        assert_eq!(stream.finish().await.unwrap(), StreamEnd::Done);
-        check_whole(&ask, &[&stream]).unwrap();
+        check_finishes(&ask, stream).await;
     });
     assert_eq!(total(&site, |counts| counts.requests), 1);
 }
@@ -142,12 +159,10 @@
     let site = site(&["a"], 2);
     let ask = ask(&site, true);
     block_on(async {
-        let mut stream = open(&site, 0, &ask).await;
-        stream.read_tokens(5).await.unwrap();
+        let stream = begin(&site, &ask).await;
         let engine = engine_of(&site, &stream);
         site.engines[engine].proxy.set(Fault::partition());
-        assert_eq!(stream.finish().await.unwrap(), StreamEnd::Done);
-        check_whole(&ask, &[&stream]).unwrap();
+        check_finishes(&ask, stream).await;
     });
 }
 
@@ -156,11 +171,9 @@
     let mut site = site(&["a"], 1);
     let ask = ask(&site, false);
     block_on(async {
-        let mut stream = open(&site, 0, &ask).await;
-        stream.read_tokens(5).await.unwrap();
+        let stream = begin(&site, &ask).await;
         site.restart_engine(0, Incarnation::new(2));
-        assert_eq!(stream.finish().await.unwrap(), StreamEnd::Done);
-        check_whole(&ask, &[&stream]).unwrap();
+        check_finishes(&ask, stream).await;
     });
 }
 
@@ -195,8 +208,7 @@
     let mut site = site(&["a"], 1);
     let ask = ask(&site, false);
     block_on(async {
-        let mut stream = open(&site, 0, &ask).await;
-        stream.read_tokens(5).await.unwrap();
+        let mut stream = begin(&site, &ask).await;
         site.engines.clear();
         let StreamEnd::Failed(problem) = stream.finish().await.unwrap() else { panic!("done") };
         assert_eq!(problem.verdict, Some(Verdict::MayHaveRun), "{problem:?}");
@@ -208,11 +220,8 @@
     let site = site(&["a", "b"], 2);
     let ask = ask(&site, false);
     block_on(async {
-        let mut first = open(&site, 0, &ask).await;
-        first.read_tokens(5).await.unwrap();
-        let id = first.last_id.clone().unwrap();
-        let second = AnswerStream::open(site.routers()[1], &ask, Some(&id)).await.unwrap();
-        let mut second = second.stream().unwrap();
+        let first = begin(&site, &ask).await;
+        let mut second = resume_elsewhere(&site, &ask, &first).await;
         assert_eq!(second.finish().await.unwrap(), StreamEnd::Done);
         check_whole(&ask, &[&first, &second]).unwrap();
     });
@@ -225,11 +234,8 @@
     let mut site = site(&["a", "b"], 2);
     let ask = ask(&site, false);
     block_on(async {
-        let mut first = open(&site, 0, &ask).await;
-        first.read_tokens(5).await.unwrap();
-        let id = first.last_id.clone().unwrap();
-        let second = AnswerStream::open(site.routers()[1], &ask, Some(&id)).await.unwrap();
-        let mut second = second.stream().unwrap();
+        let first = begin(&site, &ask).await;
+        let mut second = resume_elsewhere(&site, &ask, &first).await;
         second.read_tokens(5).await.unwrap();
         let engine = engine_of(&site, &second);
         drop(site.engines.remove(engine));
@@ -243,8 +249,7 @@
     let mut site = site(&["a", "b"], 2);
     let ask = ask(&site, false);
     block_on(async {
-        let mut stream = open(&site, 0, &ask).await;
-        stream.read_tokens(5).await.unwrap();
+        let stream = begin(&site, &ask).await;
         let engine = engine_of(&site, &stream);
         let id = stream.last_id.clone().unwrap();
         drop(stream);
@@ -261,8 +266,7 @@
     let site = site(&["a"], 1);
     let ask = ask(&site, false);
     block_on(async {
-        let mut stream = open(&site, 0, &ask).await;
-        stream.read_tokens(5).await.unwrap();
+        let stream = begin(&site, &ask).await;
         let id = stream.last_id.clone().unwrap();
         let router = site.routers()[0];
         let other = Ask { key: organisation_key(&site.spec.organisations[1]), ..ask.clone() };
@@ -271,8 +275,7 @@
         let other = Ask { prompt: "another prompt".into(), ..ask.clone() };
         let refused = AnswerStream::open(router, &other, Some(&id)).await.unwrap();
         assert_eq!(refused.problem().unwrap().status, 409);
-        assert_eq!(stream.finish().await.unwrap(), StreamEnd::Done);
-        check_whole(&ask, &[&stream]).unwrap();
+        check_finishes(&ask, stream).await;
     });
 }
 
@@ -280,10 +283,7 @@
 fn caller_gone_cancels_the_engines_work() {
     let site = site(&["a"], 1);
     let ask = Ask { tokens: 100_000, ..ask(&site, false) };
-    block_on(async {
-        let mut stream = open(&site, 0, &ask).await;
-        stream.read_tokens(5).await.unwrap();
-    });
+    drop(block_on(begin(&site, &ask)));
     let engine = &site.engines[0].engine;
     wait_until("the work is cancelled", SOON, || engine.counts().cancelled == 1).unwrap();
     assert!(engine.counts().generated < 1_000, "{:?}", engine.counts());
--- a/crates/bench/tests/whole_path.rs
+++ b/crates/bench/tests/whole_path.rs
@@ -28,8 +28,12 @@
     let observed = Observed { tally: site.tally.clone(), orders: site.orders.clone() };
     let summary = Summary::new(&load::run(&load, &observed, |_| {}), &site);
 
-    assert!(100 < summary.requests, "{summary:?}");
-    assert_eq!(summary.answered, summary.requests, "{summary:?}");
+    assert!(100 < summary.totals.requests, "{summary:?}");
+    assert_eq!(summary.totals.answered, summary.totals.requests, "{summary:?}");
     assert_eq!(summary.wrong_salts, 0, "{summary:?}");
-    assert_eq!((summary.lost, summary.doubled, summary.crossed), (0, 0, 0), "{summary:?}");
+    assert_eq!(
+        (summary.totals.lost, summary.totals.doubled, summary.totals.crossed),
+        (0, 0, 0),
+        "{summary:?}"
+    );
 }
--- a/crates/quorum/tests/snapshot.rs
+++ b/crates/quorum/tests/snapshot.rs
@@ -15,14 +15,20 @@
     cluster.run(200);
 }
 
-#[test]
-fn follower_far_behind_gets_the_snapshot_in_parts() {
+/// Returns a cluster, its leader, and a follower that is back after the log was compacted.
+fn far_behind() -> (Cluster, usize, usize) {
     let (mut cluster, leader) = Cluster::led(3, 0);
     let behind = cluster.other(&[leader]);
     cluster.isolate(behind);
     fill(&mut cluster, leader);
     cluster.compact(leader);
     cluster.cut.clear();
+    (cluster, leader, behind)
+}
+
+#[test]
+fn follower_far_behind_gets_the_snapshot_in_parts() {
+    let (mut cluster, leader, behind) = far_behind();
     cluster.run(1000);
     assert_eq!(cluster.status(behind).applied, cluster.status(leader).applied);
     assert!(cluster.machines[behind].disk.snapshot.is_some());
@@ -31,12 +37,7 @@
 
 #[test]
 fn lost_parts_are_sent_again() {
-    let (mut cluster, leader) = Cluster::led(3, 0);
-    let behind = cluster.other(&[leader]);
-    cluster.isolate(behind);
-    fill(&mut cluster, leader);
-    cluster.compact(leader);
-    cluster.cut.clear();
+    let (mut cluster, leader, behind) = far_behind();
     for slot in 0..40 {
         cluster.tick_all();
         cluster.drop_packet(slot);
