quorum: a slow disk costs neither the lead nor its leader

Seen: tests of operators' pages and of calls failed now and then, all writers at once, with 504 "no answer in time" or 503.

Cause: the replica's thread did the syncs itself. While one took longer than the election timeout of 300 ms it neither sent nor answered heartbeats. Ruled out: late wake-ups of the process (none over 1 ms beside a failing run).

Change: a thread of its own writes the log. SyncGate (core, no I/O) holds back what depends on a write under way; a leader's entries and heartbeats go ahead of it without a commit that counts on it, and after 100 ms a follower's answers, cut to what is durable. After 1 s all is held back, and a stuck disk gives the lead away. The model runs have slow disks now. They found at once that an early answer must not name a start that isn't durable (a voter was refused for good after a crash). The checker takes the voters with which the leader committed, since it applies later now.

--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -4,7 +4,7 @@
 use fleet::{Command, Fleet};
 use quorum::{
     Action, Config, Entry, HealingSettings, Input, LeaderView, Message, Node, Payload, Restored,
-    Role, Snapshot, VoterSet, next_voters,
+    Role, Snapshot, SyncGate, VoterSet, next_voters,
 };
 use rand_pcg::Pcg64Mcg;
 use store::{Disk, Log};
@@ -23,12 +23,13 @@
     ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaView,
     followers::{Followers, Held},
     waiting::{Reading, Reply, Waiting},
+    writer::{Writer, Written},
 };
 
 /// Time between looks at the clock; a third of a heartbeat.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Most inputs taken before one sync.
+/// Most inputs taken before the node's actions are carried out.
 const MAX_BATCH: usize = 512;
 
 /// Entries applied after which a snapshot replaces the log.
@@ -37,6 +38,12 @@
 /// Bytes of commands applied after which a snapshot replaces the log.
 const SNAPSHOT_BYTES: usize = 4 << 20;
 
+/// Time from which on a write counts as slow.
+const SLOW_WRITE: Duration = Duration::from_millis(200);
+
+/// Time without a slow write after which the disk counts as fast again.
+const FAST_AGAIN: Duration = Duration::from_secs(5);
+
 /// Time between looks at whether the voters should change.
 const HEALING_PERIOD: Duration = Duration::from_millis(100);
 
@@ -44,11 +51,14 @@
 const SHOWN_CHANGES: usize = 1_000;
 
 /// Carries out what the node says.
-pub(super) struct Driver<D> {
+pub(super) struct Driver {
     clock: Clock,
     host: HostId,
     node: Node<Pcg64Mcg>,
-    log: Log<D>,
+    gate: SyncGate,
+    writer: Writer,
+    /// When a write was last slow, if the disk counts as slow.
+    slow_at: Option<MonotonicTime>,
     fleet: Fleet,
     snapshot_at: LogIndex,
     /// Bytes of commands applied since the snapshot.
@@ -66,6 +76,14 @@
     followers: Followers,
 }
 
+/// What the driver waits for.
+enum Event {
+    Input(ReplicaInput),
+    Written(Written),
+    Nothing,
+    Unused,
+}
+
 /// Why a driver ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum DriverEnd {
@@ -75,8 +93,8 @@
     Failed,
 }
 
-impl<D: Disk> Driver<D> {
-    pub(super) fn new(
+impl Driver {
+    pub(super) fn new<D: Disk + Send + 'static>(
         cfg: ReplicaConfig,
         clock: Clock,
         rng: Pcg64Mcg,
@@ -91,12 +109,16 @@
         let host = cfg.host.clone();
         let node_cfg = Config { founders: cfg.founders, ..Config::new(cfg.host) };
         let snapshot_at = fleet.applied();
+        let gate = SyncGate::new(&restored);
+        let writer = Writer::spawn(log)?;
         let node = Node::new(node_cfg, restored, clock.now(), rng);
         let driver = Self {
             clock,
             host,
             node,
-            log,
+            gate,
+            writer,
+            slow_at: None,
             fleet,
             snapshot_at,
             applied_bytes: 0,
@@ -117,10 +139,14 @@
     /// Runs until every sender of inputs is gone, or the data folder fails and may be opened again.
     pub(super) fn run(&mut self) -> DriverEnd {
         loop {
-            match self.rings.inputs.recv_timeout(TICK) {
-                Ok(input) => self.take(input),
-                Err(flume::RecvTimeoutError::Timeout) => {}
-                Err(flume::RecvTimeoutError::Disconnected) => return DriverEnd::Unused,
+            match self.next_event() {
+                Event::Input(input) => self.take(input),
+                Event::Written(written) => self.note_written(written),
+                Event::Nothing => {}
+                Event::Unused => {
+                    self.finish_writes();
+                    return DriverEnd::Unused;
+                }
             }
             for _ in 0..MAX_BATCH {
                 let Ok(input) = self.rings.inputs.try_recv() else { break };
@@ -132,6 +158,7 @@
             self.heal();
             self.answer_followers();
             self.compact();
+            self.note_disk_speed();
             if self.node.role() != Role::Leader {
                 self.handing_over = None;
             }
@@ -142,6 +169,59 @@
         }
     }
 
+    /// Waits for what comes first, up to a tick.
+    fn next_event(&self) -> Event {
+        let inputs = flume::Selector::new()
+            .recv(&self.rings.inputs, |input| input.map_or(Event::Unused, Event::Input));
+        // A writer that failed tells nothing any more.
+        let events = if self.failure.is_some() {
+            inputs
+        } else {
+            let ended = || Written::Failed("the thread that writes the log ended".to_owned());
+            inputs.recv(self.writer.written(), move |written| {
+                Event::Written(written.unwrap_or_else(|_| ended()))
+            })
+        };
+        events.wait_timeout(TICK).unwrap_or(Event::Nothing)
+    }
+
+    fn note_written(&mut self, written: Written) {
+        match written {
+            Written::Through(through) => {
+                let mut ready = Vec::new();
+                self.gate.synced(through, &mut ready);
+                self.act_all(ready);
+            }
+            Written::Failed(e) => {
+                log::error!("the data folder failed; this host acknowledges nothing any more: {e}");
+                self.failure = Some(e);
+            }
+        }
+    }
+
+    /// Notes whether writes take long, and logs when that changes.
+    fn note_disk_speed(&mut self) {
+        let now = self.clock.now();
+        let since = self.gate.waits_since();
+        let waited = since.map(|since| now.saturating_since(since)).unwrap_or_default();
+        if SLOW_WRITE <= waited {
+            if self.slow_at.replace(now).is_none() {
+                log::warn!(waited_ms = waited.as_millis(); "writes to the data folder are slow");
+            }
+        } else if self.slow_at.is_some_and(|at| FAST_AGAIN <= now.saturating_since(at)) {
+            self.slow_at = None;
+            log::info!("writes to the data folder are fast again");
+        }
+    }
+
+    /// Answers what waits for writes that are under way.
+    fn finish_writes(&mut self) {
+        while self.failure.is_none() && self.gate.waits_since().is_some() {
+            let Ok(written) = self.writer.written().recv() else { return };
+            self.note_written(written);
+        }
+    }
+
     fn take(&mut self, input: ReplicaInput) {
         match input {
             ReplicaInput::Quorum(call) => self.take_message(call),
@@ -284,14 +364,20 @@
         }
     }
 
-    /// Makes durable what must be, then carries out the other actions.
+    /// Hands what must be durable to the writer, and carries out what needn't wait for it.
     fn carry_out(&mut self) {
         let actions = std::mem::take(&mut self.actions);
-        if let Err(e) = self.persist(&actions) {
-            log::error!("the data folder failed; this host acknowledges nothing any more: {e}");
-            self.failure = Some(e.to_string());
+        if self.failure.is_some() {
             return;
         }
+        let mut ready = Vec::new();
+        if let Some(batch) = self.gate.take(self.clock.now(), actions, &mut ready) {
+            self.writer.write(batch);
+        }
+        self.act_all(ready);
+    }
+
+    fn act_all(&mut self, actions: Vec<Action>) {
         for action in actions {
             self.act(action);
         }
@@ -300,26 +386,6 @@
         }
     }
 
-    fn persist(&mut self, actions: &[Action]) -> store::Result<()> {
-        let mut staged = false;
-        for action in actions {
-            match action {
-                Action::Persist { hard_state, entries } => {
-                    self.log.stage(hard_state.as_ref(), entries);
-                    staged = true;
-                }
-                Action::SaveSnapshot(snapshot) => {
-                    if std::mem::take(&mut staged) {
-                        self.log.sync()?;
-                    }
-                    self.log.save_snapshot(snapshot)?;
-                }
-                _ => {}
-            }
-        }
-        if staged { self.log.sync() } else { Ok(()) }
-    }
-
     fn act(&mut self, action: Action) {
         match action {
             Action::Persist { .. } | Action::SaveSnapshot(_) => {}
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -3,6 +3,7 @@
 mod driver;
 mod followers;
 mod waiting;
+mod writer;
 
 use std::{
     io,
@@ -126,7 +127,7 @@
     spawn_thread(cfg, clock, rings, driver).wrap_err("could not start the replica thread")
 }
 
-fn open(cfg: &ReplicaConfig, clock: Clock, rings: &ReplicaRings) -> eyre::Result<Driver<RealDisk>> {
+fn open(cfg: &ReplicaConfig, clock: Clock, rings: &ReplicaRings) -> eyre::Result<Driver> {
     let folder = cfg.data_dir.join(LOG_FOLDER);
     let fresh = quorum::FolderId::new(rand::random());
     let (log, restored) =
@@ -139,7 +140,7 @@
     cfg: ReplicaConfig,
     clock: Clock,
     rings: ReplicaRings,
-    mut driver: Driver<RealDisk>,
+    mut driver: Driver,
 ) -> io::Result<()> {
     std::thread::Builder::new().name("replica".into()).spawn(move || {
         while driver.run() == DriverEnd::Failed {
@@ -152,7 +153,7 @@
 }
 
 /// Opens the data folder again until that succeeds; what arrived meanwhile is dropped.
-fn reopen(cfg: &ReplicaConfig, clock: Clock, rings: &ReplicaRings) -> Driver<RealDisk> {
+fn reopen(cfg: &ReplicaConfig, clock: Clock, rings: &ReplicaRings) -> Driver {
     loop {
         std::thread::sleep(REOPEN_PERIOD);
         match open(cfg, clock, rings) {
--- /dev/null
+++ b/crates/daemon/src/replica/writer.rs
@@ -0,0 +1,95 @@
+//! The thread that writes the log, so that the replica goes on while a sync is under way.
+
+use std::{io, thread::JoinHandle};
+
+use quorum::{Batch, BatchNumber, Write};
+use store::{Disk, Log};
+
+/// What became of batches.
+#[derive(Debug)]
+pub(super) enum Written {
+    /// All up to this one are durable.
+    Through(BatchNumber),
+    /// A write failed, and none will succeed any more.
+    Failed(String),
+}
+
+/// Writes batches in order; ends, and frees the data folder, once dropped.
+pub(super) struct Writer {
+    batches: Option<flume::Sender<Batch>>,
+    written: flume::Receiver<Written>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Writer {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the operating system refuses.
+    pub(super) fn spawn<D: Disk + Send + 'static>(log: Log<D>) -> io::Result<Self> {
+        let (batches, queue) = flume::unbounded();
+        let (done, written) = flume::unbounded();
+        let work = move || write_all(log, &queue, &done);
+        let thread = std::thread::Builder::new().name("log".into()).spawn(work)?;
+        Ok(Self { batches: Some(batches), written, thread: Some(thread) })
+    }
+
+    /// Hands over what is to be written after all batches before.
+    pub(super) fn write(&self, batch: Batch) {
+        if let Some(batches) = &self.batches {
+            // The thread ends by itself only after it has told of a failure.
+            let _ = batches.send(batch);
+        }
+    }
+
+    /// Returns where it tells what became of batches; it says nothing after a failure.
+    pub(super) fn written(&self) -> &flume::Receiver<Written> {
+        &self.written
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        self.batches = None;
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("the thread that writes the log panicked");
+        }
+    }
+}
+
+/// Writes until nobody sends batches any more, or a write fails.
+fn write_all<D: Disk>(
+    mut log: Log<D>,
+    queue: &flume::Receiver<Batch>,
+    done: &flume::Sender<Written>,
+) {
+    while let Ok(first) = queue.recv() {
+        let batches: Vec<Batch> = std::iter::once(first).chain(queue.try_iter()).collect();
+        let last = batches.last().map(|batch| batch.number).unwrap_or_default();
+        let written = match write(&mut log, batches) {
+            Ok(()) => Written::Through(last),
+            Err(e) => Written::Failed(e.to_string()),
+        };
+        let failed = matches!(written, Written::Failed(_));
+        if done.send(written).is_err() || failed {
+            return;
+        }
+    }
+}
+
+/// Writes batches with one sync, and one more for each snapshot.
+fn write<D: Disk>(log: &mut Log<D>, batches: Vec<Batch>) -> store::Result<()> {
+    for write in batches.into_iter().flat_map(|batch| batch.writes) {
+        match write {
+            Write::Log { hard_state, entries } => log.stage(hard_state.as_ref(), &entries),
+            Write::Snapshot(snapshot) => {
+                log.sync()?;
+                log.save_snapshot(&snapshot)?;
+            }
+        }
+    }
+    log.sync()
+}
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -8,6 +8,7 @@
 //! The driver may step the node with several inputs, and then makes every [`Action::Persist`] and
 //! [`Action::SaveSnapshot`] returned durable, in order, before it carries out any other action of
 //! those steps. If that fails it stops the node. Messages may be lost, doubled and reordered.
+//! A [`SyncGate`] keeps that order for a driver that steps the node on while a sync is under way.
 //! The driver steps the node with [`Input::Tick`] several times a heartbeat, and reads the clock
 //! anew before it trusts [`Node::holds_lease`]. The clock must go on while the host is suspended.
 //!
@@ -85,6 +86,7 @@
 mod registration;
 mod replication;
 mod status;
+mod sync_gate;
 mod types;
 
 pub use crate::{
@@ -97,6 +99,7 @@
     progress::Progress,
     registration::Registration,
     status::{Role, Status},
+    sync_gate::{Batch, BatchNumber, SyncGate, Write},
     types::{
         Entry, FolderId, HardState, Payload, ProposalId, ReadId, Restored, Snapshot, Standing,
         StartCount, VoterSet,
--- /dev/null
+++ b/crates/quorum/src/sync_gate.rs
@@ -0,0 +1,243 @@
+use std::{collections::VecDeque, time::Duration};
+
+use base::{LogIndex, MonotonicTime, Term};
+
+use crate::{
+    Action, AppendOutcome, Body, Entry, HardState, Message, Restored, Snapshot, StartCount,
+};
+
+/// Time after which a follower's answers don't wait for a sync; most are done by then.
+const ANSWER_AFTER: Duration = Duration::from_millis(100);
+
+/// Time after which a sync holds everything back, so that another host may lead.
+const STALLED_AFTER: Duration = Duration::from_secs(1);
+
+/// Holds back what depends on writes that are not durable yet.
+///
+/// The driver hands it all actions of its node, writes the batches that it returns, and carries
+/// out the actions that it lets through. A leader's entries and heartbeats don't wait for its own
+/// disk, and while a sync takes long a follower's answers don't either. They claim nothing of what
+/// is not durable: they name no commit that counts on it, and acknowledge none of it. So a slow
+/// disk costs its host neither the lead nor its leader. All this ends once the disk seems stuck.
+#[derive(Debug)]
+pub struct SyncGate {
+    durable: Durable,
+    unsynced: VecDeque<Unsynced>,
+    held: VecDeque<(BatchNumber, Action)>,
+    last: BatchNumber,
+}
+
+/// Numbers the batches in the order in which they must be written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BatchNumber(u64);
+
+/// What must be written together, in order.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// Its place among the batches.
+    pub number: BatchNumber,
+    /// What is to be written.
+    pub writes: Vec<Write>,
+}
+
+/// What is to be written to a data folder.
+#[derive(Clone, Debug)]
+pub enum Write {
+    /// Term, vote and entries; the log after the entry before the first is dropped.
+    Log {
+        /// Term and vote, if changed.
+        hard_state: Option<HardState>,
+        /// Entries to write.
+        entries: Vec<Entry>,
+    },
+    /// A snapshot; entries after it stay only if the log held its last entry with its term.
+    Snapshot(Snapshot),
+}
+
+/// What a crash would leave.
+#[derive(Clone, Copy, Debug)]
+struct Durable {
+    term: Term,
+    starts: StartCount,
+    last: LogIndex,
+}
+
+/// What goes ahead of the writes that are under way.
+enum Release {
+    Now(Action),
+    /// One goes now, and the other, which says more, once all is written.
+    Partly {
+        now: Action,
+        later: Action,
+    },
+    Later(Action),
+}
+
+#[derive(Debug)]
+struct Unsynced {
+    number: BatchNumber,
+    since: MonotonicTime,
+    /// What a crash would leave once this batch is synced.
+    after: Durable,
+    /// The last entry that stays as it was; none is known to if a snapshot replaces them.
+    kept: Option<LogIndex>,
+}
+
+impl SyncGate {
+    /// Creates a gate for what a data folder held.
+    pub fn new(restored: &Restored) -> Self {
+        let covered = restored.snapshot.as_ref().map(|snapshot| snapshot.last_index);
+        let written = restored.entries.last().map(|entry| entry.index);
+        let last = covered.max(written).unwrap_or_default();
+        let HardState { term, starts, .. } = restored.hard_state;
+        let durable = Durable { term, starts, last };
+        Self {
+            durable,
+            unsynced: VecDeque::new(),
+            held: VecDeque::new(),
+            last: BatchNumber::default(),
+        }
+    }
+
+    /// Takes a node's actions, adds those that may be carried out at once to `ready`, and returns
+    /// what must be written.
+    pub fn take(
+        &mut self,
+        now: MonotonicTime,
+        actions: Vec<Action>,
+        ready: &mut Vec<Action>,
+    ) -> Option<Batch> {
+        let mut writes = Vec::new();
+        let mut others = Vec::new();
+        for action in actions {
+            match action {
+                Action::Persist { hard_state, entries } => {
+                    writes.push(Write::Log { hard_state, entries });
+                }
+                Action::SaveSnapshot(snapshot) => writes.push(Write::Snapshot(snapshot)),
+                other => others.push(other),
+            }
+        }
+        let is_replaced = others.iter().any(|action| matches!(action, Action::Restore(_)));
+        let batch = self.number(now, writes, is_replaced);
+        if self.unsynced.is_empty() {
+            ready.extend(others);
+            return batch;
+        }
+        for action in others {
+            match self.release(now, action) {
+                Release::Now(action) => ready.push(action),
+                Release::Partly { now, later } => {
+                    ready.push(now);
+                    self.held.push_back((self.last, later));
+                }
+                Release::Later(action) => self.held.push_back((self.last, action)),
+            }
+        }
+        batch
+    }
+
+    /// Notes that the batches up to `through` are durable, and adds what waited for them to
+    /// `ready`.
+    pub fn synced(&mut self, through: BatchNumber, ready: &mut Vec<Action>) {
+        while let Some(done) = self.unsynced.pop_front_if(|batch| batch.number <= through) {
+            self.durable = done.after;
+        }
+        while let Some((_, action)) = self.held.pop_front_if(|(number, _)| *number <= through) {
+            ready.push(action);
+        }
+    }
+
+    /// Returns since when the oldest batch that isn't durable waits.
+    pub fn waits_since(&self) -> Option<MonotonicTime> {
+        self.unsynced.front().map(|batch| batch.since)
+    }
+
+    /// Numbers what is to be written; a snapshot that replaces the state may replace entries too.
+    fn number(
+        &mut self,
+        now: MonotonicTime,
+        writes: Vec<Write>,
+        is_replaced: bool,
+    ) -> Option<Batch> {
+        if writes.is_empty() {
+            return None;
+        }
+        self.last.0 += 1;
+        let mut after = self.unsynced.back().map_or(self.durable, |batch| batch.after);
+        let mut kept = Some(after.last);
+        for write in &writes {
+            match write {
+                Write::Log { hard_state, entries } => {
+                    if let Some(hard_state) = hard_state {
+                        (after.term, after.starts) = (hard_state.term, hard_state.starts);
+                    }
+                    if let (Some(first), Some(last)) = (entries.first(), entries.last()) {
+                        let before = LogIndex::new(first.index.as_u64().saturating_sub(1));
+                        kept = kept.map(|kept| kept.min(before));
+                        after.last = last.index;
+                    }
+                }
+                Write::Snapshot(snapshot) if is_replaced => {
+                    kept = None;
+                    // The entries after it may have been dropped.
+                    after.last = snapshot.last_index;
+                }
+                Write::Snapshot(_) => {}
+            }
+        }
+        self.unsynced.push_back(Unsynced { number: self.last, since: now, after, kept });
+        Some(Batch { number: self.last, writes })
+    }
+
+    /// Decides what of an action goes ahead of the writes that are under way.
+    fn release(&self, now: MonotonicTime, action: Action) -> Release {
+        let waited = self.waits_since().map(|since| now.saturating_since(since));
+        let Action::Send { to, message } = &action else { return Release::Later(action) };
+        let Durable { term, starts, .. } = self.durable;
+        let is_durable = message.term <= term && message.starts <= starts;
+        let (Some(waited), Some(kept), true) = (waited, self.kept(), is_durable) else {
+            return Release::Later(action);
+        };
+        if STALLED_AFTER <= waited {
+            return Release::Later(action);
+        }
+        let early = |body| {
+            let message = Message { body, ..message.clone() };
+            Action::Send { to: to.clone(), message }
+        };
+        match &message.body {
+            Body::Append { commit, .. } if *commit <= kept => Release::Now(action),
+            Body::Append { entries, .. } => {
+                let now = early(with_commit(message.body.clone(), kept));
+                if entries.is_empty() {
+                    Release::Partly { now, later: action }
+                } else {
+                    Release::Now(now)
+                }
+            }
+            Body::AppendReply { outcome, sent } if ANSWER_AFTER <= waited => {
+                let outcome = match *outcome {
+                    AppendOutcome::Matched(index) => AppendOutcome::Matched(index.min(kept)),
+                    conflict @ AppendOutcome::Conflict { .. } => conflict,
+                };
+                let now = early(Body::AppendReply { outcome, sent: *sent });
+                Release::Partly { now, later: action }
+            }
+            _ => Release::Later(action),
+        }
+    }
+
+    /// Returns the last entry that a crash would leave as the node has it, if one is known.
+    fn kept(&self) -> Option<LogIndex> {
+        let mut unsynced = self.unsynced.iter();
+        unsynced.try_fold(self.durable.last, |kept, batch| Some(kept.min(batch.kept?)))
+    }
+}
+
+fn with_commit(mut body: Body, known: LogIndex) -> Body {
+    if let Body::Append { commit, .. } = &mut body {
+        *commit = known;
+    }
+    body
+}
--- a/crates/quorum/tests/cluster.rs
+++ b/crates/quorum/tests/cluster.rs
@@ -1,11 +1,15 @@
 //! Nodes on hosts that crash, lose their disks and talk over a network that fails.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{HostId, LogIndex, MonotonicTime};
 use quorum::{
-    Action, Config, FolderId, Input, Message, Node, ProposalId, ReadId, Registration, Restored,
-    Role, Status, VoterSet,
+    Action, Batch, Config, FolderId, Input, Message, Node, ProposalId, ReadId, Registration,
+    Restored, Role, Status, SyncGate, VoterSet, Write,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -23,6 +27,8 @@
     ForgetVote,
     /// A host whose disk was lost speaks for its old folder.
     ForgeFolder,
+    /// Answers don't wait for slow disks.
+    AnswerBeforeSync,
 }
 
 /// Where in a step a host crashes.
@@ -39,6 +45,12 @@
     pub disk: DiskImage,
     pub node: Option<Node<Pcg64Mcg>>,
     pub answers: Vec<Action>,
+    /// How long a sync takes.
+    pub sync_time: Duration,
+    gate: SyncGate,
+    unwritten: VecDeque<Batch>,
+    /// The voters with which this host, as the leader, committed what it has not applied yet.
+    committed_with: VecDeque<(LogIndex, VoterSet)>,
     first_folder: FolderId,
     state: u64,
     applied: LogIndex,
@@ -87,6 +99,10 @@
                 disk,
                 node: None,
                 answers: Vec::new(),
+                sync_time: Duration::ZERO,
+                gate: SyncGate::new(&Restored::default()),
+                unwritten: VecDeque::new(),
+                committed_with: VecDeque::new(),
                 first_folder: folder,
                 state: 0,
                 applied: LogIndex::ZERO,
@@ -124,11 +140,22 @@
         machine.applied = disk.snapshot.as_ref().map_or(LogIndex::ZERO, |s| s.last_index);
         let DiskImage { folder, hard_state, snapshot, entries } = disk;
         let restored = Restored { folder, hard_state, snapshot, entries };
+        machine.gate = SyncGate::new(&restored);
         machine.node = Some(Node::new(cfg, restored, self.now, rng));
     }
 
+    /// Ends a host's process, with what it has not written.
     pub fn crash(&mut self, i: usize) {
         self.machines[i].node = None;
+        self.machines[i].unwritten.clear();
+        self.machines[i].committed_with.clear();
+    }
+
+    /// Makes every disk slow.
+    pub fn slow_disks(&mut self, sync_time: Duration) {
+        for machine in &mut self.machines {
+            machine.sync_time = sync_time;
+        }
     }
 
     pub fn restart(&mut self, i: usize) {
@@ -283,31 +310,56 @@
         if crash == Some(Crash::BeforeSync) {
             return self.crash(i);
         }
-        let fault = self.fault;
-        for action in &actions {
-            match action.clone() {
-                Action::Persist { mut hard_state, entries } => {
-                    if let (Fault::ForgetVote, Some(hard_state)) = (fault, &mut hard_state) {
+        if node.role() == Role::Leader {
+            machine.committed_with.extend(committed(&actions, &node.status().voters));
+        }
+        let mut ready = Vec::new();
+        let batch = machine.gate.take(self.now, actions, &mut ready);
+        if let (Fault::AnswerBeforeSync, Some(batch)) = (self.fault, &batch) {
+            machine.gate.synced(batch.number, &mut ready);
+        }
+        machine.unwritten.extend(batch);
+        if crash == Some(Crash::AfterSync) {
+            self.write(i);
+            return self.crash(i);
+        }
+        self.sync(i, &mut ready);
+        self.note_leader(i);
+        for action in ready {
+            self.carry_out(i, action);
+        }
+        self.compare_logs(i);
+    }
+
+    /// Writes what waits, once a sync would be done.
+    fn sync(&mut self, i: usize, ready: &mut Vec<Action>) {
+        let machine = &self.machines[i];
+        let began = machine.gate.waits_since().unwrap_or_default();
+        let Some(last) = machine.unwritten.back().map(|batch| batch.number) else { return };
+        if self.now.saturating_since(began) < machine.sync_time {
+            return;
+        }
+        self.write(i);
+        self.machines[i].gate.synced(last, ready);
+    }
+
+    fn write(&mut self, i: usize) {
+        let machine = &mut self.machines[i];
+        for write in machine.unwritten.drain(..).flat_map(|batch| batch.writes) {
+            match write {
+                Write::Log { mut hard_state, entries } => {
+                    if let (Fault::ForgetVote, Some(hard_state)) = (self.fault, &mut hard_state) {
                         hard_state.voted_for = None;
                     }
                     self.checker.writes(machine.disk.folder, &entries);
                     machine.disk.write(hard_state, entries);
                 }
-                Action::SaveSnapshot(snapshot) => {
+                Write::Snapshot(snapshot) => {
                     self.checker.saves(machine.disk.folder, snapshot.last_index);
                     machine.disk.save(snapshot);
                 }
-                _ => {}
             }
         }
-        if crash == Some(Crash::AfterSync) {
-            return self.crash(i);
-        }
-        self.note_leader(i);
-        for action in actions {
-            self.carry_out(i, action);
-        }
-        self.compare_logs(i);
     }
 
     fn carry_out(&mut self, i: usize, action: Action) {
@@ -346,11 +398,11 @@
 
     fn apply(&mut self, i: usize, entry: &quorum::Entry) {
         assert_eq!(entry.index, self.machines[i].applied.next(), "entries are applied in order");
-        let voters = self.status(i).voters;
-        if self.role(i) == Some(Role::Leader) {
+        let machine = &mut self.machines[i];
+        let own = machine.committed_with.pop_front_if(|(index, _)| *index == entry.index);
+        if let Some((_, voters)) = own {
             self.checker.commits(entry, &voters);
         }
-        let machine = &mut self.machines[i];
         machine.state = self.checker.applies(entry, machine.state);
         machine.applied = entry.index;
     }
@@ -383,6 +435,15 @@
     }
 }
 
+/// Returns the entries that a leader with these voters committed.
+fn committed(actions: &[Action], voters: &VoterSet) -> Vec<(LogIndex, VoterSet)> {
+    let entries = actions.iter().filter_map(|action| match action {
+        Action::Apply(entries) => Some(entries),
+        _ => None,
+    });
+    entries.flatten().map(|entry| (entry.index, voters.clone())).collect()
+}
+
 pub fn host(i: usize) -> HostId {
     format!("host-{i}").parse().expect("a host id")
 }
--- a/crates/quorum/tests/main.rs
+++ b/crates/quorum/tests/main.rs
@@ -11,5 +11,6 @@
 mod model;
 mod regression;
 mod replication;
+mod slow_disks;
 mod snapshot;
 mod voters;
--- a/crates/quorum/tests/model.rs
+++ b/crates/quorum/tests/model.rs
@@ -1,5 +1,7 @@
 //! Random runs with failures, checked after each step.
 
+use std::time::Duration;
+
 use base::LogIndex;
 use proptest::{
     prelude::{BoxedStrategy, Just, ProptestConfig, Strategy, any, prop_oneof, proptest},
@@ -8,7 +10,7 @@
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use quorum::{Input, Payload, VoterSet};
 
-use crate::cluster::{Cluster, Crash, Fault};
+use crate::cluster::{Cluster, Crash, Fault, TICK};
 
 /// Most transitions in a run.
 const MAX_TRANSITIONS: usize = 120;
@@ -25,6 +27,7 @@
     Crash(usize),
     Start(usize),
     LoseDisk(usize),
+    SlowDisk(usize, u8),
     Isolate(usize),
     CutOneWay(usize, usize),
     Heal,
@@ -49,6 +52,7 @@
         3 => host().prop_map(Transition::Crash),
         8 => host().prop_map(Transition::Start),
         1 => host().prop_map(Transition::LoseDisk),
+        4 => (host(), 0_u8..80).prop_map(|(i, ticks)| Transition::SlowDisk(i, ticks)),
         2 => host().prop_map(Transition::Isolate),
         3 => (host(), host()).prop_map(|(a, b)| Transition::CutOneWay(a, b)),
         4 => Just(Transition::Heal),
@@ -104,7 +108,7 @@
 
 fn carry_out(cluster: &mut Cluster, transition: Transition) {
     match transition {
-        Transition::Run(ticks) => cluster.run(u64::from(ticks) * crate::cluster::TICK),
+        Transition::Run(ticks) => cluster.run(u64::from(ticks) * TICK),
         Transition::Wait(ticks) => (0..ticks).for_each(|_| cluster.tick_all()),
         Transition::Restart(i) => cluster.restart(i),
         Transition::Deliver(slot) => cluster.deliver(slot.into(), None),
@@ -114,6 +118,10 @@
         Transition::Crash(i) => cluster.crash(i),
         Transition::Start(i) => cluster.start(i),
         Transition::LoseDisk(i) => lose_disk(cluster, i),
+        Transition::SlowDisk(i, ticks) => {
+            let sync_time = Duration::from_millis(u64::from(ticks) * TICK);
+            cluster.machines[i].sync_time = sync_time;
+        }
         Transition::Isolate(i) => cluster.isolate(i),
         Transition::CutOneWay(a, b) => {
             cluster.cut.insert((a, b));
@@ -208,6 +216,7 @@
 planted_faults! {
     finds_no_fault_where_none_is: Fault::None => false,
     finds_forged_folder: Fault::ForgeFolder => true,
+    finds_answers_before_sync: Fault::AnswerBeforeSync => true,
 }
 
 proptest! {
@@ -235,6 +244,7 @@
         carry_out(&mut cluster, transition);
     }
     cluster.cut.clear();
+    cluster.slow_disks(Duration::ZERO);
     (0..cluster.machines.len()).for_each(|i| cluster.start(i));
     cluster.run(6000);
     if voter_sets(&cluster).iter().all(|voters| has_majority(&cluster, voters)) {
--- /dev/null
+++ b/crates/quorum/tests/slow_disks.rs
@@ -0,0 +1,94 @@
+//! Disks whose syncs take long.
+
+use std::time::Duration;
+
+use quorum::Role;
+
+use crate::cluster::Cluster;
+
+/// Time between proposals, in milliseconds.
+const PERIOD: u64 = 200;
+
+macro_rules! sync_times {
+    ($($name:ident: $hosts:expr, $millis:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            keeps_its_leader($hosts, Duration::from_millis($millis));
+        }
+    )*};
+}
+
+sync_times! {
+    three_hosts_at_60_ms: 3, 60,
+    three_hosts_at_300_ms: 3, 300,
+    three_hosts_at_600_ms: 3, 600,
+    three_hosts_at_900_ms: 3, 900,
+    five_hosts_at_900_ms: 5, 900,
+}
+
+/// Checks that slow disks on all hosts delay what is proposed, and cost nobody the lead.
+fn keeps_its_leader(hosts: usize, sync_time: Duration) {
+    let (mut cluster, leader) = Cluster::led(hosts, 0);
+    let term = cluster.status(leader).term;
+    cluster.slow_disks(sync_time);
+    for i in 0..20 {
+        cluster.propose(leader, &format!("order {i}"));
+        cluster.run(PERIOD);
+        assert_eq!(cluster.role(leader), Some(Role::Leader), "order {i}");
+    }
+    cluster.run(5 * u64::try_from(sync_time.as_millis()).unwrap());
+    assert_eq!(cluster.status(leader).term, term);
+    assert!((0..20).all(|i| cluster.is_committed(&format!("order {i}"))));
+    assert_eq!(cluster.checker.violations, []);
+}
+
+#[test]
+fn entry_is_committed_once_a_majority_has_synced_it_side_by_side() {
+    let (mut cluster, leader) = Cluster::led(3, 0);
+    cluster.slow_disks(Duration::from_millis(800));
+    cluster.propose(leader, "order");
+    cluster.run(780);
+    assert!(!cluster.is_committed("order"));
+    cluster.run(100);
+    assert!(cluster.is_committed("order"));
+}
+
+#[test]
+fn entry_waits_for_the_leader_with_one_follower_away() {
+    let (mut cluster, leader) = Cluster::led(3, 0);
+    let away = cluster.other(&[leader]);
+    cluster.crash(away);
+    cluster.machines[leader].sync_time = Duration::from_millis(800);
+    cluster.propose(leader, "order");
+    cluster.run(780);
+    assert!(!cluster.is_committed("order"));
+    cluster.run(100);
+    assert!(cluster.is_committed("order"));
+}
+
+#[test]
+fn slow_snapshot_costs_nobody_the_lead() {
+    let (mut cluster, leader) = Cluster::led(3, 0);
+    let term = cluster.status(leader).term;
+    cluster.propose(leader, "order");
+    cluster.run(200);
+    cluster.slow_disks(Duration::from_millis(900));
+    cluster.compact(leader);
+    cluster.run(2_000);
+    assert_eq!(cluster.status(leader).term, term);
+    assert_eq!(cluster.leader(), Some(leader));
+}
+
+#[test]
+fn stuck_disk_gives_the_lead_away() {
+    let (mut cluster, leader) = Cluster::led(3, 0);
+    cluster.machines[leader].sync_time = Duration::from_secs(3600);
+    cluster.propose(leader, "order");
+    cluster.run(3_000);
+    let other = cluster.leader().unwrap();
+    assert_ne!(other, leader);
+    cluster.propose(other, "next order");
+    cluster.run(400);
+    assert!(cluster.is_committed("next order"));
+    assert_eq!(cluster.checker.violations, []);
+}
