quorum: a voter that is behind is confirmed by voters that were committed later

Cause: a voter that starts waits for a majority of the voters that its own log names. If it was behind a removal, and the removed voter and another one lose their disks, that majority is gone, though most of the committed voters are there.

Change: who answers a registration names its voters, if it knows that they are committed; the starter may be confirmed by a majority of these. Voters that may not be committed don't count: they needn't remember what the folder promised to others.

--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -94,7 +94,7 @@
     config::Config,
     healing::{HealingSettings, LeaderView, next_voters},
     hints::LeaderHints,
-    message::{AppendOutcome, Ballot, Body, Founding, Message},
+    message::{AppendOutcome, Ballot, Body, CommittedVoters, Founding, Message},
     node::Node,
     progress::Progress,
     registration::Registration,
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -112,6 +112,8 @@
         starts: StartCount,
         /// Whether the folder held all that the voter remembers of it.
         accepted: bool,
+        /// The voters that were committed last, if those after the sender's log are.
+        committed: Option<CommittedVoters>,
     },
     /// Tells the receiver to campaign at once; the sender no longer leads.
     Campaign,
@@ -126,6 +128,15 @@
     },
 }
 
+/// Voters that are known to be committed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CommittedVoters {
+    /// The entry that named them.
+    pub index: LogIndex,
+    /// The voters.
+    pub voters: VoterSet,
+}
+
 /// How binding a vote is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ballot {
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -7,8 +7,8 @@
 use rand::{Rng, RngExt};
 
 use crate::{
-    Action, Body, Config, Entry, FolderId, HardState, Input, Message, Refusal, Registration,
-    Restored, Role, Status, VoterSet,
+    Action, Body, CommittedVoters, Config, Entry, FolderId, HardState, Input, Message, Refusal,
+    Registration, Restored, Role, Status, VoterSet,
     election::Campaign,
     follower::{Incoming, Part},
     leader::Leading,
@@ -37,7 +37,9 @@
     pub(crate) learners: BTreeSet<HostId>,
     pub(crate) incoming: Option<Incoming>,
     pub(crate) registration: Registration,
-    pub(crate) accepted_by: BTreeSet<HostId>,
+    pub(crate) accepted_by: BTreeMap<HostId, FolderId>,
+    /// Committed voters after this node's log, as other voters told.
+    pub(crate) later_voters: Option<CommittedVoters>,
     pub(crate) retry_at: MonotonicTime,
     pub(crate) fresh_founders: BTreeMap<HostId, FolderId>,
     pub(crate) founding_denied: bool,
@@ -67,7 +69,8 @@
             learners: BTreeSet::new(),
             incoming: None,
             registration,
-            accepted_by: BTreeSet::new(),
+            accepted_by: BTreeMap::new(),
+            later_voters: None,
             retry_at: now,
             fresh_founders: BTreeMap::new(),
             founding_denied: false,
@@ -166,7 +169,8 @@
             Body::Register { starts, last_index } => {
                 return self.register(sender, starts, term, last_index, actions);
             }
-            Body::RegisterReply { starts, accepted } => {
+            Body::RegisterReply { starts, accepted, committed } => {
+                self.learn_voters(committed);
                 return self.registered(sender, starts, accepted, actions);
             }
             Body::FoundingQuery => return self.answer_founding(from, folder, actions),
--- a/crates/quorum/src/registration.rs
+++ b/crates/quorum/src/registration.rs
@@ -1,9 +1,11 @@
-use std::fmt;
+use std::{collections::BTreeSet, fmt};
 
 use base::{HostId, LogIndex, Term};
 use rand::Rng;
 
-use crate::{Action, Body, FolderId, Node, Standing, StartCount, VoterSet, message::Sender};
+use crate::{
+    Action, Body, CommittedVoters, FolderId, Node, Standing, StartCount, VoterSet, message::Sender,
+};
 
 /// Whether a node may vote from the folder that it found at its start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,7 +40,10 @@
         }
         self.retry_at = self.now + self.cfg.heartbeat;
         let (starts, last_index) = (self.next_start(), self.log.last_index());
-        for host in self.other_voters() {
+        let later = self.later_voters.iter().flat_map(|later| later.voters.folders.keys());
+        let mut others = BTreeSet::from_iter(self.other_voters());
+        others.extend(later.filter(|host| **host != self.cfg.host).cloned());
+        for host in others {
             self.send(&host, Body::Register { starts, last_index }, actions);
         }
         self.finish_registration(actions);
@@ -69,7 +74,17 @@
             self.hard.standings.insert(from.host.clone(), standing);
             self.save_hard_state(actions);
         }
-        self.send(from.host, Body::RegisterReply { starts, accepted }, actions);
+        let committed = self.committed_voters();
+        self.send(from.host, Body::RegisterReply { starts, accepted, committed }, actions);
+    }
+
+    /// Takes in committed voters, if this node's log is behind them.
+    pub(crate) fn learn_voters(&mut self, committed: Option<CommittedVoters>) {
+        let known = self.later_voters.as_ref().map(|later| later.index);
+        let known = known.unwrap_or_default().max(self.log.voters_index());
+        if let Some(committed) = committed.filter(|committed| known < committed.index) {
+            self.later_voters = Some(committed);
+        }
     }
 
     pub(crate) fn registered(
@@ -80,14 +95,15 @@
         actions: &mut Vec<Action>,
     ) {
         let current = self.registration == Registration::Pending && starts == self.next_start();
-        if !current || !self.log.voters().admits(from.host, from.folder) {
+        let may_confirm = |voters: &VoterSet| voters.admits(from.host, from.folder);
+        if !current || !self.confirming_voters().any(may_confirm) {
             return;
         }
         if !accepted {
             self.registration = Registration::Refused;
             return;
         }
-        self.accepted_by.insert(from.host.clone());
+        self.accepted_by.insert(from.host.clone(), from.folder);
         self.finish_registration(actions);
     }
 
@@ -139,12 +155,34 @@
     }
 
     fn finish_registration(&mut self, actions: &mut Vec<Action>) {
-        if self.accepted_by.len() + 1 < self.log.voters().majority() {
+        if !self.confirming_voters().any(|voters| self.is_confirmed_by(voters)) {
             return;
         }
         self.hard.starts = self.next_start();
         self.registration = Registration::Done;
         self.accepted_by.clear();
+        self.later_voters = None;
         self.save_hard_state(actions);
     }
+
+    /// Returns the voters that may confirm this node's folder.
+    ///
+    /// Voters that were committed later count too: some of those that this node's log still names
+    /// may be gone for good.
+    fn confirming_voters(&self) -> impl Iterator<Item = &VoterSet> {
+        let later = self.later_voters.iter().map(|later| &later.voters);
+        let admits = |voters: &&VoterSet| voters.admits(&self.cfg.host, self.folder);
+        std::iter::once(self.log.voters()).chain(later.filter(admits))
+    }
+
+    fn is_confirmed_by(&self, voters: &VoterSet) -> bool {
+        let accepted = self.accepted_by.iter();
+        let confirmed = accepted.filter(|(host, folder)| voters.admits(host, **folder)).count();
+        voters.majority() <= confirmed + 1
+    }
+
+    fn committed_voters(&self) -> Option<CommittedVoters> {
+        let index = self.log.voters_index();
+        (index <= self.commit).then(|| CommittedVoters { index, voters: self.log.voters().clone() })
+    }
 }
