--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -72,7 +72,7 @@
     match end {
         Ok(EdgeEnd { cut: 0 }) => ExitCode::SUCCESS,
         Ok(EdgeEnd { cut }) => {
-            log::error!(cut; "ended by a second signal");
+            log::error!(cut; "ended with requests cut, by a second signal or at the end of its time");
             ExitCode::from(EXIT_CUT)
         }
         Err(e) => {
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -108,7 +108,7 @@
         .descr("Routes language-model traffic with long shared prompts to warm endpoints")
         .footer(
             "Exit codes: 0 ended as asked, 1 failed while running, 2 settings not valid, \
-             3 ended by a second signal with requests cut.\n\
+             3 ended with requests cut, by a second signal or at the end of its time.\n\
              Lists in environment variables are separated by commas.",
         )
 }
