--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -23,7 +23,7 @@
     ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaView,
     followers::{Followers, Held},
     waiting::{Reading, Reply, Waiting},
-    writer::{Writer, Written},
+    writer::{DiskSpeed, Writer, Written},
 };
 
 /// Time between looks at the clock; a third of a heartbeat.
@@ -38,12 +38,6 @@
 /// Bytes of commands applied after which a snapshot replaces the log.
 const SNAPSHOT_BYTES: usize = 4 << 20;
 
-/// Time from which on a write counts as slow.
-const SLOW_WRITE: Duration = Duration::from_millis(200);
-
-/// Time without a slow write after which the disk counts as fast again.
-const FAST_AGAIN: Duration = Duration::from_secs(5);
-
 /// Time between looks at whether the voters should change.
 const HEALING_PERIOD: Duration = Duration::from_millis(100);
 
@@ -57,8 +51,7 @@
     node: Node<Pcg64Mcg>,
     gate: SyncGate,
     writer: Writer,
-    /// When a write was last slow, if the disk counts as slow.
-    slow_at: Option<MonotonicTime>,
+    disk_speed: DiskSpeed,
     fleet: Fleet,
     snapshot_at: LogIndex,
     /// Bytes of commands applied since the snapshot.
@@ -118,7 +111,7 @@
             node,
             gate,
             writer,
-            slow_at: None,
+            disk_speed: DiskSpeed::default(),
             fleet,
             snapshot_at,
             applied_bytes: 0,
@@ -158,7 +151,7 @@
             self.heal();
             self.answer_followers();
             self.compact();
-            self.note_disk_speed();
+            self.disk_speed.note(self.clock.now(), self.gate.waits_since());
             if self.node.role() != Role::Leader {
                 self.handing_over = None;
             }
@@ -199,21 +192,6 @@
         }
     }
 
-    /// Notes whether writes take long, and logs when that changes.
-    fn note_disk_speed(&mut self) {
-        let now = self.clock.now();
-        let since = self.gate.waits_since();
-        let waited = since.map(|since| now.saturating_since(since)).unwrap_or_default();
-        if SLOW_WRITE <= waited {
-            if self.slow_at.replace(now).is_none() {
-                log::warn!(waited_ms = waited.as_millis(); "writes to the data folder are slow");
-            }
-        } else if self.slow_at.is_some_and(|at| FAST_AGAIN <= now.saturating_since(at)) {
-            self.slow_at = None;
-            log::info!("writes to the data folder are fast again");
-        }
-    }
-
     /// Answers what waits for writes that are under way.
     fn finish_writes(&mut self) {
         while self.failure.is_none() && self.gate.waits_since().is_some() {
--- a/crates/daemon/src/replica/writer.rs
+++ b/crates/daemon/src/replica/writer.rs
@@ -1,10 +1,17 @@
 //! The thread that writes the log, so that the replica goes on while a sync is under way.
 
-use std::{io, thread::JoinHandle};
+use std::{io, thread::JoinHandle, time::Duration};
 
+use base::MonotonicTime;
 use quorum::{Batch, BatchNumber, Write};
 use store::{Disk, Log};
 
+/// Time from which on a write counts as slow.
+const SLOW_WRITE: Duration = Duration::from_millis(200);
+
+/// Time without a slow write after which the disk counts as fast again.
+const FAST_AGAIN: Duration = Duration::from_secs(5);
+
 /// What became of batches.
 #[derive(Debug)]
 pub(super) enum Written {
@@ -93,3 +100,25 @@
     }
     log.sync()
 }
+
+/// Whether writes take long.
+#[derive(Debug, Default)]
+pub(super) struct DiskSpeed {
+    /// When a write was last slow, if the disk counts as slow.
+    slow_at: Option<MonotonicTime>,
+}
+
+impl DiskSpeed {
+    /// Notes since when the oldest write is under way, and logs a change.
+    pub(super) fn note(&mut self, now: MonotonicTime, since: Option<MonotonicTime>) {
+        let waited = since.map(|since| now.saturating_since(since)).unwrap_or_default();
+        if SLOW_WRITE <= waited {
+            if self.slow_at.replace(now).is_none() {
+                log::warn!(waited_ms = waited.as_millis(); "writes to the data folder are slow");
+            }
+        } else if self.slow_at.is_some_and(|at| FAST_AGAIN <= now.saturating_since(at)) {
+            self.slow_at = None;
+            log::info!("writes to the data folder are fast again");
+        }
+    }
+}
--- a/crates/quorum/src/sync_gate.rs
+++ b/crates/quorum/src/sync_gate.rs
@@ -192,40 +192,34 @@
 
     /// Decides what of an action goes ahead of the writes that are under way.
     fn release(&self, now: MonotonicTime, action: Action) -> Release {
-        let waited = self.waits_since().map(|since| now.saturating_since(since));
         let Action::Send { to, message } = &action else { return Release::Later(action) };
-        let Durable { term, starts, .. } = self.durable;
-        let is_durable = message.term <= term && message.starts <= starts;
-        let (Some(waited), Some(kept), true) = (waited, self.kept(), is_durable) else {
-            return Release::Later(action);
-        };
-        if STALLED_AFTER <= waited {
+        let Some((waited, kept)) = self.opening(now, message) else {
             return Release::Later(action);
-        }
-        let early = |body| {
-            let message = Message { body, ..message.clone() };
-            Action::Send { to: to.clone(), message }
         };
-        match &message.body {
-            Body::Append { commit, .. } if *commit <= kept => Release::Now(action),
-            Body::Append { entries, .. } => {
-                let now = early(with_commit(message.body.clone(), kept));
-                if entries.is_empty() {
-                    Release::Partly { now, later: action }
-                } else {
-                    Release::Now(now)
-                }
-            }
+        let body = match &message.body {
+            Body::Append { commit, .. } if *commit <= kept => return Release::Now(action),
+            body @ Body::Append { .. } => with_commit(body.clone(), kept),
             Body::AppendReply { outcome, sent } if ANSWER_AFTER <= waited => {
-                let outcome = match *outcome {
-                    AppendOutcome::Matched(index) => AppendOutcome::Matched(index.min(kept)),
-                    conflict @ AppendOutcome::Conflict { .. } => conflict,
-                };
-                let now = early(Body::AppendReply { outcome, sent: *sent });
-                Release::Partly { now, later: action }
+                Body::AppendReply { outcome: durable_part(*outcome, kept), sent: *sent }
             }
-            _ => Release::Later(action),
+            _ => return Release::Later(action),
+        };
+        let has_entries = matches!(&body, Body::Append { entries, .. } if !entries.is_empty());
+        let early = Action::Send { to: to.clone(), message: Message { body, ..message.clone() } };
+        if has_entries {
+            return Release::Now(early);
         }
+        Release::Partly { now: early, later: action }
+    }
+
+    /// Returns how long the writes have been under way and the last entry that they leave as it
+    /// is, if a message may go ahead of them.
+    fn opening(&self, now: MonotonicTime, message: &Message) -> Option<(Duration, LogIndex)> {
+        let Durable { term, starts, .. } = self.durable;
+        let is_durable = message.term <= term && message.starts <= starts;
+        let waited = now.saturating_since(self.waits_since()?);
+        let is_open = is_durable && waited < STALLED_AFTER;
+        Some((waited, self.kept()?)).filter(|_| is_open)
     }
 
     /// Returns the last entry that a crash would leave as the node has it, if one is known.
@@ -241,3 +235,11 @@
     }
     body
 }
+
+/// Returns what an answer may say of the entries up to `kept`.
+fn durable_part(outcome: AppendOutcome, kept: LogIndex) -> AppendOutcome {
+    match outcome {
+        AppendOutcome::Matched(index) => AppendOutcome::Matched(index.min(kept)),
+        conflict @ AppendOutcome::Conflict { .. } => conflict,
+    }
+}
