daemon: how a listener follows orders to end is written once

The router's edge and the gateway each had the same loop over orders and the same wait for what is under way, one of them with a limit. serve::until_ended has both; each says through Drain how it leaves and when it is idle. No check was changed.

Not mended, and why: the two bodies and the Serve implementations of the gateway's listeners have a shape in common only (other types, other bounds); settings and route structs are lists of fields; healing.rs and dialect.rs have nothing in common.

--- a/crates/daemon/src/edge/listen.rs
+++ b/crates/daemon/src/edge/listen.rs
@@ -1,4 +1,4 @@
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc};
 
 use hyper::{
     Method, Request, Response,
@@ -7,7 +7,7 @@
 };
 use tokio::{net::TcpListener, sync::watch};
 
-use crate::serve::{self, ConnectionBounds, Serve};
+use crate::serve::{self, ConnectionBounds, Drain, Serve};
 
 use crate::failure::Failure;
 
@@ -18,9 +18,6 @@
 /// Most header fields in a request.
 const MAX_HEADERS: usize = 64;
 
-/// Time between looks at whether all requests have ended, while draining.
-const DRAIN_POLL: Duration = Duration::from_millis(10);
-
 /// Serves callers until told to end.
 pub(super) async fn run(
     edge: Rc<Edge>,
@@ -30,35 +27,20 @@
     let listener = TcpListener::from_std(listener).expect("the listener is in non-blocking mode");
     let (drain_tx, drain_rx) = watch::channel(false);
     let accepting = tokio::task::spawn_local(serve::accept(Rc::clone(&edge), listener, drain_rx));
-    while let Ok(order) = control.recv_async().await {
-        match order {
-            Control::Leave => edge.leaving.set(true),
-            Control::Drain => {
-                edge.leaving.set(true);
-                let _ = drain_tx.send(true);
-                drain(&edge, &control).await;
-                break;
-            }
-            Control::Abort => break,
-        }
-    }
+    serve::until_ended(&*edge, &control, &drain_tx, None).await;
     accepting.abort();
     let active = edge.active.borrow();
     active.log_cut(edge.clock.now());
     EdgeEnd { cut: active.len() }
 }
 
-/// Waits until every request has ended and its answer is sent, or for an order to abort.
-async fn drain(edge: &Edge, control: &flume::Receiver<Control>) {
-    while 0 < edge.active.borrow().len() || 0 < edge.connections.get() {
-        tokio::select! {
-            order = control.recv_async() => {
-                if !matches!(order, Ok(Control::Drain | Control::Leave)) {
-                    return;
-                }
-            }
-            () = tokio::time::sleep(DRAIN_POLL) => {}
-        }
+impl Drain for Edge {
+    fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    fn is_idle(&self) -> bool {
+        self.active.borrow().len() == 0 && self.connections.get() == 0
     }
 }
 
--- a/crates/daemon/src/gateway/listen.rs
+++ b/crates/daemon/src/gateway/listen.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use tokio::{net::TcpListener, sync::watch, time::Instant};
+use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
     edge::{Control, EdgeEnd},
-    serve::{self, ConnectionBounds, Serve},
+    serve::{self, ConnectionBounds, Drain, Serve},
 };
 
 use super::{Dialect, Gateway, GatewayListeners, body::Body, control, forward};
@@ -16,9 +16,6 @@
 /// Most header fields in a request.
 const MAX_HEADERS: usize = 100;
 
-/// Time between looks at whether all requests have ended, while draining.
-const DRAIN_POLL: Duration = Duration::from_millis(10);
-
 /// Largest head of a call of an operator or an endpoint, in bytes.
 const CONTROL_HEADER_BYTES: usize = 16 << 10;
 
@@ -115,18 +112,8 @@
     start(Controllers(Rc::clone(&gateway)), control, &drain_rx);
     let balancer = Balancer { gateway: Rc::clone(&gateway), connections: Cell::new(0) };
     start(balancer, readiness, &drain_rx);
-    while let Ok(order) = orders.recv_async().await {
-        match order {
-            Control::Leave => gateway.leaving.set(true),
-            Control::Drain => {
-                gateway.leaving.set(true);
-                let _ = drain_tx.send(true);
-                drain(&gateway, &orders).await;
-                break;
-            }
-            Control::Abort => break,
-        }
-    }
+    let limit = gateway.cfg.drain_limit(gateway.drain_notice);
+    serve::until_ended(&*gateway, &orders, &drain_tx, Some(limit)).await;
     EdgeEnd { cut: gateway.active.get() }
 }
 
@@ -140,19 +127,12 @@
     tokio::task::spawn_local(serve::accept(Rc::new(service), listener, drain.clone()));
 }
 
-/// Waits until every request has ended and its answer is sent, the limit has passed, or an order
-/// to abort comes.
-async fn drain<D: Dialect>(gateway: &Gateway<D>, orders: &flume::Receiver<Control>) {
-    let until = Instant::now() + gateway.cfg.drain_limit(gateway.drain_notice);
-    let is_idle = || gateway.active.get() == 0 && gateway.connections.get() == 0;
-    while !is_idle() && Instant::now() < until {
-        tokio::select! {
-            order = orders.recv_async() => {
-                if !matches!(order, Ok(Control::Drain | Control::Leave)) {
-                    return;
-                }
-            }
-            () = tokio::time::sleep(DRAIN_POLL) => {}
-        }
+impl<D: Dialect> Drain for Gateway<D> {
+    fn leave(&self) {
+        self.leaving.set(true);
+    }
+
+    fn is_idle(&self) -> bool {
+        self.active.get() == 0 && self.connections.get() == 0
     }
 }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -13,8 +13,11 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
+    time::Instant,
 };
 
+use crate::edge::Control;
+
 /// Time from the end of accepting to the close of idle connections.
 ///
 /// A request that arrived before the close is read in that time, and then served.
@@ -23,6 +26,9 @@
 /// Time to wait after a failure to accept, such as too many open files.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
+/// Time between looks at whether all requests have ended, while draining.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
 /// Smallest bound on a request's head that the HTTP library takes, in bytes.
 const MIN_HEADER_BYTES: usize = 8 << 10;
 
@@ -97,6 +103,49 @@
     }
 }
 
+/// What is told of the end and drains.
+pub(crate) trait Drain {
+    /// Takes note that callers are to go elsewhere from now on.
+    fn leave(&self);
+
+    /// Returns whether every request has ended and its answer is sent.
+    fn is_idle(&self) -> bool;
+}
+
+/// Follows orders until told to abort, or to drain and that is done or has taken `limit`.
+pub(crate) async fn until_ended(
+    service: &impl Drain,
+    orders: &flume::Receiver<Control>,
+    draining: &watch::Sender<bool>,
+    limit: Option<Duration>,
+) {
+    while let Ok(order) = orders.recv_async().await {
+        match order {
+            Control::Leave => service.leave(),
+            Control::Drain => {
+                service.leave();
+                let _ = draining.send(true);
+                return drain(service, orders, limit).await;
+            }
+            Control::Abort => return,
+        }
+    }
+}
+
+async fn drain(service: &impl Drain, orders: &flume::Receiver<Control>, limit: Option<Duration>) {
+    let until = limit.map(|limit| Instant::now() + limit);
+    while !service.is_idle() && until.is_none_or(|until| Instant::now() < until) {
+        tokio::select! {
+            order = orders.recv_async() => {
+                if !matches!(order, Ok(Control::Drain | Control::Leave)) {
+                    return;
+                }
+            }
+            () = tokio::time::sleep(DRAIN_POLL) => {}
+        }
+    }
+}
+
 async fn connection<S: Serve>(
     service: Rc<S>,
     stream: TcpStream,
