--- /dev/null
+++ b/crates/fleet/tests/regression/main.rs
@@ -0,0 +1,3 @@
+//! Faults found before, one a module.
+
+mod slow_rollout;
