rollout: as many engines load at once as the site's size allows

Callers saw requests begin on outdated weights past the bound on sites of 60 and 90 engines, and 33 of 90 engines got no requests for 17 s although only three loaded.

With 18 engines it was 3.6 s. 40% of all engines drained meanwhile. Change: a fifth of the known engines, at least three, load at once; the sheets' limits beyond which loads slow each other down are 3 of 18, 12 of 60 and 18 of 90.

Tests slow_rollout::{sixty,ninety,three_hundred}_engines and ninety_engines_a_quarter_out_of_reach failed before with 11.9, 17.4, 55.9 and 13.65 s of 10 s, and pass; with 18 engines nothing changes.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -29,8 +29,10 @@
     pub drain_time: Duration,
     /// Longest wait for the requests that an engine still has, before it is told to load.
     pub drain_limit: Duration,
-    /// Engines that load at once; more would only take longer each.
-    pub loads: usize,
+    /// Part of the engines that load at once; more would only take longer each.
+    pub load_share: f64,
+    /// Fewest engines that may load at once.
+    pub fewest_loads: usize,
     /// Time that a load takes, after which the next one may begin.
     pub load_time: Duration,
     /// Time after which an order without visible effect is given again.
@@ -50,7 +52,8 @@
             always: 2,
             drain_time: Duration::from_millis(250),
             drain_limit: Duration::from_millis(1_200),
-            loads: 3,
+            load_share: 0.2,
+            fewest_loads: 3,
             load_time: Duration::from_millis(600),
             retry_after: Duration::from_millis(2_500),
             refusal_pause: Duration::from_millis(1_000),
@@ -247,7 +250,7 @@
             (silent, drained, engine.version, spread(id))
         });
         let ids: Vec<EndpointId> = behind.into_iter().map(|(id, _)| id.clone()).collect();
-        let free = self.settings.loads.saturating_sub(self.loading_now(now));
+        let free = self.loads_at_once().saturating_sub(self.loading_now(now));
         let drained = ids.iter().filter(|id| self.is_drained(id, now));
         let ready: Vec<&EndpointId> = drained.take(free).collect();
         for id in ready {
@@ -315,6 +318,12 @@
         share.max(self.settings.fewest).min(engines.saturating_sub(1)).max(1)
     }
 
+    /// Returns how many engines may load at once, so that a rollout takes as long on any site.
+    fn loads_at_once(&self) -> usize {
+        let share = (self.engines.len() as f64 * self.settings.load_share) as usize;
+        share.max(self.settings.fewest_loads)
+    }
+
     fn is_drained(&self, id: &EndpointId, now: MonotonicTime) -> bool {
         match self.engines.get(id).map(|engine| engine.step) {
             Some(Step::Draining { since }) => {
