gateway: how old weights are is told by the leader, not counted from a router's start

Callers' requests began on weights that had been outdated for up to 18 s, at routers that were restarted a few seconds before.

Cause: a router counted the age of newer weights from when it heard of them, and remembered only the versions that it had lived through. One that started took the newest version as just named, and sent to outdated weights for another 7 s. Change: WeightsHistory keeps for each version how old it was when noted, so that it may be older than the process. Voters note it as they apply the naming, or as they are told while they follow, so that the next leader knows it too; the leader tells it with each view, and the highest age counts. Ages count from the answer, so that a leader that hears its own ages doesn't raise them. What routers say to each other has changed, so the protocol's version is 2.

restarted_router_sends_nothing_to_weights_that_were_outdated_before failed with an answer of 200 where 503 was due, and passes. After a restart of all hosts at once the age counts from then.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -3,11 +3,13 @@
 use std::{collections::BTreeMap, rc::Rc, sync::Arc, time::Duration};
 
 use base::{ModelId, MonotonicTime};
-use fleet::ConfigurationNumber;
+use fleet::{ConfigurationNumber, WeightsHistory};
 use member::{EndpointState, LifeKey};
 use routes::Table;
 use wire::leader::{Follow, LeaderAnswer, LeaderRequest, PublishedView, Seen, ViewVersion};
 
+use crate::replica::ReplicaInput;
+
 use super::{Dialect, Gateway};
 
 /// Longest wait for the leader's answer before the loss of the leader is noted.
@@ -29,49 +31,13 @@
 pub(super) struct InForce {
     pub number: ConfigurationNumber,
     pub table: Arc<Table>,
-    pub weights: BTreeMap<ModelId, WantedWeights>,
+    pub weights: BTreeMap<ModelId, WeightsHistory>,
     /// When the question was sent whose answer said that nothing newer was in force.
     pub confirmed: MonotonicTime,
 }
 
-/// The versions of a model's weights that were named, the newest last.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub(super) struct WantedWeights {
-    named: Vec<NamedVersion>,
-}
-
-/// A version of weights with the time at which this host learnt of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct NamedVersion {
-    version: u32,
-    since: MonotonicTime,
-}
-
 /// What is known of a model of which no version was named.
-pub(super) static NONE_NAMED: WantedWeights = WantedWeights { named: Vec::new() };
-
-/// Versions that are remembered; older ones have long been out of bounds.
-const MAX_NAMED: usize = 16;
-
-impl WantedWeights {
-    /// Returns the newest version, 0 if none was named.
-    pub(super) fn version(&self) -> u32 {
-        self.named.last().map_or(0, |named| named.version)
-    }
-
-    /// Notes a newer version.
-    fn name(&mut self, version: u32, since: MonotonicTime) {
-        self.named.push(NamedVersion { version, since });
-        let excess = self.named.len().saturating_sub(MAX_NAMED);
-        self.named.drain(..excess);
-    }
-
-    /// Returns for how long `version` has not been the newest.
-    pub(super) fn outdated_for(&self, version: u32, now: MonotonicTime) -> Duration {
-        let newer = self.named.iter().find(|named| version < named.version);
-        newer.map_or(Duration::ZERO, |named| now.saturating_since(named.since))
-    }
-}
+pub(super) static NONE_NAMED: WeightsHistory = WeightsHistory::new();
 
 impl InForce {
     /// Returns how old the proof is that nothing newer is in force.
@@ -150,7 +116,7 @@
             (_, Some(held)) => Arc::clone(&held.table),
             (_, None) => return,
         };
-        let weights = self.wanted_weights(sent, view);
+        let weights = self.named_weights(view);
         let in_force = InForce { number: view.number, table, weights, confirmed: sent };
         self.published.replace(Some(Rc::new(in_force)));
     }
@@ -182,19 +148,26 @@
         Some(Arc::new(table))
     }
 
-    fn wanted_weights(
-        &self,
-        sent: MonotonicTime,
-        view: &PublishedView,
-    ) -> BTreeMap<ModelId, WantedWeights> {
-        let mut weights = self.in_force().map(|held| held.weights.clone()).unwrap_or_default();
-        for named in &view.weights {
-            let known = weights.entry(named.model.clone()).or_default();
-            if named.version <= known.version() {
-                continue;
+    /// Returns the weights named so far, and tells the replica how old they are.
+    ///
+    /// Ages count from now rather than from the question: a leader that hears its own ages again
+    /// must not raise them.
+    fn named_weights(&self, view: &PublishedView) -> BTreeMap<ModelId, WeightsHistory> {
+        let now = self.clock.now();
+        let held = self.in_force().map(|held| held.weights.clone()).unwrap_or_default();
+        let mut weights = held.clone();
+        for told in &view.weights {
+            let known = weights.entry(told.model.clone()).or_default();
+            if known.version() < told.version {
+                log::info!(model:% = told.model, version = told.version,
+                    age_ms = told.age.as_millis() as u64; "weights named");
             }
-            log::info!(model:% = named.model, version = named.version; "weights named");
-            known.name(named.version, sent);
+            known.note(now, told.version, told.age);
+        }
+        if let Some(replica) = self.replica.as_ref().filter(|_| weights != held) {
+            // A full ring loses ages that a later change brings again.
+            let _ =
+                replica.try_send(ReplicaInput::WeightAges { at: now, ages: view.weights.clone() });
         }
         weights
     }
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -1,14 +1,12 @@
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use base::{ByteCount, DataCentreId, EndpointId, MonotonicTime, ServiceId, TokenCount};
+use fleet::WeightsHistory;
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
 use route::{Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Warm};
 
-use super::{
-    follow::WantedWeights,
-    targets::{Target, Targets},
-};
+use super::targets::{Target, Targets};
 
 /// What an endpoint in another data centre costs against one in this one, as time.
 const AWAY_COST: Duration = Duration::from_millis(100);
@@ -70,7 +68,7 @@
     pub model: &'a base::ModelId,
     pub chain: &'a PartChain,
     /// The versions of the weights that were named.
-    pub weights: &'a WantedWeights,
+    pub weights: &'a WeightsHistory,
     /// Time after which an outdated version may not serve.
     pub weights_age: Duration,
 }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -26,7 +26,7 @@
 use handshake::FleetSecret;
 
 /// Version of the messages between routers.
-const PROTOCOL_VERSION: u16 = 1;
+const PROTOCOL_VERSION: u16 = 2;
 
 /// Longest message taken, in words of 8 bytes; a stranger can make the process set so much aside.
 const MAX_MESSAGE_WORDS: usize = 1 << 20;
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -105,7 +105,7 @@
         let gate = SyncGate::new(&restored);
         let writer = Writer::spawn(log)?;
         let node = Node::new(node_cfg, restored, clock.now(), rng);
-        let driver = Self {
+        let mut driver = Self {
             clock,
             host,
             node,
@@ -126,6 +126,7 @@
             followers: Followers::default(),
         };
         driver.offer_configuration();
+        driver.note_named();
         Ok(driver)
     }
 
@@ -207,6 +208,7 @@
             ReplicaInput::Submit(call) => self.take_request(call),
             ReplicaInput::Learners(hosts) => self.step(Input::Learners(hosts)),
             ReplicaInput::EngineNews(engines) => self.followers.set_engines(engines),
+            ReplicaInput::WeightAges { at, ages } => self.followers.note_ages(at, &ages),
             ReplicaInput::HandOver(done) => {
                 self.step(Input::Transfer);
                 self.handing_over = Some(done);
@@ -406,6 +408,7 @@
                 self.snapshot_at = snapshot.last_index;
                 self.waiting.replaced_through(snapshot.last_index);
                 self.offer_configuration();
+                self.note_named();
             }
             Err(e) => {
                 log::error!("a snapshot from the leader can't be read: {e}");
@@ -442,6 +445,7 @@
                 }
                 if matches!(command, Command::Publish(_) | Command::NameWeights(_)) {
                     self.followers.note_change();
+                    self.note_named();
                 }
                 LeaderAnswer::Reply(reply)
             }
@@ -452,6 +456,10 @@
         }
     }
 
+    fn note_named(&mut self) {
+        self.followers.note_named(self.clock.now(), self.fleet.published());
+    }
+
     fn offer_configuration(&self) {
         let configuration = self.fleet.configuration();
         let Some(last) = configuration.history().next_back() else { return };
--- a/crates/daemon/src/replica/followers.rs
+++ b/crates/daemon/src/replica/followers.rs
@@ -1,9 +1,9 @@
 //! What the leader tells the hosts that follow it, and what they tell it.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use base::{HostId, MonotonicTime, Term};
-use fleet::{EngineNews, Published};
+use base::{HostId, ModelId, MonotonicTime, Term};
+use fleet::{EngineNews, Published, WeightsAge, WeightsHistory};
 use member::Leavers;
 use prefix::SentLog;
 use route::{LoadBoard, SentLoad};
@@ -29,6 +29,8 @@
     loads: LoadBoard,
     sent: SentLog,
     leavers: Leavers,
+    /// When weights were named, as far as this host was there or was told.
+    weights: BTreeMap<ModelId, WeightsHistory>,
     /// How often what followers are told at once has changed.
     changes: u64,
 }
@@ -48,6 +50,7 @@
             loads: LoadBoard::new(LOAD_LIFETIME),
             sent: SentLog::new(MAX_SENT),
             leavers: Leavers::default(),
+            weights: BTreeMap::new(),
             changes: 0,
         }
     }
@@ -81,6 +84,22 @@
         self.changes += 1;
     }
 
+    /// Notes which weights are named at `now`; those not known yet were named then at the latest.
+    pub(super) fn note_named(&mut self, now: MonotonicTime, published: &Published) {
+        for named in published.weights() {
+            let history = self.weights.entry(named.model).or_default();
+            history.note(now, named.version, Duration::ZERO);
+        }
+    }
+
+    /// Takes how long ago weights were named at `now`, as another host remembers it.
+    pub(super) fn note_ages(&mut self, now: MonotonicTime, ages: &[WeightsAge]) {
+        for told in ages {
+            let history = self.weights.entry(told.model.clone()).or_default();
+            history.note(now, told.version, told.age);
+        }
+    }
+
     /// Takes what the rollout of weights knows of engines.
     pub(super) fn set_engines(&mut self, engines: Vec<EngineNews>) {
         if self.engines != engines {
@@ -117,7 +136,7 @@
             version: self.version(term),
             number: publication.number,
             content: (!is_held).then(|| publication.content.clone()),
-            weights: published.weights(),
+            weights: self.weight_ages(now),
             engines: self.engines.clone(),
             loads: self.loads.totals(now),
             leaving: self.leavers.lives(now),
@@ -126,6 +145,10 @@
         }
     }
 
+    fn weight_ages(&self, now: MonotonicTime) -> Vec<WeightsAge> {
+        self.weights.iter().flat_map(|(model, history)| history.ages(model, now)).collect()
+    }
+
     fn version(&self, term: Term) -> ViewVersion {
         ViewVersion { term, changes: self.changes }
     }
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -14,7 +14,7 @@
 
 use base::{HostId, MonotonicTime};
 use eyre::WrapErr as _;
-use fleet::{EngineNews, Published};
+use fleet::{EngineNews, Published, WeightsAge};
 use quorum::HealingSettings;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
@@ -46,6 +46,13 @@
     Learners(Vec<HostId>),
     /// What the rollout of weights knows of engines beyond their announcements.
     EngineNews(Vec<EngineNews>),
+    /// How long ago weights had been named at a time, as the leader tells.
+    WeightAges {
+        /// The time.
+        at: MonotonicTime,
+        /// The ages.
+        ages: Vec<WeightsAge>,
+    },
     /// The process is about to end; a leader hands over, and tells when it leads no more.
     HandOver(flume::Sender<()>),
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod setting;
 mod settings;
 mod state;
+mod weights_history;
 
 pub use crate::{
     call::{Call, CallState, Conflict, Held, Resolved},
@@ -75,4 +76,5 @@
     scope::Scope,
     settings::{Overrides, SettingKey, SettingValue, Settings},
     state::Fleet,
+    weights_history::{WeightsAge, WeightsHistory},
 };
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -4,7 +4,7 @@
 
 use base::{HostId, Revision, Term};
 use fleet::{
-    Call, CallKey, ChangeRecord, Command, ConfigurationNumber, EngineNews, NamedWeights, Reply,
+    Call, CallKey, ChangeRecord, Command, ConfigurationNumber, EngineNews, Reply, WeightsAge,
 };
 use member::LifeKey;
 use prefix::Sent;
@@ -93,8 +93,8 @@
     pub number: ConfigurationNumber,
     /// The configuration, unless the asker holds it.
     pub content: Option<Arc<[u8]>>,
-    /// The weights that engines are to have.
-    pub weights: Vec<NamedWeights>,
+    /// The weights that were named, with their ages; each model's newest are those to have.
+    pub weights: Vec<WeightsAge>,
     /// What is known of engines beyond their announcements.
     pub engines: Vec<EngineNews>,
     /// What all routers have under way at endpoints, the asker included.
