rollout: engines that routers no longer use load without a wait for a place

Once newer weights were named longer ago than routers send to older ones, an engine with older ones serves nobody; yet it waited for one of the places that keep enough engines serving, and up to 1.2 s for its last requests. After a change of leader in the middle of a rollout that is all engines.

Change: the rollout takes the ages of weights (the same history as the routers), and lets such engines drain at once; loads at a time stay bounded. Tests: engines_that_routers_no_longer_use_load_without_a_wait. silent_engines_come_last names the weights half a second before it looks instead of ten seconds, as all engines would be unused; what it checks is the same. A voter that opens its data folder again is told the ages anew, as each view brings them.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -154,8 +154,7 @@
     /// must not raise them.
     fn named_weights(&self, view: &PublishedView) -> BTreeMap<ModelId, WeightsHistory> {
         let now = self.clock.now();
-        let held = self.in_force().map(|held| held.weights.clone()).unwrap_or_default();
-        let mut weights = held.clone();
+        let mut weights = self.in_force().map(|held| held.weights.clone()).unwrap_or_default();
         for told in &view.weights {
             let known = weights.entry(told.model.clone()).or_default();
             if known.version() < told.version {
@@ -164,8 +163,8 @@
             }
             known.note(now, told.version, told.age);
         }
-        if let Some(replica) = self.replica.as_ref().filter(|_| weights != held) {
-            // A full ring loses ages that a later change brings again.
+        if let Some(replica) = &self.replica {
+            // A full ring loses ages that the next view brings again.
             let _ =
                 replica.try_send(ReplicaInput::WeightAges { at: now, ages: view.weights.clone() });
         }
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -63,9 +63,10 @@
 }
 
 impl Office {
-    fn begin(term: Term, since: MonotonicTime) -> Self {
+    fn begin(term: Term, since: MonotonicTime, unused_after: Duration) -> Self {
         let (report, outcomes) = flume::unbounded();
-        let rollout = Rollout::new(RolloutSettings::default());
+        let settings = RolloutSettings { unused_after, ..RolloutSettings::default() };
+        let rollout = Rollout::new(settings);
         Self {
             term,
             since,
@@ -95,7 +96,7 @@
         let term = view.node.term;
         if office.as_ref().is_none_or(|office| office.term != term) {
             log::info!(term:%; "may give orders to engines after the earlier holder's lease");
-            office = Some(Office::begin(term, now));
+            office = Some(Office::begin(term, now, gateway.cfg.weights_age()));
         }
         if let Some(office) = &mut office {
             look(&gateway, office, &view, now);
@@ -124,7 +125,9 @@
         }
     }
     let Some(roster) = gateway.latest.load() else { return };
-    office.rollout.set_named(&view.published.weights());
+    if let Some(in_force) = gateway.in_force() {
+        office.rollout.set_named(in_force.weights.clone());
+    }
     office.rollout.set_engines(&engines(&roster));
     office.rollout.set_loads(|endpoint| load_of(&view.loads, endpoint));
     let waits = now.saturating_since(office.since) < gateway.cfg.order_wait();
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -523,7 +523,6 @@
             history: self.fleet.configuration().history().skip(skipped).cloned().collect(),
             unsettled: self.fleet.ledger().unsettled().count(),
             lease_until: self.node.lease_until(self.clock.now()),
-            published: self.fleet.published().clone(),
             loads,
             failure: self.failure.clone(),
         });
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -14,7 +14,7 @@
 
 use base::{HostId, MonotonicTime};
 use eyre::WrapErr as _;
-use fleet::{EngineNews, Published, WeightsAge};
+use fleet::{EngineNews, WeightsAge};
 use quorum::HealingSettings;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
@@ -102,8 +102,6 @@
     pub unsettled: usize,
     /// Until when no other host can lead, if this one leads.
     pub lease_until: Option<MonotonicTime>,
-    /// The numbered configuration and the weights named, as applied here.
-    pub published: Arc<Published>,
     /// What all routers have sent to endpoints, as far as they told this host.
     pub loads: Vec<SentLoad>,
     /// Why the thread acknowledges nothing any more, if so.
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -9,7 +9,7 @@
 use base::{Digest, EndpointId, Hasher, Incarnation, ModelId, MonotonicTime};
 use serde::{Deserialize, Serialize};
 
-use crate::NamedWeights;
+use crate::{NamedWeights, WeightsHistory};
 
 /// Most times that an engine's pause after a refusal doubles.
 const MAX_DOUBLINGS: u32 = 3;
@@ -37,6 +37,8 @@
     pub load_time: Duration,
     /// Time after which an order without visible effect is given again.
     pub retry_after: Duration,
+    /// Time after the naming of newer weights from which routers send nothing to older ones.
+    pub unused_after: Duration,
     /// Time for which an engine that can't be reached, or refuses, is left alone; it doubles each
     /// time.
     pub refusal_pause: Duration,
@@ -56,6 +58,7 @@
             fewest_loads: 3,
             load_time: Duration::from_millis(600),
             retry_after: Duration::from_millis(2_500),
+            unused_after: Duration::from_millis(5_000),
             refusal_pause: Duration::from_millis(1_000),
             silence: Duration::from_millis(2_000),
         }
@@ -167,7 +170,7 @@
 #[derive(Clone, Debug)]
 pub struct Rollout {
     settings: RolloutSettings,
-    named: BTreeMap<ModelId, u32>,
+    named: BTreeMap<ModelId, WeightsHistory>,
     engines: BTreeMap<EndpointId, Engine>,
 }
 
@@ -178,10 +181,8 @@
     }
 
     /// Takes the weights that operators have named.
-    pub fn set_named(&mut self, named: &[NamedWeights]) {
-        for weights in named {
-            self.named.insert(weights.model.clone(), weights.version);
-        }
+    pub fn set_named(&mut self, named: BTreeMap<ModelId, WeightsHistory>) {
+        self.named = named;
     }
 
     /// Takes the engines that take requests, as announced; those missing are forgotten.
@@ -255,7 +256,7 @@
         let ready: Vec<&EndpointId> = drained.take(free).collect();
         for id in ready {
             let Some(engine) = self.engines.get_mut(id) else { continue };
-            let version = self.named.get(&engine.model).copied().unwrap_or_default();
+            let version = self.named.get(&engine.model).map_or(0, WeightsHistory::version);
             engine.step = Step::Loading { since: now, target: version };
             let weights = NamedWeights { model: engine.model.clone(), version };
             let (endpoint, incarnation) = (id.clone(), engine.incarnation);
@@ -308,7 +309,14 @@
     }
 
     fn wanted(&self, model: &ModelId) -> u32 {
-        self.named.get(model).copied().unwrap_or_default()
+        self.named.get(model).map_or(0, WeightsHistory::version)
+    }
+
+    /// Returns whether an engine's weights are so old that routers send it nothing.
+    fn is_unused(&self, engine: &Engine, now: MonotonicTime) -> bool {
+        let history = self.named.get(&engine.model);
+        let outdated = history.map(|history| history.outdated_for(engine.version, now));
+        outdated.is_some_and(|outdated| self.settings.unused_after <= outdated)
     }
 
     /// Returns how many engines may drain or load at once; one always goes on serving, if it can.
@@ -325,24 +333,27 @@
     }
 
     fn is_drained(&self, id: &EndpointId, now: MonotonicTime) -> bool {
-        match self.engines.get(id).map(|engine| engine.step) {
-            Some(Step::Draining { since }) => {
-                let drained = now.saturating_since(since);
-                let is_idle = self.engines.get(id).is_some_and(|e| e.load.requests == 0);
-                let wait = if is_idle { Duration::ZERO } else { self.settings.drain_limit };
-                wait.max(self.settings.drain_time) <= drained
-            }
-            _ => false,
-        }
+        let Some(engine) = self.engines.get(id) else { return false };
+        let Step::Draining { since } = engine.step else { return false };
+        let must_wait = 0 < engine.load.requests && !self.is_unused(engine, now);
+        let wait = if must_wait { self.settings.drain_limit } else { Duration::ZERO };
+        wait.max(self.settings.drain_time) <= now.saturating_since(since)
     }
 
-    /// Stops new requests at the engines that load next.
+    /// Stops new requests at the engines that load next, and at all that get none anyway.
     fn drain_next(&mut self, behind: &[EndpointId], now: MonotonicTime) {
-        let places = self.places(now);
-        let idle = behind
-            .iter()
-            .filter(|id| self.engines.get(*id).is_some_and(|engine| engine.may_drain(now)));
-        let next: Vec<EndpointId> = idle.take(places).cloned().collect();
+        let mut places = self.places(now);
+        let mut next = Vec::new();
+        for id in behind {
+            let Some(engine) = self.engines.get(id).filter(|engine| engine.may_drain(now)) else {
+                continue;
+            };
+            if places == 0 && !self.is_unused(engine, now) {
+                continue;
+            }
+            places = places.saturating_sub(1);
+            next.push(id.clone());
+        }
         for id in next {
             if let Some(engine) = self.engines.get_mut(&id) {
                 engine.step = Step::Draining { since: now };
@@ -371,7 +382,7 @@
     fn forget_lost_orders(&mut self, now: MonotonicTime) {
         let retry_after = self.settings.retry_after;
         for engine in self.engines.values_mut() {
-            let wanted = self.named.get(&engine.model).copied().unwrap_or_default();
+            let wanted = self.named.get(&engine.model).map_or(0, WeightsHistory::version);
             engine.step = match engine.step {
                 Step::Loading { since, .. } if retry_after <= now.saturating_since(since) => {
                     Step::Idle
