rollout: an engine that is heard again after it refused rests no longer

An engine that could not be reached for 14 s was left alone for up to 8 s after it was back, as its pause doubles with each refusal; that is most of the time in which all engines must have the weights.

Change: from 1 s after a refusal, an announcement that was written since ends the pause. engine_that_is_heard_again_rests_no_longer failed with an order 6,750 ms after the announcement, and passes; engines that stay silent still wait longer each time.

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -40,7 +40,7 @@
     /// Time after the naming of newer weights from which routers send nothing to older ones.
     pub unused_after: Duration,
     /// Time for which an engine that can't be reached, or refuses, is left alone; it doubles each
-    /// time.
+    /// time, unless the engine is heard again.
     pub refusal_pause: Duration,
     /// Age of an announcement from which its engine comes last, as it may be gone.
     pub silence: Duration,
@@ -150,8 +150,8 @@
     version: u32,
     announced: u32,
     step: Step,
-    /// Until when it is left alone.
-    rests_until: MonotonicTime,
+    /// The time for which it is left alone.
+    rest: Option<Rest>,
     /// Orders in a row that it refused or that did not reach it.
     refusals: u32,
     /// When its newest announcement was written.
@@ -159,6 +159,15 @@
     load: EngineLoad,
 }
 
+/// A time in which an engine that refused an order gets none.
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    /// Until when it lasts at least.
+    shortest: MonotonicTime,
+    /// Until when it lasts if the engine is not heard again.
+    longest: MonotonicTime,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
     Idle,
@@ -231,7 +240,11 @@
                 engine.step = Step::Idle;
                 let factor = 2_u32.saturating_pow(engine.refusals);
                 engine.refusals = engine.refusals.saturating_add(1).min(MAX_DOUBLINGS);
-                engine.rests_until = now + self.settings.refusal_pause.saturating_mul(factor);
+                let pause = self.settings.refusal_pause;
+                engine.rest = Some(Rest {
+                    shortest: now + pause,
+                    longest: now + pause.saturating_mul(factor),
+                });
             }
         }
     }
@@ -298,7 +311,7 @@
         let engines = || self.engines.values();
         let draining = engines().filter(|e| matches!(e.step, Step::Draining { .. })).count();
         let loading = engines().filter(|e| matches!(e.step, Step::Loading { .. })).count();
-        let resting = engines().filter(|engine| now < engine.rests_until).count();
+        let resting = engines().filter(|engine| engine.rests(now)).count();
         let (known, behind) = (self.engines.len(), self.behind().len());
         Progress { known, behind, draining, loading, resting }
     }
@@ -373,7 +386,7 @@
     /// Returns how many more engines may drain; some always may, however many are out of reach.
     fn places(&self, now: MonotonicTime) -> usize {
         let busy = self.engines.values().filter(|engine| engine.step != Step::Idle).count();
-        let resting = self.engines.values().filter(|engine| now < engine.rests_until).count();
+        let resting = self.engines.values().filter(|engine| engine.rests(now)).count();
         let left = self.most_at_once().saturating_sub(busy + resting);
         left.max(self.settings.always.saturating_sub(busy))
     }
@@ -396,7 +409,13 @@
 
 impl Engine {
     fn may_drain(&self, now: MonotonicTime) -> bool {
-        self.step == Step::Idle && self.rests_until <= now
+        self.step == Step::Idle && !self.rests(now)
+    }
+
+    fn rests(&self, now: MonotonicTime) -> bool {
+        let Some(rest) = self.rest else { return false };
+        let heard_since = rest.shortest <= self.heard;
+        now < rest.shortest || (!heard_since && now < rest.longest)
     }
 
     /// Notes a version that the engine has; a load that aimed at it has ended.
@@ -423,7 +442,7 @@
         version: view.version,
         announced: view.version,
         step: Step::Idle,
-        rests_until: MonotonicTime::ZERO,
+        rest: None,
         refusals: 0,
         heard: view.heard,
         load: EngineLoad::default(),
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -209,3 +209,23 @@
     let orders = rollout.orders(at(unused + drain));
     assert_eq!(orders.len(), RolloutSettings::default().fewest_loads);
 }
+
+#[test]
+fn engine_that_is_heard_again_rests_no_longer() {
+    let mut rollout = Rollout::new(RolloutSettings::default());
+    rollout.set_named(named(2));
+    let heard_at = |millis| [EngineView { heard: at(millis), ..engine(0, 1) }, engine(1, 2)];
+    rollout.set_engines(&heard_at(0));
+    let mut now = 0;
+    let mut refuse = |rollout: &mut Rollout| loop {
+        now += PERIOD;
+        if let [order] = &rollout.orders(at(now))[..] {
+            rollout.ordered(at(now), order, OrderOutcome::Refused);
+            return now;
+        }
+    };
+    let last = (0..4).map(|_| refuse(&mut rollout)).last().unwrap();
+    rollout.set_engines(&heard_at(last + 1_500));
+    let again = refuse(&mut rollout);
+    assert!(again <= last + 2_000, "ordered {} ms after it was heard", again - last - 1_500);
+}
