member, gateway: how long an endpoint may be silent follows the fleet's size

Callers' prompts left their warm engines on large sites, since a router sends to an endpoint that was not heard for 4.5 s only if there is no other, and takes it out of the engines for long prompts.

Cause: renewals are spaced by the number of endpoints to bound the bytes of gossip (4.3 s at 63), but the 4.5 s were the same everywhere, and the rollout's 2 s too. Change: the membership tells with its roster from which age an announcement is stale: two renewals and the time that news takes to spread, at least 4.5 s; routers and rollout go by that.

--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -19,9 +19,6 @@
 /// Longest time for which an endpoint that can't be reached gets no requests.
 const MAX_AVOIDANCE: Duration = Duration::from_secs(5);
 
-/// Age of an announcement from which its endpoint gets requests only if there is no other.
-const MAX_SILENCE: Duration = Duration::from_millis(4_500);
-
 /// Time for which an endpoint gets nothing that was not what it was believed to be.
 const DISTRUST: Duration = Duration::from_millis(400);
 
@@ -52,6 +49,8 @@
     memory: RefCell<PartMemory>,
     /// When the announcement was written that was heard last.
     heard: Cell<MonotonicTime>,
+    /// Age of that announcement from which it gets requests only if there is no other.
+    stale_after: Cell<Duration>,
     /// When it could not be reached, until it is heard again.
     unreached: Cell<Option<MonotonicTime>>,
     /// Until when what is believed of it is known to be wrong.
@@ -119,6 +118,7 @@
             work: Work::default(),
             memory: RefCell::new(PartMemory::new(cached(kv_tokens))),
             heard: Cell::new(written),
+            stale_after: Cell::default(),
             unreached: Cell::new(None),
             distrusted_until: Cell::new(MonotonicTime::ZERO),
             others: Cell::default(),
@@ -176,7 +176,7 @@
 
     /// Returns whether new requests go elsewhere if they can.
     pub(super) fn is_avoided(&self, now: MonotonicTime) -> bool {
-        MAX_SILENCE <= now.saturating_since(self.heard.get())
+        self.stale_after.get() <= now.saturating_since(self.heard.get())
             || self.is_unreached(now)
             || now < self.distrusted_until.get()
     }
@@ -245,11 +245,13 @@
             if let Some(target) = self.by_id.get(id) {
                 target.learn_version(version);
                 target.heard.set(known.written);
+                target.stale_after.set(roster.stale_after);
                 continue;
             }
             let Some(service) = service(announcement) else { continue };
             let kv_tokens = self.kv_tokens.get(service).copied().unwrap_or(DEFAULT_KV_TOKENS);
             let target = Target::new(known, service.clone(), kv_tokens);
+            target.stale_after.set(roster.stale_after);
             self.by_id.insert(id.clone(), Rc::new(target));
             changes.joined.push(id.clone());
         }
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -179,6 +179,7 @@
                 model,
                 version,
                 heard: known.written,
+                is_silent: roster.stale_after <= roster.at.saturating_since(known.written),
             })
         })
         .collect()
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -42,8 +42,6 @@
     /// Time for which an engine that can't be reached, or refuses, is left alone; it doubles each
     /// time, unless the engine is heard again.
     pub refusal_pause: Duration,
-    /// Age of an announcement from which its engine comes last, as it may be gone.
-    pub silence: Duration,
 }
 
 impl Default for RolloutSettings {
@@ -60,7 +58,6 @@
             retry_after: Duration::from_millis(2_500),
             unused_after: Duration::from_millis(5_000),
             refusal_pause: Duration::from_millis(1_000),
-            silence: Duration::from_millis(2_000),
         }
     }
 }
@@ -78,6 +75,8 @@
     pub version: u32,
     /// When its newest announcement was written.
     pub heard: MonotonicTime,
+    /// Whether that is so long ago that it may be gone; it comes last.
+    pub is_silent: bool,
 }
 
 /// What routers must know of an engine beyond its own announcements.
@@ -156,6 +155,7 @@
     refusals: u32,
     /// When its newest announcement was written.
     heard: MonotonicTime,
+    is_silent: bool,
     load: EngineLoad,
 }
 
@@ -203,6 +203,7 @@
                 *known = new(view);
             }
             known.heard = view.heard;
+            known.is_silent = view.is_silent;
             known.announced = view.version;
             known.raise(view.version);
         }
@@ -260,8 +261,7 @@
                 Step::Draining { since } => since,
                 _ => now,
             };
-            let silent = self.settings.silence <= now.saturating_since(engine.heard);
-            (silent, drained, engine.version, spread(id))
+            (engine.is_silent, drained, engine.version, spread(id))
         });
         let ids: Vec<EndpointId> = behind.into_iter().map(|(id, _)| id.clone()).collect();
         let free = self.loads_at_once().saturating_sub(self.loading_now(now));
@@ -445,6 +445,7 @@
         rest: None,
         refusals: 0,
         heard: view.heard,
+        is_silent: view.is_silent,
         load: EngineLoad::default(),
     }
 }
--- a/crates/fleet/tests/regression/slow_rollout.rs
+++ b/crates/fleet/tests/regression/slow_rollout.rs
@@ -110,6 +110,7 @@
             model: "m".parse().unwrap(),
             version: self.version,
             heard: MonotonicTime::from_millis(heard),
+            is_silent: self.is_dark,
         }
     }
 }
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -18,12 +18,8 @@
 
 /// Returns the history of a version that was named at the origin of time.
 fn named(version: u32) -> BTreeMap<ModelId, WeightsHistory> {
-    named_at(MonotonicTime::ZERO, version)
-}
-
-fn named_at(now: MonotonicTime, version: u32) -> BTreeMap<ModelId, WeightsHistory> {
     let mut history = WeightsHistory::new();
-    history.note(now, version, Duration::ZERO);
+    history.note(MonotonicTime::ZERO, version, Duration::ZERO);
     BTreeMap::from([("m".parse().unwrap(), history)])
 }
 
@@ -34,6 +30,7 @@
         model: "m".parse().unwrap(),
         version,
         heard: MonotonicTime::ZERO,
+        is_silent: false,
     }
 }
 
@@ -185,11 +182,10 @@
 #[test]
 fn silent_engines_come_last() {
     let mut rollout = Rollout::new(RolloutSettings::default());
-    rollout.set_named(named_at(at(9_500), 2));
-    let heard = |i| if i < 4 { at(0) } else { at(9_000) };
-    let engines = (0..ENGINES).map(|i| EngineView { heard: heard(i), ..engine(i, 1) });
+    rollout.set_named(named(2));
+    let engines = (0..ENGINES).map(|i| EngineView { is_silent: i < 4, ..engine(i, 1) });
     rollout.set_engines(&engines.collect::<Vec<_>>());
-    rollout.orders(at(10_000));
+    rollout.orders(at(0));
     let paused: Vec<_> = rollout.news().into_iter().filter(|news| news.paused).collect();
     assert_eq!(paused.len(), 4);
     for i in 0..4 {
--- a/crates/member/src/budget.rs
+++ b/crates/member/src/budget.rs
@@ -66,9 +66,16 @@
     /// and the time that news takes to spread.
     pub fn lease_floor(&self, routers: usize, endpoints: usize) -> Duration {
         const RENEWALS_PER_LEASE: u32 = 3;
-        const SPARE_ROUNDS: u32 = 3;
-        let rounds = SPARE_ROUNDS + (routers + 1).ilog2();
-        self.renewal_spacing(endpoints) * RENEWALS_PER_LEASE + TICK * rounds
+        self.renewal_spacing(endpoints) * RENEWALS_PER_LEASE + spread_time(routers)
+    }
+
+    /// Returns the age from which an announcement is older than those of nearly all endpoints that
+    /// run: two renewals, one of which was lost, and the time that news takes to spread.
+    pub fn stale_after(&self, routers: usize, endpoints: usize) -> Duration {
+        const RENEWALS: u32 = 2;
+        const SHORTEST: Duration = Duration::from_millis(4_500);
+        let age = self.renewal_spacing(endpoints) * RENEWALS + spread_time(routers);
+        age.max(SHORTEST)
     }
 
     fn wave(&self, endpoints: usize, bytes: usize) -> Duration {
@@ -77,6 +84,12 @@
     }
 }
 
+/// Returns the time in which news reaches nearly all of so many routers.
+fn spread_time(routers: usize) -> Duration {
+    const SPARE_ROUNDS: u32 = 3;
+    TICK * (SPARE_ROUNDS + (routers + 1).ilog2())
+}
+
 /// Bytes that may be sent now, refilled at a steady rate.
 #[derive(Debug)]
 pub(crate) struct Allowance {
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -91,6 +91,8 @@
     pub peers: Vec<Peer>,
     /// The endpoints, ended lives included.
     pub endpoints: Vec<Known>,
+    /// Age of an announcement from which its endpoint may be gone.
+    pub stale_after: Duration,
     /// The newest revision of the configuration, and who has it.
     pub newest: Rumour,
 }
@@ -227,6 +229,7 @@
             isolated: self.peers.is_isolated(now),
             peers: self.peers.iter().cloned().collect(),
             endpoints: self.endpoints.iter().cloned().collect(),
+            stale_after: self.budget.stale_after(self.live_routers(), self.endpoint_count()),
             newest: self.newest.clone(),
         })
     }
@@ -302,9 +305,13 @@
         self.queues.renewed.push(life);
     }
 
+    fn live_routers(&self) -> usize {
+        self.peers.live().count() + 1
+    }
+
     /// Sets the shortest lease; a router that hears from nobody stretches none.
     fn refresh_lease_floor(&mut self, now: MonotonicTime) {
-        let routers = self.peers.live().count() + 1;
+        let routers = self.live_routers();
         let floor = match self.peers.hears_nobody(now) {
             true => Duration::ZERO,
             false => self.budget.lease_floor(routers, self.endpoint_count()),
