route, gateway: what is kept back for retries is a part of what a router may save

On large sites no resumable stream left an engine that was to load weights, so each drain took its longest 1.2 s and the load waited for the streams on top.

Cause: a move needs two retries to be left beside its own, but a router of 65 or 61 may save only 2.1 of the fleet's (170 x 0.8 / 65, 162 x 0.8 / 61), where one of 8 or 9 saves 5.6 or 5.2.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -62,8 +62,9 @@
 /// requests.
 const REFILL_SHARE: f64 = 0.3;
 
-/// Retries that are left to requests that fail when streams leave engines that load.
-const RETRY_RESERVE: f64 = 2.0;
+/// Part of the saved retries that is left to requests that fail when streams leave engines that
+/// load.
+const RETRY_RESERVE: f64 = 0.36;
 
 /// Age from which the view of the endpoints is not believed, as after a pause of the process.
 const STALE_ROSTER: Duration = Duration::from_millis(1_500);
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -62,9 +62,11 @@
         true
     }
 
-    /// Takes one retry if `reserve` are left for those that need one more.
-    pub fn try_spend_beyond(&mut self, now: MonotonicTime, reserve: f64) -> bool {
+    /// Takes one retry if a part of the most that can be saved up is left for those that need one
+    /// more.
+    pub fn try_spend_beyond(&mut self, now: MonotonicTime, reserved_part: f64) -> bool {
         self.refill(now);
+        let reserve = self.settings.burst * reserved_part;
         if self.tokens < reserve + 1.0 {
             return false;
         }
