route: an engine has no room beyond the requests that it runs at once

The 8 beyond waited in its queue, which no router sees, with weights that got older meanwhile. Change: the smaller of both counts. room_among_slots could not pass before; engines with 32 slots or more are judged as before.

--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -128,7 +128,7 @@
     wanted: &Wanted<'_>,
     prompt: &PromptWanted<'_>,
 ) -> Result<Rc<Target>, NoTarget> {
-    let speed = EngineSpeed::default();
+    let speed = EngineSpeed::with_slots(wanted.slots);
     let headroom = |target: &Target| {
         let cold = prompt.chain.tokens().as_u64();
         let cold = TokenCount::new(cold.saturating_sub(target.warm_tokens(prompt.chain).as_u64()));
--- a/crates/route/src/headroom.rs
+++ b/crates/route/src/headroom.rs
@@ -42,6 +42,15 @@
 }
 
 impl EngineSpeed {
+    /// Returns the speed of an engine that runs so many requests at once, 0 if unknown.
+    pub fn with_slots(slots: u32) -> Self {
+        let speed = Self::default();
+        match slots {
+            0 => speed,
+            slots => Self { streams: slots.min(speed.streams), ..speed },
+        }
+    }
+
     /// Returns when the first token is expected of a prompt with so many tokens to be read.
     pub fn first_token(&self, load: UnderWay, cold: TokenCount) -> Duration {
         self.first_token + self.reading(load.prefill_tokens) + self.reading(cold)
--- a/crates/route/tests/headroom.rs
+++ b/crates/route/tests/headroom.rs
@@ -34,3 +34,15 @@
     let left = speed.first_token(load(5, 30_000), TokenCount::new(800)) - AIM;
     assert_eq!(wait, left);
 }
+
+#[parameterized(
+    unknown = { 0, 31, true },
+    few_slots_free = { 24, 23, true },
+    few_slots_taken = { 24, 24, false },
+    many_slots = { 48, 32, false },
+)]
+fn room_among_slots(slots: u32, requests: u32, enough: bool) {
+    let headroom =
+        EngineSpeed::with_slots(slots).headroom(load(requests, 0), TokenCount::ZERO, AIM);
+    assert_eq!(headroom == Headroom::Enough, enough, "{headroom:?}");
+}
