rollout: engines drain while a new leader may not give orders yet

After a change of leader the next one waits until no order of the earlier one can arrive (3.5 s), and only then began to drain engines for another 0.25 to 1.2 s of the 10 s in which all must have the weights. Now they drain during the last 1.2 s of the wait. engines_drain_before_the_first_order_may_be_given; no order is given earlier than before.

--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -45,6 +45,8 @@
     term: Term,
     since: MonotonicTime,
     rollout: Rollout,
+    /// Time that engines drain at most, which may pass before the first order.
+    drain_limit: Duration,
     asked: HashMap<EndpointId, MonotonicTime>,
     outcomes: flume::Receiver<Outcome>,
     report: flume::Sender<Outcome>,
@@ -66,11 +68,12 @@
     fn begin(term: Term, since: MonotonicTime, unused_after: Duration) -> Self {
         let (report, outcomes) = flume::unbounded();
         let settings = RolloutSettings { unused_after, ..RolloutSettings::default() };
-        let rollout = Rollout::new(settings);
+        let (rollout, drain_limit) = (Rollout::new(settings), settings.drain_limit);
         Self {
             term,
             since,
             rollout,
+            drain_limit,
             asked: HashMap::new(),
             outcomes,
             report,
@@ -130,12 +133,16 @@
     }
     office.rollout.set_engines(&engines(&roster));
     office.rollout.set_loads(|endpoint| load_of(&view.loads, endpoint));
-    let waits = now.saturating_since(office.since) < gateway.cfg.order_wait();
-    if !waits {
-        for order in office.rollout.orders(now) {
-            give(gateway, office, &roster, order);
+    let held = now.saturating_since(office.since);
+    match gateway.cfg.order_wait().saturating_sub(held) {
+        Duration::ZERO => {
+            for order in office.rollout.orders(now) {
+                give(gateway, office, &roster, order);
+            }
+            ask_loading(gateway, office, &roster, now);
         }
-        ask_loading(gateway, office, &roster, now);
+        wait if wait <= office.drain_limit => office.rollout.drain(now),
+        _ => {}
     }
     log_progress(office, now);
     tell_routers(gateway, office);
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -250,20 +250,18 @@
         }
     }
 
+    /// Stops new requests at the engines that load next, as when no order may be given yet.
+    pub fn drain(&mut self, now: MonotonicTime) {
+        self.forget_lost_orders(now);
+        let ids = self.by_turn(now);
+        self.drain_next(&ids, now);
+    }
+
     /// Returns the orders to give now, the engines with the oldest weights first.
     pub fn orders(&mut self, now: MonotonicTime) -> Vec<LoadOrder> {
         self.forget_lost_orders(now);
         let mut orders = Vec::new();
-        let mut behind = self.behind();
-        // Engines that have drained longest go first, then those with the oldest weights.
-        behind.sort_by_key(|(id, engine)| {
-            let drained = match engine.step {
-                Step::Draining { since } => since,
-                _ => now,
-            };
-            (engine.is_silent, drained, engine.version, spread(id))
-        });
-        let ids: Vec<EndpointId> = behind.into_iter().map(|(id, _)| id.clone()).collect();
+        let ids = self.by_turn(now);
         let free = self.loads_at_once().saturating_sub(self.loading_now(now));
         let drained = ids.iter().filter(|id| self.is_drained(id, now));
         let ready: Vec<&EndpointId> = drained.take(free).collect();
@@ -279,6 +277,20 @@
         orders
     }
 
+    /// Returns the engines that are behind: those that have drained longest first, then those with
+    /// the oldest weights.
+    fn by_turn(&self, now: MonotonicTime) -> Vec<EndpointId> {
+        let mut behind = self.behind();
+        behind.sort_by_key(|(id, engine)| {
+            let drained = match engine.step {
+                Step::Draining { since } => since,
+                _ => now,
+            };
+            (engine.is_silent, drained, engine.version, spread(id))
+        });
+        behind.into_iter().map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns the engines that load, to be asked whether they have finished.
     pub fn loading(&self) -> impl Iterator<Item = (&EndpointId, Incarnation)> {
         let loading = |step: Step| matches!(step, Step::Loading { .. });
--- a/crates/fleet/tests/rollout.rs
+++ b/crates/fleet/tests/rollout.rs
@@ -225,3 +225,12 @@
     let again = refuse(&mut rollout);
     assert!(again <= last + 2_000, "ordered {} ms after it was heard", again - last - 1_500);
 }
+
+#[test]
+fn engines_drain_before_the_first_order_may_be_given() {
+    let mut rollout = rollout(2);
+    rollout.drain(at(0));
+    rollout.drain(at(200));
+    let drain = RolloutSettings::default().drain_time.as_millis() as u64;
+    assert_eq!(rollout.orders(at(drain)).len(), RolloutSettings::default().fewest_loads);
+}
