gateway: the lead is checked between the connection to an engine and the order

Found by reading, in the search for margins that nothing enforces. Now the check comes after the connection stands, right before the order is sent. No test of its own: named_weights_reach_all_engines_under_one_holder passes as before.

--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -13,7 +13,7 @@
 use route::{EndpointKey, SentLoad};
 
 use crate::{
-    net::{self, AbortOnDrop},
+    net::{self, AbortOnDrop, FreshConnection},
     replica::{ReplicaInput, ReplicaView},
 };
 
@@ -233,7 +233,8 @@
 ) -> OrderOutcome {
     let holder = &gateway.host;
     let call = LoadCall { order, holder, fencing: term, expected_orders };
-    // The lead may have been lost since the order was decided.
+    let Some(connection) = connect(gateway, address).await else { return OrderOutcome::Refused };
+    // The lead may have been lost since the order was decided, also while it was connected.
     let leads_still = gateway
         .replica_state
         .load()
@@ -241,10 +242,9 @@
     if !leads_still {
         return OrderOutcome::Refused;
     }
-    match exchange(gateway, address, gateway.dialect.load_call(&call)).await {
-        Ok((head, _)) => gateway.dialect.load_answer(&head),
-        Err(NoReply::NotSent) => OrderOutcome::Refused,
-        Err(NoReply::Unknown) => OrderOutcome::Unknown,
+    match exchange(connection, address, gateway.dialect.load_call(&call)).await {
+        Some((head, _)) => gateway.dialect.load_answer(&head),
+        None => OrderOutcome::Unknown,
     }
 }
 
@@ -280,7 +280,8 @@
 }
 
 async fn ask<D: Dialect>(gateway: &Gateway<D>, address: SocketAddr) -> Option<EngineReport> {
-    let (head, body) = exchange(gateway, address, gateway.dialect.report_call()).await.ok()?;
+    let connection = connect(gateway, address).await?;
+    let (head, body) = exchange(connection, address, gateway.dialect.report_call()).await?;
     match gateway.dialect.report(head.status, &body) {
         Ok(report) => Some(report),
         Err(e) => {
@@ -290,19 +291,16 @@
     }
 }
 
-/// Why a call to an engine has no answer.
-enum NoReply {
-    NotSent,
-    Unknown,
+async fn connect<D: Dialect>(gateway: &Gateway<D>, address: SocketAddr) -> Option<FreshConnection> {
+    net::connect_http(gateway.source, address, ANSWER_TIMEOUT).await.ok()
 }
 
-async fn exchange<D: Dialect>(
-    gateway: &Gateway<D>,
+/// Sends a call to an engine; without an answer in time it may have been carried out.
+async fn exchange(
+    connection: FreshConnection,
     address: SocketAddr,
     call: Request<Bytes>,
-) -> Result<(response::Parts, Bytes), NoReply> {
-    let connected = net::connect_http(gateway.source, address, ANSWER_TIMEOUT).await;
-    let connection = connected.map_err(|_| NoReply::NotSent)?;
+) -> Option<(response::Parts, Bytes)> {
     let _driver = AbortOnDrop(connection.driver);
     let mut sender = connection.sender;
     let mut call = call.map(Full::new);
@@ -313,6 +311,5 @@
         let body = Limited::new(body, MAX_ANSWER).collect().await.ok()?;
         Some((head, body.to_bytes()))
     };
-    let answered = tokio::time::timeout(ANSWER_TIMEOUT, answering).await;
-    answered.ok().flatten().ok_or(NoReply::Unknown)
+    tokio::time::timeout(ANSWER_TIMEOUT, answering).await.ok()?
 }
