rollout: a lease that lapses within a term starts no new wait for orders

Found in review. Change: Tenure, without clock or network: only the loss of the lead or a new term ends it. A lease that runs again in the same term was granted by a majority that knew no later term, so nobody else led. While it has lapsed no order is given.

--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -355,6 +355,11 @@
         self.by_id.is_empty()
     }
 
+    /// Returns all endpoints.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Rc<Target>> {
+        self.by_id.values()
+    }
+
     /// Returns the endpoints of a service.
     pub(super) fn of_service<'a>(
         &'a self,
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -5,11 +5,13 @@
 use base::{EndpointId, Incarnation, MonotonicTime, Term};
 use bytes::Bytes;
 use fleet::{
-    EngineLoad, EngineNews, EngineView, LoadOrder, OrderOutcome, Progress, Rollout, RolloutSettings,
+    EngineLoad, EngineNews, EngineView, Lead, LoadOrder, Mandate, OrderOutcome, Progress, Rollout,
+    RolloutSettings, Tenure,
 };
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{Request, Response, header::HOST, http::response};
 use member::{EndpointState, Roster};
+use quorum::Role;
 use route::{EndpointKey, SentLoad};
 
 use crate::{
@@ -40,18 +42,17 @@
 /// Longest answer of an engine to an order or a question, in bytes.
 const MAX_ANSWER: usize = 1 << 20;
 
-/// A time of leading in which orders may be given.
+/// The rollout in a term in which this host leads.
 struct Office {
     term: Term,
-    since: MonotonicTime,
     rollout: Rollout,
     /// Time that engines drain at most, which may pass before the first order.
     drain_limit: Duration,
     asked: HashMap<EndpointId, MonotonicTime>,
     outcomes: flume::Receiver<Outcome>,
     report: flume::Sender<Outcome>,
-    /// What the replica was told last.
-    told: Vec<EngineNews>,
+    /// What the replica was told last, if anything.
+    told: Option<Vec<EngineNews>>,
     /// When engines were found to lack the weights named, until all have them.
     behind_since: Option<MonotonicTime>,
     /// When it was last logged how far they have come.
@@ -65,19 +66,18 @@
 }
 
 impl Office {
-    fn begin(term: Term, since: MonotonicTime, unused_after: Duration) -> Self {
+    fn begin(term: Term, unused_after: Duration) -> Self {
         let (report, outcomes) = flume::unbounded();
         let settings = RolloutSettings { unused_after, ..RolloutSettings::default() };
         let (rollout, drain_limit) = (Rollout::new(settings), settings.drain_limit);
         Self {
             term,
-            since,
             rollout,
             drain_limit,
             asked: HashMap::new(),
             outcomes,
             report,
-            told: Vec::new(),
+            told: None,
             behind_since: None,
             logged: MonotonicTime::ZERO,
         }
@@ -87,27 +87,43 @@
 /// Gives orders while this host leads, until the thread ends.
 pub(super) async fn run<D: Dialect>(gateway: Rc<Gateway<D>>) {
     let mut office: Option<Office> = None;
+    let mut tenure = Tenure::new(gateway.cfg.order_wait());
     loop {
         tokio::time::sleep(PERIOD).await;
         let now = gateway.clock.now();
-        let Some(view) = gateway.replica_state.load().filter(|view| leads(view, now)) else {
-            if office.take().is_some() {
-                log::info!("gives no more orders to engines");
-            }
-            continue;
-        };
-        let term = view.node.term;
-        if office.as_ref().is_none_or(|office| office.term != term) {
-            log::info!(term:%; "may give orders to engines after the earlier holder's lease");
-            office = Some(Office::begin(term, now, gateway.cfg.weights_age()));
+        let Some(view) = gateway.replica_state.load() else { continue };
+        let mandate = tenure.judge(now, lead(&view, now));
+        follow_tenure(&gateway, &mut office, tenure.term());
+        if let Some(office) = office.as_mut().filter(|_| mandate != Mandate::None) {
+            look(&gateway, office, &view, mandate, now);
         }
-        if let Some(office) = &mut office {
-            look(&gateway, office, &view, now);
+    }
+}
+
+/// Begins a rollout with each term, and ends it with the term.
+fn follow_tenure<D: Dialect>(
+    gateway: &Gateway<D>,
+    office: &mut Option<Office>,
+    held: Option<Term>,
+) {
+    if office.as_ref().map(|office| office.term) == held {
+        return;
+    }
+    *office = held.map(|term| Office::begin(term, gateway.cfg.weights_age()));
+    match held {
+        Some(term) => {
+            log::info!(term:%; "may give orders to engines after the earlier holder's lease");
         }
+        None => log::info!("gives no more orders to engines"),
     }
 }
 
-fn leads(view: &ReplicaView, now: MonotonicTime) -> bool {
+fn lead(view: &ReplicaView, now: MonotonicTime) -> Option<Lead> {
+    let leads = view.node.role == Role::Leader;
+    leads.then(|| Lead { term: view.node.term, has_lease: has_lease(view, now) })
+}
+
+fn has_lease(view: &ReplicaView, now: MonotonicTime) -> bool {
     view.lease_until.is_some_and(|until| now + LEASE_MARGIN < until)
 }
 
@@ -115,6 +131,7 @@
     gateway: &Rc<Gateway<D>>,
     office: &mut Office,
     view: &ReplicaView,
+    mandate: Mandate,
     now: MonotonicTime,
 ) {
     while let Ok(outcome) = office.outcomes.try_recv() {
@@ -132,17 +149,19 @@
         office.rollout.set_named(in_force.weights.clone());
     }
     office.rollout.set_engines(&engines(&roster));
+    for target in gateway.targets.borrow().iter() {
+        office.rollout.reported(&target.endpoint, target.incarnation, target.version());
+    }
     office.rollout.set_loads(|endpoint| load_of(&view.loads, endpoint));
-    let held = now.saturating_since(office.since);
-    match gateway.cfg.order_wait().saturating_sub(held) {
-        Duration::ZERO => {
+    match mandate {
+        Mandate::Orders => {
             for order in office.rollout.orders(now) {
                 give(gateway, office, &roster, order);
             }
             ask_loading(gateway, office, &roster, now);
         }
-        wait if wait <= office.drain_limit => office.rollout.drain(now),
-        _ => {}
+        Mandate::Waits(left) if left <= office.drain_limit => office.rollout.drain(now),
+        Mandate::Waits(_) | Mandate::None => {}
     }
     log_progress(office, now);
     tell_routers(gateway, office);
@@ -194,9 +213,10 @@
 
 fn tell_routers<D: Dialect>(gateway: &Gateway<D>, office: &mut Office) {
     let news = office.rollout.news();
-    let Some(replica) = gateway.replica.as_ref().filter(|_| news != office.told) else { return };
+    let is_told = office.told.as_ref() == Some(&news);
+    let Some(replica) = gateway.replica.as_ref().filter(|_| !is_told) else { return };
     if replica.try_send(ReplicaInput::EngineNews(news.clone())).is_ok() {
-        office.told = news;
+        office.told = Some(news);
     }
 }
 
@@ -238,7 +258,7 @@
     let leads_still = gateway
         .replica_state
         .load()
-        .is_some_and(|view| view.node.term == term && leads(&view, gateway.clock.now()));
+        .is_some_and(|view| view.node.term == term && has_lease(&view, gateway.clock.now()));
     if !leads_still {
         return OrderOutcome::Refused;
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod setting;
 mod settings;
 mod state;
+mod tenure;
 mod weights_history;
 
 pub use crate::{
@@ -76,5 +77,6 @@
     scope::Scope,
     settings::{Overrides, SettingKey, SettingValue, Settings},
     state::Fleet,
+    tenure::{Lead, Mandate, Tenure},
     weights_history::{WeightsAge, WeightsHistory},
 };
--- /dev/null
+++ b/crates/fleet/src/tenure.rs
@@ -0,0 +1,62 @@
+use std::time::Duration;
+
+use base::{MonotonicTime, Term};
+
+/// What a host knows of its own lead.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lead {
+    /// The term in which it leads.
+    pub term: Term,
+    /// Whether its lease runs, so that no other host can lead at present.
+    pub has_lease: bool,
+}
+
+/// What a host may do about orders to endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mandate {
+    /// Another host may be giving orders.
+    None,
+    /// Orders of an earlier leader may still arrive, for this time.
+    Waits(Duration),
+    /// It may give orders.
+    Orders,
+}
+
+/// The time for which a host leads in one term, and so may give orders to endpoints.
+///
+/// A lease that lapses and runs again in the same term proves that no other host led meanwhile, so
+/// that only a new term makes the host wait for an earlier leader's orders.
+#[derive(Clone, Copy, Debug)]
+pub struct Tenure {
+    wait: Duration,
+    held: Option<(Term, MonotonicTime)>,
+}
+
+impl Tenure {
+    /// Creates one that waits for `wait` after the beginning of each term.
+    pub const fn new(wait: Duration) -> Self {
+        Self { wait, held: None }
+    }
+
+    /// Returns the term in which orders may be given, once the lease has run in it.
+    pub fn term(&self) -> Option<Term> {
+        self.held.map(|(term, _)| term)
+    }
+
+    /// Judges what the host may do at `now`; without a lead it holds nothing any more.
+    pub fn judge(&mut self, now: MonotonicTime, lead: Option<Lead>) -> Mandate {
+        let Some(lead) = lead else {
+            self.held = None;
+            return Mandate::None;
+        };
+        self.held = self.held.filter(|(term, _)| *term == lead.term);
+        if !lead.has_lease {
+            return Mandate::None;
+        }
+        let (_, since) = *self.held.get_or_insert((lead.term, now));
+        match self.wait.saturating_sub(now.saturating_since(since)) {
+            Duration::ZERO => Mandate::Orders,
+            left => Mandate::Waits(left),
+        }
+    }
+}
