--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -22,8 +22,11 @@
     pub share: f64,
     /// Fewest engines that may drain or load at once, if there are more than that.
     pub fewest: usize,
-    /// Engines that may drain or load at once even if as many as may be are out of reach.
-    pub always: usize,
+    /// Part of the engines that may drain or load at once even if as many as may be are out of
+    /// reach.
+    pub always_share: f64,
+    /// Fewest engines of that part.
+    pub fewest_always: usize,
     /// Shortest time without new requests before an engine is told to load, so that all routers
     /// know.
     pub drain_time: Duration,
@@ -49,7 +52,8 @@
         Self {
             share: 0.4,
             fewest: 4,
-            always: 2,
+            always_share: 0.1,
+            fewest_always: 2,
             drain_time: Duration::from_millis(250),
             drain_limit: Duration::from_millis(1_200),
             load_share: 0.2,
@@ -400,7 +404,8 @@
         let busy = self.engines.values().filter(|engine| engine.step != Step::Idle).count();
         let resting = self.engines.values().filter(|engine| engine.rests(now)).count();
         let left = self.most_at_once().saturating_sub(busy + resting);
-        left.max(self.settings.always.saturating_sub(busy))
+        let always = (self.engines.len() as f64 * self.settings.always_share) as usize;
+        left.max(always.max(self.settings.fewest_always).saturating_sub(busy))
     }
 
     /// Lets engines whose order showed no effect, or that are no longer behind, be chosen anew.
--- a/crates/fleet/tests/regression/slow_rollout.rs
+++ b/crates/fleet/tests/regression/slow_rollout.rs
@@ -8,9 +8,18 @@
 /// Time between two rounds, in milliseconds.
 const PERIOD: u64 = 50;
 
+/// Longest time that is played, in milliseconds.
+const LIMIT: u64 = 60_000;
+
 /// Time between heartbeats, in milliseconds.
 const HEARTBEAT: u64 = 1_200;
 
+/// Age of an announcement from which it counts as stale in a fleet of this size, in milliseconds.
+const SILENCE: u64 = 10_500;
+
+/// Time before the bound from which routers send nothing to outdated weights.
+const UNUSED_MARGIN: Duration = Duration::from_millis(3_000);
+
 /// Time that a load takes, in milliseconds, while at most [`FAST_LOADS`] of the engines load.
 const LOAD: u64 = 550;
 
@@ -20,10 +29,11 @@
 /// Time that a request still runs at an engine that gets no new ones, in milliseconds.
 const REQUEST: u64 = 900;
 
-/// Rounds that `engines` engines need, in simulated time; the first `dark` can't be reached.
-fn time_to_all(engines: usize, dark: usize, limit: u64) -> Option<u64> {
-    let mut site = Site::new(engines, dark);
-    (0..limit).step_by(PERIOD as usize).find(|&now| site.round(now))
+/// Returns after how many milliseconds all engines that can be reached have the weights; the first
+/// `dark` can't be.
+fn time_to_all(engines: usize, dark: usize, bound: Duration) -> Option<u64> {
+    let mut site = Site::new(engines, dark, bound);
+    (0..LIMIT).step_by(PERIOD as usize).find(|&now| site.round(now))
 }
 
 struct Engine {
@@ -41,8 +51,10 @@
 }
 
 impl Site {
-    fn new(engines: usize, dark: usize) -> Self {
-        let mut rollout = Rollout::new(RolloutSettings::default());
+    fn new(engines: usize, dark: usize, bound: Duration) -> Self {
+        let unused_after = bound - UNUSED_MARGIN;
+        let mut rollout =
+            Rollout::new(RolloutSettings { unused_after, ..RolloutSettings::default() });
         let mut history = WeightsHistory::new();
         history.note(MonotonicTime::ZERO, 2, Duration::ZERO);
         rollout.set_named(BTreeMap::from([("m".parse().unwrap(), history)]));
@@ -110,7 +122,7 @@
             model: "m".parse().unwrap(),
             version: self.version,
             heard: MonotonicTime::from_millis(heard),
-            is_silent: self.is_dark,
+            is_silent: SILENCE <= now - heard,
         }
     }
 }
@@ -120,7 +132,7 @@
         #[test]
         fn $name() {
             let bound = Duration::from_millis($bound_ms);
-            let took = time_to_all($engines, $dark, 60_000).map(Duration::from_millis);
+            let took = time_to_all($engines, $dark, bound).map(Duration::from_millis);
             let took = took.expect("all engines load in the end");
             assert!(took < bound, "{} engines took {took:?} of {bound:?}", $engines);
         }
@@ -134,4 +146,5 @@
     three_hundred_engines: 300, 0, 10_000;
     eighteen_engines_four_out_of_reach: 18, 4, 8_000;
     ninety_engines_a_quarter_out_of_reach: 90, 22, 10_000;
+    ninety_engines_40_out_of_reach: 90, 40, 10_000;
 }
