--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -165,8 +165,8 @@
         }
         if let Some(replica) = &self.replica {
             // A full ring loses ages that the next view brings again.
-            let _ =
-                replica.try_send(ReplicaInput::WeightAges { at: now, ages: view.weights.clone() });
+            let ages = weights.iter().flat_map(|(model, history)| history.ages(model, now));
+            let _ = replica.try_send(ReplicaInput::WeightAges { at: now, ages: ages.collect() });
         }
         weights
     }
--- a/crates/member/tests/ages.rs
+++ b/crates/member/tests/ages.rs
@@ -2,6 +2,7 @@
 
 mod net;
 
+use member::Budget;
 use net::Net;
 
 /// Time between an endpoint's announcements, in milliseconds.
@@ -28,6 +29,7 @@
         announce(net);
         for router in &net.routers {
             let roster = router.roster(net.now);
+            assert!(roster.stale_after < Budget::default().lease_floor(routers, endpoints));
             let age = |written| net.now.saturating_since(written);
             let known = roster.endpoints.iter();
             stale += known.filter(|known| roster.stale_after <= age(known.written)).count() as u64;
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -66,7 +66,7 @@
     /// more.
     pub fn try_spend_beyond(&mut self, now: MonotonicTime, reserved_part: f64) -> bool {
         self.refill(now);
-        let reserve = self.settings.burst * reserved_part;
+        let reserve = (self.settings.burst * reserved_part).min(self.settings.burst - 1.0);
         if self.tokens < reserve + 1.0 {
             return false;
         }
--- a/crates/route/tests/retry.rs
+++ b/crates/route/tests/retry.rs
@@ -137,6 +137,9 @@
     let mut budget = RetryBudget::new(MonotonicTime::ZERO, settings);
     assert!(budget.try_spend_beyond(MonotonicTime::ZERO, 0.36));
     assert!(budget.try_spend(MonotonicTime::ZERO));
+    budget = RetryBudget::new(MonotonicTime::ZERO, BudgetSettings { burst: 1.0, ..settings });
+    assert!(budget.try_spend_beyond(MonotonicTime::ZERO, 0.36));
+    assert!(!budget.try_spend(MonotonicTime::ZERO));
 }
 
 #[test]
