gateway: all stores of cached prompts are used, not the first alone

Cause: a configuration may name several stores, and the gateway took the first. On the grown sites there are three of 0.9 and 1.3 million tokens, and shared parts of 1.7 and 2.6 million, so that the one in use forgot parts before they were asked for again.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -137,7 +137,7 @@
             }
         };
         let mut targets = self.targets.borrow_mut();
-        targets.set_store(table.stores().first());
+        targets.set_stores(table.stores());
         for service in table.services() {
             if let Some(engine) = &service.engine {
                 targets.set_kv_tokens(&service.name, engine.kv_tokens);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -215,7 +215,7 @@
     fn note_sent(&self, target: &Target, chain: &PartChain, saved: bool) {
         let (now, weights) = (self.clock.now(), target.version());
         target.reads(now, chain);
-        if let Some(store) = self.targets.borrow().store().filter(|_| saved) {
+        if let Some(store) = self.targets.borrow().store_of(chain).filter(|_| saved) {
             store.holds(now, weights, chain);
         }
         let sent = Sent { engine: target.key.as_u32(), weights, chain: chain.clone(), saved };
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -293,7 +293,7 @@
 ) -> Transfers {
     let shared = chain.shared_tokens().as_u64();
     let held = target.warm_tokens(chain).as_u64().min(shared);
-    let stored = targets.store().map(|store| {
+    let stored = targets.store_of(chain).map(|store| {
         (store.address, store.warm_tokens(target.version(), chain).as_u64().min(shared))
     });
     let is_long = LONG_PROMPT.as_u64() <= shared;
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -9,7 +9,7 @@
 use base::{DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, ServiceId, TokenCount};
 use fleet::EngineNews;
 use member::{Announcement, EndpointKind, EndpointState, Known, Leavers, LifeKey, Roster};
-use prefix::{PartChain, PartMemory, Sent};
+use prefix::{PartChain, PartMemory, Sent, rank_by_name};
 use route::{EndpointKey, SentLoad, UnderWay};
 use routes::KvStore;
 use wire::leader::PublishedView;
@@ -59,9 +59,11 @@
     others: Cell<SentLoad>,
 }
 
-/// The store of cached prompts, as this host believes it to be.
+/// A store of cached prompts, as this host believes it to be.
 pub(super) struct Store {
     pub address: SocketAddr,
+    /// Its address as text, by which prompts are spread over the stores.
+    name: String,
     memory: RefCell<HashMap<u32, PartMemory>>,
     kv_tokens: TokenCount,
 }
@@ -69,7 +71,7 @@
 impl Store {
     fn new(store: &KvStore) -> Self {
         let (address, kv_tokens) = (store.address, store.kv_tokens);
-        Self { address, memory: RefCell::default(), kv_tokens }
+        Self { address, name: address.to_string(), memory: RefCell::default(), kv_tokens }
     }
 
     /// Returns how much of a prompt's beginning it holds for a version of the weights.
@@ -212,7 +214,7 @@
     kv_tokens: HashMap<ServiceId, TokenCount>,
     /// When the loads of other hosts came.
     loads_at: MonotonicTime,
-    store: Option<Store>,
+    stores: Vec<Store>,
     /// Lives of endpoints that any host has heard to leave.
     leavers: Leavers,
 }
@@ -306,7 +308,7 @@
         for sent in sent {
             let key = EndpointKey::new(sent.engine);
             let target = self.by_id.values().find(|target| target.key == key);
-            if let Some(store) = self.store.as_ref().filter(|_| sent.saved) {
+            if let Some(store) = self.store_of(&sent.chain).filter(|_| sent.saved) {
                 store.holds(now, sent.weights, &sent.chain);
             }
             if let Some(target) = target.filter(|target| target.version() == sent.weights) {
@@ -334,16 +336,20 @@
         });
     }
 
-    /// Takes which store of cached prompts there is.
-    pub(super) fn set_store(&mut self, store: Option<&KvStore>) {
-        let same = self.store.as_ref().map(|held| held.address) == store.map(|named| named.address);
-        if !same {
-            self.store = store.map(Store::new);
+    /// Takes which stores of cached prompts there are.
+    pub(super) fn set_stores(&mut self, named: &[KvStore]) {
+        self.stores.retain(|held| named.iter().any(|store| store.address == held.address));
+        for store in named {
+            if !self.stores.iter().any(|held| held.address == store.address) {
+                self.stores.push(Store::new(store));
+            }
         }
     }
 
-    pub(super) fn store(&self) -> Option<&Store> {
-        self.store.as_ref()
+    /// Returns the store that keeps a prompt's shared parts, the same one at all hosts.
+    pub(super) fn store_of(&self, chain: &PartChain) -> Option<&Store> {
+        let hash = chain.shared_hash()?;
+        self.stores.iter().max_by_key(|store| rank_by_name(hash, &store.name))
     }
 
     /// Takes how much fits into the memory of a service's engines.
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -37,7 +37,7 @@
     hot::HotPrefixes,
     index::{IndexSettings, WarmIndex, Warmth},
     parts::{Part, PartChain, PartMemory},
-    placement::{Replication, homes, rank},
+    placement::{Replication, homes, rank, rank_by_name},
     shared::{Sent, SentLog, Untold},
     slot::Slot,
 };
--- a/crates/prefix/src/placement.rs
+++ b/crates/prefix/src/placement.rs
@@ -9,7 +9,12 @@
 ///
 /// The rank needs no state, so every router, also one just started, agrees on it.
 pub fn rank(prefix: BlockHash, endpoint: &EndpointId) -> u64 {
-    xxh3_64_with_seed(endpoint.as_str().as_bytes(), prefix.as_u64())
+    rank_by_name(prefix, endpoint.as_str())
+}
+
+/// Returns the rendezvous rank for `prefix` of what has a name but announces itself to nobody.
+pub fn rank_by_name(prefix: BlockHash, name: &str) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), prefix.as_u64())
 }
 
 /// Returns the first `count` endpoints by [`rank`] for `prefix`, the home first.
