replica: reads and changes of voters are modules of their own

Change: reads.rs holds the answers to requests that only read, with a match that names every request, so that the compiler asks about a new one; voters.rs holds when the leader looks at its voters and what a change asked for comes to. The driver keeps the order of steps, and the log lines with them, since a line shows the module that wrote it. Behaviour, messages and log lines are unchanged.

--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -1,15 +1,17 @@
+//! The loop that carries out what the node says.
+
 use std::time::Duration;
 
 use base::{HostId, LogIndex, MonotonicTime, Term, UnixMillis};
 use fleet::{Command, Fleet};
 use quorum::{
-    Action, Config, Entry, HealingSettings, Input, LeaderView, Message, Node, Payload, Restored,
-    Role, Snapshot, SyncGate, VoterSet, next_voters,
+    Action, Config, Entry, Input, Message, Node, Payload, Restored, Role, Snapshot, SyncGate,
+    VoterSet,
 };
 use rand_pcg::Pcg64Mcg;
 use store::{Disk, Log};
 use wire::{
-    leader::{Follow, LeaderAnswer, LeaderRequest, Seen, UnsettledCall},
+    leader::{Follow, LeaderAnswer, LeaderRequest},
     peer::{quorum_from_bytes, quorum_to_bytes},
 };
 
@@ -22,6 +24,8 @@
 use super::{
     ReplicaConfig, ReplicaInput, ReplicaRings, ReplicaView,
     followers::{Followers, Held},
+    reads::Readable,
+    voters::{self, Healing},
     waiting::{Reading, Reply, Waiting},
     writer::{DiskSpeed, Writer, Written},
 };
@@ -38,9 +42,6 @@
 /// Bytes of commands applied after which a snapshot replaces the log.
 const SNAPSHOT_BYTES: usize = 4 << 20;
 
-/// Time between looks at whether the voters should change.
-const HEALING_PERIOD: Duration = Duration::from_millis(100);
-
 /// Changes shown to operators.
 const SHOWN_CHANGES: usize = 1_000;
 
@@ -62,8 +63,7 @@
     failure: Option<String>,
     /// Told once this host leads no more.
     handing_over: Option<flume::Sender<()>>,
-    healing: Option<HealingSettings>,
-    healed: MonotonicTime,
+    healing: Healing,
     /// The term in which this host leads, and since when.
     leading: Option<(Term, MonotonicTime)>,
     followers: Followers,
@@ -120,8 +120,7 @@
             rings,
             failure: None,
             handing_over: None,
-            healing: cfg.healing,
-            healed: MonotonicTime::ZERO,
+            healing: Healing::new(cfg.healing),
             leading: None,
             followers: Followers::default(),
         };
@@ -158,7 +157,7 @@
                 self.handing_over = None;
             }
             self.publish();
-            if self.failure.is_some() && self.healing.is_some() {
+            if self.failure.is_some() && self.healing.is_on() {
                 return DriverEnd::Failed;
             }
         }
@@ -251,10 +250,7 @@
                 | LeaderRequest::ReadHistory
                 | LeaderRequest::ReadVoters
                 | LeaderRequest::ReadPublished),
-            ) => {
-                let id = self.waiting.read(Reading { request, reply });
-                self.step(Input::Read { id });
-            }
+            ) => self.read(request, reply),
             Ok(LeaderRequest::FollowPublished(question)) => self.follow(question, reply),
             Err(e) => reply.answer(&LeaderAnswer::Refused(e.to_string())),
         }
@@ -273,19 +269,11 @@
         let leads = self.node.role() == Role::Leader;
         let due = self.followers.take_due(self.clock.now(), self.node.term(), leads);
         for Held { question, reply, .. } in due {
-            let request = LeaderRequest::FollowPublished(question);
-            let id = self.waiting.read(Reading { request, reply });
-            self.step(Input::Read { id });
+            self.read(LeaderRequest::FollowPublished(question), reply);
         }
         self.carry_out();
     }
 
-    fn view(&mut self, seen: &Seen, asker: Option<&HostId>) -> LeaderAnswer {
-        let (now, term) = (self.clock.now(), self.node.term());
-        let view = self.followers.view(now, term, self.fleet.published(), seen, asker);
-        LeaderAnswer::Published(Box::new(view))
-    }
-
     /// Notes when this host began to lead.
     fn note_office(&mut self) {
         if self.node.role() != Role::Leader {
@@ -307,38 +295,37 @@
 
     /// Proposes a change of voters, if one is due.
     fn heal(&mut self) {
-        let (Some(settings), Some((_, since))) = (self.healing, self.leading) else { return };
+        let Some((_, since)) = self.leading else { return };
         let now = self.clock.now();
-        if now.saturating_since(self.healed) < HEALING_PERIOD {
-            return;
-        }
-        self.healed = now;
-        let status = self.node.status();
-        let led = now.saturating_since(since);
-        let view = LeaderView { status: &status, me: &self.host, now, led };
-        let Some(voters) = next_voters(&view, &settings) else { return };
+        let due = self.healing.due_voters(now, &self.node, &self.host, since);
+        let Some(voters) = due else { return };
         let hosts: Vec<_> = voters.folders.keys().map(ToString::to_string).collect();
-        log::info!(voters = hosts.join(","), before = status.voters.folders.len();
-            "changes the voters");
+        let before = self.node.status().voters;
+        log::info!(voters = hosts.join(","), before = before.folders.len(); "changes the voters");
         let (reply, _) = flume::bounded(1);
-        let id = self.waiting.propose(Reply::new(reply));
-        self.step(Input::ProposeVoters { id, voters });
+        self.propose_voters(voters, Reply::new(reply));
         self.carry_out();
     }
 
     fn change_voters(&mut self, reply: Reply, change: impl FnOnce(&mut VoterSet)) {
-        let status = self.node.status();
-        let mut voters = status.voters.clone();
-        change(&mut voters);
-        if voters == status.voters && status.voters_committed {
+        match voters::changed(&self.node.status(), change) {
+            Some(voters) => self.propose_voters(voters, reply),
             // Only a leader whose lead is confirmed knows that nothing is to be done.
-            let id = self.waiting.read(Reading { request: LeaderRequest::ReadVoters, reply });
-            return self.step(Input::Read { id });
+            None => self.read(LeaderRequest::ReadVoters, reply),
         }
+    }
+
+    fn propose_voters(&mut self, voters: VoterSet, reply: Reply) {
         let id = self.waiting.propose(reply);
         self.step(Input::ProposeVoters { id, voters });
     }
 
+    /// Answers a request once it is known that this host still leads.
+    fn read(&mut self, request: LeaderRequest, reply: Reply) {
+        let id = self.waiting.read(Reading { request, reply });
+        self.step(Input::Read { id });
+    }
+
     fn step(&mut self, input: Input) {
         if self.failure.is_none() {
             self.node.step(self.clock.now(), input, &mut self.actions);
@@ -474,29 +461,15 @@
     }
 
     fn answer_read(&mut self, reading: Reading) {
-        let answer = match &reading.request {
-            LeaderRequest::ReadCall(key) => {
-                LeaderAnswer::Call(self.fleet.ledger().call(key).cloned().map(Box::new))
-            }
-            LeaderRequest::ReadRevision => LeaderAnswer::Revision(self.fleet.revision()),
-            LeaderRequest::ReadUnsettled => LeaderAnswer::Unsettled(
-                self.fleet
-                    .ledger()
-                    .unsettled()
-                    .map(|(key, call)| UnsettledCall { key, call: call.clone() })
-                    .collect(),
-            ),
-            LeaderRequest::ReadHistory => {
-                LeaderAnswer::History(self.fleet.configuration().history().cloned().collect())
-            }
-            LeaderRequest::ReadVoters => LeaderAnswer::Voters(self.node.status().voters),
-            LeaderRequest::ReadPublished => self.view(&Seen::default(), None),
-            LeaderRequest::FollowPublished(question) => {
-                self.view(&question.seen, Some(&question.from))
-            }
-            _ => return,
+        let mut readable = Readable {
+            now: self.clock.now(),
+            node: &self.node,
+            fleet: &self.fleet,
+            followers: &mut self.followers,
         };
-        reading.reply.answer(&answer);
+        if let Some(answer) = readable.answer(&reading.request) {
+            reading.reply.answer(&answer);
+        }
     }
 
     fn compact(&mut self) {
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -2,6 +2,8 @@
 
 mod driver;
 mod followers;
+mod reads;
+mod voters;
 mod waiting;
 mod writer;
 
--- /dev/null
+++ b/crates/daemon/src/replica/reads.rs
@@ -0,0 +1,53 @@
+//! Answers to requests to the leader that change nothing.
+
+use base::{HostId, MonotonicTime};
+use fleet::Fleet;
+use quorum::Node;
+use rand_pcg::Pcg64Mcg;
+use wire::leader::{LeaderAnswer, LeaderRequest, Seen, UnsettledCall};
+
+use super::followers::Followers;
+
+/// What answers are read from, at a time.
+pub(super) struct Readable<'a> {
+    pub now: MonotonicTime,
+    pub node: &'a Node<Pcg64Mcg>,
+    pub fleet: &'a Fleet,
+    pub followers: &'a mut Followers,
+}
+
+impl Readable<'_> {
+    /// Returns the answer to a request, or `None` if it is one to change something.
+    pub(super) fn answer(&mut self, request: &LeaderRequest) -> Option<LeaderAnswer> {
+        let answer = match request {
+            LeaderRequest::ReadCall(key) => {
+                LeaderAnswer::Call(self.fleet.ledger().call(key).cloned().map(Box::new))
+            }
+            LeaderRequest::ReadRevision => LeaderAnswer::Revision(self.fleet.revision()),
+            LeaderRequest::ReadUnsettled => LeaderAnswer::Unsettled(self.unsettled()),
+            LeaderRequest::ReadHistory => {
+                LeaderAnswer::History(self.fleet.configuration().history().cloned().collect())
+            }
+            LeaderRequest::ReadVoters => LeaderAnswer::Voters(self.node.status().voters),
+            LeaderRequest::ReadPublished => self.published(&Seen::default(), None),
+            LeaderRequest::FollowPublished(question) => {
+                self.published(&question.seen, Some(&question.from))
+            }
+            LeaderRequest::Command(_)
+            | LeaderRequest::AddVoter { .. }
+            | LeaderRequest::RemoveVoter { .. } => return None,
+        };
+        Some(answer)
+    }
+
+    fn unsettled(&self) -> Vec<UnsettledCall> {
+        let unsettled = self.fleet.ledger().unsettled();
+        unsettled.map(|(key, call)| UnsettledCall { key, call: call.clone() }).collect()
+    }
+
+    fn published(&mut self, seen: &Seen, asker: Option<&HostId>) -> LeaderAnswer {
+        let term = self.node.term();
+        let view = self.followers.view(self.now, term, self.fleet.published(), seen, asker);
+        LeaderAnswer::Published(Box::new(view))
+    }
+}
