bench: the fake engine is split along its themes

Change: job.rs reads requests, transfers.rs moves cached blocks, generation.rs generates and sends streams, tally.rs holds what engines count together, and the counts of one engine join their sums in counts.rs. engine.rs keeps the settings, the state and how a request is taken. Public names and their paths stay. Behaviour and messages are unchanged.

--- a/crates/bench/src/fake/counts.rs
+++ b/crates/bench/src/fake/counts.rs
@@ -1,4 +1,27 @@
-use super::EngineCounts;
+//! What a fake engine counts, with sums and differences.
+
+/// What a fake engine counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineCounts {
+    /// Requests that arrived.
+    pub requests: u64,
+    /// Streams that ended before their end mark, since the reader had gone.
+    pub cancelled: u64,
+    /// Streams resumed.
+    pub resumed: u64,
+    /// Tokens generated.
+    pub generated: u64,
+    /// Prompt tokens that arrived.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that were cached.
+    pub cached_tokens: u64,
+    /// Prompt tokens computed again.
+    pub wasted_tokens: u64,
+    /// Times that another place was asked for blocks.
+    pub fetches: u64,
+    /// Prompt tokens fetched, which then count as cached.
+    pub fetched_tokens: u64,
+}
 
 impl EngineCounts {
     /// Returns the sums of what two engines, or two lives of one, counted.
--- a/crates/bench/src/fake/mod.rs
+++ b/crates/bench/src/fake/mod.rs
@@ -4,17 +4,23 @@
 mod cache;
 mod counts;
 mod engine;
+mod generation;
+mod job;
 mod kept_kv;
 mod kv;
 mod server;
 mod service;
 mod streams;
+mod tally;
+mod transfers;
 
 pub use self::{
     announcer::{Announced, Announcer},
     cache::{BlockCache, Lookup, block_hashes},
-    engine::{Engine, EngineConfig, EngineCounts, SharedTally, Tally},
+    counts::EngineCounts,
+    engine::{Engine, EngineConfig},
     kept_kv::{KeptKv, KeptKvCounts},
     server::Server,
     service::{Service, ServiceCounts},
+    tally::{SharedTally, Tally},
 };
