route, gateway: what the warmest engine has no room for goes to the next warmest with room

Callers' prompts whose warm engine was full were read anew at whichever engine with room came first by its id, the same one for all routers. Cause: the search for room went through the engines in their order, without the policy. Change: the policy chooses again among those with room (choose_with_room, in the core); where the first choice has room nothing changes. prompt_whose_home_is_full_goes_to_the_next_warmest_engine_with_room.

--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -4,7 +4,9 @@
 use fleet::WeightsHistory;
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
-use route::{Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Warm};
+use route::{
+    Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Warm, choose_with_room,
+};
 
 use super::targets::{Target, Targets};
 
@@ -111,40 +113,10 @@
     // Where all are avoided, a try costs less than a refusal.
     let usable = if reachable.is_empty() { fit } else { reachable };
     let chosen = match &wanted.prompt {
-        Some(prompt) => warmest(targets, &usable, wanted, prompt, warm, rng),
+        Some(prompt) => for_prompt(targets, &usable, wanted, prompt, warm, rng)?,
         None => least_busy(&usable, wanted, rng),
     };
-    let chosen = chosen.ok_or(NoTarget::Soon)?;
-    match &wanted.prompt {
-        Some(prompt) if wanted.tried.is_empty() => with_room(chosen, &usable, wanted, prompt),
-        _ => Ok(Rc::clone(chosen)),
-    }
-}
-
-/// Returns the chosen engine if it answers in time, else the one that answers first, if that does.
-fn with_room(
-    chosen: &Rc<Target>,
-    usable: &[&Rc<Target>],
-    wanted: &Wanted<'_>,
-    prompt: &PromptWanted<'_>,
-) -> Result<Rc<Target>, NoTarget> {
-    let speed = EngineSpeed::with_slots(wanted.slots);
-    let headroom = |target: &Target| {
-        let cold = prompt.chain.tokens().as_u64();
-        let cold = TokenCount::new(cold.saturating_sub(target.warm_tokens(prompt.chain).as_u64()));
-        speed.headroom(target.under_way(), cold, wanted.aim)
-    };
-    let mut shortest = match headroom(chosen) {
-        Headroom::Enough => return Ok(Rc::clone(chosen)),
-        Headroom::After(wait) => wait,
-    };
-    for target in usable {
-        match headroom(target) {
-            Headroom::Enough => return Ok(Rc::clone(target)),
-            Headroom::After(wait) => shortest = wait.min(shortest),
-        }
-    }
-    Err(NoTarget::Full(shortest))
+    chosen.map(Rc::clone).ok_or(NoTarget::Soon)
 }
 
 impl Wanted<'_> {
@@ -159,27 +131,48 @@
     }
 }
 
-fn warmest<'a, R: Rng>(
+/// Chooses the engine for a prompt; one that was tried before goes on wherever it can.
+fn for_prompt<'a, R: Rng>(
     targets: &Targets,
     usable: &[&'a Rc<Target>],
     wanted: &Wanted<'_>,
     prompt: &PromptWanted<'_>,
     warm: &mut Warm,
     rng: &mut R,
-) -> Option<&'a Rc<Target>> {
+) -> Result<Option<&'a Rc<Target>>, NoTarget> {
+    let candidates = candidates(targets, usable, wanted, prompt);
+    let req = Request { prompt_tokens: prompt.chain.tokens(), homes: HOMES };
+    let chosen = if wanted.tried.is_empty() {
+        let rooms: Vec<Headroom> =
+            usable.iter().map(|target| room(target, wanted, prompt)).collect();
+        choose_with_room(warm, &req, &candidates, &rooms, rng).map_err(NoTarget::Full)?
+    } else {
+        warm.choose(&req, &candidates, rng)
+    };
+    Ok(chosen.map(|i| usable[i]))
+}
+
+fn room(target: &Target, wanted: &Wanted<'_>, prompt: &PromptWanted<'_>) -> Headroom {
+    let cold = prompt.chain.tokens().as_u64();
+    let cold = TokenCount::new(cold.saturating_sub(target.warm_tokens(prompt.chain).as_u64()));
+    EngineSpeed::with_slots(wanted.slots).headroom(target.under_way(), cold, wanted.aim)
+}
+
+fn candidates(
+    targets: &Targets,
+    usable: &[&Rc<Target>],
+    wanted: &Wanted<'_>,
+    prompt: &PromptWanted<'_>,
+) -> Vec<Candidate> {
     let report_age = targets.loads_age(wanted.now);
     let groups = Groups::of(targets, wanted);
     let is_long = LONG_PROMPT <= prompt.chain.tokens();
     let holders = Holders::of(targets, wanted, prompt);
-    let candidates: Vec<Candidate> = usable
-        .iter()
-        .map(|target| {
-            let misplaced = groups.misplaced_cost(target, is_long);
-            candidate(target, wanted, prompt, report_age, &holders, misplaced)
-        })
-        .collect();
-    let req = Request { prompt_tokens: prompt.chain.tokens(), homes: HOMES };
-    warm.choose(&req, &candidates, rng).map(|i| usable[i])
+    let candidates = usable.iter().map(|target| {
+        let misplaced = groups.misplaced_cost(target, is_long);
+        candidate(target, wanted, prompt, report_age, &holders, misplaced)
+    });
+    candidates.collect()
 }
 
 fn candidate(
--- a/crates/route/src/headroom.rs
+++ b/crates/route/src/headroom.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
 use base::{TokenCount, TokenRate};
+use rand::Rng;
+
+use crate::{Candidate, Policy, Request};
 
 /// What an engine can do, as far as routers count on it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -41,6 +44,45 @@
     After(Duration),
 }
 
+/// Chooses by `policy`, first among all candidates and then among those with room.
+///
+/// `rooms` holds the room of each candidate. It answers overload: what the first choice has no
+/// room for goes where the policy would send it next, rather than to any engine that has room,
+/// where it would be read anew.
+///
+/// # Errors
+///
+/// Returns the time after which there should be room if no candidate has any.
+pub fn choose_with_room<P: Policy, R: Rng>(
+    policy: &mut P,
+    req: &Request,
+    candidates: &[Candidate],
+    rooms: &[Headroom],
+    rng: &mut R,
+) -> Result<Option<usize>, Duration> {
+    let Some(first) = policy.choose(req, candidates, rng) else { return Ok(None) };
+    if rooms[first] == Headroom::Enough {
+        return Ok(Some(first));
+    }
+    let with_room: Vec<usize> =
+        (0..candidates.len()).filter(|&i| rooms[i] == Headroom::Enough).collect();
+    let roomy: Vec<Candidate> = with_room.iter().map(|&i| candidates[i]).collect();
+    match policy.choose(req, &roomy, rng) {
+        Some(chosen) => Ok(Some(with_room[chosen])),
+        None => Err(rooms.iter().filter_map(Headroom::wait).min().unwrap_or_default()),
+    }
+}
+
+impl Headroom {
+    /// Returns the time after which there should be room, if there is none now.
+    fn wait(&self) -> Option<Duration> {
+        match self {
+            Self::Enough => None,
+            Self::After(wait) => Some(*wait),
+        }
+    }
+}
+
 impl EngineSpeed {
     /// Returns the speed of an engine that runs so many requests at once, 0 if unknown.
     pub fn with_slots(slots: u32) -> Self {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -44,7 +44,7 @@
     board::{EndpointKey, LoadBoard, SentLoad},
     capacity::{Capacity, CapacitySettings},
     estimate::Estimate,
-    headroom::{EngineSpeed, Headroom, UnderWay},
+    headroom::{EngineSpeed, Headroom, UnderWay, choose_with_room},
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
     kind::{AnyPolicy, PolicyKind},
     outlier::{Outcome, OutlierSettings, Outliers, Standing, StandingChange},
--- a/crates/route/tests/headroom.rs
+++ b/crates/route/tests/headroom.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use base::TokenCount;
-use route::{EngineSpeed, Headroom, UnderWay};
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use route::{Candidate, EngineSpeed, Headroom, Request, UnderWay, Warm, choose_with_room};
 use yare::parameterized;
 
 const AIM: Duration = Duration::from_millis(600);
@@ -46,3 +48,28 @@
         EngineSpeed::with_slots(slots).headroom(load(requests, 0), TokenCount::ZERO, AIM);
     assert_eq!(headroom == Headroom::Enough, enough, "{headroom:?}");
 }
+
+/// Returns the choice among a home, a cold engine and one that holds most of the prompt.
+fn chosen(rooms: [Headroom; 3]) -> Result<Option<usize>, Duration> {
+    let home = Candidate { rank: 9, warm_tokens: TokenCount::new(3_900), ..Candidate::default() };
+    let warm = Candidate { warm_tokens: TokenCount::new(3_000), ..Candidate::default() };
+    let req = Request { prompt_tokens: TokenCount::new(4_000), homes: 1 };
+    let candidates = [home, Candidate::default(), warm];
+    choose_with_room(
+        &mut Warm::default(),
+        &req,
+        &candidates,
+        &rooms,
+        &mut Pcg64Mcg::seed_from_u64(1),
+    )
+}
+
+#[test]
+fn prompt_whose_home_is_full_goes_to_the_next_warmest_engine_with_room() {
+    let full = |millis| Headroom::After(Duration::from_millis(millis));
+    let enough = Headroom::Enough;
+    assert_eq!(chosen([enough, enough, enough]), Ok(Some(0)));
+    assert_eq!(chosen([full(90), enough, enough]), Ok(Some(2)));
+    assert_eq!(chosen([full(90), enough, full(80)]), Ok(Some(1)));
+    assert_eq!(chosen([full(90), full(70), full(80)]), Err(Duration::from_millis(70)));
+}
