gateway: a bound on weights that is shorter than its margins stops no request

Found in reading, no run: where the platform's bound on outdated weights is 3 s or less, the time after which older weights get nothing became zero, and engines with the newest ones got nothing either; with 0.4 s or less every request would have been called back at once. Now the margin is at most half of the bound, and the newest weights are never outdated. Bounds of 6 s and more are treated as before. The newest version of a model's weights is looked up in one place in the rollout.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -366,7 +366,11 @@
     /// Waits until it is too late for an engine to begin the request with these weights.
     pub(super) async fn too_late_to_begin(&self, weights: u32) {
         let latest = self.gateway.cfg.latest_begin();
-        while self.outdated_for(weights, self.gateway.clock.now()) < latest {
+        loop {
+            let outdated = self.outdated_for(weights, self.gateway.clock.now());
+            if !outdated.is_zero() && latest <= outdated {
+                return;
+            }
             tokio::time::sleep(OUTDATED_POLL).await;
         }
     }
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -125,9 +125,10 @@
             return false;
         }
         let Some(prompt) = &self.prompt else { return true };
+        let outdated = prompt.weights.outdated_for(target.version(), self.now);
         target.model.as_ref() == Some(prompt.model)
             && !target.is_paused()
-            && prompt.weights.outdated_for(target.version(), self.now) < prompt.weights_age
+            && (outdated.is_zero() || outdated < prompt.weights_age)
     }
 }
 
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -45,7 +45,7 @@
 
     /// Returns the age of newer weights from which older ones serve nothing.
     pub(super) fn weights_age(&self) -> Duration {
-        self.weights_bound.saturating_sub(WEIGHTS_MARGIN)
+        self.weights_bound.saturating_sub(WEIGHTS_MARGIN.min(self.weights_bound / 2))
     }
 
     /// Returns the age of newer weights at which requests that wait for older ones are called back.
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -271,7 +271,7 @@
         let ready: Vec<&EndpointId> = drained.take(free).collect();
         for id in ready {
             let Some(engine) = self.engines.get_mut(id) else { continue };
-            let version = self.named.get(&engine.model).map_or(0, WeightsHistory::version);
+            let version = newest(&self.named, &engine.model);
             engine.step = Step::Loading { since: now, target: version };
             let weights = NamedWeights { model: engine.model.clone(), version };
             let (endpoint, incarnation) = (id.clone(), engine.incarnation);
@@ -334,11 +334,7 @@
 
     fn behind(&self) -> Vec<(&EndpointId, &Engine)> {
         let engines = self.engines.iter();
-        engines.filter(|(_, engine)| engine.version < self.wanted(&engine.model)).collect()
-    }
-
-    fn wanted(&self, model: &ModelId) -> u32 {
-        self.named.get(model).map_or(0, WeightsHistory::version)
+        engines.filter(|(_, e)| e.version < newest(&self.named, &e.model)).collect()
     }
 
     /// Returns whether an engine's weights are so old that routers send it nothing.
@@ -412,7 +408,7 @@
     fn forget_lost_orders(&mut self, now: MonotonicTime) {
         let retry_after = self.settings.retry_after;
         for engine in self.engines.values_mut() {
-            let wanted = self.named.get(&engine.model).map_or(0, WeightsHistory::version);
+            let wanted = newest(&self.named, &engine.model);
             engine.step = match engine.step {
                 Step::Loading { since, .. } if retry_after <= now.saturating_since(since) => {
                     Step::Idle
@@ -446,6 +442,11 @@
     }
 }
 
+/// Returns the newest version of a model's weights, 0 if none was named.
+fn newest(named: &BTreeMap<ModelId, WeightsHistory>, model: &ModelId) -> u32 {
+    named.get(model).map_or(0, WeightsHistory::version)
+}
+
 /// Orders engines at random, but the same way each time, so that those that load together have
 /// nothing in common.
 fn spread(id: &EndpointId) -> Digest {
