member: tests announce endpoints at intervals in one way

The tests of ages and of traffic wrote the same closure; it is a method of the simulated network now. What they check, their bounds and their seeds are the same.

--- a/crates/member/tests/ages.rs
+++ b/crates/member/tests/ages.rs
@@ -17,12 +17,7 @@
 /// Returns the part of the announcements of running endpoints that look stale.
 fn stale_part(routers: usize, endpoints: usize) -> f64 {
     let mut net = Net::new(routers, 5);
-    let announce = |net: &mut Net| {
-        let millis = net.now.since_origin().as_millis() as u64;
-        if millis.is_multiple_of(HEARTBEAT) {
-            net.announce(0..endpoints, 1, millis);
-        }
-    };
+    let announce = |net: &mut Net| net.announce_each(HEARTBEAT, 0..endpoints);
     net.run(WARM_UP, announce);
     let (mut stale, mut all) = (0_u64, 0_u64);
     net.run(MEASURED, |net| {
--- a/crates/member/tests/net/mod.rs
+++ b/crates/member/tests/net/mod.rs
@@ -134,6 +134,14 @@
         }
     }
 
+    /// Announces services as [`Net::announce`] does, if `period` milliseconds have passed again.
+    pub fn announce_each(&mut self, period: u64, ids: Range<usize>) {
+        let millis = self.now.since_origin().as_millis() as u64;
+        if millis.is_multiple_of(period) {
+            self.announce(ids, 1, millis);
+        }
+    }
+
     fn start(&self, index: usize, incarnation: u64) -> Membership {
         let seeds = vec![address(0), address(1)];
         Membership::new(self.now, peer(index, incarnation), seeds, Budget::default())
--- a/crates/member/tests/traffic.rs
+++ b/crates/member/tests/traffic.rs
@@ -11,12 +11,7 @@
 /// Returns the highest and the mean bytes a second over all routers, sent and received.
 fn measure(size: usize, services: usize) -> (u64, u64) {
     let mut net = Net::new(size, 21);
-    let renew = |net: &mut Net| {
-        let millis = net.now.since_origin().as_millis() as u64;
-        if millis.is_multiple_of(1_000) {
-            net.announce(0..services, 1, millis);
-        }
-    };
+    let renew = |net: &mut Net| net.announce_each(1_000, 0..services);
     net.stopped[1..].fill(true);
     net.run(2_000, renew);
     let mut running = 1;
