quorum: a voter remembers that a change of voters is committed

What was seen: after the removal of a voter and a restart of the voter that alone still knew that the removal was committed, no leader was elected: a voter that was behind waited for a majority that counted the removed one (regression::voter_behind_is_confirmed_after_a_restart_of_all, known red). Cause: that an entry is committed is known in memory only. After a restart nobody could confirm the newer voters to the one that was behind. Ruled out: confirming by voters that may be uncommitted, since a majority of these need not overlap with the committed ones. Change: each voter that learns that a change of voters is committed writes its index beside its hard state, in a record of its own, so that folders of earlier versions are still read. A start takes the log as committed up to there. Test: the regression test, red before, passes; the store's round trip covers the new record.

--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -50,6 +50,8 @@
     pub fn new(cfg: Config, restored: RestoredState, now: MonotonicTime, rng: R) -> Self {
         let log = Log::new(restored.snapshot, restored.entries);
         let covered = log.snapshot_index();
+        // A crash may have cut the end of the log, but never committed entries.
+        let commit = covered.max(restored.hard_state.committed_voters.min(log.last_index()));
         let registration = registration::initial(&cfg.host, restored.folder, log.voters());
         let mut node = Self {
             cfg,
@@ -58,7 +60,7 @@
             hard: restored.hard_state,
             folder_records_changed: false,
             log,
-            commit: covered,
+            commit,
             applied: covered,
             now,
             leader: None,
@@ -297,11 +299,25 @@
         if self.commit <= self.applied {
             return;
         }
+        self.save_committed_voters(actions);
         let entries = self.log.range(self.applied.next(), self.commit).cloned().collect();
         self.applied = self.commit;
         actions.push(Action::Apply(entries));
     }
 
+    /// Persists that the newest change of voters is committed.
+    ///
+    /// After a restart of all voters this may be the only one left that can confirm the change to
+    /// a voter that has not received it.
+    fn save_committed_voters(&mut self, actions: &mut Vec<Action>) {
+        let changed_at = self.log.voters_index();
+        if self.commit < changed_at || changed_at <= self.hard.committed_voters {
+            return;
+        }
+        self.hard.committed_voters = changed_at;
+        self.save_hard_state(actions);
+    }
+
     pub(crate) fn refusal(&self) -> Option<Refusal> {
         let Some(leader_state) = &self.leader_state else { return Some(Refusal::NotLeader) };
         leader_state.transfer_until.is_some().then_some(Refusal::Transferring)
--- a/crates/quorum/src/types.rs
+++ b/crates/quorum/src/types.rs
@@ -108,6 +108,8 @@
     pub starts: StartCount,
     /// The minimum that each other voter's folder must hold.
     pub folder_records: BTreeMap<HostId, FolderRecord>,
+    /// The newest change of voters that is known to be committed.
+    pub committed_voters: LogIndex,
 }
 
 /// The number of registered process starts of one folder.
--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -77,7 +77,7 @@
     pub fn stage(&mut self, hard_state: Option<&HardState>, entries: &[Entry]) {
         if let Some(hard_state) = hard_state {
             self.state.hard_state = hard_state.clone();
-            self.staged.push(Record::HardState(hard_state.clone()));
+            self.staged.extend(segment::hard_state_records(hard_state));
         }
         for entry in entries {
             self.state.write(entry.clone());
@@ -188,7 +188,8 @@
     number: u64,
     state: &ReplayState,
 ) -> Result<(PathBuf, File, u64)> {
-    let mut records = vec![Record::Checkpoint, Record::HardState(state.hard_state.clone())];
+    let mut records = vec![Record::Checkpoint];
+    records.extend(segment::hard_state_records(&state.hard_state));
     records.extend(state.entries.iter().cloned().map(Record::Entry));
     let mut bytes = frame::header(Kind::Segment).to_vec();
     segment::push_batch(&mut bytes, &records);
--- a/crates/store/src/segment.rs
+++ b/crates/store/src/segment.rs
@@ -1,6 +1,7 @@
-use std::{fs, path::Path};
+use std::{collections::BTreeMap, fs, path::Path};
 
-use quorum::{Entry, HardState};
+use base::{HostId, LogIndex, Term};
+use quorum::{Entry, FolderRecord, HardState, StartCount};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -15,10 +16,45 @@
 pub(crate) enum Record {
     /// Discards all records before this one.
     Checkpoint,
-    /// The hard state: term, vote and records of the other voters' folders.
-    HardState(HardState),
+    /// The hard state without the committed voters.
+    HardState(StoredHardState),
     /// An entry; entries written before from its index on are dropped.
     Entry(Entry),
+    /// The newest change of voters that is known to be committed.
+    CommittedVoters(LogIndex),
+}
+
+/// The hard state as folders hold it since their first version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StoredHardState {
+    term: Term,
+    voted_for: Option<HostId>,
+    starts: StartCount,
+    folder_records: BTreeMap<HostId, FolderRecord>,
+}
+
+impl From<&HardState> for StoredHardState {
+    fn from(hard_state: &HardState) -> Self {
+        let HardState { term, voted_for, starts, folder_records, committed_voters: _ } = hard_state;
+        Self {
+            term: *term,
+            voted_for: voted_for.clone(),
+            starts: *starts,
+            folder_records: folder_records.clone(),
+        }
+    }
+}
+
+impl StoredHardState {
+    fn with_committed_voters(self, committed_voters: LogIndex) -> HardState {
+        let Self { term, voted_for, starts, folder_records } = self;
+        HardState { term, voted_for, starts, folder_records, committed_voters }
+    }
+}
+
+/// Returns the records of a hard state.
+pub(crate) fn hard_state_records(hard_state: &HardState) -> [Record; 2] {
+    [Record::HardState(hard_state.into()), Record::CommittedVoters(hard_state.committed_voters)]
 }
 
 /// The state after the replay of segments.
@@ -39,8 +75,12 @@
     fn apply(&mut self, record: Record) {
         match record {
             Record::Checkpoint => *self = Self::default(),
-            Record::HardState(hard_state) => self.hard_state = hard_state,
+            Record::HardState(hard_state) => {
+                let committed_voters = self.hard_state.committed_voters;
+                self.hard_state = hard_state.with_committed_voters(committed_voters);
+            }
             Record::Entry(entry) => self.write(entry),
+            Record::CommittedVoters(index) => self.hard_state.committed_voters = index,
         }
     }
 }
--- a/crates/store/tests/samples.rs
+++ b/crates/store/tests/samples.rs
@@ -15,7 +15,8 @@
 
 pub fn vote(term: u64) -> HardState {
     let voted_for = Some("tas-a1".parse().expect("a host id"));
-    HardState { term: Term::new(term), voted_for, ..HardState::default() }
+    let committed_voters = LogIndex::new(1);
+    HardState { term: Term::new(term), voted_for, committed_voters, ..HardState::default() }
 }
 
 pub fn snapshot(index: u64, term: u64) -> Snapshot {
