bench/tests: a change whose outcome is unknown is sent again until it is known

Cause: two tests of changes took 504 "may have run" for a failure, which is a true answer while a disk that all voters share stands still. A change is idempotent: sent again under its id it gets its first answer.

--- a/crates/bench/tests/operator/changes.rs
+++ b/crates/bench/tests/operator/changes.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     intercepting_proxy::{self, ChangeResponses},
-    tool::{admin, get, post, run, run_at, site},
+    tool::{admin, get, post, post_until_known, run, run_at, site},
 };
 
 /// Time within which a change must be in force at every router.
@@ -107,7 +107,7 @@
                 let toml = format!("[defaults]\nwait-weight = {weight}\n");
                 scope.spawn(move || {
                     let change = change(&format!("change-of-{author}"), author, &toml);
-                    (author, post::<ChangeResult>(router, DECLARATION_PATH, &change))
+                    (author, post_until_known::<ChangeResult>(router, DECLARATION_PATH, &change))
                 })
             },
         );
@@ -223,7 +223,7 @@
     const THREADS: usize = 12;
     let mut site = site();
     let first = change("c-1", "ilka", "[defaults]\nwait-weight = 1.5\n");
-    let (status, _) = post::<ChangeResult>(admin(&site, 0), DECLARATION_PATH, &first);
+    let (status, _) = post_until_known::<ChangeResult>(admin(&site, 0), DECLARATION_PATH, &first);
     assert_eq!(status, 200);
     std::thread::scope(|scope| {
         for thread in 0..THREADS {
@@ -231,7 +231,8 @@
             scope.spawn(move || {
                 for i in 0..SNAPSHOT_ENTRIES / THREADS {
                     let late = change(&format!("late-{thread}-{i}"), "bence", "");
-                    let (status, _) = post::<ChangeResult>(router, DECLARATION_PATH, &late);
+                    let (status, _) =
+                        post_until_known::<ChangeResult>(router, DECLARATION_PATH, &late);
                     assert_eq!(status, 409);
                 }
             });
--- a/crates/bench/tests/operator/tool.rs
+++ b/crates/bench/tests/operator/tool.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Command, Output, Stdio},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bench::{
@@ -15,6 +15,9 @@
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Longest time for which the outcome of a request may stay unknown.
+const OUTCOME_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Exit code and output of the tool.
 #[derive(Debug)]
 pub struct ToolOutput {
@@ -83,12 +86,38 @@
     path: &str,
     body: &impl Serialize,
 ) -> (u16, T) {
+    parse(post_text(router, path, body))
+}
+
+/// Posts an idempotent request until its outcome is known.
+///
+/// While a disk that several voters share stands still, a response may say that the request may
+/// have run.
+pub fn post_until_known<T: DeserializeOwned>(
+    router: SocketAddr,
+    path: &str,
+    body: &impl Serialize,
+) -> (u16, T) {
+    const UNKNOWN_OUTCOME: u16 = 504;
+    let deadline = Instant::now() + OUTCOME_TIMEOUT;
+    loop {
+        let response = post_text(router, path, body);
+        if response.0 != UNKNOWN_OUTCOME {
+            return parse(response);
+        }
+        assert!(Instant::now() < deadline, "the outcome stays unknown: {}", response.1);
+    }
+}
+
+fn post_text(router: SocketAddr, path: &str, body: &impl Serialize) -> (u16, String) {
     let url = format!("http://{router}{path}");
     let body = serde_json::to_vec(body).unwrap();
     let req = attohttpc::post(url).bearer_auth(OPERATOR_KEY).timeout(TIMEOUT);
     let response = req.bytes(body).send().unwrap();
-    let status = response.status().as_u16();
-    let text = response.text().unwrap();
+    (response.status().as_u16(), response.text().unwrap())
+}
+
+fn parse<T: DeserializeOwned>((status, text): (u16, String)) -> (u16, T) {
     let parsed = serde_json::from_str(&text);
     (status, parsed.unwrap_or_else(|e| panic!("{e} in the response {status}: {text}")))
 }
