fleet: routers learn loaded weights although the leader heard of them first

Cause: the leader dropped its update on a loading engine as soon as it received the engine's own announcement of the new weights. Gossip brought that to other hosts up to two seconds later; until then they sent requests by the old version, which the engine refuses. The log of engine i-ae7e8d5142 shows it: ordered at 6.5 s, refusals from 7.3 to 9.0 s at 30 hosts. Ruled out: a limit of attempts or the retry budget as the cause; they ended requests that should not have been sent there. Change: the rollout keeps the loaded version in its updates, the leader sends each one once to each host (by the cursor that polls carry already), and hosts keep versions that later views don't name. Tests: regression loaded_weights_unknown_to_routers (red before), engine_updates.

--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -9,7 +9,7 @@
 };
 
 use base::{DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, ServiceId, TokenCount};
-use fleet::EngineUpdate;
+use fleet::ReceivedEngineUpdates;
 use member::{
     Announcement, EndpointKind, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster,
 };
@@ -216,7 +216,7 @@
 #[derive(Default)]
 pub(super) struct Targets {
     by_id: BTreeMap<EndpointId, Rc<Target>>,
-    engine_updates: HashMap<EndpointId, EngineUpdate>,
+    engine_updates: ReceivedEngineUpdates,
     kv_tokens: HashMap<ServiceId, TokenCount>,
     /// When the loads of other hosts arrived.
     loads_at: MonotonicTime,
@@ -263,6 +263,9 @@
             self.by_id.insert(id.clone(), Rc::new(target));
             changes.joined.push(id.clone());
         }
+        for id in &changes.left {
+            self.engine_updates.remove(id);
+        }
         self.apply_engine_updates();
         changes
     }
@@ -277,13 +280,7 @@
         self.set_loads(now, own, &view.loads);
         self.record_sent(now, &view.sent);
         self.remove_leaving(now, &view.leaving);
-        self.set_engine_updates(&view.engines);
-    }
-
-    /// Replaces the updates on engines that are newer than their announcements.
-    fn set_engine_updates(&mut self, updates: &[EngineUpdate]) {
-        self.engine_updates =
-            updates.iter().map(|update| (update.endpoint.clone(), update.clone())).collect();
+        self.engine_updates.apply(&view.engines);
         self.apply_engine_updates();
     }
 
@@ -388,10 +385,7 @@
 
     fn apply_engine_updates(&self) {
         for (id, target) in &self.by_id {
-            let update = self
-                .engine_updates
-                .get(id)
-                .filter(|update| update.incarnation == target.incarnation);
+            let update = self.engine_updates.find(id, target.incarnation);
             target.paused.set(update.is_some_and(|update| update.paused));
             if let Some(update) = update {
                 target.update_version(update.version);
--- a/crates/daemon/src/replica/followers.rs
+++ b/crates/daemon/src/replica/followers.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use base::{HostId, ModelId, MonotonicTime, Term};
-use fleet::{EngineUpdate, Published, WeightsAge, WeightsHistory};
+use fleet::{EngineUpdate, EngineUpdateLog, Published, WeightsAge, WeightsHistory};
 use member::LeavingSet;
 use prefix::SentPromptLog;
 use route::{LoadAggregator, SentLoad};
@@ -23,7 +23,7 @@
 /// Long polls of followers, and the state for the responses to them.
 pub(super) struct Followers {
     polls: Vec<PendingPoll>,
-    engines: Vec<EngineUpdate>,
+    engines: EngineUpdateLog,
     loads: LoadAggregator,
     sent: SentPromptLog,
     leaving_set: LeavingSet,
@@ -44,7 +44,7 @@
     fn default() -> Self {
         Self {
             polls: Vec::new(),
-            engines: Vec::new(),
+            engines: EngineUpdateLog::default(),
             loads: LoadAggregator::new(LOAD_REPORT_TTL),
             sent: SentPromptLog::new(MAX_SENT_PROMPTS),
             leaving_set: LeavingSet::default(),
@@ -111,8 +111,7 @@
 
     /// Sets the engines' states as recorded by the weights rollout.
     pub(super) fn set_engines(&mut self, engines: Vec<EngineUpdate>) {
-        if self.engines != engines {
-            self.engines = engines;
+        if self.engines.set(self.changes + 1, engines) {
             self.changes += 1;
         }
     }
@@ -146,7 +145,7 @@
             number: publication.number,
             content: (!is_current).then(|| publication.content.clone()),
             weights: self.weight_ages(now),
-            engines: self.engines.clone(),
+            engines: self.engines.since(same_leader.then_some(seen.version.changes)),
             loads: self.loads.totals(now),
             leaving: self.leaving_set.leaving(now),
             sent: sent.unwrap_or_default(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -38,6 +38,7 @@
 mod declaration_error;
 mod declaration_file;
 mod diff;
+mod engine_updates;
 mod explanation;
 mod ledger;
 mod order_gate;
@@ -63,6 +64,7 @@
     declaration::Declaration,
     declaration_error::DeclarationError,
     diff::{Difference, diff},
+    engine_updates::{EngineUpdateLog, ReceivedEngineUpdates},
     explanation::{Explanation, Source},
     ledger::{Ledger, MAX_STORED_BODY_BYTES, MAX_STORED_CALLS, RESOLVE_MARGIN},
     order_gate::{Leadership, OrderGate, OrderPermission},
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -150,7 +150,8 @@
     incarnation: Incarnation,
     model: ModelId,
     version: u32,
-    announced: u32,
+    /// The version that it had when it became known, which routers may still believe.
+    first_version: u32,
     step: Step,
     /// Backoff after the last refusal.
     backoff: Option<Backoff>,
@@ -208,7 +209,6 @@
             }
             engine.announced_at = view.announced_at;
             engine.is_stale = view.is_stale;
-            engine.announced = view.version;
             engine.update_version(view.version);
         }
     }
@@ -307,12 +307,14 @@
         engines.map(|(id, engine)| (id, engine.incarnation))
     }
 
-    /// Returns the updates for routers on paused engines and on those with unannounced weights.
+    /// Returns the updates for routers on paused engines and on those that have loaded weights.
+    ///
+    /// A loaded version stays in the updates: the leader may receive its announcement seconds
+    /// before other routers do.
     pub fn engine_updates(&self) -> Vec<EngineUpdate> {
-        let changed = self
-            .engines
-            .iter()
-            .filter(|(_, engine)| engine.step != Step::Idle || engine.announced < engine.version);
+        let changed = self.engines.iter().filter(|(_, engine)| {
+            engine.step != Step::Idle || engine.first_version < engine.version
+        });
         changed
             .map(|(id, engine)| EngineUpdate {
                 endpoint: id.clone(),
@@ -469,7 +471,7 @@
         incarnation: view.incarnation,
         model: view.model.clone(),
         version: view.version,
-        announced: view.version,
+        first_version: view.version,
         step: Step::Idle,
         backoff: None,
         refusals: 0,
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -95,7 +95,7 @@
     pub content: Option<Arc<[u8]>>,
     /// The named weights with their ages; the newest of each model are to be loaded.
     pub weights: Vec<WeightsAge>,
-    /// State of engines that is not in their announcements.
+    /// The engines that are paused, and those that have loaded weights since the cursor.
     pub engines: Vec<EngineUpdate>,
     /// The load that all routers, including the requester, have in flight at endpoints.
     pub loads: Vec<SentLoad>,
