--- a/crates/member/tests/regression/main.rs
+++ b/crates/member/tests/regression/main.rs
@@ -5,4 +5,5 @@
 
 mod catch_up_deadlock;
 mod new_router_rejects_old_records;
+mod roster_after_restart_of_all;
 mod simultaneous_expiry;
