--- a/crates/member/src/budget.rs
+++ b/crates/member/src/budget.rs
@@ -45,7 +45,7 @@
             renewal_rate: ByteRate::new(1_500),
             max_message: ByteCount::new(1_000),
             max_catch_up_message: ByteCount::new(16_000),
-            reserve: ByteCount::new(4_000_000),
+            reserve: ByteCount::new(600_000),
             reserve_refill_rate: ByteRate::new(400),
         }
     }
--- a/crates/member/src/catch_up.rs
+++ b/crates/member/src/catch_up.rs
@@ -1,13 +1,12 @@
 use std::time::Duration;
 
 use base::{HostId, MonotonicTime};
-use rand::{Rng, RngExt as _, seq::IndexedRandom};
+use rand::Rng;
 
 use crate::{
-    Checksums, EndpointState, EndpointUpdate, Gossip, Membership, Outgoing, Peer, PeerState,
-    PeerUpdate, Pull, TICK_INTERVAL,
+    EndpointState, EndpointUpdate, Gossip, Membership, Outgoing, PeerState, PeerUpdate, Pull,
     checksum::{BUCKET_COUNT, bucket},
-    message::{checksum_bytes, endpoint_bytes, peer_bytes},
+    message::{endpoint_bytes, peer_bytes},
 };
 
 /// Time after which a router gives up pulling the whole roster.
@@ -16,21 +15,12 @@
 /// Time after which a router that still catches up serves pulls from the records it has.
 const SERVE_INCOMPLETE_AFTER: Duration = Duration::from_secs(5);
 
-/// Shortest time between two pulls; doubled at each pull that follows no news.
-const MIN_PULL_INTERVAL: Duration = TICK_INTERVAL;
-
-/// Longest time between two pulls, of a router that has too few endpoints.
-const MAX_PULL_INTERVAL: Duration = Duration::from_secs(10);
+/// Time between two pulls of a router that has too few endpoints.
+const REPEAT_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Time after which an unanswered pull is retried at another peer.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Random peers of which a pull asks the one that reported most endpoints.
-const PULL_SOURCE_SAMPLE: usize = 4;
-
-/// One of this many pulls asks a seed.
-const SEED_PULL_RATIO: u32 = 3;
-
 /// A pull of the whole roster, one range of buckets in each message.
 #[derive(Debug)]
 pub(crate) struct CatchUp {
@@ -46,47 +36,6 @@
     }
 }
 
-/// When to pull again.
-///
-/// After a restart of all routers nobody has the whole roster, and each pull brings what another
-/// router has collected so far.
-#[derive(Debug)]
-pub(crate) struct PullSchedule {
-    interval: Duration,
-    last_at: MonotonicTime,
-    has_news: bool,
-}
-
-impl PullSchedule {
-    pub(crate) fn new(now: MonotonicTime) -> Self {
-        Self { interval: MIN_PULL_INTERVAL, last_at: now, has_news: false }
-    }
-
-    /// Records that an endpoint was new to this router.
-    pub(crate) fn record_news(&mut self) {
-        self.has_news |= !self.is_settled();
-    }
-
-    fn is_due(&self, now: MonotonicTime) -> bool {
-        self.interval <= now.saturating_since(self.last_at)
-    }
-
-    /// Returns whether nothing new became known for some pulls.
-    fn is_settled(&self) -> bool {
-        self.interval == MAX_PULL_INTERVAL
-    }
-
-    /// Records that a pull starts; `is_early` if no router is known to have any endpoint yet.
-    fn start(&mut self, now: MonotonicTime, is_early: bool) {
-        self.last_at = now;
-        let has_news = std::mem::take(&mut self.has_news);
-        self.interval = match has_news || is_early {
-            true => MIN_PULL_INTERVAL,
-            false => (self.interval * 2).min(MAX_PULL_INTERVAL),
-        };
-    }
-}
-
 /// Records for a message, with a bound on their encoded length.
 #[derive(Debug, Default)]
 pub(crate) struct Records {
@@ -111,7 +60,7 @@
         if in_flight.is_some_and(|(_, at)| now.saturating_since(*at) < PULL_TIMEOUT) {
             return None;
         }
-        let host = self.pull_source(rng)?;
+        let host = self.peers.sample(1, rng).pop()?;
         let record_count = self.record_count();
         if let Some(pull) = self.catch_up.as_mut().filter(|pull| pull.next_bucket == 0) {
             pull.initial_record_count = record_count;
@@ -119,39 +68,16 @@
         self.pull_from(now, &host)
     }
 
-    /// Returns a seed in one of [`SEED_PULL_RATIO`] pulls, else the best informed of some peers.
-    ///
-    /// Endpoints announce themselves to few routers, which others ask first; asking these alone
-    /// would use up their reserves.
-    fn pull_source(&self, rng: &mut impl Rng) -> Option<HostId> {
-        let alive: Vec<&Peer> =
-            self.peers.iter().filter(|peer| peer.update.state == PeerState::Alive).collect();
-        let is_seed = |peer: &&&Peer| self.seeds.contains(&peer.update.address);
-        if rng.random_ratio(1, SEED_PULL_RATIO) {
-            let seeds: Vec<&&Peer> = alive.iter().filter(is_seed).collect();
-            if let Some(seed) = seeds.choose(rng) {
-                return Some(seed.update.host.clone());
-            }
-        }
-        let reported = |peer: &Peer| self.endpoint_counts.get(&peer.update.host).copied();
-        let sampled = alive.sample(rng, PULL_SOURCE_SAMPLE);
-        let best = sampled.max_by_key(|peer| reported(peer))?;
-        Some(best.update.host.clone())
-    }
-
-    /// Starts another pull while endpoints become known, and from then on if a peer reported clearly
-    /// more of them than this router has.
-    pub(crate) fn repeat_pull_if_due(&mut self, now: MonotonicTime) {
+    /// Starts another pull if a peer reported clearly more endpoints than this router has.
+    pub(crate) fn repeat_pull_if_incomplete(&mut self, now: MonotonicTime) {
         const MAX_MISSING_DIVISOR: usize = 32;
-        if self.catch_up.is_some() || !self.pull_schedule.is_due(now) {
-            return;
-        }
         let count = self.reported_endpoint_count as usize;
         let missing = count.saturating_sub(self.endpoints.live_count());
-        if self.pull_schedule.is_settled() && missing <= count / MAX_MISSING_DIVISOR {
+        let is_due = REPEAT_INTERVAL <= now.saturating_since(self.last_pull_at);
+        if self.catch_up.is_some() || !is_due || missing <= count / MAX_MISSING_DIVISOR {
             return;
         }
-        self.pull_schedule.start(now, count == 0);
+        self.last_pull_at = now;
         self.catch_up = Some(CatchUp::new(now));
     }
 
@@ -181,13 +107,11 @@
     /// Returns the records for a pull and the bucket to continue at, which is the requested one if
     /// this router can't serve the pull.
     ///
-    /// A router that sends checksums gets the buckets that differ. To one without any, a router that
-    /// still catches up at first serves only if it has far more records.
+    /// A router that still catches up at first serves only routers with far fewer records.
     pub(crate) fn serve_pull(
-        &mut self,
+        &self,
         now: MonotonicTime,
         pull: Pull,
-        checksums: Option<&Checksums>,
         max_bytes: usize,
     ) -> (Records, u16) {
         const FAR_MORE_FACTOR: u32 = 2;
@@ -198,15 +122,11 @@
             .catch_up
             .as_ref()
             .is_none_or(|own| SERVE_INCOMPLETE_AFTER <= now.saturating_since(own.started));
-        if !(may_serve || has_far_more || checksums.is_some()) || max_bytes < min_bytes {
+        if !(may_serve || has_far_more) || max_bytes < min_bytes {
             return (self.alternative_peers(), first);
         }
-        let differing = checksums.map(|remote| self.current_checksums().differing(remote));
         let mut all = Records::default();
-        let buckets = self.records_by_bucket(now, |bucket| {
-            first <= bucket
-                && differing.as_ref().is_none_or(|some| some.binary_search(&bucket).is_ok())
-        });
+        let buckets = self.records_by_bucket(now, |bucket| first <= bucket);
         for (next, records) in buckets.into_iter().enumerate().skip(first.into()) {
             if !all.is_empty() && max_bytes < all.bytes + records.bytes {
                 return (all, next as u16);
@@ -246,15 +166,7 @@
         pull.in_flight = Some((host.clone(), now));
         let first = pull.next_bucket;
         let record_count = pull.initial_record_count;
-        let checksums =
-            (self.endpoints.live_count() != 0).then(|| self.current_checksums().from(first));
-        let bytes = checksums.as_ref().map_or(0, checksum_bytes);
-        self.reserve_limiter.spend(bytes);
-        self.steady_limiter.refund(bytes);
-        self.send(now, host, |message| {
-            message.pull = Some(Pull { first, record_count });
-            message.checksums = checksums;
-        })
+        self.send(now, host, |message| message.pull = Some(Pull { first, record_count }))
     }
 
     fn record_count(&self) -> u32 {
--- a/crates/member/src/checksum.rs
+++ b/crates/member/src/checksum.rs
@@ -39,12 +39,6 @@
         Checksums { first, sums }
     }
 
-    /// Returns the checksums of all buckets from `first` on.
-    pub(crate) fn from(&self, first: u16) -> Checksums {
-        let first = first.min(BUCKET_COUNT);
-        Checksums { first, sums: self.0[usize::from(first)..].to_vec() }
-    }
-
     /// Returns the buckets whose checksum differs from the one in `remote`.
     pub(crate) fn differing(&self, remote: &Checksums) -> Vec<u16> {
         let numbered = (remote.first..BUCKET_COUNT).zip(&remote.sums);
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -3,21 +3,17 @@
 use base::{HostId, MonotonicTime};
 
 use crate::{
-    AnnouncementRequest, Checksums, EndpointChange, EndpointState, EndpointUpdate, Endpoints,
-    Gossip, IncarnationKey, Membership, Outgoing, RelayedRenewal, Renewal,
+    AnnouncementRequest, Checksums, EndpointState, EndpointUpdate, Endpoints, Gossip,
+    IncarnationKey, Membership, Outgoing, RelayedRenewal, Renewal,
     budget::{LOAD_BYTES, RENEWAL_COPIES},
     catch_up::CatchUp,
     checksum::BucketChecksums,
-    message::{checksum_bytes, endpoint_bytes, header_bytes, peer_bytes, renewal_bytes},
+    message::{endpoint_bytes, header_bytes, peer_bytes, renewal_bytes},
 };
 
 /// Largest number of routers probed on behalf of others at a time.
 const MAX_PROXY_PROBES: usize = 16;
 
-/// Copies of a new endpoint's record that a router may send from the reserve, so that a roster of
-/// any size spreads after a restart of all routers.
-const CATCH_UP_COPIES: usize = 3;
-
 /// Number of queued updates above which the reserve may be spent on them.
 const BACKLOG_THRESHOLD: usize = 16;
 
@@ -102,7 +98,7 @@
         for requested in &request.announcement_requests {
             self.add_requested(now, requested, &mut response, &mut remaining);
         }
-        if let Some(remote) = request.checksums.as_ref().filter(|_| request.pull.is_none()) {
+        if let Some(remote) = &request.checksums {
             let differing = self.current_checksums().differing(remote);
             if !differing.is_empty() {
                 let records = self.records(now, &differing, remaining);
@@ -114,7 +110,7 @@
                 .reserve_limiter
                 .available(now)
                 .min(self.budget.max_catch_up_message.as_u64() as usize);
-            let (records, next) = self.serve_pull(now, pull, request.checksums.as_ref(), max_bytes);
+            let (records, next) = self.serve_pull(now, pull, max_bytes);
             self.reserve_limiter.spend(records.bytes());
             self.steady_limiter.refund(records.bytes());
             records.move_into(&mut response);
@@ -225,7 +221,7 @@
         }
         let mut peers_changed = self.peers.apply_sender(now, message.from);
         self.record_revision(&message.newest);
-        self.record_endpoint_count(now, &from, message.endpoint_count);
+        self.record_endpoint_count(now, message.endpoint_count);
         let is_pulled = message.pull_next.is_some();
         for update in message.peers {
             let host = update.host.clone();
@@ -261,14 +257,9 @@
         from: &HostId,
     ) {
         let old = self.endpoints.find(&update.announcement.endpoint).cloned();
-        let bytes = endpoint_bytes(&update.announcement);
         let age = update.age.saturating_add(transit);
         let applied = self.endpoints.announce_relayed(now, update.announcement, age, from.clone());
         let Ok(change) = applied else { return };
-        if matches!(change, EndpointChange::Joined(_)) {
-            self.pull_schedule.record_news();
-            self.reserve_limiter.refund(bytes * CATCH_UP_COPIES);
-        }
         self.enqueue_change(old.as_ref(), &change);
         self.changes.push(change);
     }
@@ -344,7 +335,7 @@
             < self.queues.joined.len() + self.queues.leaving.len() + self.peers.queue.len()
     }
 
-    pub(crate) fn current_checksums(&mut self) -> &BucketChecksums {
+    fn current_checksums(&mut self) -> &BucketChecksums {
         let peers = self.peers.iter().map(|peer| &peer.update).chain([self.peers.me()]);
         let endpoints = &self.endpoints;
         self.checksums.get_or_insert_with(|| BucketChecksums::new(peers, endpoints.iter()))
@@ -356,10 +347,14 @@
 
 /// Returns an upper bound on the encoded length of a message without queued updates, in bytes.
 fn fixed_bytes(message: &Gossip) -> usize {
+    const CHECKSUM_BYTES: usize = 5;
     const REQUEST_BYTES: usize = IncarnationKey::BYTES + 10;
     let peers: usize = message.peers.iter().map(peer_bytes).sum();
     let endpoints: usize = message.endpoints.iter().map(|e| endpoint_bytes(&e.announcement)).sum();
-    let sums = message.checksums.as_ref().map_or(0, checksum_bytes);
+    let sums = message
+        .checksums
+        .as_ref()
+        .map_or(0, |sums| sums.sums.len() * CHECKSUM_BYTES + CHECKSUM_BYTES);
     let probe_requests: usize =
         message.probe_requests.iter().map(|host| host.as_str().len() + 1).sum();
     header_bytes(&message.from, &message.newest)
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -11,10 +11,7 @@
 use crate::{
     Announcement, AnnouncementRequest, Budget, EndpointChange, EndpointRecord, Endpoints, Gossip,
     IncarnationKey, MAX_ENDPOINTS, NewestRevision, PROBE_INTERVAL, Peer, PeerUpdate, Peers,
-    StaleAnnouncement,
-    budget::RateLimiter,
-    catch_up::{CatchUp, PullSchedule},
-    checksum::BucketChecksums,
+    StaleAnnouncement, budget::RateLimiter, catch_up::CatchUp, checksum::BucketChecksums,
     transmit_queue::TransmitQueue,
 };
 
@@ -47,12 +44,10 @@
     pub(crate) checksums: Option<BucketChecksums>,
     pub(crate) next_checksum_range: u16,
     pub(crate) catch_up: Option<CatchUp>,
-    pub(crate) pull_schedule: PullSchedule,
+    pub(crate) last_pull_at: MonotonicTime,
     pub(crate) reported_endpoint_count: u32,
-    /// The number of endpoints that each router last reported to have.
-    pub(crate) endpoint_counts: BTreeMap<HostId, u32>,
     relayed_at: BTreeMap<IncarnationKey, MonotonicTime>,
-    pub(crate) seeds: Vec<SocketAddr>,
+    seeds: Vec<SocketAddr>,
     last_tick: MonotonicTime,
     next_probe_round: MonotonicTime,
 }
@@ -125,9 +120,8 @@
             checksums: None,
             next_checksum_range: 0,
             catch_up: Some(CatchUp::new(now)),
-            pull_schedule: PullSchedule::new(now),
+            last_pull_at: now,
             reported_endpoint_count: 0,
-            endpoint_counts: BTreeMap::new(),
             relayed_at: BTreeMap::new(),
             seeds,
             last_tick: now,
@@ -160,7 +154,6 @@
         if PAUSE_THRESHOLD <= now.saturating_since(self.last_tick) {
             self.peers.reset_timers(now);
             self.catch_up = Some(CatchUp::new(now));
-            self.pull_schedule = PullSchedule::new(now);
         }
         self.last_tick = now;
         self.expire_leases(now);
@@ -170,9 +163,9 @@
             self.next_probe_round = now + PROBE_INTERVAL;
             self.reported_endpoint_count -=
                 self.reported_endpoint_count.div_ceil(COUNT_DECAY_INTERVALS);
+            self.repeat_pull_if_incomplete(now);
             out.extend(self.send_probes(now, rng));
         }
-        self.repeat_pull_if_due(now);
         out.extend(self.pull_from_random(now, rng));
         out.extend(self.gossip_round(now, rng));
         out
@@ -256,11 +249,8 @@
         }
     }
 
-    pub(crate) fn record_endpoint_count(&mut self, now: MonotonicTime, from: &HostId, count: u32) {
+    pub(crate) fn record_endpoint_count(&mut self, now: MonotonicTime, count: u32) {
         let max_count = u32::try_from(MAX_ENDPOINTS).unwrap_or(u32::MAX);
-        if self.peers.find(from).is_some() {
-            self.endpoint_counts.insert(from.clone(), count);
-        }
         if count.min(max_count) <= self.reported_endpoint_count {
             return;
         }
--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -162,12 +162,6 @@
     peer_bytes(from) + newest.host.as_str().len() + 5 + FLAGS_AND_LENGTHS_BYTES
 }
 
-/// Returns an upper bound on the encoded length of checksums, in bytes.
-pub(crate) fn checksum_bytes(checksums: &Checksums) -> usize {
-    const CHECKSUM_BYTES: usize = 5;
-    (checksums.sums.len() + 1) * CHECKSUM_BYTES
-}
-
 /// Returns an upper bound on the encoded length of a router's update, in bytes.
 pub(crate) fn peer_bytes(peer: &PeerUpdate) -> usize {
     const FIXED_BYTES: usize = 42;
--- a/crates/member/tests/regression/roster_after_restart_of_all.rs
+++ b/crates/member/tests/regression/roster_after_restart_of_all.rs
@@ -1,6 +1,6 @@
 use crate::net::{Net, service};
 
-/// Routers that receive the announcements, as the only ones that endpoints know.
+/// Number of routers that receive the announcements, as the only ones that endpoints know.
 const ANNOUNCED_TO: usize = 5;
 
 /// Time between two announcements of an endpoint, in milliseconds.
