cli: two texts say "ask" where they said "confirmation"

Ruled out: renaming confirm(), which asks the operator and is the usual term for that. Change: the two texts. No behaviour, flag or message that a test matches.

--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -262,7 +262,7 @@
 
 fn approval() -> impl Parser<Approval> {
     let reason = reason();
-    let yes = long("yes").short('y').help("Makes the change without confirmation").switch();
+    let yes = long("yes").short('y').help("Makes the change without asking first").switch();
     construct!(Approval { reason, yes })
 }
 
--- a/crates/cli/src/submit.rs
+++ b/crates/cli/src/submit.rs
@@ -23,7 +23,7 @@
     Unchanged { revision: Revision },
 }
 
-/// Shows the difference, asks for confirmation and replaces the declaration with `toml`.
+/// Shows the difference, asks whether to go on, and replaces the declaration with `toml`.
 pub(crate) fn submit(
     settings: &Settings,
     current: &CurrentDeclaration,
