fleet: an entry of the engine update log names its fields

Ruled out: deriving the number, since the log is the only place that knows when an update differed. Change: a struct with the update and the change in which it last differed. No behaviour changed.

--- a/crates/fleet/src/engine_updates.rs
+++ b/crates/fleet/src/engine_updates.rs
@@ -11,7 +11,14 @@
 /// The leader's updates, each with the change of the published state that it came with.
 #[derive(Clone, Debug, Default)]
 pub struct EngineUpdateLog {
-    by_engine: BTreeMap<EndpointId, (EngineUpdate, u64)>,
+    by_engine: BTreeMap<EndpointId, LoggedUpdate>,
+}
+
+#[derive(Clone, Debug)]
+struct LoggedUpdate {
+    update: EngineUpdate,
+    /// The change of the published state in which it last differed.
+    changed_at: u64,
 }
 
 impl EngineUpdateLog {
@@ -23,13 +30,13 @@
         let mut has_changed = previous.len() != updates.len();
         for update in updates {
             let changed_at = match previous.get(&update.endpoint) {
-                Some((known, changed_at)) if *known == update => *changed_at,
+                Some(known) if known.update == update => known.changed_at,
                 _ => {
                     has_changed = true;
                     change
                 }
             };
-            self.by_engine.insert(update.endpoint.clone(), (update, changed_at));
+            self.by_engine.insert(update.endpoint.clone(), LoggedUpdate { update, changed_at });
         }
         has_changed
     }
@@ -41,10 +48,10 @@
 
     /// Returns the updates for a router that has seen the changes up to `seen`, if any.
     pub fn since(&self, seen: Option<u64>) -> Vec<EngineUpdate> {
-        let is_due = |(update, changed_at): &&(EngineUpdate, u64)| {
-            update.paused || seen.is_none_or(|seen| seen < *changed_at)
+        let is_due = |logged: &&LoggedUpdate| {
+            logged.update.paused || seen.is_none_or(|seen| seen < logged.changed_at)
         };
-        self.by_engine.values().filter(is_due).map(|(update, _)| update.clone()).collect()
+        self.by_engine.values().filter(is_due).map(|logged| logged.update.clone()).collect()
     }
 }
 
