gateway: a silent endpoint is given up only once another one takes over

What callers saw: a stream that may be resumed was cut although its engine was sound and went on a second later, and idempotent requests got 502.

Cause: a host closed the connection to an endpoint that it suspected (no event for 2.5 s; no response in half of the time left; a connection of another request had failed and no data came for 0.6 s, as when a full engine refuses new connections), and only then asked whether the request might be sent again. With no other endpoint, no attempt or no retry left the answer was lost. The class: a suspicion is treated as a failure.

Change: a suspected endpoint keeps its request until another one has started to answer; if it sends first, it goes on and the other attempt is cancelled. Without a usable alternative or a retry the host waits on, to the request's deadline. What must end does so as before: an endpoint that closed its connection, malformed events, a start on outdated weights.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -65,6 +65,12 @@
 /// Time between checks whether an engine's weights are outdated for too long.
 const OUTDATED_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Error of an attempt without a response in time.
+const NO_RESPONSE: &str = "no response in time";
+
+/// Error of an attempt at an endpoint to which connections fail.
+pub(super) const UNREACHABLE: &str = "the endpoint became unreachable";
+
 /// Error of a request that is cancelled at an engine that has not started it.
 pub(super) const NOT_STARTED_IN_TIME: &str =
     "the engine did not start the request before its weights were outdated";
@@ -127,6 +133,9 @@
     Refused(StatusCode),
     /// The request may have run.
     MayHaveRun(String),
+    /// The endpoint doesn't respond and may still run the request; another one takes over, and the
+    /// retry was spent from the budget.
+    Replaced(String),
 }
 
 impl<D: Dialect> Exchange<D> {
@@ -175,6 +184,23 @@
             && self.progress.tried.len() < MAX_ENDPOINTS_TRIED
     }
 
+    /// Returns whether another endpoint may take over from one that may still go on.
+    ///
+    /// A permitted retry is spent from the budget.
+    pub(super) fn try_replace(&self) -> bool {
+        self.may_attempt_again() && self.has_alternative() && self.try_retry()
+    }
+
+    fn has_alternative(&self) -> bool {
+        let now = self.gateway.clock.now();
+        self.choose().is_ok_and(|target| !target.is_avoided(now))
+    }
+
+    /// Counts the attempts since there were `sent` as ones that may have run, as they were cancelled.
+    pub(super) fn count_cancelled(&mut self, sent: u32) {
+        self.progress.ran += self.progress.sent - sent;
+    }
+
     /// Returns whether a resumable stream may migrate although its engine still serves it.
     ///
     /// A permitted migration is spent from the budget.
@@ -252,6 +278,10 @@
                 }
                 (why, true)
             }
+            AttemptError::Replaced(why) => {
+                log::info!(request:%, endpoint:%, why; "attempt replaced, request may have run");
+                return Ok(());
+            }
         };
         Err(self.failure(why, may_have_run))
     }
@@ -370,32 +400,53 @@
         }
         self.progress.sent += 1;
         let sent = self.send_record(target);
-        let sending =
-            tokio::time::timeout_at(self.attempt_deadline(), sender.send_request(request));
-        let unreachable =
-            wait_until_unreachable(&self.gateway, target, self.route.retry_policy.may_repeat());
-        let response = tokio::select! {
-            biased;
-            sent = sending => match sent {
-                Ok(Ok(response)) => response,
-                Ok(Err(e)) if e.is_canceled() => {
-                    return Err(AttemptError::Unreachable(e.to_string()));
-                }
-                Ok(Err(e)) => return Err(self.may_have_run(format!("no response: {e}"))),
-                Err(_) => return Err(self.may_have_run("no response in time".to_owned())),
-            },
-            () = unreachable => {
-                let why = "the endpoint became unreachable".to_owned();
-                return Err(self.may_have_run(why));
-            }
-            () = self.wait_until_start_overdue(sent.weights) => {
-                return Err(self.may_have_run(NOT_STARTED_IN_TIME.to_owned()));
-            }
-        };
+        let response = self.response(target, sender.send_request(request), sent).await?;
         let response = self.check_response(target, response)?;
         Ok(StartedResponse { response, in_flight, sent, _driver: driver })
     }
 
+    /// Waits for the head of the response to a request that is being sent.
+    ///
+    /// An endpoint that doesn't respond is given up only once another one takes over.
+    async fn response(
+        &mut self,
+        target: &Rc<Target>,
+        sending: impl Future<Output = hyper::Result<Response<Incoming>>>,
+        sent: SendRecord,
+    ) -> Result<Response<Incoming>, AttemptError> {
+        tokio::pin!(sending);
+        loop {
+            let why = tokio::select! {
+                biased;
+                response = &mut sending => return match response {
+                    Ok(response) => Ok(response),
+                    Err(e) if e.is_canceled() => Err(AttemptError::Unreachable(e.to_string())),
+                    Err(e) => Err(self.may_have_run(format!("no response: {e}"))),
+                },
+                () = tokio::time::sleep_until(self.deadline) => {
+                    return Err(self.may_have_run(NO_RESPONSE.to_owned()));
+                }
+                () = self.wait_until_start_overdue(sent.weights) => {
+                    return Err(self.may_have_run(NOT_STARTED_IN_TIME.to_owned()));
+                }
+                why = self.wait_until_suspect(target) => why,
+            };
+            if self.try_replace() {
+                self.progress.ran += 1;
+                return Err(AttemptError::Replaced(why.to_owned()));
+            }
+        }
+    }
+
+    /// Waits until an endpoint without a response is suspected not to respond at all; returns why.
+    async fn wait_until_suspect(&self, target: &Rc<Target>) -> &'static str {
+        let may_repeat = self.route.retry_policy.may_repeat();
+        tokio::select! {
+            () = tokio::time::sleep_until(self.attempt_deadline()) => NO_RESPONSE,
+            () = wait_until_unreachable(&self.gateway, target, may_repeat) => UNREACHABLE,
+        }
+    }
+
     fn send_record(&self, target: &Target) -> SendRecord {
         let (at, weights) = (self.gateway.clock.now(), target.version());
         SendRecord { at, weights, outdated: self.outdated_for(weights, at) }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 use base::{ByteCount, MonotonicTime, Verdict};
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, body::Frame};
 use member::IncarnationKey;
 use telemetry::Recorder;
 use tokio::time::Instant;
@@ -40,8 +40,10 @@
     CallerDisconnected,
     /// The endpoint closed the connection before the end.
     BrokenOff(String),
-    /// The router gave up on the endpoint, as when no event arrived in time.
-    Abandoned(String),
+    /// The endpoint must not go on: its events are malformed, or it may no longer start.
+    Cancelled(String),
+    /// No event arrived in time, or the endpoint seems unreachable; it may still go on.
+    Stalled(String),
     /// The engine is about to load weights; the stream migrates, and its retry was spent from the
     /// budget.
     Migrate,
@@ -166,8 +168,12 @@
                 migrate(&mut exchange, &mut segment, last_id.as_deref()).await;
                 continue;
             }
+            SegmentEnd::Stalled(why) => {
+                replace_stalled(&mut exchange, &mut segment, last_id.as_deref(), &why).await;
+                continue;
+            }
             SegmentEnd::TimedOut => "the request's deadline passed".to_owned(),
-            SegmentEnd::BrokenOff(ref why) | SegmentEnd::Abandoned(ref why) => {
+            SegmentEnd::BrokenOff(ref why) | SegmentEnd::Cancelled(ref why) => {
                 log_interrupted(&exchange, &segment, why);
                 if matches!(end, SegmentEnd::BrokenOff(_)) {
                     record_crash(&exchange, &segment);
@@ -192,10 +198,15 @@
     }
 }
 
+/// What an endpoint's body yields next; `None` at its end.
+type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// An endpoint's segment of a stream.
 struct Segment {
     started: StartedResponse,
     splitter: EventSplitter,
+    /// A frame that arrived while the stream was about to resume elsewhere.
+    pending: Option<BodyFrame>,
     /// When its first event arrived.
     first_event: Option<MonotonicTime>,
     /// Whether its engine has written for long enough to show that the prompt doesn't crash it.
@@ -210,6 +221,7 @@
         Self {
             started,
             splitter: EventSplitter::new(MAX_EVENT_BYTES),
+            pending: None,
             first_event: None,
             has_survived: false,
             may_migrate,
@@ -258,6 +270,56 @@
         "stream migration from loading engine");
 }
 
+/// Resumes a stalled stream at another endpoint; its current one keeps it until then, and goes on if
+/// it sends first or no other endpoint takes over.
+async fn replace_stalled<D: Dialect>(
+    exchange: &mut Exchange<D>,
+    segment: &mut Segment,
+    last_id: Option<&str>,
+    why: &str,
+) {
+    if !exchange.try_replace() {
+        return;
+    }
+    log_interrupted(exchange, segment, why);
+    let before = exchange.attempts();
+    let outcome = match resume_unless_revived(exchange, segment, last_id).await {
+        Some(Ok(next)) => {
+            *segment = Segment::new(exchange, next);
+            "moved".to_owned()
+        }
+        Some(Err(why)) => why,
+        None => {
+            exchange.count_cancelled(before);
+            "its endpoint goes on".to_owned()
+        }
+    };
+    let to = &segment.started.in_flight.target().endpoint;
+    log::info!(request:% = exchange.caller_request.id, to:%, outcome; "stalled stream resumed");
+}
+
+/// Returns the continuation at another endpoint, or `None` if the current one sends first.
+async fn resume_unless_revived<D: Dialect>(
+    exchange: &mut Exchange<D>,
+    segment: &mut Segment,
+    last_id: Option<&str>,
+) -> Option<Result<StartedResponse, String>> {
+    let opening = open_continuation(exchange, last_id);
+    tokio::pin!(opening);
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = segment.started.response.body_mut().frame(), if segment.pending.is_none() => frame,
+            next = &mut opening => return Some(next),
+        };
+        let is_broken = matches!(frame, Some(Err(_)));
+        segment.pending = Some(frame);
+        if !is_broken {
+            return None;
+        }
+    }
+}
+
 async fn resume<D: Dialect>(
     exchange: &mut Exchange<D>,
     last_id: Option<&str>,
@@ -293,7 +355,7 @@
     timing: &mut StreamTiming,
 ) -> SegmentEnd {
     let resumable = exchange.route.retry_policy.may_repeat();
-    let Segment { started, splitter, first_event, has_survived, may_migrate } = segment;
+    let Segment { started, splitter, pending, first_event, has_survived, may_migrate } = segment;
     loop {
         let event_deadline =
             if resumable { Instant::now() + EVENT_TIMEOUT } else { exchange.deadline };
@@ -304,9 +366,15 @@
             started.in_flight.target(),
             resumable,
         );
+        let next_frame = async {
+            match pending.take() {
+                Some(frame) => frame,
+                None => body.frame().await,
+            }
+        };
         let framed = tokio::select! {
             biased;
-            framed = tokio::time::timeout_at(until, body.frame()) => framed,
+            framed = tokio::time::timeout_at(until, next_frame) => framed,
             () = exchange::wait_until_paused(started.in_flight.target()),
                 if *may_migrate && last_id.is_some() =>
             {
@@ -317,15 +385,15 @@
                 continue;
             }
             () = exchange.wait_until_start_overdue(started.sent.weights), if first_event.is_none() => {
-                return SegmentEnd::Abandoned(exchange::NOT_STARTED_IN_TIME.to_owned());
+                return SegmentEnd::Cancelled(exchange::NOT_STARTED_IN_TIME.to_owned());
             }
             () = unreachable => {
-                return SegmentEnd::Abandoned("the endpoint became unreachable".to_owned());
+                return SegmentEnd::Stalled(exchange::UNREACHABLE.to_owned());
             }
         };
         let frame = match framed {
             Err(_) if exchange.deadline <= Instant::now() => return SegmentEnd::TimedOut,
-            Err(_) => return SegmentEnd::Abandoned("no event in time".to_owned()),
+            Err(_) => return SegmentEnd::Stalled("no event in time".to_owned()),
             Ok(None) if splitter.is_within_event() => {
                 return SegmentEnd::BrokenOff("the stream ended within an event".to_owned());
             }
@@ -339,7 +407,7 @@
         let Ok(data) = frame.into_data() else { continue };
         let split = match splitter.push(&data) {
             Ok(split) => split,
-            Err(e) => return SegmentEnd::Abandoned(e.to_string()),
+            Err(e) => return SegmentEnd::Cancelled(e.to_string()),
         };
         if split.events == 0 {
             continue;
