gateway: a stream's head is passed on with its first event

What callers saw: a 200 and a stream that was cut before its first event: neither an answer nor a refusal.

Cause: the head went to the caller as soon as an engine had sent one, so what failed after it, up to the first event, could only be told by closing the connection: an engine that ended, the request's deadline, a request that the host itself calls back as its engine's weights are outdated.

Change: the head waits for the first event (`CallerStream`). A failure before it is answered with its status, 502 or 504, "may have run". A stream that is begun anew at another engine before the first event has the head of that engine, not of the one that failed.

Evidence: the five cases of stream_without_events fail on the code before (status 200, incomplete; the head of the failed engine) and pass now.

--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -286,7 +286,7 @@
         log_completed(&exchange, response.head.status);
         return Ok(response.into_response());
     }
-    Ok(relay::start(exchange, started, active))
+    relay::start(exchange, started, active).await
 }
 
 pub(super) fn log_completed<D: Dialect>(exchange: &Exchange<D>, status: StatusCode) {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! operators and endpoints, each on the address that the settings name for it.
 
 mod body;
+mod caller_stream;
 mod control;
 mod dialect;
 mod exchange;
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -11,18 +11,15 @@
 use tokio::time::Instant;
 use wire::sse::EventSplitter;
 
-use crate::net::AbortOnDrop;
+use crate::{failure::Failure, net::AbortOnDrop};
 
 use super::{
     ActiveRequest, Dialect,
-    body::{Body, Truncated},
+    body::Body,
+    caller_stream::CallerStream,
     exchange::{self, EVENT_TIMEOUT, Exchange, StartedResponse},
-    headers,
 };
 
-/// Chunks that are buffered for a slow caller.
-const CHUNK_BUFFER_LEN: usize = 16;
-
 /// Longest wait for another engine to start while the current one still serves the stream.
 const MIGRATION_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -130,32 +127,40 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Starts to relay a stream to the caller, with the header fields of its first endpoint.
-pub(super) fn start<D: Dialect>(
+/// Starts to relay a stream to the caller, with the header fields of the endpoint whose events come
+/// first.
+///
+/// # Errors
+///
+/// Returns the failure of a stream that ended before its first event.
+pub(super) async fn start<D: Dialect>(
     exchange: Exchange<D>,
     started: StartedResponse,
     active: ActiveRequest,
-) -> Response<Body> {
-    let (tx, rx) = flume::bounded(CHUNK_BUFFER_LEN);
-    let headers = headers::end_to_end(started.response.headers());
-    let task = AbortOnDrop(tokio::task::spawn_local(relay_events(exchange, started, tx)));
-    let mut response = Response::new(Body::relayed(rx, task, active));
+) -> Result<Response<Body>, Failure> {
+    let (caller, receivers) = CallerStream::new();
+    let task = AbortOnDrop(tokio::task::spawn_local(relay_events(exchange, started, caller)));
+    let headers = receivers.head.await.unwrap_or_else(|_| {
+        Err(Failure::bad_gateway("the stream ended unexpectedly", Verdict::MayHaveRun))
+    })?;
+    let mut response = Response::new(Body::relayed(receivers.body, task, active));
     *response.headers_mut() = headers;
-    response
+    Ok(response)
 }
 
 /// Relays events until the stream's end; a resumable stream that breaks off resumes elsewhere.
 async fn relay_events<D: Dialect>(
     mut exchange: Exchange<D>,
     started: StartedResponse,
-    tx: flume::Sender<Result<Bytes, Truncated>>,
+    mut caller: CallerStream,
 ) {
     let mut last_id: Option<String> = None;
     let mut timing = StreamTiming::new(exchange.arrived);
     let mut segment = Segment::new(&exchange, started);
     loop {
-        let end = relay_segment(&exchange, &mut segment, &tx, &mut last_id, &mut timing).await;
-        let why = match end {
+        let end =
+            relay_segment(&exchange, &mut segment, &mut caller, &mut last_id, &mut timing).await;
+        let failure = match end {
             SegmentEnd::Complete => {
                 record_survival(&exchange);
                 return log_complete(&exchange, &segment.started, &timing);
@@ -172,7 +177,9 @@
                 replace_stalled(&mut exchange, &mut segment, last_id.as_deref(), &why).await;
                 continue;
             }
-            SegmentEnd::TimedOut => "the request's deadline passed".to_owned(),
+            SegmentEnd::TimedOut => {
+                Failure::timed_out("the request's deadline passed", Verdict::MayHaveRun)
+            }
             SegmentEnd::BrokenOff(ref why) | SegmentEnd::Cancelled(ref why) => {
                 log_interrupted(&exchange, &segment, why);
                 if matches!(end, SegmentEnd::BrokenOff(_)) {
@@ -185,19 +192,23 @@
                         segment = Segment::new(&exchange, next);
                         continue;
                     }
-                    Err(why) => why,
+                    Err(why) => Failure::bad_gateway(why, Verdict::MayHaveRun),
                 }
             }
         };
-        let last_id = last_id.unwrap_or_default();
-        log::warn!(request:% = exchange.caller_request.id, last_event = last_id, why;
-            "stream truncated");
-        exchange.recorder.verdict(Verdict::MayHaveRun);
-        let _ = tx.send_async(Err(Truncated)).await;
-        return;
+        if caller.has_begun() {
+            log_truncated(&exchange, last_id.as_deref(), &failure);
+        }
+        return caller.fail(failure).await;
     }
 }
 
+fn log_truncated<D: Dialect>(exchange: &Exchange<D>, last_id: Option<&str>, failure: &Failure) {
+    log::warn!(request:% = exchange.caller_request.id, last_event = last_id.unwrap_or_default(),
+        why = failure.detail; "stream truncated");
+    failure.record(&exchange.recorder);
+}
+
 /// What an endpoint's body yields next; `None` at its end.
 type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
 
@@ -350,7 +361,7 @@
 async fn relay_segment<D: Dialect>(
     exchange: &Exchange<D>,
     segment: &mut Segment,
-    tx: &flume::Sender<Result<Bytes, Truncated>>,
+    caller: &mut CallerStream,
     last_id: &mut Option<String>,
     timing: &mut StreamTiming,
 ) -> SegmentEnd {
@@ -426,7 +437,8 @@
         if let Some(id) = split.last_id {
             *last_id = Some(id);
         }
-        if tx.send_async(Ok(Bytes::from(split.bytes))).await.is_err() {
+        let events = Bytes::from(split.bytes);
+        if caller.send(started.response.headers(), events).await.is_err() {
             return SegmentEnd::CallerDisconnected;
         }
     }
