gateway: a request without a response at its deadline is told that it timed out

Cause: the wait for a response that came with ends at the same moment as the request's timeout and won. Change: the attempt's own end at the deadline says so. Evidence: the case no_head_until_the_timeout fails on the code before (502).

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -133,6 +133,8 @@
     Refused(StatusCode),
     /// The request may have run.
     MayHaveRun(String),
+    /// The request's deadline passed; the request may have run.
+    TimedOut,
     /// The endpoint doesn't respond and may still run the request; another one takes over, and the
     /// retry was spent from the budget.
     Replaced(String),
@@ -278,6 +280,9 @@
                 }
                 (why, true)
             }
+            AttemptError::TimedOut => {
+                return Err(Failure::timed_out(NO_RESPONSE, Verdict::MayHaveRun));
+            }
             AttemptError::Replaced(why) => {
                 log::info!(request:%, endpoint:%, why; "attempt replaced, request may have run");
                 return Ok(());
@@ -424,7 +429,8 @@
                     Err(e) => Err(self.may_have_run(format!("no response: {e}"))),
                 },
                 () = tokio::time::sleep_until(self.deadline) => {
-                    return Err(self.may_have_run(NO_RESPONSE.to_owned()));
+                    self.progress.ran += 1;
+                    return Err(AttemptError::TimedOut);
                 }
                 () = self.wait_until_start_overdue(sent.weights) => {
                     return Err(self.may_have_run(NOT_STARTED_IN_TIME.to_owned()));
