gateway: an attempt counts when it is sent

What callers' endpoints saw: an idempotent request of a route with one attempt reached two endpoints, and generally one more than allowed.

Cause: the count of attempts left out the one in flight, as it was raised when an attempt had ended; since a suspected endpoint is replaced before that. Change: an attempt counts when it is sent, and no longer once it is known not to have run.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -104,10 +104,23 @@
     tried: Vec<EndpointId>,
     /// Attempts that reached an endpoint, refused ones included.
     sent: u32,
-    /// Attempts that may have run.
+    /// Attempts that may have run: those that reached an endpoint and were not refused.
     ran: u32,
 }
 
+impl Progress {
+    /// Counts an attempt that is sent now; it may run even if it is cancelled.
+    fn count_sent(&mut self) {
+        self.sent += 1;
+        self.ran += 1;
+    }
+
+    /// Records that the latest attempt that was sent has not run.
+    fn count_not_run(&mut self) {
+        self.ran -= 1;
+    }
+}
+
 /// A response whose head has arrived.
 pub(super) struct StartedResponse {
     pub response: Response<Incoming>,
@@ -198,11 +211,6 @@
         self.choose().is_ok_and(|target| !target.is_avoided(now))
     }
 
-    /// Counts the attempts since there were `sent` as ones that may have run, as they were cancelled.
-    pub(super) fn count_cancelled(&mut self, sent: u32) {
-        self.progress.ran += self.progress.sent - sent;
-    }
-
     /// Returns whether a resumable stream may migrate although its engine still serves it.
     ///
     /// A permitted migration is spent from the budget.
@@ -403,7 +411,7 @@
         if let Some(chain) = &self.chain {
             self.gateway.record_sent(target, chain, transfers.save_to.is_some());
         }
-        self.progress.sent += 1;
+        self.progress.count_sent();
         let sent = self.send_record(target);
         let response = self.response(target, sender.send_request(request), sent).await?;
         let response = self.check_response(target, response)?;
@@ -425,20 +433,19 @@
                 biased;
                 response = &mut sending => return match response {
                     Ok(response) => Ok(response),
-                    Err(e) if e.is_canceled() => Err(AttemptError::Unreachable(e.to_string())),
-                    Err(e) => Err(self.may_have_run(format!("no response: {e}"))),
+                    Err(e) if e.is_canceled() => {
+                        self.progress.count_not_run();
+                        Err(AttemptError::Unreachable(e.to_string()))
+                    }
+                    Err(e) => Err(AttemptError::MayHaveRun(format!("no response: {e}"))),
                 },
-                () = tokio::time::sleep_until(self.deadline) => {
-                    self.progress.ran += 1;
-                    return Err(AttemptError::TimedOut);
-                }
+                () = tokio::time::sleep_until(self.deadline) => return Err(AttemptError::TimedOut),
                 () = self.wait_until_start_overdue(sent.weights) => {
-                    return Err(self.may_have_run(NOT_STARTED_IN_TIME.to_owned()));
+                    return Err(AttemptError::MayHaveRun(NOT_STARTED_IN_TIME.to_owned()));
                 }
                 why = self.wait_until_suspect(target) => why,
             };
             if self.try_replace() {
-                self.progress.ran += 1;
                 return Err(AttemptError::Replaced(why.to_owned()));
             }
         }
@@ -488,20 +495,21 @@
         let head = self.gateway.dialect.response_head(&parts);
         let status = parts.status;
         if head.not_run {
+            self.progress.count_not_run();
             self.handle_refusal(target, status, &head);
             return Err(AttemptError::Refused(status));
         }
         if head.request.as_deref() != Some(self.caller_request.id.as_str()) {
             self.recorder.mismatched_response();
-            return Err(self.may_have_run("the response belongs to another request".to_owned()));
+            let why = "the response belongs to another request".to_owned();
+            return Err(AttemptError::MayHaveRun(why));
         }
         if !head.signed {
-            return Err(self.may_have_run(format!("an unsigned response with {status}")));
+            return Err(AttemptError::MayHaveRun(format!("an unsigned response with {status}")));
         }
         if let Some(version) = head.weights {
             target.update_version(version);
         }
-        self.progress.ran += 1;
         Ok(Response::from_parts(parts, body))
     }
 
@@ -517,15 +525,10 @@
         target.suspend(self.gateway.clock.now());
     }
 
-    fn may_have_run(&mut self, why: String) -> AttemptError {
-        self.progress.ran += 1;
-        AttemptError::MayHaveRun(why)
-    }
-
     /// Returns an attempt's deadline, which leaves time for another attempt if one is allowed.
     fn attempt_deadline(&self) -> Instant {
         let repeatable = self.route.retry_policy.may_repeat();
-        if !repeatable || self.route.max_attempts <= self.progress.ran + 1 {
+        if !repeatable || self.route.max_attempts <= self.progress.ran {
             return self.deadline;
         }
         let now = Instant::now();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -293,17 +293,13 @@
         return;
     }
     log_interrupted(exchange, segment, why);
-    let before = exchange.attempts();
     let outcome = match resume_unless_revived(exchange, segment, last_id).await {
         Some(Ok(next)) => {
             *segment = Segment::new(exchange, next);
             "moved".to_owned()
         }
         Some(Err(why)) => why,
-        None => {
-            exchange.count_cancelled(before);
-            "its endpoint goes on".to_owned()
-        }
+        None => "its endpoint goes on".to_owned(),
     };
     let to = &segment.started.in_flight.target().endpoint;
     log::info!(request:% = exchange.caller_request.id, to:%, outcome; "stalled stream resumed");
