gateway: the end of a broken stream is not a sign that it goes on

What callers saw: a stream that could have gone on at another engine was cut. Its engine fell silent, the host asked another one, and before that one had begun the first engine's connection ended in the middle of an event. The host took the half event, or the end, for a revival, cancelled the other engine and had no attempt left.

Cause: while a stream was about to resume, any frame counted as its engine going on. Change: only whole events, or the end of the response after one, do; a connection that breaks off leaves the other engine to go on. What one endpoint sends is a module of its own now (`segment`), which yields whole events or an end; time without a whole event counts as silence, bytes of an event that never ends do not prolong it.

--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod prompt_crashes;
 mod relay;
+mod segment;
 mod settings;
 mod targets;
 mod weights;
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -1,15 +1,13 @@
 //! Relays event streams from endpoints to callers.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
-use base::{ByteCount, MonotonicTime, Verdict};
+use base::{MonotonicTime, Verdict};
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
-use hyper::{Response, StatusCode, body::Frame};
+use hyper::{Response, StatusCode};
 use member::IncarnationKey;
 use telemetry::Recorder;
 use tokio::time::Instant;
-use wire::sse::EventSplitter;
 
 use crate::{failure::Failure, net::AbortOnDrop};
 
@@ -18,14 +16,12 @@
     body::Body,
     caller_stream::CallerStream,
     exchange::{self, EVENT_TIMEOUT, Exchange, StartedResponse},
+    segment::{self, Received, Segment},
 };
 
 /// Longest wait for another engine to start while the current one still serves the stream.
 const MIGRATION_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Largest event that is buffered until it is complete.
-const MAX_EVENT_BYTES: ByteCount = ByteCount::new(1 << 20);
-
 /// Time from a stream's first event in which its prompt may still be what crashes the engine.
 const CRASH_WINDOW: Duration = Duration::from_millis(300);
 
@@ -156,7 +152,7 @@
 ) {
     let mut last_id: Option<String> = None;
     let mut timing = StreamTiming::new(exchange.arrived);
-    let mut segment = Segment::new(&exchange, started);
+    let mut segment = segment_of(&exchange, started);
     loop {
         let end =
             relay_segment(&exchange, &mut segment, &mut caller, &mut last_id, &mut timing).await;
@@ -189,7 +185,7 @@
                 drop(segment);
                 match resume(&mut exchange, last_id.as_deref()).await {
                     Ok(next) => {
-                        segment = Segment::new(&exchange, next);
+                        segment = segment_of(&exchange, next);
                         continue;
                     }
                     Err(why) => Failure::bad_gateway(why, Verdict::MayHaveRun),
@@ -209,35 +205,8 @@
     failure.record(&exchange.recorder);
 }
 
-/// What an endpoint's body yields next; `None` at its end.
-type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
-
-/// An endpoint's segment of a stream.
-struct Segment {
-    started: StartedResponse,
-    splitter: EventSplitter,
-    /// A frame that arrived while the stream was about to resume elsewhere.
-    pending: Option<BodyFrame>,
-    /// When its first event arrived.
-    first_event: Option<MonotonicTime>,
-    /// Whether its engine has written for long enough to show that the prompt doesn't crash it.
-    has_survived: bool,
-    /// Whether it may migrate before it has ended.
-    may_migrate: bool,
-}
-
-impl Segment {
-    fn new<D: Dialect>(exchange: &Exchange<D>, started: StartedResponse) -> Self {
-        let may_migrate = exchange.route.retry_policy.may_repeat();
-        Self {
-            started,
-            splitter: EventSplitter::new(MAX_EVENT_BYTES),
-            pending: None,
-            first_event: None,
-            has_survived: false,
-            may_migrate,
-        }
-    }
+fn segment_of<D: Dialect>(exchange: &Exchange<D>, started: StartedResponse) -> Segment {
+    Segment::new(started, exchange.route.retry_policy.may_repeat())
 }
 
 /// Records that an engine ended as it began to answer, which its prompt may have caused.
@@ -270,7 +239,7 @@
     let outcome = match resuming {
         Ok(Ok(next)) => {
             // The previous engine stops when its connection closes.
-            *segment = Segment::new(exchange, next);
+            *segment = segment_of(exchange, next);
             "moved".to_owned()
         }
         Ok(Err(why)) => why,
@@ -295,7 +264,7 @@
     log_interrupted(exchange, segment, why);
     let outcome = match resume_unless_revived(exchange, segment, last_id).await {
         Some(Ok(next)) => {
-            *segment = Segment::new(exchange, next);
+            *segment = segment_of(exchange, next);
             "moved".to_owned()
         }
         Some(Err(why)) => why,
@@ -305,25 +274,16 @@
     log::info!(request:% = exchange.caller_request.id, to:%, outcome; "stalled stream resumed");
 }
 
-/// Returns the continuation at another endpoint, or `None` if the current one sends first.
+/// Returns the continuation at another endpoint, or `None` if the current one goes on first.
 async fn resume_unless_revived<D: Dialect>(
     exchange: &mut Exchange<D>,
     segment: &mut Segment,
     last_id: Option<&str>,
 ) -> Option<Result<StartedResponse, String>> {
-    let opening = open_continuation(exchange, last_id);
-    tokio::pin!(opening);
-    loop {
-        let frame = tokio::select! {
-            biased;
-            frame = segment.started.response.body_mut().frame(), if segment.pending.is_none() => frame,
-            next = &mut opening => return Some(next),
-        };
-        let is_broken = matches!(frame, Some(Err(_)));
-        segment.pending = Some(frame);
-        if !is_broken {
-            return None;
-        }
+    tokio::select! {
+        biased;
+        () = segment.wait_until_revived() => None,
+        next = open_continuation(exchange, last_id) => Some(next),
     }
 }
 
@@ -362,80 +322,68 @@
     timing: &mut StreamTiming,
 ) -> SegmentEnd {
     let resumable = exchange.route.retry_policy.may_repeat();
-    let Segment { started, splitter, pending, first_event, has_survived, may_migrate } = segment;
+    let target = Rc::clone(segment.started.in_flight.target());
+    let weights = segment.started.sent.weights;
     loop {
         let event_deadline =
             if resumable { Instant::now() + EVENT_TIMEOUT } else { exchange.deadline };
         let until = event_deadline.min(exchange.deadline);
-        let body = started.response.body_mut();
-        let unreachable = exchange::wait_until_unreachable(
-            &exchange.gateway,
-            started.in_flight.target(),
-            resumable,
-        );
-        let next_frame = async {
-            match pending.take() {
-                Some(frame) => frame,
-                None => body.frame().await,
-            }
-        };
-        let framed = tokio::select! {
+        let may_migrate = segment.may_migrate && last_id.is_some();
+        let has_started = segment.first_event.is_some();
+        let unreachable = exchange::wait_until_unreachable(&exchange.gateway, &target, resumable);
+        let received = tokio::select! {
             biased;
-            framed = tokio::time::timeout_at(until, next_frame) => framed,
-            () = exchange::wait_until_paused(started.in_flight.target()),
-                if *may_migrate && last_id.is_some() =>
-            {
+            received = tokio::time::timeout_at(until, segment.receive()) => received,
+            () = exchange::wait_until_paused(&target), if may_migrate => {
                 if exchange.try_migrate() {
                     return SegmentEnd::Migrate;
                 }
-                *may_migrate = false;
+                segment.may_migrate = false;
                 continue;
             }
-            () = exchange.wait_until_start_overdue(started.sent.weights), if first_event.is_none() => {
+            () = exchange.wait_until_start_overdue(weights), if !has_started => {
                 return SegmentEnd::Cancelled(exchange::NOT_STARTED_IN_TIME.to_owned());
             }
             () = unreachable => {
                 return SegmentEnd::Stalled(exchange::UNREACHABLE.to_owned());
             }
         };
-        let frame = match framed {
+        let events = match received {
             Err(_) if exchange.deadline <= Instant::now() => return SegmentEnd::TimedOut,
             Err(_) => return SegmentEnd::Stalled("no event in time".to_owned()),
-            Ok(None) if splitter.is_within_event() => {
-                return SegmentEnd::BrokenOff("the stream ended within an event".to_owned());
+            Ok(Received::End) if timing.first.is_none() => {
+                return SegmentEnd::BrokenOff(segment::NO_EVENT.to_owned());
             }
-            Ok(None) if timing.first.is_none() => {
-                return SegmentEnd::BrokenOff("the stream ended before its first event".to_owned());
-            }
-            Ok(None) => return SegmentEnd::Complete,
-            Ok(Some(Err(e))) => return SegmentEnd::BrokenOff(e.to_string()),
-            Ok(Some(Ok(frame))) => frame,
-        };
-        let Ok(data) = frame.into_data() else { continue };
-        let split = match splitter.push(&data) {
-            Ok(split) => split,
-            Err(e) => return SegmentEnd::Cancelled(e.to_string()),
+            Ok(Received::End) => return SegmentEnd::Complete,
+            Ok(Received::BrokenOff(why)) => return SegmentEnd::BrokenOff(why),
+            Ok(Received::Malformed(why)) => return SegmentEnd::Cancelled(why),
+            Ok(Received::Events(events)) => events,
         };
-        if split.events == 0 {
-            continue;
-        }
-        let now = exchange.gateway.clock.now();
-        started.in_flight.mark_prefilled();
-        let first = *first_event.get_or_insert_with(|| {
-            log_outdated_start(exchange, started, now);
-            now
-        });
-        if !*has_survived && CRASH_WINDOW <= now.saturating_since(first) {
-            *has_survived = true;
-            record_survival(exchange);
-        }
-        timing.record_event(now, &exchange.recorder);
-        if let Some(id) = split.last_id {
+        record_events(exchange, segment, timing);
+        if let Some(id) = events.last_id {
             *last_id = Some(id);
         }
-        let events = Bytes::from(split.bytes);
-        if caller.send(started.response.headers(), events).await.is_err() {
+        let bytes = Bytes::from(events.bytes);
+        if caller.send(segment.started.response.headers(), bytes).await.is_err() {
             return SegmentEnd::CallerDisconnected;
         }
     }
 }
+
+fn record_events<D: Dialect>(
+    exchange: &Exchange<D>,
+    segment: &mut Segment,
+    timing: &mut StreamTiming,
+) {
+    let now = exchange.gateway.clock.now();
+    segment.started.in_flight.mark_prefilled();
+    if segment.first_event.is_none() {
+        log_outdated_start(exchange, &segment.started, now);
+    }
+    let first = *segment.first_event.get_or_insert(now);
+    if !segment.has_survived && CRASH_WINDOW <= now.saturating_since(first) {
+        segment.has_survived = true;
+        record_survival(exchange);
+    }
+    timing.record_event(now, &exchange.recorder);
+}
