serve: log and count connections that end while a response is due

Callers reported requests that ended with neither an answer nor a refusal. The hosts' logs couldn't tell a caller that had left from a connection that the host itself ended: both were a debug line without the state of the request.

A connection that ends after a request's head was read, and before its response has begun (stage=waiting) or ended (stage=sending), now writes one line at info with the caller's address, the reason and the time, and counts in connections_cut_total. A response counts as ended when the HTTP library has taken its last byte, so one that is lost in the last write isn't seen.

--- a/crates/daemon/src/edge/listen.rs
+++ b/crates/daemon/src/edge/listen.rs
@@ -5,6 +5,7 @@
     body::Incoming,
     header::{CONNECTION, HeaderValue},
 };
+use telemetry::Metrics;
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::serve::{self, ConnectionLimits, Drain, Serve};
@@ -61,6 +62,10 @@
         &self.connections
     }
 
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
         handle(self, req).await
     }
--- a/crates/daemon/src/gateway/listen.rs
+++ b/crates/daemon/src/gateway/listen.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use telemetry::Metrics;
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
@@ -52,6 +53,10 @@
         &self.0.connections
     }
 
+    fn metrics(&self) -> &Metrics {
+        &self.0.metrics
+    }
+
     async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
         forward::handle(Rc::clone(&self.0), req).await
     }
@@ -68,6 +73,10 @@
         &self.0.connections
     }
 
+    fn metrics(&self) -> &Metrics {
+        &self.0.metrics
+    }
+
     async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
         control::handle(Rc::clone(&self.0), req).await
     }
@@ -84,6 +93,10 @@
         &self.connections
     }
 
+    fn metrics(&self) -> &Metrics {
+        &self.gateway.metrics
+    }
+
     async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Response<Body> {
         let mut response = Response::new(Body::from(Bytes::new()));
         if !self.gateway.is_ready() {
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,6 +1,11 @@
 //! Accepting, serving and closing callers' connections.
 
-use std::{cell::Cell, convert::Infallible, error::Error, future::Future, rc::Rc, time::Duration};
+mod due;
+
+use std::{
+    cell::Cell, convert::Infallible, error::Error, future::Future, net::SocketAddr, rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use hyper::{
@@ -10,6 +15,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use telemetry::Metrics;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -18,6 +24,8 @@
 
 use crate::edge::ServerCommand;
 
+use due::ResponseDue;
+
 /// Time from the end of accepting to the close of idle connections.
 ///
 /// A request that arrives in that time is still read and served.
@@ -46,7 +54,7 @@
 /// A service for the requests on a thread's connections.
 pub(crate) trait Serve: 'static {
     /// The body of a response.
-    type Body: HttpBody<Data = Bytes, Error: Error + Send + Sync + 'static> + 'static;
+    type Body: HttpBody<Data = Bytes, Error: Error + Send + Sync + 'static> + Unpin + 'static;
 
     /// Returns the limits on a new connection.
     fn connection_limits(&self) -> ConnectionLimits;
@@ -54,6 +62,9 @@
     /// Returns the counter of open connections.
     fn connections(&self) -> &Cell<u64>;
 
+    /// Returns the process's metrics.
+    fn metrics(&self) -> &Metrics;
+
     /// Handles a request.
     fn handle(
         self: Rc<Self>,
@@ -157,33 +168,60 @@
     _open: OpenConnection<S>,
 ) {
     let _ = stream.set_nodelay(true);
+    let caller = stream.peer_addr().ok();
     let limits = service.connection_limits();
-    let service = service_fn(move |req| {
-        let service = Rc::clone(&service);
-        async move { Ok::<_, Infallible>(service.handle(req).await) }
+    let due = ResponseDue::default();
+    let handler = service_fn(|req| {
+        let (service, due) = (Rc::clone(&service), due.clone());
+        async move {
+            due.begin();
+            let response = service.handle(req).await;
+            Ok::<_, Infallible>(response.map(|body| due.track(body)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES))
         .max_headers(limits.headers)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream), handler);
     tokio::pin!(connection);
     let close = async {
         let _ = drain.wait_for(|draining| *draining).await;
         tokio::time::sleep(IDLE_CLOSE_DELAY).await;
     };
-    tokio::select! {
+    let end = tokio::select! {
         biased;
-        end = connection.as_mut() => return log_connection_end(end),
-        () = close => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    log_connection_end(connection.await);
+        end = connection.as_mut() => end,
+        () = close => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    record_end(service.metrics(), caller, end, &due);
+}
+
+/// Counts and logs the end of a connection on which a response is due.
+fn record_end(
+    metrics: &Metrics,
+    caller: Option<SocketAddr>,
+    end: hyper::Result<()>,
+    due: &ResponseDue,
+) {
+    let why = end.err().map_or("the connection was closed".to_owned(), |e| describe(&e));
+    let Some(due) = due.get() else {
+        return log::debug!("caller connection ended: {why}");
+    };
+    metrics.connection_cut();
+    let caller = caller.map_or("-".to_owned(), |caller| caller.to_string());
+    log::info!(caller, stage:% = due.stage, due_ms = due.since.elapsed().as_millis() as u64, why;
+        "caller connection ended before its response");
 }
 
-fn log_connection_end(end: hyper::Result<()>) {
-    if let Err(e) = end {
-        log::debug!("caller connection failed: error={e}");
+/// Returns an error with its sources.
+fn describe(error: &dyn Error) -> String {
+    match error.source() {
+        Some(source) => format!("{error}: {source}"),
+        None => error.to_string(),
     }
 }
--- a/crates/telemetry/src/instruments.rs
+++ b/crates/telemetry/src/instruments.rs
@@ -26,6 +26,7 @@
     pub(crate) mismatched_responses: Counter<u64>,
     pub(crate) resumes: Counter<u64>,
     pub(crate) claims: Counter<u64>,
+    pub(crate) connections_cut: Counter<u64>,
     pub(crate) gossip_bytes: Counter<u64>,
     pub(crate) revision: Gauge<u64>,
     pub(crate) quorum_role: Gauge<u64>,
@@ -64,6 +65,10 @@
             ),
             resumes: count("resumes", "Streams resumed after a cut."),
             claims: count("claims", "Claims of calls that may not be repeated."),
+            connections_cut: count(
+                "connections_cut",
+                "Connections of callers that ended while a response was due.",
+            ),
             gossip_bytes: count("gossip_bytes", "Bytes of gossip by direction."),
             revision: gauge("configuration_revision", "Revision of the configuration in force."),
             quorum_role: gauge("quorum_role", "1 for the role held, 0 for the others."),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -115,6 +115,11 @@
         Recorder::new(Arc::clone(&self.instruments), Arc::clone(&self.other))
     }
 
+    /// Counts a caller's connection that ended while a response was due.
+    pub fn connection_cut(&self) {
+        self.instruments.connections_cut.add(1, &[]);
+    }
+
     /// Counts gossip bytes sent.
     pub fn gossip_sent(&self, bytes: ByteCount) {
         self.instruments.gossip_bytes.add(bytes.as_u64(), &self.sent);
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -25,6 +25,7 @@
     recorder.prompt(TokenCount::new(100), TokenCount::new(80));
     recorder.verdict(Verdict::MayHaveRun);
     recorder.refusal(Refusal::NoQuorum);
+    metrics.connection_cut();
     metrics.set_configuration_revision(Revision::new(7));
     metrics.set_quorum_state(QuorumRole::Leader, Term::new(3));
     let cases = [
@@ -34,6 +35,7 @@
         (r#"cached_tokens_total{organisation="org-0"}"#, 80.0),
         (r#"verdicts_total{organisation="org-0",verdict="may-have-run"}"#, 1.0),
         (r#"refusals_total{organisation="org-0",reason="no-quorum"}"#, 1.0),
+        ("connections_cut_total", 1.0),
         ("configuration_revision", 7.0),
         (r#"quorum_role{role="leader"}"#, 1.0),
         (r#"quorum_role{role="follower"}"#, 0.0),
