serve: keep a connection in order when a request is refused before its body was read

What callers saw: a caller refused with 401, 404, 503 or 400 while its body was under way could not write the rest of it, and the next request on the connection got nothing, though the refusal didn't say that the connection closes. 413 didn't say so either.

Cause: a handler that refuses drops the request's body. The HTTP library then takes at most one more piece of it, stops reading and closes after the response; the kernel resets a connection that is closed with unread bytes.

Not seen: a refusal that a reset overtook. On the loopback network every caller that read in spite of its failed write found the refusal. One that gives up when its write fails has neither answer nor refusal, and so has one that sends its next request on the connection.

Fix, in serve.rs for callers, control requests, readiness checks and the daemon's own interface alike: a body that its handler drops is left to the connection. The response goes out at once, as the library writes it before it reads on, and the rest of the body is discarded, up to the limit for bodies and for 5 s. A body that is known to exceed the limit, a body that didn't come in time (408) and one that waits for "100 Continue" are not read; their response says "Connection: close". Where a body or a refused head isn't read to its end, the host closes its side after the response and reads on for at most 2 s, until the caller closes its own; it logs callers that were still sending then.

--- a/crates/bench/tests/hostile_callers.rs
+++ b/crates/bench/tests/hostile_callers.rs
@@ -119,6 +119,49 @@
     slow_body: head("content-length: 10\r\n\r\nhello") => "408", "not-run";
 }
 
+/// Sends a body of 60,000 bytes after the refusal of its head, and another request after that.
+fn exchange_after_refusal(address: SocketAddr, start: &str, key: &str) -> String {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let head = format!(
+        "{start} HTTP/1.1\r\nhost: router\r\nauthorization: Bearer {key}\r\n\
+         content-length: 60000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    std::thread::sleep(Duration::from_millis(200));
+    let mut sent = Ok(());
+    for _ in 0..15 {
+        sent = sent.and_then(|()| stream.write_all(&[b'x'; 4_000]));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let next = "GET /v1/models HTTP/1.1\r\nhost: router\r\nauthorization: Bearer right-key\r\n\
+                connection: close\r\n\r\n";
+    sent = sent.and_then(|()| stream.write_all(next.as_bytes()));
+    let mut responses = Vec::new();
+    let read = stream.read_to_end(&mut responses);
+    format!("{}\nsent: {sent:?}, read: {read:?}", String::from_utf8_lossy(&responses))
+}
+
+macro_rules! refusal_before_the_body_keeps_the_connection {
+    ($($name:ident: $start:literal, $key:literal => $status:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let daemon = start();
+            let responses = exchange_after_refusal(daemon.spec().listen, $start, $key);
+            assert!(responses.starts_with(concat!("HTTP/1.1 ", $status)), "{responses}");
+            assert!(responses.contains("HTTP/1.1 200"), "{responses}");
+        }
+    )*};
+}
+
+refusal_before_the_body_keeps_the_connection! {
+    key_refused_before_the_body: "POST /v1/completions", "wrong-key" => "401";
+    service_key_refused_before_the_body: "POST /services/none/x", "wrong-key" => "401";
+    path_refused_before_the_body: "POST /v2", "right-key" => "404";
+    method_refused_before_the_body: "PUT /v1/models", "right-key" => "405";
+    announcement_refused_before_the_body: "POST /announce", "right-key" => "401";
+}
+
 #[test]
 fn content_length_with_chunked_encoding_smuggles_no_request() {
     let daemon = start();
--- a/crates/daemon/src/edge/announce.rs
+++ b/crates/daemon/src/edge/announce.rs
@@ -1,12 +1,12 @@
 use std::rc::Rc;
 
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode};
 use member::Announcement;
 use wire::announcement::AnnouncementBody;
 
 use crate::roster::RosterInput;
 
-use crate::failure::Failure;
+use crate::{failure::Failure, serve::RequestBody};
 
 use super::{
     Edge,
@@ -16,7 +16,7 @@
 /// Handles `POST /announce`: passes an endpoint's announcement to the roster thread.
 pub(super) async fn handle(
     edge: &Rc<Edge>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
 ) -> Result<Response<Body>, Failure> {
     edge.keys.check_fleet(req.headers())?;
     let body = body::read(edge, req.into_body()).await?;
--- a/crates/daemon/src/edge/body.rs
+++ b/crates/daemon/src/edge/body.rs
@@ -4,11 +4,11 @@
     task::{Context, Poll},
 };
 
-use crate::{failure::Failure, net::AbortOnDrop};
+use crate::{failure::Failure, net::AbortOnDrop, serve::RequestBody};
 use bytes::Bytes;
 use futures_util::Stream as _;
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
-use hyper::body::{Body as HttpBody, Frame, Incoming, SizeHint};
+use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
 use super::{ActiveRequest, Edge};
 
@@ -83,7 +83,7 @@
 }
 
 /// Reads a request's body within the configured limits on size and time.
-pub(super) async fn read(edge: &Edge, body: Incoming) -> Result<Bytes, Failure> {
+pub(super) async fn read(edge: &Edge, body: RequestBody) -> Result<Bytes, Failure> {
     let max_bytes = usize::try_from(edge.cfg.limits.body_bytes.as_u64()).unwrap_or(usize::MAX);
     let reading = Limited::new(body, max_bytes).collect();
     match tokio::time::timeout(edge.cfg.timeouts.body, reading).await {
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -5,7 +5,6 @@
 use fleet::Scope;
 use hyper::{
     HeaderMap, Request, Response,
-    body::Incoming,
     header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue},
 };
 use serde_json::json;
@@ -17,7 +16,7 @@
     sse::Event,
 };
 
-use crate::{failure::Failure, net::AbortOnDrop};
+use crate::{failure::Failure, net::AbortOnDrop, serve::RequestBody};
 
 use super::{
     ActiveRequest, Edge,
@@ -34,7 +33,7 @@
 /// Handles `POST /v1/completions` and `POST /v1/chat/completions`.
 pub(super) async fn handle(
     edge: &Rc<Edge>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     active: ActiveRequest,
 ) -> Result<Response<Body>, Failure> {
     let organisation = edge.keys.organisation(req.headers())?;
@@ -107,7 +106,7 @@
 }
 
 /// Handles `GET /v1/models`.
-pub(super) fn models(edge: &Edge, req: &Request<Incoming>) -> Result<Response<Body>, Failure> {
+pub(super) fn models(edge: &Edge, req: &Request<RequestBody>) -> Result<Response<Body>, Failure> {
     edge.keys.organisation(req.headers())?;
     let models = edge.router.borrow().models();
     let list: Vec<_> = models.iter().map(|model| json!({"id": model, "object": "model"})).collect();
--- a/crates/daemon/src/edge/listen.rs
+++ b/crates/daemon/src/edge/listen.rs
@@ -2,13 +2,12 @@
 
 use hyper::{
     Method, Request, Response,
-    body::Incoming,
     header::{CONNECTION, HeaderValue},
 };
 use telemetry::Metrics;
 use tokio::{net::TcpListener, sync::watch};
 
-use crate::serve::{self, ConnectionLimits, Drain, Serve};
+use crate::serve::{self, ConnectionLimits, Drain, RequestBody, Serve};
 
 use crate::failure::Failure;
 
@@ -55,6 +54,7 @@
             header_timeout: self.cfg.timeouts.header,
             header_bytes: usize::try_from(header_bytes).unwrap_or(usize::MAX),
             headers: MAX_HEADERS,
+            body_bytes: self.cfg.limits.body_bytes.as_u64(),
         }
     }
 
@@ -66,12 +66,12 @@
         &self.metrics
     }
 
-    async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
+    async fn handle(self: Rc<Self>, req: Request<RequestBody>) -> Response<Body> {
         handle(self, req).await
     }
 }
 
-async fn handle(edge: Rc<Edge>, req: Request<Incoming>) -> Response<Body> {
+async fn handle(edge: Rc<Edge>, req: Request<RequestBody>) -> Response<Body> {
     let active = ActiveRequest::begin(&edge, req.uri().path());
     let result = match (req.method(), req.uri().path()) {
         (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -13,7 +13,7 @@
 use route::Outcome;
 use telemetry::{Refusal, RequestStage};
 
-use crate::{failure::Failure, net};
+use crate::{failure::Failure, net, serve::RequestBody};
 
 use super::{
     ActiveRequest, Edge,
@@ -53,7 +53,7 @@
 /// Handles calls to plain services.
 pub(super) async fn handle(
     edge: &Rc<Edge>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
     active: ActiveRequest,
 ) -> Result<Response<Body>, Failure> {
     let organisation = edge.keys.organisation(req.headers())?;
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -5,11 +5,11 @@
 use base::EndpointId;
 use fleet::{Command, Reply};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Request, Response};
 use member::Announcement;
 use wire::leader::{LeaderRequest, LeaderResponse};
 
-use crate::{leader_client::LeaderRequestError, roster::RosterInput};
+use crate::{leader_client::LeaderRequestError, roster::RosterInput, serve::RequestBody};
 
 use super::{
     ActiveRequest, ControlRequest, ControlRequestError, ControlResponse, Dialect, Gateway,
@@ -17,7 +17,7 @@
 };
 
 /// Largest body of a control request, in bytes.
-const MAX_BODY_BYTES: usize = 8 << 20;
+pub(super) const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// Longest wait for the leader, a little shorter than the clients' own timeout.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -28,7 +28,7 @@
 /// Handles a control request.
 pub(super) async fn handle<D: Dialect>(
     gateway: Rc<Gateway<D>>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
 ) -> Response<Body> {
     let _active = ActiveRequest::begin(&gateway);
     let (head, body) = req.into_parts();
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -7,7 +7,6 @@
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
-    body::Incoming,
     header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER},
     http::{request, response},
 };
@@ -16,7 +15,7 @@
 use telemetry::Recorder;
 use tokio::time::Instant;
 
-use crate::failure::Failure;
+use crate::{failure::Failure, serve::RequestBody};
 
 use super::{
     ActiveRequest, CallerRequest, Dialect, Gateway,
@@ -50,7 +49,7 @@
 /// Handles a request and logs its outcome in one line.
 pub(super) async fn handle<D: Dialect>(
     gateway: Rc<Gateway<D>>,
-    req: Request<Incoming>,
+    req: Request<RequestBody>,
 ) -> Response<Body> {
     let active = ActiveRequest::begin(&gateway);
     let arrived = gateway.clock.now();
@@ -106,7 +105,7 @@
 async fn respond<D: Dialect>(
     gateway: &Rc<Gateway<D>>,
     head: request::Parts,
-    body: Incoming,
+    body: RequestBody,
     caller_request: CallerRequest,
     active: ActiveRequest,
     recorder: &mut Recorder,
@@ -177,7 +176,7 @@
     holder.map(Some).ok_or_else(Failure::unauthorised)
 }
 
-async fn read(table: &Table, body: Incoming) -> Result<Bytes, Failure> {
+async fn read(table: &Table, body: RequestBody) -> Result<Bytes, Failure> {
     let max_bytes = usize::try_from(table.limits().body_bytes.as_u64()).unwrap_or(usize::MAX);
     match Limited::new(body, max_bytes).collect().await {
         Ok(body) => Ok(body.to_bytes()),
--- a/crates/daemon/src/gateway/listen.rs
+++ b/crates/daemon/src/gateway/listen.rs
@@ -3,13 +3,13 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode};
 use telemetry::Metrics;
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
     edge::{ServerCommand, ServerExit},
-    serve::{self, ConnectionLimits, Drain, Serve},
+    serve::{self, ConnectionLimits, Drain, RequestBody, Serve},
 };
 
 use super::{Dialect, Gateway, GatewayListeners, body::Body, control, forward};
@@ -46,6 +46,7 @@
             header_timeout: limits.header_timeout.max(limits.idle_timeout),
             header_bytes: usize::try_from(limits.header_bytes.as_u64()).unwrap_or(usize::MAX),
             headers: MAX_HEADERS,
+            body_bytes: limits.body_bytes.as_u64(),
         }
     }
 
@@ -57,7 +58,7 @@
         &self.0.metrics
     }
 
-    async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
+    async fn handle(self: Rc<Self>, req: Request<RequestBody>) -> Response<Body> {
         forward::handle(Rc::clone(&self.0), req).await
     }
 }
@@ -77,7 +78,7 @@
         &self.0.metrics
     }
 
-    async fn handle(self: Rc<Self>, req: Request<Incoming>) -> Response<Body> {
+    async fn handle(self: Rc<Self>, req: Request<RequestBody>) -> Response<Body> {
         control::handle(Rc::clone(&self.0), req).await
     }
 }
@@ -97,7 +98,7 @@
         &self.gateway.metrics
     }
 
-    async fn handle(self: Rc<Self>, _: Request<Incoming>) -> Response<Body> {
+    async fn handle(self: Rc<Self>, _: Request<RequestBody>) -> Response<Body> {
         let mut response = Response::new(Body::from(Bytes::new()));
         if !self.gateway.is_ready() {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
@@ -111,6 +112,7 @@
         header_timeout: CONTROL_IDLE_TIMEOUT,
         header_bytes: MAX_CONTROL_HEADER_BYTES,
         headers: MAX_HEADERS,
+        body_bytes: control::MAX_BODY_BYTES as u64,
     }
 }
 
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,30 +1,33 @@
 //! Accepting, serving and closing callers' connections.
 
 mod due;
+mod request_body;
 
-use std::{
-    cell::Cell, convert::Infallible, error::Error, future::Future, net::SocketAddr, rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, convert::Infallible, error::Error, future::Future, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{
     Request, Response,
     body::{Body as HttpBody, Incoming},
+    header::EXPECT,
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use telemetry::Metrics;
 use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::Instant,
+    time::{Instant, error::Elapsed},
 };
 
 use crate::edge::ServerCommand;
 
-use due::ResponseDue;
+use due::{Due, ResponseDue, TrackedBody};
+use request_body::Unread;
+
+pub(crate) use request_body::RequestBody;
 
 /// Time from the end of accepting to the close of idle connections.
 ///
@@ -40,6 +43,12 @@
 /// Smallest limit on a request's head that the HTTP library accepts, in bytes.
 const MIN_HEADER_BYTES: usize = 8 << 10;
 
+/// Longest time to read on after the last response, while the caller still sends.
+const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Bytes read at once in that time.
+const LINGER_READ_BYTES: usize = 16 << 10;
+
 /// Limits on one connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectionLimits {
@@ -49,6 +58,8 @@
     pub header_bytes: usize,
     /// Most header fields in a request.
     pub headers: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: u64,
 }
 
 /// A service for the requests on a thread's connections.
@@ -56,7 +67,7 @@
     /// The body of a response.
     type Body: HttpBody<Data = Bytes, Error: Error + Send + Sync + 'static> + Unpin + 'static;
 
-    /// Returns the limits on a new connection.
+    /// Returns the limits on a new connection, and on the bodies of the next requests.
     fn connection_limits(&self) -> ConnectionLimits;
 
     /// Returns the counter of open connections.
@@ -68,7 +79,7 @@
     /// Handles a request.
     fn handle(
         self: Rc<Self>,
-        req: Request<Incoming>,
+        req: Request<RequestBody>,
     ) -> impl Future<Output = Response<Self::Body>> + 'static;
 }
 
@@ -161,23 +172,65 @@
     }
 }
 
+/// Serves a connection until it is closed.
 async fn connection<S: Serve>(
     service: Rc<S>,
-    stream: TcpStream,
-    mut drain: watch::Receiver<bool>,
+    mut stream: TcpStream,
+    drain: watch::Receiver<bool>,
     _open: OpenConnection<S>,
 ) {
     let _ = stream.set_nodelay(true);
-    let caller = stream.peer_addr().ok();
-    let limits = service.connection_limits();
-    let due = ResponseDue::default();
+    let caller = stream.peer_addr().map_or("-".to_owned(), |caller| caller.to_string());
+    let requests = Requests { service, due: ResponseDue::default(), unread: Unread::default() };
+    let (end, due) = serve_requests(&requests, &mut stream, drain).await;
+    if let Some(due) = due {
+        return record_cut(requests.service.metrics(), &caller, due, end);
+    }
+    let is_head_refused = end.as_ref().is_err_and(hyper::Error::is_parse);
+    if (requests.unread.is_abandoned() || is_head_refused) && linger(&mut stream).await.is_err() {
+        log::info!(caller; "caller connection closed while the caller was sending");
+    }
+    if let Err(e) = end {
+        log::debug!("caller connection failed: {}", describe(&e));
+    }
+}
+
+/// What the requests of a connection share.
+struct Requests<S: Serve> {
+    service: Rc<S>,
+    due: ResponseDue,
+    unread: Unread,
+}
+
+impl<S: Serve> Clone for Requests<S> {
+    fn clone(&self) -> Self {
+        let service = Rc::clone(&self.service);
+        Self { service, due: self.due.clone(), unread: self.unread.clone() }
+    }
+}
+
+impl<S: Serve> Requests<S> {
+    async fn handle(self, req: Request<Incoming>) -> Response<TrackedBody<S::Body>> {
+        self.due.begin();
+        let expects_continue = req.headers().contains_key(EXPECT);
+        let req = self.unread.watch(req);
+        let mut response = Rc::clone(&self.service).handle(req).await;
+        let max_bytes = self.service.connection_limits().body_bytes;
+        self.unread.settle(max_bytes, expects_continue, &mut response);
+        response.map(|body| self.due.track(body))
+    }
+}
+
+/// Serves requests; returns how the connection ended, and the response that was due then.
+async fn serve_requests<S: Serve>(
+    requests: &Requests<S>,
+    stream: &mut TcpStream,
+    mut drain: watch::Receiver<bool>,
+) -> (hyper::Result<()>, Option<Due>) {
+    let limits = requests.service.connection_limits();
     let handler = service_fn(|req| {
-        let (service, due) = (Rc::clone(&service), due.clone());
-        async move {
-            due.begin();
-            let response = service.handle(req).await;
-            Ok::<_, Infallible>(response.map(|body| due.track(body)))
-        }
+        let requests = requests.clone();
+        async move { Ok::<_, Infallible>(requests.handle(req).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -190,30 +243,38 @@
         let _ = drain.wait_for(|draining| *draining).await;
         tokio::time::sleep(IDLE_CLOSE_DELAY).await;
     };
+    let serving = async {
+        tokio::select! {
+            biased;
+            end = connection.as_mut() => return end,
+            () = close => {}
+        }
+        connection.as_mut().graceful_shutdown();
+        connection.as_mut().await
+    };
+    // The response is written first, as the connection is polled first.
     let end = tokio::select! {
         biased;
-        end = connection.as_mut() => end,
-        () = close => {
-            connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
-        }
+        end = serving => end,
+        never = requests.unread.discard() => match never {},
     };
-    record_end(service.metrics(), caller, end, &due);
+    // The connection still holds the response's body, which settles what is due when it is dropped.
+    (end, requests.due.get())
+}
+
+/// Reads on until the caller closes its side, as unread bytes would reset the connection, and the
+/// reset may overtake the response.
+async fn linger(stream: &mut TcpStream) -> Result<(), Elapsed> {
+    let _ = stream.shutdown().await;
+    let mut discarded = vec![0; LINGER_READ_BYTES];
+    let reading = async { while let Ok(1..) = stream.read(&mut discarded).await {} };
+    tokio::time::timeout(LINGER_TIMEOUT, reading).await
 }
 
 /// Counts and logs the end of a connection on which a response is due.
-fn record_end(
-    metrics: &Metrics,
-    caller: Option<SocketAddr>,
-    end: hyper::Result<()>,
-    due: &ResponseDue,
-) {
-    let why = end.err().map_or("the connection was closed".to_owned(), |e| describe(&e));
-    let Some(due) = due.get() else {
-        return log::debug!("caller connection ended: {why}");
-    };
+fn record_cut(metrics: &Metrics, caller: &str, due: Due, end: hyper::Result<()>) {
     metrics.connection_cut();
-    let caller = caller.map_or("-".to_owned(), |caller| caller.to_string());
+    let why = end.err().map_or("the connection was closed".to_owned(), |e| describe(&e));
     log::info!(caller, stage:% = due.stage, due_ms = due.since.elapsed().as_millis() as u64, why;
         "caller connection ended before its response");
 }
