serve: log also callers that leave right after their request

A caller that closes its side, or both, right after its request left no line and no count where the host found both at once: the HTTP library notices the close before it runs the handler for the first time, and the handler recorded that a response is due. This is recorded now when the request's head was read.

The test stops the process while the caller sends and closes, so that the host finds both at once.

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -211,7 +211,6 @@
 
 impl<S: Serve> Requests<S> {
     async fn handle(self, req: Request<Incoming>) -> Response<TrackedBody<S::Body>> {
-        self.due.begin();
         let expects_continue = req.headers().contains_key(EXPECT);
         let req = self.unread.watch(req);
         let mut response = Rc::clone(&self.service).handle(req).await;
@@ -230,6 +229,8 @@
     let limits = requests.service.connection_limits();
     let handler = service_fn(|req| {
         let requests = requests.clone();
+        // The handler never runs if the caller leaves right after its request.
+        requests.due.begin();
         async move { Ok::<_, Infallible>(requests.handle(req).await) }
     });
     let connection = http1::Builder::new()
