member: an announcement longer than a message doesn't block the others

What operators would see: after one endpoint had announced very many models at a router, that router gossiped no other new endpoint's announcement; other hosts learned of them only by requests for unknown renewals and by checksums. An endpoint that changes its models with each heartbeat keeps it so. Cause: the queue of updates stops at the first one that doesn't fit into the message (1,000 bytes in steady state). One that fits into no message was never sent, so it was never counted down, and stayed ahead of every update sent before. Change: an update that fits into no message is dropped from the queue. It still spreads by pulls, whose messages are longer, but not by gossip, as before. Evidence: tests/regression/oversized_announcement.rs on the old code: "sent: []", none of five rounds carried the other endpoint's announcement; passes with the change.

--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -186,6 +186,8 @@
     fn add_updates(&mut self, now: MonotonicTime, message: &mut Gossip, remaining: &mut usize) {
         const BACKLOG_COPIES: u32 = 4;
         let copies = self.transmit_limit();
+        let max_bytes = self.budget.max_message.as_u64() as usize;
+        let max_bytes = max_bytes.saturating_sub(header_bytes(self.peers.me(), &self.newest));
         let joined_copies = if self.has_backlog() { BACKLOG_COPIES } else { copies };
         let endpoints = &self.endpoints;
         let update = |endpoint: &_| {
@@ -197,21 +199,31 @@
             let bytes = endpoint_bytes(&announcement);
             Some((EndpointUpdate { announcement, age: record.age(now) }, bytes))
         };
-        message.endpoints.extend(self.queues.leaving.take(remaining, copies, update));
+        message.endpoints.extend(self.queues.leaving.take(remaining, max_bytes, copies, update));
         let mut peer_queue = std::mem::take(&mut self.peers.queue);
-        message.peers.extend(peer_queue.take(remaining, copies, |host| {
+        message.peers.extend(peer_queue.take(remaining, max_bytes, copies, |host| {
             let peer_update = self.peers.update_of(host)?.clone();
             let bytes = peer_bytes(&peer_update);
             Some((peer_update, bytes))
         }));
         self.peers.queue = peer_queue;
-        message.endpoints.extend(self.queues.joined.take(remaining, joined_copies, update));
+        message.endpoints.extend(self.queues.joined.take(
+            remaining,
+            max_bytes,
+            joined_copies,
+            update,
+        ));
         let with_load = self.budget.relays_load(self.endpoint_count());
-        message.renewals.extend(self.queues.renewed.take(remaining, RENEWAL_COPIES, |key| {
-            let renewal = renewal(endpoints, now, key, with_load)?;
-            let bytes = renewal_bytes(&renewal);
-            Some((renewal, bytes))
-        }));
+        message.renewals.extend(self.queues.renewed.take(
+            remaining,
+            max_bytes,
+            RENEWAL_COPIES,
+            |key| {
+                let renewal = renewal(endpoints, now, key, with_load)?;
+                let bytes = renewal_bytes(&renewal);
+                Some((renewal, bytes))
+            },
+        ));
     }
 
     fn apply_message(&mut self, now: MonotonicTime, message: Gossip, transit: Duration) {
--- a/crates/member/src/transmit_queue.rs
+++ b/crates/member/src/transmit_queue.rs
@@ -51,17 +51,19 @@
     /// Returns the updates that fit into `remaining` bytes; an update is dropped after `limit`
     /// transmissions.
     ///
-    /// `encode` returns the item and its length, or nothing if the update is obsolete.
+    /// An update longer than `max_bytes`, which no message can hold, is dropped. `encode` returns the
+    /// item and its length, or nothing if the update is obsolete.
     pub(crate) fn take<T>(
         &mut self,
         remaining: &mut usize,
+        max_bytes: usize,
         limit: u32,
         mut encode: impl FnMut(&K) -> Option<(T, usize)>,
     ) -> Vec<T> {
         let mut items = Vec::new();
         let mut sent = Vec::new();
         for (position, key) in &self.order {
-            let Some((item, bytes)) = encode(key) else {
+            let Some((item, bytes)) = encode(key).filter(|(_, bytes)| *bytes <= max_bytes) else {
                 sent.push((*position, key.clone(), limit));
                 continue;
             };
