--- a/crates/member/src/announcement.rs
+++ b/crates/member/src/announcement.rs
@@ -1,4 +1,7 @@
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use base::{
     AdapterId, BlockCount, DataCentreId, EndpointId, Incarnation, ModelId, Sequence, ServiceId,
@@ -27,6 +30,13 @@
     pub kind: EndpointKind,
 }
 
+/// Returns whether an endpoint can be reached at `address`, which must name one host and a port.
+pub fn is_endpoint_address(address: SocketAddr) -> bool {
+    let ip = address.ip().to_canonical();
+    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
+
 /// The kind of requests that an endpoint serves.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum EndpointKind {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -59,7 +59,7 @@
 mod transmit_queue;
 
 pub use crate::{
-    announcement::{Announcement, EndpointKind, Engine, Load, ServedModel},
+    announcement::{Announcement, EndpointKind, Engine, Load, ServedModel, is_endpoint_address},
     budget::Budget,
     endpoints::{
         EndpointChange, EndpointRecord, EndpointState, Endpoints, MAX_ENDPOINTS, MAX_TOMBSTONES,
