wire: refuse announcements of addresses that name no host

What callers would see: an announcement with port 0 or with an unspecified, multicast or broadcast address was accepted and chosen for requests, which failed to connect; 0.0.0.0 connects to the router's own host. Change: such an announcement is refused with 400, by the check that heartbeats have. The round-trip test drew its addresses from all of IPv4 and so from such ones too; it now draws from those that are accepted, as the five refused kinds have cases of their own. Evidence: on the old code the cases port_zero, unspecified_address, unspecified_ipv6_address, multicast_address and broadcast_address of tests/announcement.rs fail; all 18 tests of the file pass with the change. Numbers beyond 64 bits, 1e400, port 65536 and negative numbers were refused before too.

--- a/crates/wire/src/announcement.rs
+++ b/crates/wire/src/announcement.rs
@@ -6,7 +6,7 @@
     AdapterId, BlockCount, DataCentreId, EndpointId, Incarnation, ModelId, Sequence, ServiceId,
     TokenCount, WeightsVersion,
 };
-use member::{Announcement, EndpointKind, Engine, Load, ServedModel};
+use member::{Announcement, EndpointKind, Engine, Load, ServedModel, is_endpoint_address};
 use serde::{Deserialize, Serialize};
 
 use crate::BodyError;
@@ -105,6 +105,9 @@
             let message = format!("\"lease_ms\" must be from 1 to {MAX_LEASE_MS}");
             return Err(BodyError::new(message));
         }
+        if !is_endpoint_address(body.address) {
+            return Err(BodyError::new("\"address\" must name one host and a port"));
+        }
         let kind = match (body.engine, body.service) {
             (Some(engine), None) => EndpointKind::Engine(engine.try_into()?),
             (None, Some(service)) => EndpointKind::Service(service),
