gateway: a refusal that names another request isn't "not run"

What callers saw: an engine or server that ran a request and then wrote the refusal of another one made the gateway send the request to a second server, also one that may run at most once; if that one refused too, the caller was told 503, which promises "not run". Cause: the response's statement that nothing ran was believed before the request id in the response was compared. Change: the id is compared first. A refusal without any id is believed as before: the request had the connection to itself, and a 421 of another process at the address names none.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -486,6 +486,8 @@
     }
 
     /// Checks that a response belongs to the request, whatever its status.
+    ///
+    /// A refusal without an id is believed, as the connection has carried no other request.
     fn check_response(
         &mut self,
         target: &Target,
@@ -494,12 +496,14 @@
         let (parts, body) = response.into_parts();
         let head = self.gateway.dialect.response_head(&parts);
         let status = parts.status;
-        if head.not_run {
+        let request = head.request.as_deref();
+        let is_ours = request == Some(self.caller_request.id.as_str());
+        if head.not_run && (is_ours || request.is_none()) {
             self.progress.count_not_run();
             self.handle_refusal(target, status, &head);
             return Err(AttemptError::Refused(status));
         }
-        if head.request.as_deref() != Some(self.caller_request.id.as_str()) {
+        if !is_ours {
             self.recorder.mismatched_response();
             let why = "the response belongs to another request".to_owned();
             return Err(AttemptError::MayHaveRun(why));
