edge: an earlier response written once more isn't the next call's

What callers saw on the router's own interface: a service that wrote its refusal, or its response, once more on a kept connection gave the next idempotent call the status and body of the call before it. Cause: whatever came first on a reused connection was taken for the response. Change: a connection is kept only after a success, and a response that names the id of the request before it on that connection, and not its own, counts as a failure of the connection: the call is sent again on a new one, as it is when a kept connection turns out to be closed. Responses with ids of neither are passed on as before, as services need not give ids back. Left: a doubled success of a service that gives no ids back.

--- a/crates/daemon/src/edge/idempotent.rs
+++ b/crates/daemon/src/edge/idempotent.rs
@@ -14,6 +14,7 @@
     body::Body,
     services::{self, ServiceCall, ServiceResponse},
     targets::InFlight,
+    tracked::REQUEST_ID_HEADER,
 };
 
 /// Most endpoints tried for a call, not counting hedges.
@@ -100,8 +101,13 @@
 ) -> Result<ServiceResponse, Failure> {
     let pool = in_flight.target().pool();
     let timeout = call.settings.connect_timeout.as_duration();
-    let (response, connection) = pool.send(call.request(in_flight), timeout).await?;
+    let request = call.request(in_flight);
+    let id = request.headers().get(REQUEST_ID_HEADER).cloned();
+    let (response, connection) = pool.send(request, timeout).await?;
     let response = services::read_response(edge, response).await?;
-    pool.return_idle(connection);
+    // A faulty service may write a refusal once more, as the next request's response.
+    if response.is_success() {
+        pool.return_idle(connection, id);
+    }
     Ok(response)
 }
--- a/crates/daemon/src/edge/relay/attempt.rs
+++ b/crates/daemon/src/edge/relay/attempt.rs
@@ -11,7 +11,10 @@
 use telemetry::RequestStage;
 use wire::completion::{CompletionKind, Delivered};
 
-use crate::edge::router::{ChosenEngine, cache_salt};
+use crate::edge::{
+    router::{ChosenEngine, cache_salt},
+    tracked::REQUEST_ID_HEADER,
+};
 
 use crate::{failure::Failure, net};
 
@@ -75,6 +78,7 @@
         let mut span = self.job.span.child(RequestStage::Connect);
         span.set("endpoint", chosen.endpoint.to_string());
         let req = self.request(chosen, resumes);
+        let id = req.headers().get(REQUEST_ID_HEADER).cloned();
         let connect_timeout = self.job.settings.connect_timeout.as_duration();
         let wait = self.response_timeout(resumes);
         let first_token_deadline = self.edge.clock.now() + wait;
@@ -103,7 +107,7 @@
         let end =
             self.forward_events(chosen, response.into_body(), first_token_deadline, resumes).await;
         if matches!(end, RelayEnd::Done) {
-            pool.return_idle(connection);
+            pool.return_idle(connection, id);
         }
         end
     }
@@ -131,7 +135,7 @@
             .header(HOST, net::host_value(address))
             .header(CONTENT_TYPE, "application/json")
             .header(AUTHORIZATION, format!("Bearer {}", self.edge.cfg.fleet_key))
-            .header("x-request-id", self.engine_request_id().as_str());
+            .header(REQUEST_ID_HEADER, self.engine_request_id().as_str());
         if resumes {
             req = req.header(RESUME_AFTER_HEADER, self.progress.engine_tokens());
         }
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -290,6 +290,10 @@
 }
 
 impl ServiceResponse {
+    pub(super) fn is_success(&self) -> bool {
+        self.status.is_success()
+    }
+
     /// Returns what the ledger stores; a body over `max_bytes` is left out.
     fn to_stored(&self, max_bytes: usize) -> StoredResponse {
         let content_type = self.content_type.as_ref().and_then(|text| text.to_str().ok());
--- a/crates/daemon/src/edge/tracked.rs
+++ b/crates/daemon/src/edge/tracked.rs
@@ -4,7 +4,7 @@
 
 use super::{Edge, body::Body};
 
-const REQUEST_ID_HEADER: &str = "x-request-id";
+pub(super) const REQUEST_ID_HEADER: &str = "x-request-id";
 const TRACEPARENT_HEADER: &str = "traceparent";
 
 /// Identity of a request in logs, metrics and traces.
--- a/crates/daemon/src/edge/upstream.rs
+++ b/crates/daemon/src/edge/upstream.rs
@@ -7,12 +7,17 @@
 use base::Verdict;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1::SendRequest};
+use hyper::{
+    HeaderMap, Request, Response, body::Incoming, client::conn::http1::SendRequest,
+    header::HeaderValue,
+};
 
 use crate::net;
 
 use crate::failure::Failure;
 
+use super::tracked::REQUEST_ID_HEADER;
+
 /// Most idle connections kept open to an endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -23,7 +28,22 @@
 pub(super) struct ConnectionPool {
     source: IpAddr,
     address: SocketAddr,
-    idle: RefCell<Vec<Connection>>,
+    idle: RefCell<Vec<IdleConnection>>,
+}
+
+/// A connection that waits for its next request.
+struct IdleConnection {
+    connection: Connection,
+    /// The id of the last request, if it had one.
+    last_request: Option<HeaderValue>,
+}
+
+impl IdleConnection {
+    /// Returns whether a response to `request` names the request before it.
+    fn repeats_last(&self, request: &HeaderMap, response: &HeaderMap) -> bool {
+        let id = response.get(REQUEST_ID_HEADER);
+        id.is_some() && id == self.last_request.as_ref() && id != request.get(REQUEST_ID_HEADER)
+    }
 }
 
 impl ConnectionPool {
@@ -56,27 +76,28 @@
         timeout: Duration,
     ) -> Result<(Response<Incoming>, Connection), Failure> {
         if let Some(mut idle) = self.take_idle()
-            && let Ok(response) = idle.send_request(req.clone()).await
+            && let Ok(response) = idle.connection.send_request(req.clone()).await
+            && !idle.repeats_last(req.headers(), response.headers())
         {
-            return Ok((response, idle));
+            return Ok((response, idle.connection));
         }
         let mut fresh = self.connect(timeout).await?;
         let response = send_once(&mut fresh, req).await?;
         Ok((response, fresh))
     }
 
-    /// Returns a connection to the pool after its last response was read to the end.
-    pub(super) fn return_idle(&self, connection: Connection) {
+    /// Returns a connection to the pool after the response to `last_request` was read to the end.
+    pub(super) fn return_idle(&self, connection: Connection, last_request: Option<HeaderValue>) {
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE_CONNECTIONS && !connection.is_closed() {
-            idle.push(connection);
+            idle.push(IdleConnection { connection, last_request });
         }
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self) -> Option<IdleConnection> {
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|connection| !connection.is_closed());
-        let ready = idle.iter().rposition(SendRequest::is_ready)?;
+        idle.retain(|idle| !idle.connection.is_closed());
+        let ready = idle.iter().rposition(|idle| idle.connection.is_ready())?;
         Some(idle.swap_remove(ready))
     }
 }
