wire: text that is no event never enters a caller's stream

What callers saw: a stream broke off, and the next engine sent an error page with status 200, or wrote the head of an error into the middle of an event of a stream without length or chunks. The caller got the page, or "id: 3, daHTTP/1.1 500 Internal Server Error, Content-Length: 6" and an empty line as an event; after the page the stream ended as if it were complete. Cause: the relay passes on all that ends with an empty line. Change: the splitter of events refuses a line that is neither empty, a comment, a known field without a value, nor a field with a lowercase name; this keeps the weights version that engines write as an event's first line. The stream then resumes elsewhere or is visibly truncated. An error head whose fields are all lowercase and whose status line falls into a value still passes where nothing frames the response.

--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -151,7 +151,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if an event is too long; the splitter can't be used after that.
+    /// Returns an error if an event is too long or contains a line that no event has, as when an
+    /// endpoint writes a response head into its stream; the splitter can't be used after that.
     pub fn push(&mut self, bytes: &[u8]) -> Result<CompleteEvents, BodyError> {
         self.buf.extend_from_slice(bytes);
         let mut complete = CompleteEvents::default();
@@ -160,6 +161,9 @@
             let line = &self.buf[start..start + offset];
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             start += offset + 1;
+            if !is_event_line(line) {
+                return Err(BodyError::new("the stream contains a line that is not of an event"));
+            }
             if line.is_empty() {
                 end = start;
                 complete.events += 1;
@@ -181,3 +185,14 @@
         !self.buf.is_empty()
     }
 }
+
+/// Returns whether a line is empty, a comment or a field with a lowercase name, as all fields of
+/// events have; names of header fields are mostly capitalised, and a status line has no name.
+fn is_event_line(line: &[u8]) -> bool {
+    match line.iter().position(|&b| b == b':') {
+        None => matches!(line, b"" | b"id" | b"data" | b"event" | b"retry"),
+        Some(end) => line[..end]
+            .iter()
+            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || matches!(b, b'-' | b'_')),
+    }
+}
