serve: read what arrived in a pause before closing an idle connection

What callers saw: a request sent to a host that was paused (stopped and continued) got neither an answer nor a refusal, if the connection's idle limit, or the close of idle connections 0.5 s after a terminated host stops to accept, passed in the pause. The whole request was in the kernel's buffer; the connection was closed on it.

Cause: the signal that continues a process interrupts the runtime's wait for sockets, which then reports none; the expired timers run all the same, so the connection is polled for its limit before it is known to be readable. The same holds for the listen queue when a host stops to accept; besides, a host without a connection ended before it had looked at the queue.

Fix: each of these limits expires 1 ms after its deadline, with a timer of its own, so that the runtime looks at the sockets once more in between.

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -2,6 +2,7 @@
 
 mod due;
 mod request_body;
+mod timer;
 
 use std::{cell::Cell, convert::Infallible, error::Error, future::Future, rc::Rc, time::Duration};
 
@@ -13,7 +14,7 @@
     server::conn::http1,
     service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use telemetry::Metrics;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -26,6 +27,7 @@
 
 use due::{Due, ResponseDue, TrackedBody};
 use request_body::Unread;
+use timer::ReadFirstTimer;
 
 pub(crate) use request_body::RequestBody;
 
@@ -106,10 +108,14 @@
     mut drain: watch::Receiver<bool>,
 ) {
     loop {
+        let end = async {
+            let _ = drain.wait_for(|draining| *draining).await;
+            timer::arrivals().await;
+        };
         let accepted = tokio::select! {
             biased;
             accepted = listener.accept() => accepted,
-            _ = drain.wait_for(|draining| *draining) => return,
+            () = end => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -160,7 +166,8 @@
     limit: Option<Duration>,
 ) {
     let deadline = limit.map(|limit| Instant::now() + limit);
-    while !service.is_idle() && deadline.is_none_or(|deadline| Instant::now() < deadline) {
+    // The listen queue is accepted before the first check.
+    loop {
         tokio::select! {
             command = commands.recv_async() => {
                 if !matches!(command, Ok(ServerCommand::Drain | ServerCommand::Leave)) {
@@ -169,6 +176,9 @@
             }
             () = tokio::time::sleep(DRAIN_POLL_INTERVAL) => {}
         }
+        if service.is_idle() || deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+            return;
+        }
     }
 }
 
@@ -234,7 +244,7 @@
         async move { Ok::<_, Infallible>(requests.handle(req).await) }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(ReadFirstTimer)
         .header_read_timeout(limits.header_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES))
         .max_headers(limits.headers)
@@ -242,7 +252,7 @@
     tokio::pin!(connection);
     let close = async {
         let _ = drain.wait_for(|draining| *draining).await;
-        tokio::time::sleep(IDLE_CLOSE_DELAY).await;
+        timer::sleep(IDLE_CLOSE_DELAY).await;
     };
     let serving = async {
         tokio::select! {
