gateway: the largest weights version doesn't end the gateway

What callers saw, in builds that check for overflow: once a prompt had been saved to a store under weights version 2^32-1, the thread that serves all callers ended with "attempt to add with overflow". A release build wraps around instead and forgets what the stores hold; that was read from the code and not run. Cause: one is added to the version to find saved parts that are too old. Change: the addition saturates. Evidence: prompts_on_the_largest_weights_version_are_served (platform/tests/stores.rs) on the old code: "thread 'gateway' panicked at crates/daemon/src/gateway/targets.rs:92:52: attempt to add with overflow", and the caller's connection closes without a response. It passes with the change.

--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -91,7 +91,7 @@
     pub(super) fn record_saved(&self, now: MonotonicTime, weights: u32, chain: &PartChain) {
         let mut saved_parts = self.saved_parts.borrow_mut();
         // Parts saved for older weights are never fetched again.
-        saved_parts.retain(|version, _| weights <= *version + 1);
+        saved_parts.retain(|version, _| weights <= version.saturating_add(1));
         let parts =
             saved_parts.entry(weights).or_insert_with(|| PartCacheModel::new(self.kv_tokens));
         parts.record(now, chain);
