serve: a broken stream of an HTTP/1.0 caller ends with a reset

What callers saw: an HTTP/1.0 caller, who knows the end of a stream by that of its connection, took a stream that had broken off for a complete one.

Cause: the connection was closed as after a complete response. Change: a connection of such a caller that ends while its response is due is reset.

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -8,13 +8,14 @@
 
 use bytes::Bytes;
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body as HttpBody, Incoming},
     header::EXPECT,
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use telemetry::Metrics;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -194,6 +195,9 @@
     let requests = Requests { service, due: ResponseDue::default(), unread: Unread::default() };
     let (end, due) = serve_requests(&requests, &mut stream, drain).await;
     if let Some(due) = due {
+        if due.version < Version::HTTP_11 {
+            reset_on_close(&stream);
+        }
         return record_cut(requests.service.metrics(), &caller, due, end);
     }
     let is_head_refused = end.as_ref().is_err_and(hyper::Error::is_parse);
@@ -240,7 +244,7 @@
     let handler = service_fn(|req| {
         let requests = requests.clone();
         // The handler never runs if the caller leaves right after its request.
-        requests.due.begin();
+        requests.due.begin(req.version());
         async move { Ok::<_, Infallible>(requests.handle(req).await) }
     });
     let connection = http1::Builder::new()
@@ -282,6 +286,14 @@
     tokio::time::timeout(LINGER_TIMEOUT, reading).await
 }
 
+/// Makes the close of a connection reset it: a plain one would complete the response of a caller who
+/// knows its end by that of the connection.
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!(error:% = e; "a connection can't be reset");
+    }
+}
+
 /// Counts and logs the end of a connection on which a response is due.
 fn record_cut(metrics: &Metrics, caller: &str, due: Due, end: hyper::Result<()>) {
     metrics.connection_cut();
--- a/crates/daemon/src/serve/due.rs
+++ b/crates/daemon/src/serve/due.rs
@@ -9,7 +9,10 @@
 };
 
 use bytes::Bytes;
-use hyper::body::{Body as HttpBody, Frame, SizeHint};
+use hyper::{
+    Version,
+    body::{Body as HttpBody, Frame, SizeHint},
+};
 use tokio::time::Instant;
 
 /// How far a response is.
@@ -34,6 +37,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Due {
     pub stage: Stage,
+    /// The version that the caller speaks.
+    pub version: Version,
     /// When the request's head was read.
     pub since: Instant,
 }
@@ -44,8 +49,8 @@
 
 impl ResponseDue {
     /// Records that a request's head was read.
-    pub(super) fn begin(&self) {
-        self.0.set(Some(Due { stage: Stage::Waiting, since: Instant::now() }));
+    pub(super) fn begin(&self, version: Version) {
+        self.0.set(Some(Due { stage: Stage::Waiting, version, since: Instant::now() }));
     }
 
     /// Tracks the body of a response that begins.
