gateway: a relay that ends without saying so truncates its stream

What callers would have seen: a stream that looks complete after a fault in the task that relays it. None is known; two reviews found that the end of the channel to the caller counted as the stream's end.

Cause and change: completeness was the absence of an error; it is an item of its own now (`StreamItem::End`), and a channel that closes without it truncates the stream. No test can bring the task down; the cases of complete and of truncated streams (whole_path, interrupted_streams, stream_without_events, silent_endpoints: 51) pass.

--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -13,7 +13,7 @@
 
 use crate::net::AbortOnDrop;
 
-use super::ActiveRequest;
+use super::{ActiveRequest, caller_stream::StreamItem};
 
 /// The body of a response to a caller.
 pub(super) enum Body {
@@ -25,7 +25,7 @@
 
 /// A body that a task writes into a channel.
 pub(super) struct RelayedBody {
-    rx: flume::r#async::RecvStream<'static, Result<Bytes, Truncated>>,
+    rx: flume::r#async::RecvStream<'static, StreamItem>,
     _task: AbortOnDrop,
     _active: ActiveRequest,
 }
@@ -44,7 +44,7 @@
 
 impl Body {
     pub(super) fn relayed(
-        rx: flume::Receiver<Result<Bytes, Truncated>>,
+        rx: flume::Receiver<StreamItem>,
         task: AbortOnDrop,
         active: ActiveRequest,
     ) -> Self {
@@ -68,9 +68,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
             Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
-            Self::Relayed(body) => Pin::new(&mut body.rx)
-                .poll_next(cx)
-                .map(|next| next.map(|bytes| bytes.map(Frame::data))),
+            Self::Relayed(body) => Pin::new(&mut body.rx).poll_next(cx).map(|item| match item {
+                Some(StreamItem::Events(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(StreamItem::End) => None,
+                None => Some(Err(Truncated)),
+            }),
         }
     }
 
--- a/crates/daemon/src/gateway/caller_stream.rs
+++ b/crates/daemon/src/gateway/caller_stream.rs
@@ -6,7 +6,7 @@
 
 use crate::failure::Failure;
 
-use super::{body::Truncated, headers};
+use super::headers;
 
 /// Chunks that are buffered for a slow caller.
 const CHUNK_BUFFER_LEN: usize = 16;
@@ -16,14 +16,20 @@
 /// The head goes out with the first event, so that a failure before it is told by its status.
 pub(super) struct CallerStream {
     head: Option<oneshot::Sender<Result<HeaderMap, Failure>>>,
-    body: flume::Sender<Result<Bytes, Truncated>>,
+    body: flume::Sender<StreamItem>,
+}
+
+/// An item of a stream's body; a stream without an [`StreamItem::End`] is truncated.
+pub(super) enum StreamItem {
+    Events(Bytes),
+    End,
 }
 
 /// The receiving ends of a [`CallerStream`].
 pub(super) struct CallerStreamReceivers {
     /// The stream's header fields, or why there is no stream.
     pub head: oneshot::Receiver<Result<HeaderMap, Failure>>,
-    pub body: flume::Receiver<Result<Bytes, Truncated>>,
+    pub body: flume::Receiver<StreamItem>,
 }
 
 /// The caller's connection has closed.
@@ -51,7 +57,8 @@
             let headers = headers::end_to_end(endpoint_headers);
             head.send(Ok(headers)).map_err(|_| CallerDisconnected)?;
         }
-        self.body.send_async(Ok(events)).await.map_err(|_| CallerDisconnected)
+        let events = StreamItem::Events(events);
+        self.body.send_async(events).await.map_err(|_| CallerDisconnected)
     }
 
     /// Returns whether the head was sent, so that a failure can only truncate the stream.
@@ -59,12 +66,16 @@
         self.head.is_none()
     }
 
-    /// Ends the stream with a failure.
-    pub(super) async fn fail(self, failure: Failure) {
-        match self.head {
-            // The caller may have disconnected.
-            Some(head) => drop(head.send(Err(failure))),
-            None => drop(self.body.send_async(Err(Truncated)).await),
+    /// Ends the stream as complete.
+    pub(super) async fn complete(self) {
+        // The caller may have disconnected.
+        let _ = self.body.send_async(StreamItem::End).await;
+    }
+
+    /// Ends the stream with a failure; one that has begun is truncated.
+    pub(super) fn fail(self, failure: Failure) {
+        if let Some(head) = self.head {
+            let _ = head.send(Err(failure));
         }
     }
 }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -159,7 +159,8 @@
         let failure = match end {
             SegmentEnd::Complete => {
                 exchange.record_survival();
-                return log_complete(&exchange, &segment.started, &timing);
+                log_complete(&exchange, &segment.started, &timing);
+                return caller.complete().await;
             }
             SegmentEnd::CallerDisconnected => {
                 log::info!(request:% = exchange.caller_request.id; "caller disconnected");
@@ -195,7 +196,7 @@
         if caller.has_begun() {
             log_truncated(&exchange, last_id.as_deref(), &failure);
         }
-        return caller.fail(failure).await;
+        return caller.fail(failure);
     }
 }
 
