serve: the times of an idle connection and of a head are limited apart, by the limits in force

What callers saw: a request on a kept connection got neither an answer nor a refusal. Its caller had been idle for less than the idle limit and sent the head in less than the head's limit, but both together took longer than the larger of the two. After a change that raised the idle limit, callers who counted on it found their connections closed at the old one.

Cause: the HTTP library has one timer for both, and it was set when the connection was accepted. Change: `serve::activity` tracks what the caller does (idle, sending a head, waiting), and the limits are read anew whenever one may have passed. An idle connection is closed gracefully, as in a drain; one whose head is late is closed. Both come after what arrived was read, and no time counts while the rest of a refused request's body is discarded. One mechanism mends both faults, so they are in one commit.

--- a/crates/daemon/src/edge/listen.rs
+++ b/crates/daemon/src/edge/listen.rs
@@ -52,6 +52,7 @@
         let header_bytes = self.cfg.limits.header_bytes.as_u64();
         ConnectionLimits {
             header_timeout: self.cfg.timeouts.header,
+            idle_timeout: self.cfg.timeouts.header,
             header_bytes: usize::try_from(header_bytes).unwrap_or(usize::MAX),
             headers: MAX_HEADERS,
             body_bytes: self.cfg.limits.body_bytes.as_u64(),
--- a/crates/daemon/src/gateway/listen.rs
+++ b/crates/daemon/src/gateway/listen.rs
@@ -42,8 +42,8 @@
         let limits =
             self.0.active_configuration().map(|active| *active.table.limits()).unwrap_or_default();
         ConnectionLimits {
-            // hyper counts the idle time before a request as time for that request's head.
-            header_timeout: limits.header_timeout.max(limits.idle_timeout),
+            header_timeout: limits.header_timeout,
+            idle_timeout: limits.idle_timeout,
             header_bytes: usize::try_from(limits.header_bytes.as_u64()).unwrap_or(usize::MAX),
             headers: MAX_HEADERS,
             body_bytes: limits.body_bytes.as_u64(),
@@ -110,6 +110,7 @@
 fn control_bounds() -> ConnectionLimits {
     ConnectionLimits {
         header_timeout: CONTROL_IDLE_TIMEOUT,
+        idle_timeout: CONTROL_IDLE_TIMEOUT,
         header_bytes: MAX_CONTROL_HEADER_BYTES,
         headers: MAX_HEADERS,
         body_bytes: control::MAX_BODY_BYTES as u64,
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -1,5 +1,6 @@
 //! Accepting, serving and closing callers' connections.
 
+mod activity;
 mod due;
 mod request_body;
 mod timer;
@@ -26,9 +27,9 @@
 
 use crate::edge::ServerCommand;
 
+use activity::{Activity, Overdue, TimeLimits, Tracked};
 use due::{Due, ResponseDue, TrackedBody};
 use request_body::Unread;
-use timer::ReadFirstTimer;
 
 pub(crate) use request_body::RequestBody;
 
@@ -55,8 +56,10 @@
 /// Limits on one connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectionLimits {
-    /// Longest time from the connection, or the previous request, to the end of a request's head.
+    /// Longest time from the first to the last byte of a request's head.
     pub header_timeout: Duration,
+    /// Longest time without a request.
+    pub idle_timeout: Duration,
     /// Largest head of a request, in bytes.
     pub header_bytes: usize,
     /// Most header fields in a request.
@@ -70,7 +73,8 @@
     /// The body of a response.
     type Body: HttpBody<Data = Bytes, Error: Error + Send + Sync + 'static> + Unpin + 'static;
 
-    /// Returns the limits on a new connection, and on the bodies of the next requests.
+    /// Returns the limits that hold now: on times and on bodies for each connection, on heads for new
+    /// ones.
     fn connection_limits(&self) -> ConnectionLimits;
 
     /// Returns the counter of open connections.
@@ -192,7 +196,12 @@
 ) {
     let _ = stream.set_nodelay(true);
     let caller = stream.peer_addr().map_or("-".to_owned(), |caller| caller.to_string());
-    let requests = Requests { service, due: ResponseDue::default(), unread: Unread::default() };
+    let requests = Requests {
+        service,
+        due: ResponseDue::default(),
+        unread: Unread::default(),
+        activity: Activity::new(),
+    };
     let (end, due) = serve_requests(&requests, &mut stream, drain).await;
     if let Some(due) = due {
         if due.version < Version::HTTP_11 {
@@ -214,12 +223,18 @@
     service: Rc<S>,
     due: ResponseDue,
     unread: Unread,
+    activity: Activity,
 }
 
 impl<S: Serve> Clone for Requests<S> {
     fn clone(&self) -> Self {
         let service = Rc::clone(&self.service);
-        Self { service, due: self.due.clone(), unread: self.unread.clone() }
+        Self {
+            service,
+            due: self.due.clone(),
+            unread: self.unread.clone(),
+            activity: self.activity.clone(),
+        }
     }
 }
 
@@ -230,7 +245,16 @@
         let mut response = Rc::clone(&self.service).handle(req).await;
         let max_bytes = self.service.connection_limits().body_bytes;
         self.unread.settle(max_bytes, expects_continue, &mut response);
-        response.map(|body| self.due.track(body))
+        response.map(|body| self.due.track(body, self.activity))
+    }
+
+    /// Returns the limits that hold now, or `None` while the rest of a body is discarded.
+    fn time_limits(&self) -> Option<TimeLimits> {
+        if self.unread.is_discarding() {
+            return None;
+        }
+        let limits = self.service.connection_limits();
+        Some(TimeLimits { idle: limits.idle_timeout, head: limits.header_timeout })
     }
 }
 
@@ -245,14 +269,15 @@
         let requests = requests.clone();
         // The handler never runs if the caller leaves right after its request.
         requests.due.begin(req.version());
+        requests.activity.begin_request();
         async move { Ok::<_, Infallible>(requests.handle(req).await) }
     });
+    let tracked = Tracked { io: stream, activity: requests.activity.clone() };
     let connection = http1::Builder::new()
-        .timer(ReadFirstTimer)
-        .header_read_timeout(limits.header_timeout)
+        .header_read_timeout(None)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES))
         .max_headers(limits.headers)
-        .serve_connection(TokioIo::new(stream), handler);
+        .serve_connection(TokioIo::new(tracked), handler);
     tokio::pin!(connection);
     let close = async {
         let _ = drain.wait_for(|draining| *draining).await;
@@ -263,6 +288,11 @@
             biased;
             end = connection.as_mut() => return end,
             () = close => {}
+            overdue = requests.activity.overdue(|| requests.time_limits()) => {
+                if overdue == Overdue::Head {
+                    return Ok(());
+                }
+            }
         }
         connection.as_mut().graceful_shutdown();
         connection.as_mut().await
@@ -271,7 +301,7 @@
     let end = tokio::select! {
         biased;
         end = serving => end,
-        never = requests.unread.discard() => match never {},
+        never = requests.unread.discard(|| requests.activity.end_body()) => match never {},
     };
     // The connection still holds the response's body, which settles what is due when it is dropped.
     (end, requests.due.get())
--- /dev/null
+++ b/crates/daemon/src/serve/activity.rs
@@ -0,0 +1,172 @@
+//! What a connection's caller does, and for how long it may go on with it.
+
+use std::{
+    cell::Cell,
+    io,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    sync::Notify,
+    time::Instant,
+};
+
+use super::timer;
+
+/// What a connection's caller does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// It has sent nothing since the connection was opened or the last response ended.
+    Idle { since: Instant },
+    /// It has sent the beginning of a request's head.
+    SendingHead { since: Instant },
+    /// Its request is handled.
+    Waiting,
+}
+
+/// Why a connection is closed by its host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Overdue {
+    /// The caller has been idle for too long.
+    Idle,
+    /// The head of a request hasn't arrived in time.
+    Head,
+}
+
+/// How long a caller may be idle, and take to send a request's head.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TimeLimits {
+    pub idle: Duration,
+    pub head: Duration,
+}
+
+/// Tracks what a connection's caller does; clones share their state.
+#[derive(Clone)]
+pub(super) struct Activity(Rc<Shared>);
+
+struct Shared {
+    state: Cell<State>,
+    changed: Notify,
+}
+
+impl Activity {
+    /// Starts to track a connection that was just opened.
+    pub(super) fn new() -> Self {
+        let state = Cell::new(State::Idle { since: Instant::now() });
+        Self(Rc::new(Shared { state, changed: Notify::new() }))
+    }
+
+    /// Records that a request's head was read.
+    pub(super) fn begin_request(&self) {
+        self.set(State::Waiting);
+    }
+
+    /// Records that the response to the latest request has ended.
+    pub(super) fn end_request(&self) {
+        self.set(State::Idle { since: Instant::now() });
+    }
+
+    /// Records that the rest of a request's body was read after its response.
+    pub(super) fn end_body(&self) {
+        if self.0.state.get() != State::Waiting {
+            self.set(State::Idle { since: Instant::now() });
+        }
+    }
+
+    fn record_read(&self) {
+        if let State::Idle { .. } = self.0.state.get() {
+            self.set(State::SendingHead { since: Instant::now() });
+        }
+    }
+
+    fn set(&self, state: State) {
+        self.0.state.set(state);
+        self.0.changed.notify_one();
+    }
+
+    /// Waits until the caller exceeds the limits that hold then, if any.
+    pub(super) async fn overdue(&self, limits: impl Fn() -> Option<TimeLimits>) -> Overdue {
+        loop {
+            let Some((deadline, overdue)) = self.deadline(limits()) else {
+                self.0.changed.notified().await;
+                continue;
+            };
+            if deadline <= Instant::now() {
+                // What has arrived is read first, and then counts.
+                timer::arrivals().await;
+                if self.deadline(limits()) == Some((deadline, overdue)) {
+                    return overdue;
+                }
+                continue;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(deadline) => {}
+                () = self.0.changed.notified() => {}
+            }
+        }
+    }
+
+    fn deadline(&self, limits: Option<TimeLimits>) -> Option<(Instant, Overdue)> {
+        let limits = limits?;
+        match self.0.state.get() {
+            State::Idle { since } => Some((since + limits.idle, Overdue::Idle)),
+            State::SendingHead { since } => Some((since + limits.head, Overdue::Head)),
+            State::Waiting => None,
+        }
+    }
+}
+
+/// A connection whose reads are tracked.
+pub(super) struct Tracked<'a, T> {
+    pub io: &'a mut T,
+    pub activity: Activity,
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for Tracked<'_, T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut *self.io).poll_read(cx, buf);
+        if before < buf.filled().len() {
+            self.activity.record_read();
+        }
+        read
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for Tracked<'_, T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.io).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut *self.io).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.io).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.io).poll_shutdown(cx)
+    }
+}
--- a/crates/daemon/src/serve/due.rs
+++ b/crates/daemon/src/serve/due.rs
@@ -15,6 +15,8 @@
 };
 use tokio::time::Instant;
 
+use super::activity::Activity;
+
 /// How far a response is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Stage {
@@ -54,9 +56,9 @@
     }
 
     /// Tracks the body of a response that begins.
-    pub(super) fn track<B>(&self, body: B) -> TrackedBody<B> {
+    pub(super) fn track<B>(&self, body: B, activity: Activity) -> TrackedBody<B> {
         self.0.set(self.0.get().map(|due| Due { stage: Stage::Sending, ..due }));
-        TrackedBody { body, due: self.clone(), failed: false }
+        TrackedBody { body, due: self.clone(), activity, failed: false }
     }
 
     /// Returns the response that is due, if any.
@@ -69,6 +71,7 @@
 pub(super) struct TrackedBody<B> {
     body: B,
     due: ResponseDue,
+    activity: Activity,
     failed: bool,
 }
 
@@ -98,6 +101,7 @@
     fn drop(&mut self) {
         if !self.failed {
             self.due.0.set(None);
+            self.activity.end_request();
         }
     }
 }
--- a/crates/daemon/src/serve/request_body.rs
+++ b/crates/daemon/src/serve/request_body.rs
@@ -109,6 +109,7 @@
     max_bytes: Cell<u64>,
     /// Wakes [`Unread::discard`].
     may_discard: Notify,
+    is_discarding: Cell<bool>,
     is_abandoned: Cell<bool>,
 }
 
@@ -140,11 +141,12 @@
         }
         self.0.rest.set(Some(rest));
         self.0.max_bytes.set(max_bytes);
+        self.0.is_discarding.set(true);
         self.0.may_discard.notify_one();
     }
 
-    /// Discards what may be discarded, while the response is written.
-    pub(super) async fn discard(&self) -> Infallible {
+    /// Discards what may be discarded, while the response is written; calls `on_end` after each body.
+    pub(super) async fn discard(&self, on_end: impl Fn()) -> Infallible {
         loop {
             self.0.may_discard.notified().await;
             let Some(rest) = self.0.rest.take() else { continue };
@@ -153,9 +155,16 @@
             if !ended.unwrap_or(false) {
                 self.0.is_abandoned.set(true);
             }
+            self.0.is_discarding.set(false);
+            on_end();
         }
     }
 
+    /// Returns whether the rest of a body is being discarded.
+    pub(super) fn is_discarding(&self) -> bool {
+        self.0.is_discarding.get()
+    }
+
     /// Returns whether a body was not read to its end, so that more of it may arrive.
     pub(super) fn is_abandoned(&self) -> bool {
         self.0.is_abandoned.get()
