quarantine: find only suspects that routers were asked about

What callers saw: a sound request that comes often, lost at three endpoints of a service that lost many others as well, was refused for ten minutes.

Cause: routers were asked about the newest 64 suspects of a kind, any other could be found as well, and the time for routers to speak counted from the first crash. With 100 later victims of the same outage the request was not among those asked about, so no router spoke for it.

Evidence, on the code before: popular_request_among_many_victims_is_asked_about: left: Some((600, Request(RequestFingerprint(1)))) right: None request_that_routers_were_not_asked_about_is_not_condemned: left: Some(Finding { suspect: Request(RequestFingerprint(1)), engines: 3, first_crash_age: 699ms }) right: None

Change: routers are asked about the suspects that lack the fewest crashes, then the heaviest, then the newest, and one is found only when it has been asked about for 0.6 s since its first crash. One that comes while there is room is asked about at once; else the next update, 50 ms later at most, ranks all.

--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -6,7 +6,7 @@
 
 use base::MonotonicTime;
 
-use crate::{Crash, Quarantined, RequestFingerprint, Survival, Suspect};
+use crate::{Crash, Quarantined, RequestFingerprint, Survival, Suspect, hearings::Hearings};
 
 /// Engines that a suspect must have crashed if none has ever answered it.
 const MIN_CRASHES: usize = 3;
@@ -14,9 +14,6 @@
 /// Engines that it must have crashed since one last answered it.
 const MIN_CRASHES_AFTER_SURVIVAL: usize = 8;
 
-/// Time from a suspect's first crash to its quarantine, in which routers report its survivals.
-const HEARING_TIME: Duration = Duration::from_millis(600);
-
 /// Time for which crashes and survivals of parts count.
 const PART_RETENTION: Duration = Duration::from_secs(60);
 
@@ -29,9 +26,6 @@
 /// Largest number of crashes that are kept, of those that speak against parts and of the others.
 const MAX_CRASHES: usize = 256;
 
-/// Largest number of parts that routers are asked about, and of requests.
-const MAX_SUSPECTS: usize = 64;
-
 /// Largest number of engines whose end is known to be explained.
 const MAX_EXPLAINED: usize = 512;
 
@@ -47,6 +41,7 @@
     /// When a suspect was last answered.
     survived: BTreeMap<Suspect, MonotonicTime>,
     quarantined: BTreeMap<Suspect, MonotonicTime>,
+    hearings: Hearings,
 }
 
 #[derive(Clone, Debug)]
@@ -72,14 +67,23 @@
     /// The engines, by the request that each of them lost.
     engines: BTreeMap<RequestFingerprint, BTreeSet<E>>,
     first_crash: MonotonicTime,
+    last_crash: MonotonicTime,
     /// Largest number of suspects of the same kind before this one in a request; suspects further
     /// back stand in fewer requests.
     depth: usize,
 }
 
+/// How close a suspect is to its quarantine; greater is closer.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    missing_crashes: Reverse<usize>,
+    weight: usize,
+    last_crash: MonotonicTime,
+}
+
 impl<E: Clone + Ord> Evidence<E> {
     fn new(first_crash: MonotonicTime) -> Self {
-        Self { engines: BTreeMap::new(), first_crash, depth: 0 }
+        Self { engines: BTreeMap::new(), first_crash, last_crash: first_crash, depth: 0 }
     }
 
     fn all_engines(&self) -> BTreeSet<&E> {
@@ -107,6 +111,7 @@
             explained: VecDeque::new(),
             survived: BTreeMap::new(),
             quarantined: BTreeMap::new(),
+            hearings: Hearings::default(),
         }
     }
 }
@@ -128,6 +133,7 @@
             let oldest = self.crashes.iter().position(is_alike);
             oldest.map(|oldest| self.crashes.remove(oldest));
         }
+        crash.suspects().for_each(|suspect| self.hearings.open(now, suspect));
         self.crashes.push_back(RecordedCrash { at: now, crash: crash.clone() });
     }
 
@@ -147,6 +153,7 @@
         let ended = self.survived.get(&known.suspect).is_some_and(|at| since < *at);
         if !ended && known.age < QUARANTINE_TIME {
             self.quarantined.entry(known.suspect).or_insert(since);
+            self.hearings.close(known.suspect);
         }
     }
 
@@ -156,15 +163,15 @@
     pub fn update(&mut self, now: MonotonicTime) -> Option<Finding> {
         self.remove_expired(now);
         let all = self.evidence(now);
-        let sufficient = all.iter().filter(|(suspect, evidence)| {
-            let required = match self.survived.contains_key(suspect) {
-                true => MIN_CRASHES_AFTER_SURVIVAL,
-                false => MIN_CRASHES,
-            };
-            required <= evidence.weight(**suspect)
-                && HEARING_TIME <= now.saturating_since(evidence.first_crash)
+        let ranked = self.ranked(&all);
+        self.hearings.replace(now, ranked.iter().map(|(_, suspect)| *suspect));
+        let sufficient = ranked.iter().take_while(|(rank, _)| rank.missing_crashes.0 == 0);
+        let heard = sufficient.filter_map(|(_, suspect)| {
+            let evidence = &all[suspect];
+            let is_heard = self.hearings.is_over(now, *suspect, evidence.first_crash);
+            is_heard.then_some((*suspect, evidence))
         });
-        let (&suspect, found) = sufficient.max_by_key(|(suspect, evidence)| {
+        let (suspect, found) = heard.max_by_key(|(suspect, evidence)| {
             let has_survived = self.survived.contains_key(suspect);
             let engines = evidence.all_engines().len();
             (Reverse(has_survived), suspect.is_request(), engines, evidence.depth)
@@ -176,6 +183,7 @@
             first_crash_age: now.saturating_since(found.first_crash),
         };
         self.quarantined.insert(suspect, now);
+        self.hearings.close(suspect);
         self.remove_explained(suspect, &engines);
         engines.into_iter().for_each(|engine| self.record_explained(now, engine));
         Some(finding)
@@ -183,18 +191,8 @@
 
     /// Returns the suspects whose survivals routers should report.
     pub fn suspects(&self) -> Vec<Suspect> {
-        let mut parts = BTreeSet::new();
-        let mut requests = BTreeSet::new();
-        let suspects = self.crashes.iter().rev().flat_map(|recorded| recorded.crash.suspects());
-        for suspect in suspects {
-            let of_its_kind = if suspect.is_request() { &mut requests } else { &mut parts };
-            if of_its_kind.len() < MAX_SUSPECTS {
-                of_its_kind.insert(suspect);
-            }
-        }
-        parts.extend(requests);
-        parts.extend(self.quarantined.keys());
-        parts.into_iter().collect()
+        let quarantined = self.quarantined.keys().copied();
+        self.hearings.suspects().chain(quarantined).collect()
     }
 
     /// Returns the suspects that are kept from the engines.
@@ -205,6 +203,26 @@
             .collect()
     }
 
+    /// Returns all suspects, those closest to their quarantine first.
+    fn ranked(&self, all: &BTreeMap<Suspect, Evidence<E>>) -> Vec<(Rank, Suspect)> {
+        let rank = |(&suspect, evidence): (&Suspect, &Evidence<E>)| {
+            let weight = evidence.weight(suspect);
+            let missing_crashes = Reverse(self.required(suspect).saturating_sub(weight));
+            (Rank { missing_crashes, weight, last_crash: evidence.last_crash }, suspect)
+        };
+        let mut ranked: Vec<_> = all.iter().map(rank).collect();
+        ranked.sort_unstable_by(|one, other| other.cmp(one));
+        ranked
+    }
+
+    /// Returns the number of crashes that quarantine a suspect.
+    fn required(&self, suspect: Suspect) -> usize {
+        match self.survived.contains_key(&suspect) {
+            true => MIN_CRASHES_AFTER_SURVIVAL,
+            false => MIN_CRASHES,
+        }
+    }
+
     fn evidence(&self, now: MonotonicTime) -> BTreeMap<Suspect, Evidence<E>> {
         let mut all = BTreeMap::new();
         for RecordedCrash { at, crash } in &self.crashes {
@@ -219,6 +237,7 @@
                 let evidence = all.entry(suspect).or_insert_with(|| Evidence::new(*at));
                 let lost = evidence.engines.entry(crash.request.with_prompt).or_default();
                 lost.insert(crash.engine.clone());
+                evidence.last_crash = *at;
                 evidence.depth = depth.max(evidence.depth);
             }
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -34,6 +34,7 @@
 
 mod crash;
 mod detector;
+mod hearings;
 mod survivals;
 mod suspect;
 
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -184,6 +184,64 @@
     assert_eq!(found(&mut detector, 400), [request(DEADLY)]);
 }
 
+/// Updates as a leader does, every 50 ms; routers speak for these suspects if they are asked.
+fn hear(
+    detector: &mut Detector<u64>,
+    millis: std::ops::RangeInclusive<u64>,
+    answered: &[Suspect],
+) -> Option<(u64, Suspect)> {
+    millis.step_by(50).find_map(|millis| {
+        let asked = detector.suspects().into_iter().filter(|asked| answered.contains(asked));
+        asked.for_each(|suspect| survive(detector, millis, suspect));
+        detector.update(at(millis)).map(|finding| (millis, finding.suspect))
+    })
+}
+
+/// Records that each of these requests was lost at one of 12 endpoints.
+fn lose(detector: &mut Detector<u64>, millis: u64, numbers: std::ops::Range<u64>) {
+    for number in numbers {
+        let request = fingerprints(number);
+        let crash = Crash { engine: 1_000 + number % 12, request, parts: vec![] };
+        detector.record_crash(at(millis), &crash);
+    }
+}
+
+#[test]
+fn popular_request_among_many_victims_is_asked_about() {
+    let mut detector = Detector::default();
+    let popular = |engine| Crash { engine, request: fingerprints(1), parts: vec![] };
+    (0..3).for_each(|engine| detector.record_crash(at(0), &popular(engine)));
+    lose(&mut detector, 1, 2_000..2_100);
+    assert_eq!(hear(&mut detector, 50..=2_000, &[request(1)]), None);
+}
+
+#[test]
+fn request_that_routers_were_not_asked_about_is_not_condemned() {
+    let mut detector = Detector::default();
+    lose(&mut detector, 0, 2_000..2_100);
+    let popular = |engine| Crash { engine, request: fingerprints(1), parts: vec![] };
+    (0..3).for_each(|engine| detector.record_crash(at(1), &popular(engine)));
+    assert_eq!(detector.update(at(700)), None);
+    assert!(detector.suspects().contains(&request(1)));
+    assert_eq!(detector.update(at(700 + HEARD_MS - 1)), None);
+    assert!(detector.update(at(700 + HEARD_MS)).is_some());
+}
+
+#[test]
+fn deadly_request_among_hundreds_of_victims_is_found_within_a_second() {
+    let mut detector = Detector::default();
+    for engine in 0..3 {
+        let start = 250 * engine;
+        lose(&mut detector, start, 2_000 + 80 * engine..2_080 + 80 * engine);
+        let deadly = Crash { engine, request: fingerprints(DEADLY), parts: vec![] };
+        detector.record_crash(at(start), &deadly);
+        assert_eq!(hear(&mut detector, start + 50..=start + 90, &[]), None);
+    }
+    let third_crash = 500;
+    let found = hear(&mut detector, third_crash + 100..=third_crash + 1_000, &[]);
+    assert_eq!(found.map(|(_, suspect)| suspect), Some(request(DEADLY)));
+}
+
 #[test]
 fn new_leader_adopts_requests_and_parts() {
     let mut detector = Detector::<u64>::default();
