quarantine: find a crashing part before the content of its requests

What callers saw: after three prompts with a crashing part, alike but for their prompts, all requests with that path, body and key were refused for ten minutes, the sound ones too, and the part went on to crash engines in other requests.

Cause: the fingerprint without the prompt was weighed by its engines, and a request went before a part.

Change: a content is weighed as a part is, all engines that one prompt ended once. It is found only if no never-answered part, heard or not, would do for any of the same engines, and a part goes before it. A request that came again with the same prompt, or without one, counts in full and goes first as before.

--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -73,6 +73,18 @@
     depth: usize,
 }
 
+/// What a suspect is, in the order of precedence: fewer callers need the later ones, but for the
+/// content, which all that ask for the same with other prompts need.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Cause {
+    /// The content of a request that came with another prompt each time.
+    Content,
+    /// A part of prompts.
+    Part,
+    /// A request that came again as it was.
+    SameRequest,
+}
+
 /// How close a suspect is to its quarantine; greater is closer.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -91,16 +103,38 @@
     }
 
     /// Counts the crashes that speak against the suspect.
-    ///
-    /// All engines that one request ended speak against a part once: the request itself may be the
-    /// cause.
     fn weight(&self, suspect: Suspect) -> usize {
-        let all = self.all_engines();
-        if suspect.is_request() {
-            return all.len();
+        self.weight_of_itself(suspect).max(self.weight_by_request())
+    }
+
+    /// Counts the engines that lost the request itself, with the same prompt or without one.
+    fn weight_of_itself(&self, suspect: Suspect) -> usize {
+        match suspect {
+            Suspect::Part(_) => 0,
+            Suspect::Request(request) => self.engines.get(&request).map_or(0, BTreeSet::len),
         }
+    }
+
+    /// Counts all engines that one request ended once: the request itself may be the cause.
+    fn weight_by_request(&self) -> usize {
         let most = self.engines.values().map(BTreeSet::len).max();
-        most.map_or(0, |most| 1 + all.len() - most)
+        most.map_or(0, |most| 1 + self.all_engines().len() - most)
+    }
+
+    /// Returns what the crashes show the suspect to be.
+    fn cause(&self, suspect: Suspect) -> Cause {
+        if !suspect.is_request() {
+            Cause::Part
+        } else if self.weight_by_request() <= self.weight_of_itself(suspect) {
+            Cause::SameRequest
+        } else {
+            Cause::Content
+        }
+    }
+
+    fn shares_engines(&self, other: &Self) -> bool {
+        let others = other.all_engines();
+        self.engines.values().flatten().any(|engine| others.contains(engine))
     }
 }
 
@@ -159,22 +193,24 @@
 
     /// Quarantines the suspect that explains most crashes, if the evidence is sufficient.
     ///
-    /// Of a part and a request, the request comes first, as fewer callers need it.
+    /// A request that came again as it was comes first, as fewest callers need it, then a part, then
+    /// what requests have in common beside their prompts.
     pub fn update(&mut self, now: MonotonicTime) -> Option<Finding> {
         self.remove_expired(now);
         let all = self.evidence(now);
         let ranked = self.ranked(&all);
         self.hearings.replace(now, ranked.iter().map(|(_, suspect)| *suspect));
         let sufficient = ranked.iter().take_while(|(rank, _)| rank.missing_crashes.0 == 0);
-        let heard = sufficient.filter_map(|(_, suspect)| {
-            let evidence = &all[suspect];
-            let is_heard = self.hearings.is_over(now, *suspect, evidence.first_crash);
-            is_heard.then_some((*suspect, evidence))
+        let sufficient: BTreeMap<_, _> =
+            sufficient.map(|(_, suspect)| (*suspect, &all[suspect])).collect();
+        let ripe = sufficient.iter().filter(|(suspect, evidence)| {
+            self.hearings.is_over(now, **suspect, evidence.first_crash)
+                && !self.may_be_due_to_a_part(**suspect, evidence, &sufficient)
         });
-        let (suspect, found) = heard.max_by_key(|(suspect, evidence)| {
+        let (&suspect, found) = ripe.max_by_key(|(suspect, evidence)| {
             let has_survived = self.survived.contains_key(suspect);
             let engines = evidence.all_engines().len();
-            (Reverse(has_survived), suspect.is_request(), engines, evidence.depth)
+            (Reverse(has_survived), evidence.cause(**suspect), engines, evidence.depth)
         })?;
         let engines: BTreeSet<E> = found.all_engines().into_iter().cloned().collect();
         let finding = Finding {
@@ -203,6 +239,21 @@
             .collect()
     }
 
+    /// Returns whether a never-answered part may explain the crashes of a content.
+    fn may_be_due_to_a_part(
+        &self,
+        suspect: Suspect,
+        evidence: &Evidence<E>,
+        sufficient: &BTreeMap<Suspect, &Evidence<E>>,
+    ) -> bool {
+        let is_rival = |(other, of_other): (&Suspect, &&Evidence<E>)| {
+            !other.is_request()
+                && !self.survived.contains_key(other)
+                && of_other.shares_engines(evidence)
+        };
+        evidence.cause(suspect) == Cause::Content && sufficient.iter().any(is_rival)
+    }
+
     /// Returns all suspects, those closest to their quarantine first.
     fn ranked(&self, all: &BTreeMap<Suspect, Evidence<E>>) -> Vec<(Rank, Suspect)> {
         let rank = |(&suspect, evidence): (&Suspect, &Evidence<E>)| {
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -173,6 +173,79 @@
     assert_eq!(found(&mut detector, 3), [request(DEADLY)]);
 }
 
+/// Each case lists the engines that ended in turn, the prompts of one content, and their parts;
+/// `SYSTEM` is answered all the time.
+macro_rules! content_cases {
+    ($($name:ident: [$(($engine:expr, $prompt:expr, $parts:expr)),* $(,)?] => $found:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            let mut detector = Detector::default();
+            let crashes: Vec<(u64, u64, Vec<PartId>)> =
+                vec![$(($engine, $prompt, $parts.to_vec())),*];
+            let mut all_found = Vec::new();
+            for (engine, prompt, parts) in crashes {
+                let request = RequestFingerprints {
+                    content: RequestFingerprint::new(DEADLY),
+                    with_prompt: RequestFingerprint::new(prompt),
+                };
+                detector.record_crash(at(100 * engine), &Crash { engine, request, parts });
+                survive(&mut detector, 100 * engine, Suspect::Part(SYSTEM));
+                let now = at(100 * engine + HEARD_MS);
+                let found = std::iter::from_fn(|| detector.update(now));
+                all_found.extend(found.map(|finding| (engine, finding.suspect)));
+            }
+            let expected: Vec<(u64, Suspect)> = $found.to_vec();
+            assert_eq!(all_found, expected);
+        }
+    )*};
+}
+
+content_cases! {
+    crashing_part_of_prompts_with_one_content:
+        [(1, 11, [SYSTEM, BAD]), (2, 12, [SYSTEM, BAD]), (3, 13, [SYSTEM, BAD])]
+        => [(3, Suspect::Part(BAD))],
+    crashing_part_of_prompts_with_one_content_that_came_twice:
+        [(1, 11, [SYSTEM, BAD]), (2, 11, [SYSTEM, BAD]), (3, 12, [SYSTEM, BAD]),
+         (4, 12, [SYSTEM, BAD])] => [(4, Suspect::Part(BAD))],
+    prompt_with_one_content_that_came_thrice:
+        [(1, 11, [SYSTEM, BAD]), (2, 11, [SYSTEM, BAD]), (3, 11, [SYSTEM, BAD])] => [(3, request(11))],
+    content_that_comes_with_another_last_part_each_time:
+        [(1, 11, [SYSTEM, PartId::new(101)]), (2, 12, [SYSTEM, PartId::new(102)]),
+         (3, 13, [SYSTEM, PartId::new(103)])] => [(3, request(DEADLY))],
+    content_without_a_prompt:
+        [(1, DEADLY, NONE), (2, DEADLY, NONE), (3, DEADLY, NONE)] => [(3, request(DEADLY))],
+    content_of_two_prompts_of_which_one_came_twice:
+        [(1, 11, NONE), (2, 11, NONE), (3, 12, NONE)] => [],
+}
+
+#[test]
+fn content_waits_for_a_never_answered_part_that_is_not_heard_yet() {
+    let mut detector = Detector::default();
+    let content = RequestFingerprint::new(DEADLY);
+    let request =
+        |prompt| RequestFingerprints { content, with_prompt: RequestFingerprint::new(prompt) };
+    // Others' parts fill the list of those asked about; the part enters it with its second crash.
+    for engine in 100..200 {
+        detector.record_crash(
+            at(0),
+            &Crash { engine, request: fingerprints(engine), parts: vec![PartId::new(engine)] },
+        );
+    }
+    for (engine, millis) in [(1, 1), (2, 100), (3, 200)] {
+        let parts = vec![SYSTEM, BAD];
+        let crash = Crash { engine, request: request(10 + engine), parts };
+        if engine == 1 {
+            detector.record_crash(at(0), &Crash { parts: vec![], ..crash.clone() });
+        }
+        detector.record_crash(at(millis), &crash);
+        survive(&mut detector, millis, Suspect::Part(SYSTEM));
+    }
+    assert_eq!(
+        hear(&mut detector, 250..=2_000, &[]).map(|(_, found)| found),
+        Some(Suspect::Part(BAD))
+    );
+}
+
 #[test]
 fn crashes_with_parts_do_not_crowd_out_those_without() {
     let mut detector = Detector::default();
