quarantine: weigh the evidence again only when it may tell more

The detector weighed all crashes every 50 ms though no report had come. It does so now after a report that matters, an expiry, the end of a hearing or 1 s (evidence against parts expires inside that time).

All cases of the crate pass; request_that_routers_were_not_asked_about_is_not_condemned checks the hearing's end to the millisecond, and suspects_beyond_those_asked_about_get_their_turn is a new guard, which wasn't run on the code before.

--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -29,6 +29,10 @@
 /// Largest number of engines whose end is known to be explained.
 const MAX_EXPLAINED: usize = 512;
 
+/// Longest time for which the evidence isn't weighed again though no report came; that of parts
+/// expires meanwhile.
+const MAX_REVIEW_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Puts the reports of all routers together and finds the parts and requests that crash engines.
 ///
 /// `E` identifies an incarnation of an engine or another endpoint.
@@ -42,6 +46,8 @@
     survived: BTreeMap<Suspect, MonotonicTime>,
     quarantined: BTreeMap<Suspect, MonotonicTime>,
     hearings: Hearings,
+    /// When the evidence is due to be weighed again; nothing if it has changed since.
+    next_review: Option<MonotonicTime>,
 }
 
 #[derive(Clone, Debug)]
@@ -146,6 +152,7 @@
             survived: BTreeMap::new(),
             quarantined: BTreeMap::new(),
             hearings: Hearings::default(),
+            next_review: None,
         }
     }
 }
@@ -154,6 +161,7 @@
     /// Records a crash that a router reported at `now`.
     pub fn record_crash(&mut self, now: MonotonicTime, crash: &Crash<E>) {
         if crash.suspects().any(|suspect| self.quarantined.contains_key(&suspect)) {
+            self.next_review = None;
             self.record_explained(now, crash.engine.clone());
             self.crashes.retain(|recorded| recorded.crash.engine != crash.engine);
             return;
@@ -167,6 +175,7 @@
             let oldest = self.crashes.iter().position(is_alike);
             oldest.map(|oldest| self.crashes.remove(oldest));
         }
+        self.next_review = None;
         crash.suspects().for_each(|suspect| self.hearings.open(now, suspect));
         self.crashes.push_back(RecordedCrash { at: now, crash: crash.clone() });
     }
@@ -178,6 +187,10 @@
         *latest = at.max(*latest);
         if self.quarantined.get(&survival.suspect).is_some_and(|since| *since < at) {
             self.quarantined.remove(&survival.suspect);
+            self.next_review = None;
+        }
+        if self.hearings.is_open(survival.suspect) {
+            self.next_review = None;
         }
     }
 
@@ -186,8 +199,11 @@
         let since = now.saturating_sub(known.age);
         let ended = self.survived.get(&known.suspect).is_some_and(|at| since < *at);
         if !ended && known.age < QUARANTINE_TIME {
-            self.quarantined.entry(known.suspect).or_insert(since);
-            self.hearings.close(known.suspect);
+            self.quarantined.entry(known.suspect).or_insert_with(|| {
+                self.hearings.close(known.suspect);
+                self.next_review = None;
+                since
+            });
         }
     }
 
@@ -197,14 +213,24 @@
     /// what requests have in common beside their prompts.
     pub fn update(&mut self, now: MonotonicTime) -> Option<Finding> {
         self.remove_expired(now);
+        if self.next_review.is_some_and(|due| now < due) {
+            return None;
+        }
         let all = self.evidence(now);
         let ranked = self.ranked(&all);
         self.hearings.replace(now, ranked.iter().map(|(_, suspect)| *suspect));
         let sufficient = ranked.iter().take_while(|(rank, _)| rank.missing_crashes.0 == 0);
         let sufficient: BTreeMap<_, _> =
             sufficient.map(|(_, suspect)| (*suspect, &all[suspect])).collect();
+        let hearing_end = |suspect: Suspect, evidence: &Evidence<E>| {
+            self.hearings.end(suspect, evidence.first_crash)
+        };
+        let hearing_ends = sufficient.iter().filter_map(|(suspect, of)| hearing_end(*suspect, of));
+        let next_end = hearing_ends.filter(|end| now < *end).min();
+        let latest = now + MAX_REVIEW_INTERVAL;
+        self.next_review = Some(next_end.map_or(latest, |end| end.min(latest)));
         let ripe = sufficient.iter().filter(|(suspect, evidence)| {
-            self.hearings.is_over(now, **suspect, evidence.first_crash)
+            hearing_end(**suspect, evidence).is_some_and(|end| end <= now)
                 && !self.may_be_due_to_a_part(**suspect, evidence, &sufficient)
         });
         let (&suspect, found) = ripe.max_by_key(|(suspect, evidence)| {
@@ -218,6 +244,7 @@
             engines: engines.len(),
             first_crash_age: now.saturating_since(found.first_crash),
         };
+        self.next_review = None;
         self.quarantined.insert(suspect, now);
         self.hearings.close(suspect);
         self.remove_explained(suspect, &engines);
@@ -337,6 +364,7 @@
 
     fn remove_expired(&mut self, now: MonotonicTime) {
         let is_recent = |at: MonotonicTime, max_age| now.saturating_since(at) < max_age;
+        let entries = self.entries();
         self.crashes.retain(|recorded| {
             let survived = |request| {
                 let at = self.survived.get(&Suspect::Request(request));
@@ -349,6 +377,14 @@
         self.explained.retain(|(at, _)| is_recent(*at, REQUEST_RETENTION));
         self.survived.retain(|suspect, at| is_recent(*at, retention(*suspect)));
         self.quarantined.retain(|_, since| is_recent(*since, QUARANTINE_TIME));
+        if self.entries() != entries {
+            self.next_review = None;
+        }
+    }
+
+    /// Returns the number of all that expires.
+    fn entries(&self) -> usize {
+        self.crashes.len() + self.explained.len() + self.survived.len() + self.quarantined.len()
     }
 }
 
--- a/crates/quarantine/src/hearings.rs
+++ b/crates/quarantine/src/hearings.rs
@@ -46,16 +46,19 @@
         self.since.remove(&suspect);
     }
 
-    /// Returns whether routers have been asked about a suspect, since its first crash, for long
-    /// enough.
-    pub(crate) fn is_over(
+    /// Returns when routers will have been asked about a suspect, since its first crash, for long
+    /// enough; nothing if they aren't asked about it.
+    pub(crate) fn end(
         &self,
-        now: MonotonicTime,
         suspect: Suspect,
         first_crash: MonotonicTime,
-    ) -> bool {
-        let since = self.since.get(&suspect);
-        since.is_some_and(|since| HEARING_TIME <= now.saturating_since(first_crash.max(*since)))
+    ) -> Option<MonotonicTime> {
+        self.since.get(&suspect).map(|since| first_crash.max(*since) + HEARING_TIME)
+    }
+
+    /// Returns whether routers are asked about a suspect.
+    pub(crate) fn is_open(&self, suspect: Suspect) -> bool {
+        self.since.contains_key(&suspect)
     }
 
     /// Returns all suspects.
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -300,6 +300,20 @@
     assert!(detector.update(at(700 + HEARD_MS)).is_some());
 }
 
+#[test]
+fn suspects_beyond_those_asked_about_get_their_turn() {
+    let mut detector = Detector::default();
+    for engine in 0..3 {
+        for number in 2_000..2_100 {
+            let crash = Crash { engine, request: fingerprints(number), parts: vec![] };
+            detector.record_crash(at(0), &crash);
+        }
+    }
+    let sound: Vec<Suspect> = (2_000..2_100).map(request).collect();
+    assert_eq!(hear(&mut detector, 50..=5_000, &sound), None);
+    assert_eq!(detector.suspects(), []);
+}
+
 #[test]
 fn deadly_request_among_hundreds_of_victims_is_found_within_a_second() {
     let mut detector = Detector::default();
