gateway: an unframed end is no answer that speaks for a request

Callers saw engine after engine end: a request whose engine wrote an unframed head (neither length nor chunks) and one whole event before it ended was taken for answered. The end of such a stream is that of its connection, so it was complete, spoke for the request and all its parts and left no crash. An unframed call that its server's end cut spoke for the request as well; eight crashes were needed from then on instead of three.

An unframed call no longer speaks for its request. An unframed stream does so once events went on for CRASH_WINDOW; one that ends sooner is an end that counts if the endpoint shows no sign of life in the confirmation time, with the parts of its prompt. A broken stream counts at once, but engines that run on may end short streams so, and their requests must not be refused. Callers get the same bytes as before.

--- a/crates/daemon/src/gateway/crash_evidence.rs
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -35,6 +35,7 @@
     at: MonotonicTime,
     target: Rc<Target>,
     request: RequestFingerprints,
+    parts: Vec<PartId>,
 }
 
 impl CrashEvidence {
@@ -54,9 +55,11 @@
         now: MonotonicTime,
         target: &Rc<Target>,
         request: RequestFingerprints,
+        parts: Vec<PartId>,
     ) {
         if self.unconfirmed.len() < MAX_UNREPORTED {
-            self.unconfirmed.push(UnconfirmedCrash { at: now, target: Rc::clone(target), request });
+            let target = Rc::clone(target);
+            self.unconfirmed.push(UnconfirmedCrash { at: now, target, request, parts });
         }
     }
 
@@ -118,8 +121,10 @@
         let (due, waiting) =
             std::mem::take(&mut self.unconfirmed).into_iter().partition::<Vec<_>, _>(is_due);
         self.unconfirmed = waiting;
-        for lost in due.iter().filter(|lost| lost.target.alive_at() <= lost.at + DELIVERY_TIME) {
-            self.push(crash(&lost.target, lost.request, Vec::new()));
+        for lost in due {
+            if lost.target.alive_at() <= lost.at + DELIVERY_TIME {
+                self.push(crash(&lost.target, lost.request, lost.parts));
+            }
         }
     }
 
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -5,7 +5,11 @@
 use base::{ByteCount, EndpointId, MonotonicTime, TokenCount, Verdict};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming, header::HOST};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::{Body as _, Incoming},
+    header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+};
 use prefix::{PartChain, PartId};
 use quarantine::{RequestFingerprints, Suspect};
 use routes::{Organisation, Route};
@@ -128,6 +132,8 @@
     pub response: Response<Incoming>,
     pub in_flight: InFlight,
     pub sent: SendRecord,
+    /// Whether the response ends with its connection, as it does when its endpoint crashes.
+    pub is_unframed: bool,
     _driver: AbortOnDrop,
 }
 
@@ -263,7 +269,8 @@
     pub(super) fn record_lost_connection(&self, target: &Rc<Target>) {
         let now = self.gateway.clock.now();
         let mut evidence = self.gateway.crash_evidence.borrow_mut();
-        evidence.record_lost_connection(now, target, self.fingerprints);
+        let parts = self.shared_parts().collect();
+        evidence.record_lost_connection(now, target, self.fingerprints, parts);
     }
 
     /// Records that an endpoint answered the request.
@@ -445,7 +452,8 @@
         let sent = self.send_record(target);
         let response = self.response(target, sender.send_request(request), sent).await?;
         let response = self.check_response(target, response)?;
-        Ok(StartedResponse { response, in_flight, sent, _driver: driver })
+        let is_unframed = is_unframed(&response);
+        Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
     }
 
     /// Waits for the head of the response to a request that is being sent.
@@ -641,6 +649,14 @@
     }
 }
 
+/// Returns whether a response that has just begun ends with its connection.
+fn is_unframed(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    !response.body().is_end_stream()
+        && !headers.contains_key(CONTENT_LENGTH)
+        && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Waits until an endpoint counts as unreachable; forever if the request can't be retried.
 pub(super) async fn wait_until_unreachable<D: Dialect>(
     gateway: &Rc<Gateway<D>>,
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -283,12 +283,12 @@
     exchange: &Exchange<D>,
     started: StartedResponse,
 ) -> Result<BufferedResponse, FetchError> {
-    let StartedResponse { response, in_flight, .. } = started;
+    let StartedResponse { response, in_flight, is_unframed, .. } = started;
     let (head, body) = response.into_parts();
     match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
         Ok(body) => {
             // An endpoint may fail a request without running it, as at its deadline.
-            if exchange.chain.is_none() && !head.status.is_server_error() {
+            if exchange.chain.is_none() && !head.status.is_server_error() && !is_unframed {
                 exchange.record_survival();
             }
             Ok(BufferedResponse { head, body: body.to_bytes() })
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -158,7 +158,7 @@
             relay_segment(&exchange, &mut segment, &mut caller, &mut last_id, &mut timing).await;
         let failure = match end {
             SegmentEnd::Complete => {
-                exchange.record_survival();
+                record_end(&exchange, &segment);
                 log_complete(&exchange, &segment.started, &timing);
                 return caller.complete().await;
             }
@@ -218,6 +218,16 @@
     exchange.record_crash(segment.started.in_flight.target());
 }
 
+/// Records what a complete stream shows of its request.
+fn record_end<D: Dialect>(exchange: &Exchange<D>, segment: &Segment) {
+    if segment.has_survived || !segment.started.is_unframed {
+        exchange.record_survival();
+    } else {
+        // Engines that run on end short streams so too.
+        exchange.record_lost_connection(segment.started.in_flight.target());
+    }
+}
+
 /// Migrates a stream to another engine; if that fails, it stays at the current one.
 async fn migrate<D: Dialect>(
     exchange: &mut Exchange<D>,
--- a/crates/daemon/src/gateway/segment.rs
+++ b/crates/daemon/src/gateway/segment.rs
@@ -2,7 +2,6 @@
 
 use base::{ByteCount, MonotonicTime};
 use http_body_util::BodyExt as _;
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use wire::sse::{CompleteEvents, EventSplitter};
 
 use super::exchange::StartedResponse;
@@ -92,15 +91,9 @@
         if self.splitter.is_within_event() {
             return Received::BrokenOff("the stream ended within an event".to_owned());
         }
-        if self.first_event.is_none() && self.is_unframed() {
+        if self.first_event.is_none() && self.started.is_unframed {
             return Received::BrokenOff(NO_EVENT.to_owned());
         }
         Received::End
     }
-
-    /// Returns whether the response ends with its connection, as it does when its endpoint crashes.
-    fn is_unframed(&self) -> bool {
-        let headers = self.started.response.headers();
-        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
-    }
 }
