gateway: planned ends of endpoints are no evidence against their requests

Callers of a sound call that runs longer than endpoints drain were refused for ten minutes once three endpoints had left in turn while they held it. An endpoint that leaves is dropped from the targets, the kept one hears no more announcements, so each connection that it ended was confirmed as a crash; and a call counted however long it had run.

The set of leaving endpoints now holds what this host heard itself beside what the leader tells, and a lost connection is no evidence if its endpoint is in it when the confirmation time has passed, nor is an engine's broken stream. Endpoints whose lease expired without a word still count. A call counts only if it was lost within CALL_CRASH_WINDOW, 3 s, of its sending. Streams have no such limit: their window begins with the first event.

On the code before both new tests failed: call_lost_at_servers_that_left_is_served and call_lost_long_after_it_began_is_served ("assertion failed: request.is_answered(&site, 0, &[])"). Both pass now.

The comment of mark_reachable is back at its function.

--- a/crates/daemon/src/gateway/crash_evidence.rs
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -80,9 +80,14 @@
         suspects.find(|suspect| self.quarantined_since.contains_key(suspect))
     }
 
-    /// Takes the evidence for the next request to the leader.
-    pub(super) fn take_report(&mut self, now: MonotonicTime) -> CrashReport {
-        self.confirm(now);
+    /// Takes the evidence for the next request to the leader; the end of an endpoint that has left
+    /// by itself is none.
+    pub(super) fn take_report(
+        &mut self,
+        now: MonotonicTime,
+        has_left: impl Fn(&Target) -> bool,
+    ) -> CrashReport {
+        self.confirm(now, has_left);
         let quarantined = self.quarantined_since.iter();
         CrashReport {
             crashes: std::mem::take(&mut self.unreported),
@@ -116,13 +121,14 @@
     }
 
     /// Moves lost connections to the report whose endpoints have shown no sign of life since.
-    fn confirm(&mut self, now: MonotonicTime) {
+    fn confirm(&mut self, now: MonotonicTime, has_left: impl Fn(&Target) -> bool) {
         let is_due = |lost: &UnconfirmedCrash| CONFIRMATION_TIME <= now.saturating_since(lost.at);
         let (due, waiting) =
             std::mem::take(&mut self.unconfirmed).into_iter().partition::<Vec<_>, _>(is_due);
         self.unconfirmed = waiting;
         for lost in due {
-            if lost.target.alive_at() <= lost.at + DELIVERY_TIME {
+            let is_alive = lost.at + DELIVERY_TIME < lost.target.alive_at();
+            if !is_alive && !has_left(&lost.target) {
                 self.push(crash(&lost.target, lost.request, lost.parts));
             }
         }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -70,6 +70,9 @@
 /// Time between checks whether an engine's weights are outdated for too long.
 const OUTDATED_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time from the sending of a call in which it may be what crashes its endpoint.
+const CALL_CRASH_WINDOW: Duration = Duration::from_secs(3);
+
 /// Error of an attempt without a response in time.
 const NO_RESPONSE: &str = "no response in time";
 
@@ -259,13 +262,23 @@
         parts.chain(self.fingerprints.iter().map(Suspect::Request))
     }
 
-    /// Records that an engine ended just as it began to answer.
+    /// Records that an engine ended just as it began to answer, unless it has left by itself.
     pub(super) fn record_crash(&self, target: &Target) {
+        if self.gateway.targets.borrow().has_left(target) {
+            return;
+        }
         let mut evidence = self.gateway.crash_evidence.borrow_mut();
         evidence.record_crash(target, self.fingerprints, self.shared_parts().collect());
     }
 
-    /// Records that an endpoint ended the connection before its response was complete.
+    /// Records that an endpoint ended the connection of a call before its response was complete.
+    pub(super) fn record_lost_call(&self, target: &Rc<Target>, sent: &SendRecord) {
+        if self.gateway.clock.now().saturating_since(sent.at) < CALL_CRASH_WINDOW {
+            self.record_lost_connection(target);
+        }
+    }
+
+    /// Records that an endpoint ended the connection of a request that it may just have begun.
     pub(super) fn record_lost_connection(&self, target: &Rc<Target>) {
         let now = self.gateway.clock.now();
         let mut evidence = self.gateway.crash_evidence.borrow_mut();
@@ -478,7 +491,7 @@
                     Err(e) => {
                         // An engine that ends before the head may not have begun to run the request.
                         if self.chain.is_none() && !e.is_parse() {
-                            self.record_lost_connection(target);
+                            self.record_lost_call(target, &sent);
                         }
                         Err(AttemptError::MayHaveRun(format!("no response: {e}")))
                     }
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -4,7 +4,7 @@
 
 use base::{ModelId, MonotonicTime};
 use fleet::{ConfigurationNumber, WeightsHistory};
-use member::{EndpointState, IncarnationKey};
+use member::IncarnationKey;
 use routes::Table;
 use wire::leader::{
     FollowCursor, FollowRequest, LeaderRequest, LeaderResponse, PublishedView, ViewVersion,
@@ -12,7 +12,7 @@
 
 use crate::replica::ReplicaInput;
 
-use super::{Dialect, Gateway};
+use super::{Dialect, Gateway, targets};
 
 /// Longest wait for the leader's response to a poll before the leader counts as lost.
 const FOLLOW_TIMEOUT: Duration = Duration::from_secs(1);
@@ -58,7 +58,10 @@
         let number = gateway.configuration_number();
         let loads = gateway.targets.borrow().sent_loads();
         let reported = gateway.unreported_prompts.borrow_mut().take();
-        let crashes = gateway.crash_evidence.borrow_mut().take_report(sent);
+        let crashes = gateway
+            .crash_evidence
+            .borrow_mut()
+            .take_report(sent, |target| gateway.targets.borrow().has_left(target));
         let request = LeaderRequest::FollowPublished(FollowRequest {
             from: gateway.host.clone(),
             seen: FollowCursor { number, version, next_sent },
@@ -137,10 +140,7 @@
 
     /// Returns the incarnations of endpoints that announced to this host that they leave.
     fn leaving_endpoints(&self) -> Vec<IncarnationKey> {
-        let Some(roster) = self.latest_roster.load() else { return Vec::new() };
-        let leaving =
-            roster.endpoints.iter().filter(|record| record.state == EndpointState::Leaving);
-        leaving.map(|record| IncarnationKey::of(&record.announcement)).collect()
+        self.latest_roster.load().map_or_else(Vec::new, |roster| targets::leaving(&roster))
     }
 
     fn read_table(&self, number: ConfigurationNumber, content: &[u8]) -> Option<Arc<Table>> {
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -283,7 +283,7 @@
     exchange: &Exchange<D>,
     started: StartedResponse,
 ) -> Result<BufferedResponse, FetchError> {
-    let StartedResponse { response, in_flight, is_unframed, .. } = started;
+    let StartedResponse { response, in_flight, sent, is_unframed, .. } = started;
     let (head, body) = response.into_parts();
     match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
         Ok(body) => {
@@ -295,7 +295,7 @@
         }
         Err(e) => {
             if !e.is::<LengthLimitError>() {
-                exchange.record_lost_connection(in_flight.target());
+                exchange.record_lost_call(in_flight.target(), &sent);
             }
             log::info!(request:% = exchange.caller_request.id,
                 fingerprint:% = exchange.fingerprints.with_prompt,
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -209,7 +209,6 @@
         self.suspended_until.set(now + SUSPENSION_PERIOD);
     }
 
-    /// Marks the endpoint reachable.
     /// Records that the endpoint has answered a request of this host.
     pub(super) fn mark_answered(&self, now: MonotonicTime) {
         self.answered_at.set(now);
@@ -220,6 +219,7 @@
         self.answered_at.get().max(self.last_announced_at.get())
     }
 
+    /// Marks the endpoint reachable.
     pub(super) fn mark_reachable(&self) {
         self.unreachable_since.set(None);
     }
@@ -234,7 +234,7 @@
     /// When the loads of other hosts arrived.
     loads_at: MonotonicTime,
     stores: Vec<Store>,
-    /// Incarnations of endpoints that announced to any host that they leave.
+    /// Incarnations of endpoints that announced to this host or another one that they leave.
     leaving_set: LeavingSet,
 }
 
@@ -248,6 +248,7 @@
 impl Targets {
     /// Applies a newer roster.
     pub(super) fn update(&mut self, roster: &Roster) -> TargetChanges {
+        self.leaving_set.record_leaving(roster.at, &leaving(roster));
         let mut usable = usable(&roster.endpoints);
         usable.retain(|id, record| !self.leaving_set.contains(id, record.announcement.incarnation));
         let mut changes = TargetChanges::default();
@@ -358,6 +359,11 @@
         });
     }
 
+    /// Returns whether an endpoint is known to have announced that it leaves; its end is planned.
+    pub(super) fn has_left(&self, target: &Target) -> bool {
+        self.leaving_set.contains(&target.endpoint, target.incarnation)
+    }
+
     /// Sets the stores of cached prompts.
     pub(super) fn set_stores(&mut self, configured: &[KvStore]) {
         self.stores.retain(|known| configured.iter().any(|store| store.address == known.address));
@@ -407,6 +413,12 @@
     }
 }
 
+/// Returns the incarnations of endpoints that announced that they leave.
+pub(super) fn leaving(roster: &Roster) -> Vec<IncarnationKey> {
+    let leaving = roster.endpoints.iter().filter(|record| record.state == EndpointState::Leaving);
+    leaving.map(|record| IncarnationKey::of(&record.announcement)).collect()
+}
+
 /// Returns the ready endpoints.
 ///
 /// Of two endpoints at one address, only the one with the higher incarnation can still run there.
