gateway: a new leader hears of the crashes that the last one knew

After a change of leader before the third crash, a request that crashes endpoints reached three more: hosts reported each crash once, so a new leader knew the quarantines and none of the crashes.

Hosts now keep the crashes that they reported for 60 s, at most 128, and report them again when the term of the leader that answers their polls changes. Evidence is sets of endpoints, so one that a leader hears twice counts once. A crash carries no age: a leader counts it from its arrival, thus a crash counts for a minute longer at most, and one before an answer looks later than it to a new leader. A host that loses leadership forgets its detector's state, which would be stale in a later term.

crashes_before_a_change_of_leader_count failed on the code before ("left: 4, right: 3": the request reached a fourth engine after three crashes, with the leader killed after two).

--- a/crates/daemon/src/gateway/crash_evidence.rs
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -1,8 +1,12 @@
 //! A host's evidence on what crashes endpoints, and what is kept from them.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::Duration,
+};
 
-use base::MonotonicTime;
+use base::{MonotonicTime, Term};
 use member::IncarnationKey;
 use prefix::PartId;
 use quarantine::{Crash, Quarantined, RequestFingerprints, Survivals, Suspect};
@@ -13,6 +17,12 @@
 /// Largest number of crashes that wait to be reported, of those with parts and of the others.
 const MAX_UNREPORTED: usize = 64;
 
+/// Largest number of reported crashes that are kept for the next leader.
+const MAX_REPORTED: usize = 2 * MAX_UNREPORTED;
+
+/// Time for which they are kept; a leader counts them from their arrival.
+const REPORTED_RETENTION: Duration = Duration::from_secs(60);
+
 /// Time after a lost connection in which a sign of life shows that its endpoint has not ended; a
 /// running one's next announcement mostly arrives in it, and an ended one is not back.
 const CONFIRMATION_TIME: Duration = Duration::from_millis(1_500);
@@ -26,10 +36,19 @@
     survivals: Survivals,
     unconfirmed: Vec<UnconfirmedCrash>,
     unreported: Vec<Crash<IncarnationKey>>,
+    /// The crashes that a leader knows, oldest first; the next one needs them too.
+    reported: VecDeque<ReportedCrash>,
+    /// The term of the leader that knows them.
+    term: Term,
     suspects: Vec<Suspect>,
     quarantined_since: BTreeMap<Suspect, MonotonicTime>,
 }
 
+struct ReportedCrash {
+    at: MonotonicTime,
+    crash: Crash<IncarnationKey>,
+}
+
 /// The end of a connection, unless the endpoint only reset it.
 struct UnconfirmedCrash {
     at: MonotonicTime,
@@ -103,8 +122,14 @@
         report.crashes.into_iter().for_each(|crash| self.push(crash));
     }
 
-    /// Applies the leader's findings.
-    pub(super) fn apply_view(&mut self, now: MonotonicTime, view: &PublishedView) {
+    /// Applies the leader's findings in the response to a report.
+    pub(super) fn apply_view(
+        &mut self,
+        now: MonotonicTime,
+        report: CrashReport,
+        view: &PublishedView,
+    ) {
+        self.record_reported(now, report.crashes, view.version.term);
         self.suspects.clone_from(&view.suspects);
         let quarantined = view.quarantined.iter();
         let since: BTreeMap<_, _> =
@@ -120,6 +145,30 @@
         self.quarantined_since = since;
     }
 
+    /// Keeps the crashes that the leader of this term knows now, and reports the earlier ones again
+    /// if it is new.
+    fn record_reported(
+        &mut self,
+        now: MonotonicTime,
+        crashes: Vec<Crash<IncarnationKey>>,
+        term: Term,
+    ) {
+        self.reported.retain(|known| now.saturating_since(known.at) < REPORTED_RETENTION);
+        if std::mem::replace(&mut self.term, term) != term {
+            let earlier: Vec<_> = self.reported.iter().map(|known| known.crash.clone()).collect();
+            earlier.into_iter().for_each(|crash| self.push(crash));
+        }
+        for crash in crashes {
+            if self.reported.iter().any(|known| known.crash == crash) {
+                continue;
+            }
+            if self.reported.len() == MAX_REPORTED {
+                self.reported.pop_front();
+            }
+            self.reported.push_back(ReportedCrash { at: now, crash });
+        }
+    }
+
     /// Moves lost connections to the report whose endpoints have shown no sign of life since.
     fn confirm(&mut self, now: MonotonicTime, has_left: impl Fn(&Target) -> bool) {
         let is_due = |lost: &UnconfirmedCrash| CONFIRMATION_TIME <= now.saturating_since(lost.at);
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -86,7 +86,7 @@
                 log_late_response(now.saturating_since(sent));
                 (version, next_sent) = (view.version, view.next_sent);
                 gateway.targets.borrow_mut().apply_view(now, &loads, &view);
-                gateway.crash_evidence.borrow_mut().apply_view(now, &view);
+                gateway.crash_evidence.borrow_mut().apply_view(now, crashes, &view);
                 gateway.apply_view(sent, &view);
             }
             Ok(other) => {
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -282,6 +282,7 @@
         if self.node.role() != Role::Leader {
             if self.leading.take().is_some() {
                 log::info!(term:% = self.node.term(); "leadership lost");
+                self.followers.clear_crashes();
             }
             // Engine states of a former leader are outdated.
             self.followers.clear_engines();
--- a/crates/daemon/src/replica/followers.rs
+++ b/crates/daemon/src/replica/followers.rs
@@ -156,6 +156,11 @@
         self.engines.clear();
     }
 
+    /// Forgets what crashed endpoints; routers tell it to the next leader.
+    pub(super) fn clear_crashes(&mut self) {
+        self.crash_detector = Detector::default();
+    }
+
     /// Returns the load that all routers report to have placed on endpoints.
     pub(super) fn loads(&mut self, now: MonotonicTime) -> Vec<SentLoad> {
         self.loads.totals(now)
