gateway: what one attempt does is a module of its own; no change of behaviour

The request that an endpoint gets, the wait for its response and the check of it move to exchange/attempt.rs as they are; the request as a whole stays. `describe` takes the HTTP library's error itself.

--- /dev/null
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -0,0 +1,268 @@
+//! One attempt at an endpoint: the request that it gets, and the check of its response.
+
+use std::{rc::Rc, time::Duration};
+
+use base::{MonotonicTime, TokenCount};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body as _, Incoming},
+    header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
+};
+use tokio::time::Instant;
+
+use crate::{
+    gateway::{
+        AttemptHead, Dialect, EngineHead, ResponseHead,
+        placement::{self, Transfers},
+        targets::{InFlight, Target},
+    },
+    net::{self, AbortOnDrop},
+};
+
+use super::{
+    AttemptError, EVENT_TIMEOUT, Exchange, NO_RESPONSE, NOT_STARTED_IN_TIME, SendRecord,
+    StartedResponse, UNREACHABLE, wait_until_unreachable,
+};
+
+/// Longest wait for a connection to an endpoint.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Share of the remaining time that an attempt may take while another one is allowed.
+const ATTEMPT_TIME_SHARE: f64 = 0.5;
+
+/// Shortest timeout of an attempt while another one is allowed.
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time between checks whether an engine's weights are outdated for too long.
+const OUTDATED_POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+impl<D: Dialect> Exchange<D> {
+    /// Sends the request to an endpoint and waits for the head of its response.
+    pub(super) async fn attempt(
+        &mut self,
+        target: &Rc<Target>,
+        resume_after: Option<&str>,
+    ) -> Result<StartedResponse, AttemptError> {
+        let in_flight = InFlight::begin(target, self.uncached_tokens(target));
+        let (source, address) = (self.gateway.source, target.address);
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let connected = net::connect_http(source, address, CONNECT_TIMEOUT.min(left)).await;
+        let connection = connected.map_err(AttemptError::Unreachable)?;
+        let (mut sender, driver) = (connection.sender, AbortOnDrop(connection.driver));
+        target.mark_reachable();
+
+        let transfers = self.transfers(target);
+        let request = self.request(target, resume_after, transfers);
+        if let Some(chain) = &self.chain {
+            self.gateway.record_sent(target, chain, transfers.save_to.is_some());
+        }
+        self.progress.count_sent();
+        let sent = self.send_record(target);
+        let response = self.response(target, sender.send_request(request), sent).await?;
+        let response = self.check_response(target, response)?;
+        let is_unframed = is_unframed(&response);
+        Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
+    }
+
+    /// Waits for the head of the response to a request that is being sent.
+    ///
+    /// An endpoint that doesn't respond is given up only once another one takes over.
+    async fn response(
+        &mut self,
+        target: &Rc<Target>,
+        sending: impl Future<Output = hyper::Result<Response<Incoming>>>,
+        sent: SendRecord,
+    ) -> Result<Response<Incoming>, AttemptError> {
+        tokio::pin!(sending);
+        loop {
+            let why = tokio::select! {
+                biased;
+                response = &mut sending => return match response {
+                    Ok(response) => Ok(response),
+                    Err(e) if e.is_canceled() => {
+                        self.progress.count_not_run();
+                        Err(AttemptError::Unreachable(e.to_string()))
+                    }
+                    Err(e) => {
+                        // An engine that ends before the head may not have begun to run the request.
+                        if self.chain.is_none() && !e.is_parse() {
+                            self.record_lost_call(target, &sent);
+                        }
+                        Err(AttemptError::MayHaveRun(format!("no response: {e}")))
+                    }
+                },
+                () = tokio::time::sleep_until(self.deadline) => return Err(AttemptError::TimedOut),
+                () = self.wait_until_start_overdue(sent.weights) => {
+                    return Err(AttemptError::MayHaveRun(NOT_STARTED_IN_TIME.to_owned()));
+                }
+                why = self.wait_until_suspect(target) => why,
+            };
+            if self.try_replace() {
+                return Err(AttemptError::Replaced(why.to_owned()));
+            }
+        }
+    }
+
+    /// Waits until an endpoint without a response is suspected not to respond at all; returns why.
+    async fn wait_until_suspect(&self, target: &Rc<Target>) -> &'static str {
+        let may_repeat = self.route.retry_policy.may_repeat();
+        tokio::select! {
+            () = tokio::time::sleep_until(self.attempt_deadline()) => NO_RESPONSE,
+            () = wait_until_unreachable(&self.gateway, target, may_repeat) => UNREACHABLE,
+        }
+    }
+
+    fn send_record(&self, target: &Target) -> SendRecord {
+        let (at, weights) = (self.gateway.clock.now(), target.version());
+        SendRecord { at, weights, outdated: self.outdated_for(weights, at) }
+    }
+
+    /// Returns for how long a version of the prompt's weights has not been the newest.
+    pub(in crate::gateway) fn outdated_for(&self, weights: u32, now: MonotonicTime) -> Duration {
+        let newest = self.gateway.active_configuration();
+        let requirements = self.prompt_requirements(&newest);
+        requirements
+            .map_or(Duration::ZERO, |requirements| requirements.weights.outdated_for(weights, now))
+    }
+
+    /// Waits until an engine with these weights may no longer start the request.
+    pub(in crate::gateway) async fn wait_until_start_overdue(&self, weights: u32) {
+        let latest = self.gateway.cfg.max_outdated_at_start();
+        loop {
+            let outdated = self.outdated_for(weights, self.gateway.clock.now());
+            if !outdated.is_zero() && latest <= outdated {
+                return;
+            }
+            tokio::time::sleep(OUTDATED_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Checks that a response belongs to the request, whatever its status.
+    ///
+    /// A refusal without an id is believed, as the connection has carried no other request.
+    fn check_response(
+        &mut self,
+        target: &Target,
+        response: Response<Incoming>,
+    ) -> Result<Response<Incoming>, AttemptError> {
+        let (parts, body) = response.into_parts();
+        let head = self.gateway.dialect.response_head(&parts);
+        let status = parts.status;
+        let request = head.request.as_deref();
+        let is_ours = request == Some(self.caller_request.id.as_str());
+        if head.not_run && (is_ours || request.is_none()) {
+            self.progress.count_not_run();
+            self.handle_refusal(target, status, &head);
+            return Err(AttemptError::Refused(status));
+        }
+        if !is_ours {
+            self.recorder.mismatched_response();
+            let why = "the response belongs to another request".to_owned();
+            return Err(AttemptError::MayHaveRun(why));
+        }
+        if !head.signed {
+            return Err(AttemptError::MayHaveRun(format!("an unsigned response with {status}")));
+        }
+        if let Some(version) = head.weights {
+            target.update_version(version);
+        }
+        target.mark_answered(self.gateway.clock.now());
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Handles a refusal by another process at the address, or by an engine with other weights.
+    fn handle_refusal(&self, target: &Target, status: StatusCode, head: &ResponseHead) {
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        if head.endpoint.as_deref().is_some_and(|there| there != target.endpoint.as_str()) {
+            return target.mark_unreachable(self.gateway.clock.now());
+        }
+        // The engine has unexpected weights; its next heartbeat or the leader reports which.
+        target.suspend(self.gateway.clock.now());
+    }
+
+    /// Returns an attempt's deadline, which leaves time for another attempt if one is allowed.
+    fn attempt_deadline(&self) -> Instant {
+        let repeatable = self.route.retry_policy.may_repeat();
+        if !repeatable || self.route.max_attempts <= self.progress.ran {
+            return self.deadline;
+        }
+        let now = Instant::now();
+        if self.route.retry_policy.is_stream() {
+            return (now + EVENT_TIMEOUT).min(self.deadline);
+        }
+        let left = self.deadline.saturating_duration_since(now);
+        now + left.mul_f64(ATTEMPT_TIME_SHARE).max(MIN_ATTEMPT_TIMEOUT).min(left)
+    }
+
+    fn uncached_tokens(&self, target: &Target) -> TokenCount {
+        let Some(chain) = &self.chain else { return TokenCount::ZERO };
+        let warm = target.warm_tokens(chain).as_u64();
+        TokenCount::new(chain.tokens().as_u64().saturating_sub(warm))
+    }
+
+    fn request(
+        &self,
+        target: &Target,
+        resume_after: Option<&str>,
+        transfers: Transfers,
+    ) -> Request<Full<Bytes>> {
+        let salt = self.salt(target.version());
+        let engine = self.chain.as_ref().map(|_| EngineHead {
+            weights: target.version(),
+            salt: &salt,
+            fetch_from: transfers.fetch_from,
+            save_to: transfers.save_to,
+        });
+        let head = AttemptHead {
+            endpoint: &target.endpoint,
+            organisation: self.organisation.as_ref().map(|organisation| &*organisation.name),
+            deadline: self
+                .caller_deadline
+                .min(self.deadline)
+                .saturating_duration_since(Instant::now()),
+            urgency: self.urgency(),
+            engine,
+            resume_after,
+        };
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = self.gateway.dialect.endpoint_headers(&self.headers, &head);
+        if !req.headers().contains_key(HOST) {
+            req.headers_mut().insert(HOST, net::host_value(target.address));
+        }
+        req
+    }
+
+    /// Returns where the engine may fetch missing shared parts, and where it saves them.
+    fn transfers(&self, target: &Target) -> Transfers {
+        let Some(chain) = &self.chain else { return Transfers::default() };
+        let targets = self.gateway.targets.borrow();
+        placement::transfers(&targets, target, chain, self.gateway.clock.now())
+    }
+
+    /// Returns the cache salt, which separates isolated organisations and versions of the weights.
+    fn salt(&self, weights: u32) -> String {
+        match self.organisation.as_ref().filter(|organisation| organisation.isolated) {
+            Some(organisation) => format!("isolated:{}:{weights}", organisation.name),
+            None => format!("shared:{weights}"),
+        }
+    }
+
+    fn urgency(&self) -> u8 {
+        let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
+        own.unwrap_or(self.route.priority)
+    }
+}
+
+/// Returns whether a response that has just begun ends with its connection.
+fn is_unframed(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    !response.body().is_end_stream()
+        && !headers.contains_key(CONTENT_LENGTH)
+        && !headers.contains_key(TRANSFER_ENCODING)
+}
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -333,7 +333,7 @@
 }
 
 /// Returns an error with its sources.
-fn describe(error: &dyn Error) -> String {
+fn describe(error: &hyper::Error) -> String {
     match error.source() {
         Some(source) => format!("{error}: {source}"),
         None => error.to_string(),
