quarantine: a request is known by its caller's organisation, not by the key

Cause: the fingerprint held the caller's API key. Change: the caller is its organisation, or its key where it has none.

--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -125,7 +125,7 @@
     let body = tokio::time::timeout_at(deadline, read(&active_configuration.table, body)).await;
     let body = body.map_err(|_| Failure::body_timeout(route.timeout))??;
     gateway.count_request(&route);
-    let fingerprints = fingerprints(&head, &caller_request, &body);
+    let fingerprints = fingerprints(&head, &caller_request, organisation.as_deref(), &body);
     let exchange = Exchange {
         chain: caller_request.prompt.as_ref().map(|prompt| chain(prompt, organisation.as_deref())),
         gateway: Rc::clone(gateway),
@@ -165,13 +165,15 @@
 fn fingerprints(
     head: &request::Parts,
     caller_request: &CallerRequest,
+    organisation: Option<&Organisation>,
     body: &[u8],
 ) -> RequestFingerprints {
+    let key = caller_request.key.as_deref().unwrap_or_default();
     let content = RequestContent {
         host: host(head).unwrap_or_default(),
         method: head.method.as_str(),
         path: head.uri.path_and_query().map_or("/", |path| path.as_str()),
-        key: caller_request.key.as_deref().unwrap_or_default(),
+        caller: organisation.map_or(key, |organisation| &organisation.name),
         body,
     };
     let parts = caller_request.prompt.iter().flat_map(|prompt| &prompt.parts);
--- a/crates/quarantine/src/suspect.rs
+++ b/crates/quarantine/src/suspect.rs
@@ -41,8 +41,8 @@
     pub method: &'a str,
     /// The path and the query.
     pub path: &'a str,
-    /// The caller's API key.
-    pub key: &'a str,
+    /// The caller's organisation, or its API key if it has none; keys change.
+    pub caller: &'a str,
     /// The body.
     pub body: &'a [u8],
 }
@@ -66,7 +66,7 @@
             .field(content.host.as_bytes())
             .field(content.method.as_bytes())
             .field(content.path.as_bytes())
-            .field(content.key.as_bytes())
+            .field(content.caller.as_bytes())
             .field(content.body);
         let content = truncated(&hasher);
         for part in parts {
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -351,7 +351,7 @@
         #[test]
         fn $name() {
             let content = RequestContent {
-                host: "a", method: "POST", path: "/x?y=1", key: "k", body: b"body",
+                host: "a", method: "POST", path: "/x?y=1", caller: "k", body: b"body",
             };
             let other = RequestContent { $field: $value, ..content };
             let parts = || [SYSTEM, BAD].into_iter();
@@ -369,13 +369,13 @@
     other_hosts_differ: host = "b",
     other_methods_differ: method = "GET",
     other_queries_differ: path = "/x?y=2",
-    other_callers_differ: key = "l",
+    other_callers_differ: caller = "l",
     other_bodies_differ: body = b"",
 }
 
 #[test]
 fn prompt_changes_one_of_the_fingerprints() {
-    let content = RequestContent { host: "a", method: "GET", path: "/", key: "k", body: b"" };
+    let content = RequestContent { host: "a", method: "GET", path: "/", caller: "k", body: b"" };
     let without = RequestFingerprints::new(&content, std::iter::empty());
     let with = RequestFingerprints::new(&content, std::iter::once(BAD));
     assert_eq!(without.content, without.with_prompt);
