gateway: a limit that an endpoint states is decoded, logged and counted

No change of behaviour: nothing that a host wrote told whether it had heard an endpoint's limit, so the hypotheses on the exceeded limit could not be told apart.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -19,6 +19,7 @@
 mod id;
 mod number;
 mod parse;
+mod rate;
 mod time;
 mod verdict;
 
@@ -33,6 +34,7 @@
         TokenCount, TokenIndex, TokenRate,
     },
     parse::ParseError,
+    rate::RequestRate,
     time::{MonotonicTime, UnixMillis},
     verdict::Verdict,
 };
--- a/crates/base/tests/text.rs
+++ b/crates/base/tests/text.rs
@@ -1,6 +1,6 @@
 //! Text forms of identifiers, numbers, digests and verdicts.
 
-use base::{Digest, EndpointId, LogIndex, ParseError, Verdict};
+use base::{Digest, EndpointId, LogIndex, ParseError, RequestRate, Verdict};
 use proptest::{
     prelude::{ProptestConfig, any, prop_assert_eq, proptest},
     test_runner::RngSeed,
@@ -37,6 +37,7 @@
 round_trips! {
     id_round_trips: EndpointId = "tas-a/engine_3.1",
     number_round_trips: LogIndex = "18446744073709551615",
+    rate_round_trips: RequestRate = "2.25",
     not_run_round_trips: Verdict = "not-run",
     may_have_run_round_trips: Verdict = "may-have-run",
     ran_round_trips: Verdict = "ran",
--- a/crates/daemon/src/gateway/dialect.rs
+++ b/crates/daemon/src/gateway/dialect.rs
@@ -12,6 +12,7 @@
 };
 use member::Announcement;
 use prefix::{Part, PartId};
+use route::EndpointNotice;
 use routes::Table;
 
 /// Wire formats of a deployment's callers, endpoints and operators.
@@ -164,7 +165,7 @@
 }
 
 /// The metadata in the head of an endpoint's response, apart from its status.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// The id of the request that the response belongs to.
     pub request: Option<String>,
@@ -176,6 +177,8 @@
     pub not_run: bool,
     /// The version of the weights that produced the response.
     pub weights: Option<u32>,
+    /// What the endpoint states about itself.
+    pub notice: EndpointNotice,
 }
 
 /// A control request of an operator or an endpoint.
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -10,6 +10,7 @@
     body::{Body as _, Incoming},
     header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
 };
+use route::EndpointNotice;
 use tokio::time::Instant;
 
 use crate::{
@@ -169,9 +170,29 @@
             target.update_version(version);
         }
         target.mark_answered(self.gateway.clock.now());
+        self.record_notice(target, &head.notice);
         Ok(Response::from_parts(parts, body))
     }
 
+    /// Records what the endpoint states about itself.
+    fn record_notice(&self, target: &Target, notice: &EndpointNotice) {
+        if !target.update_stated_limit(notice.limit) {
+            return;
+        }
+        let (request, endpoint) = (&self.caller_request.id, &target.endpoint);
+        match notice.limit {
+            Some(limit) => {
+                self.gateway.metrics.endpoint_limit_stated();
+                log::info!(endpoint:%, incarnation:% = target.incarnation, request:%, limit:%;
+                    "endpoint stated a request limit");
+            }
+            None => {
+                log::info!(endpoint:%, incarnation:% = target.incarnation, request:%;
+                    "endpoint lifted its request limit");
+            }
+        }
+    }
+
     /// Handles a refusal by another process at the address, or by an engine with other weights.
     fn handle_refusal(&self, target: &Target, status: StatusCode, head: &ResponseHead) {
         if status != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -8,7 +8,10 @@
     time::Duration,
 };
 
-use base::{DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, ServiceId, TokenCount};
+use base::{
+    DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, RequestRate, ServiceId,
+    TokenCount,
+};
 use fleet::ReceivedEngineUpdates;
 use member::{
     Announcement, EndpointKind, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster,
@@ -63,6 +66,8 @@
     suspended_until: Cell<MonotonicTime>,
     /// Load that other routers have placed on the endpoint.
     other_load: Cell<SentLoad>,
+    /// The limit on requests that it stated last.
+    stated_limit: Cell<Option<RequestRate>>,
 }
 
 /// A store of cached prompts, with an estimate of its contents.
@@ -133,6 +138,7 @@
             unreachable_since: Cell::new(None),
             suspended_until: Cell::new(MonotonicTime::ZERO),
             other_load: Cell::default(),
+            stated_limit: Cell::default(),
         }
     }
 
@@ -219,6 +225,11 @@
         self.answered_at.get().max(self.last_announced_at.get())
     }
 
+    /// Records the limit on requests that it states; returns whether that has changed.
+    pub(super) fn update_stated_limit(&self, limit: Option<RequestRate>) -> bool {
+        self.stated_limit.replace(limit) != limit
+    }
+
     /// Marks the endpoint reachable.
     pub(super) fn mark_reachable(&self) {
         self.unreachable_since.set(None);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -41,6 +41,8 @@
 mod settings;
 mod signals;
 
+pub use route::EndpointNotice;
+
 pub use crate::{
     edge::ServerExit,
     gateway::{
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -30,6 +30,7 @@
 mod hedge;
 mod kind;
 mod load_aggregator;
+mod notice;
 mod outlier;
 mod policy;
 mod retry;
@@ -48,6 +49,7 @@
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
     kind::{AnyPolicy, PolicyKind},
     load_aggregator::{EndpointKey, LoadAggregator, SentLoad},
+    notice::EndpointNotice,
     outlier::{EjectionChange, EjectionState, Outcome, OutlierDetector, OutlierSettings},
     policy::{Candidate, Policy, Request},
     retry::{Backoff, BudgetSettings, RetryBudget},
--- a/crates/telemetry/src/instruments.rs
+++ b/crates/telemetry/src/instruments.rs
@@ -27,6 +27,7 @@
     pub(crate) resumes: Counter<u64>,
     pub(crate) claims: Counter<u64>,
     pub(crate) connections_cut: Counter<u64>,
+    pub(crate) endpoint_limits_stated: Counter<u64>,
     pub(crate) gossip_bytes: Counter<u64>,
     pub(crate) revision: Gauge<u64>,
     pub(crate) quorum_role: Gauge<u64>,
@@ -69,6 +70,10 @@
                 "connections_cut",
                 "Connections of callers that ended while a response was due.",
             ),
+            endpoint_limits_stated: count(
+                "endpoint_limits_stated",
+                "Limits on requests that endpoints began to state, or changed.",
+            ),
             gossip_bytes: count("gossip_bytes", "Bytes of gossip by direction."),
             revision: gauge("configuration_revision", "Revision of the configuration in force."),
             quorum_role: gauge("quorum_role", "1 for the role held, 0 for the others."),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -120,6 +120,11 @@
         self.instruments.connections_cut.add(1, &[]);
     }
 
+    /// Counts a limit on requests that an endpoint began to state, or changed.
+    pub fn endpoint_limit_stated(&self) {
+        self.instruments.endpoint_limits_stated.add(1, &[]);
+    }
+
     /// Counts gossip bytes sent.
     pub fn gossip_sent(&self, bytes: ByteCount) {
         self.instruments.gossip_bytes.add(bytes.as_u64(), &self.sent);
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -26,6 +26,7 @@
     recorder.verdict(Verdict::MayHaveRun);
     recorder.refusal(Refusal::NoQuorum);
     metrics.connection_cut();
+    metrics.endpoint_limit_stated();
     metrics.set_configuration_revision(Revision::new(7));
     metrics.set_quorum_state(QuorumRole::Leader, Term::new(3));
     let cases = [
@@ -36,6 +37,7 @@
         (r#"verdicts_total{organisation="org-0",verdict="may-have-run"}"#, 1.0),
         (r#"refusals_total{organisation="org-0",reason="no-quorum"}"#, 1.0),
         ("connections_cut_total", 1.0),
+        ("endpoint_limits_stated_total", 1.0),
         ("configuration_revision", 7.0),
         (r#"quorum_role{role="leader"}"#, 1.0),
         (r#"quorum_role{role="follower"}"#, 0.0),
