gateway: hosts divide the limit that an endpoint states among them

Cause: no host read what an endpoint states about itself in its responses, so arrivals stayed the same before and after (hypothesis 1; no line of a log and no count of arrivals changed at the second at which the limit was stated).

Each host that reads a limit now takes an even part of it, one permission an interval from a random phase; an unused one is lost after 1 s. An endpoint without a permission left is absent from the choice, a limit that was read between the choice and the sending withholds the request, and where all endpoints are limited the request is refused at once with the shortest wait.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -19,7 +19,7 @@
     CallerRequest, Dialect, Gateway, Prompt,
     follow::{ActiveConfiguration, NO_DESIRED_WEIGHTS},
     placement::{NoTarget, PromptRequirements, Requirements},
-    targets::{InFlight, Target},
+    targets::{InFlight, SendPermit, Target},
 };
 
 /// Most endpoints that are tried for a request, reachable or not.
@@ -135,6 +135,8 @@
 enum AttemptError {
     /// The endpoint was unreachable.
     Unreachable(String),
+    /// The endpoint stated a limit meanwhile that allows no request; none was sent.
+    Limited,
     /// The endpoint reported that it has not run the request.
     Refused(StatusCode),
     /// The request may have run.
@@ -158,8 +160,8 @@
     ) -> Result<StartedResponse, Failure> {
         loop {
             self.check_quarantine()?;
-            let target = self.choose_or_wait().await?;
-            match self.attempt(&target, resume_after).await {
+            let (target, permit) = self.choose_or_wait().await?;
+            match self.attempt(&target, permit, resume_after).await {
                 Ok(started) => return Ok(started),
                 Err(error) => self.handle_attempt_error(&target, error)?,
             }
@@ -304,6 +306,13 @@
                 }
                 (why, false)
             }
+            AttemptError::Limited => {
+                log::info!(request:%, endpoint:%; "request withheld, endpoint stated a limit");
+                if self.progress.tried.len() < MAX_ENDPOINTS_TRIED {
+                    return Ok(());
+                }
+                ("the endpoint's stated limit allows no request".to_owned(), false)
+            }
             AttemptError::Refused(status) => {
                 log::info!(request:%, endpoint:%, status = status.as_u16();
                     "request refused by endpoint");
@@ -339,10 +348,9 @@
     }
 
     /// Rejects a request for lack of capacity, with a `Retry-After` that spreads the retries.
-    fn overloaded(&self, wait: Duration) -> Failure {
+    fn rejected_for(&self, why: &str, wait: Duration) -> Failure {
         let wait = wait.max(MIN_OVERLOAD_RETRY_AFTER).mul_f64(1.0 + self.service_draw());
-        let why = "no engine could respond in time".to_owned();
-        let mut failure = self.failure(why, false);
+        let mut failure = self.failure(why.to_owned(), false);
         if failure.retry_after.is_some() {
             failure.retry_after = Some(wait);
         }
@@ -350,18 +358,20 @@
     }
 
     /// Chooses an endpoint, and waits briefly while none is available.
-    async fn choose_or_wait(&mut self) -> Result<Rc<Target>, Failure> {
+    async fn choose_or_wait(&mut self) -> Result<(Rc<Target>, SendPermit), Failure> {
         let until = (Instant::now() + MAX_ENDPOINT_WAIT).min(self.deadline);
         loop {
-            match self.choose() {
-                Ok(target) => {
+            match self.choose_permitted() {
+                Ok((target, permit)) => {
                     self.progress.tried.push(target.endpoint.clone());
-                    return Ok(target);
+                    return Ok((target, permit));
                 }
                 Err(why) if self.may_recover_soon(why) && Instant::now() < until => {
                     tokio::time::sleep(ENDPOINT_POLL_INTERVAL).await;
                 }
-                Err(NoTarget::Overloaded(wait)) => return Err(self.overloaded(wait)),
+                Err(why @ (NoTarget::Overloaded(wait) | NoTarget::Limited(wait))) => {
+                    return Err(self.rejected_for(no_target_message(why), wait));
+                }
                 Err(why) => return Err(self.failure(no_target_message(why).to_owned(), false)),
             }
         }
@@ -372,10 +382,24 @@
         match why {
             NoTarget::TemporarilyUnavailable => true,
             NoTarget::Unknown | NoTarget::Overloaded(_) => self.gateway.is_starting(),
-            NoTarget::AllTried => false,
+            NoTarget::AllTried | NoTarget::Limited(_) => false,
         }
     }
 
+    /// Chooses an endpoint and takes the permission to send it a request.
+    fn choose_permitted(&self) -> Result<(Rc<Target>, SendPermit), NoTarget> {
+        let target = self.choose()?;
+        let permit = self.try_permit(&target);
+        // The choice has just found a permission.
+        let permit = permit.ok_or(NoTarget::TemporarilyUnavailable)?;
+        Ok((target, permit))
+    }
+
+    fn try_permit(&self, target: &Target) -> Option<SendPermit> {
+        let gateway = &self.gateway;
+        target.try_permit(gateway.clock.now(), gateway.router_count.get())
+    }
+
     fn choose(&self) -> Result<Rc<Target>, NoTarget> {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
@@ -398,6 +422,7 @@
                 .route
                 .objective
                 .saturating_sub(now.saturating_since(self.arrived)),
+            router_count: gateway.router_count.get(),
         };
         gateway.choose(&requirements)
     }
@@ -449,6 +474,7 @@
     match why {
         NoTarget::Unknown => "the service has no known endpoint",
         NoTarget::Overloaded(_) => "no engine could respond in time",
+        NoTarget::Limited(_) => "the endpoints' stated limits allow no request at present",
         NoTarget::TemporarilyUnavailable => "no endpoint of the service is available at present",
         NoTarget::AllTried => "no endpoint of the service accepted the request",
     }
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -10,14 +10,14 @@
     body::{Body as _, Incoming},
     header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
 };
-use route::EndpointNotice;
+use route::{EndpointNotice, LimitChange, LimitResponse};
 use tokio::time::Instant;
 
 use crate::{
     gateway::{
         AttemptHead, Dialect, EngineHead, ResponseHead,
         placement::{self, Transfers},
-        targets::{InFlight, Target},
+        targets::{InFlight, SendPermit, Target},
     },
     net::{self, AbortOnDrop},
 };
@@ -44,6 +44,7 @@
     pub(super) async fn attempt(
         &mut self,
         target: &Rc<Target>,
+        permit: SendPermit,
         resume_after: Option<&str>,
     ) -> Result<StartedResponse, AttemptError> {
         let in_flight = InFlight::begin(target, self.uncached_tokens(target));
@@ -53,6 +54,10 @@
         let connection = connected.map_err(AttemptError::Unreachable)?;
         let (mut sender, driver) = (connection.sender, AbortOnDrop(connection.driver));
         target.mark_reachable();
+        // The endpoint may have stated a limit since it was chosen.
+        if permit == SendPermit::Unlimited && self.try_permit(target).is_none() {
+            return Err(AttemptError::Limited);
+        }
 
         let transfers = self.transfers(target);
         let request = self.request(target, resume_after, transfers);
@@ -62,7 +67,7 @@
         self.progress.count_sent();
         let sent = self.send_record(target);
         let response = self.response(target, sender.send_request(request), sent).await?;
-        let response = self.check_response(target, response)?;
+        let response = self.check_response(target, &sent, response)?;
         let is_unframed = is_unframed(&response);
         Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
     }
@@ -146,6 +151,7 @@
     fn check_response(
         &mut self,
         target: &Target,
+        sent: &SendRecord,
         response: Response<Incoming>,
     ) -> Result<Response<Incoming>, AttemptError> {
         let (parts, body) = response.into_parts();
@@ -155,7 +161,7 @@
         let is_ours = request == Some(self.caller_request.id.as_str());
         if head.not_run && (is_ours || request.is_none()) {
             self.progress.count_not_run();
-            self.handle_refusal(target, status, &head);
+            self.handle_refusal(target, sent, status, &head);
             return Err(AttemptError::Refused(status));
         }
         if !is_ours {
@@ -170,23 +176,25 @@
             target.update_version(version);
         }
         target.mark_answered(self.gateway.clock.now());
-        self.record_notice(target, &head.notice);
+        self.record_notice(target, sent, head.notice);
         Ok(Response::from_parts(parts, body))
     }
 
-    /// Records what the endpoint states about itself.
-    fn record_notice(&self, target: &Target, notice: &EndpointNotice) {
-        if !target.update_stated_limit(notice.limit) {
-            return;
-        }
+    /// Records what the endpoint states about itself in the response to a request.
+    fn record_notice(&self, target: &Target, sent: &SendRecord, notice: EndpointNotice) {
+        let gateway = &self.gateway;
+        let (routers, phase) = (gateway.router_count.get(), gateway.random_share());
+        let received = gateway.clock.now();
+        let response = LimitResponse { limit: notice.limit, sent: sent.at, received };
         let (request, endpoint) = (&self.caller_request.id, &target.endpoint);
-        match notice.limit {
-            Some(limit) => {
-                self.gateway.metrics.endpoint_limit_stated();
-                log::info!(endpoint:%, incarnation:% = target.incarnation, request:%, limit:%;
+        match target.record_limit(&response, routers, phase) {
+            None => {}
+            Some(LimitChange::Stated(limit)) => {
+                gateway.metrics.endpoint_limit_stated();
+                log::info!(endpoint:%, incarnation:% = target.incarnation, request:%, limit:%, routers;
                     "endpoint stated a request limit");
             }
-            None => {
+            Some(LimitChange::Lifted) => {
                 log::info!(endpoint:%, incarnation:% = target.incarnation, request:%;
                     "endpoint lifted its request limit");
             }
@@ -194,12 +202,25 @@
     }
 
     /// Handles a refusal by another process at the address, or by an engine with other weights.
-    fn handle_refusal(&self, target: &Target, status: StatusCode, head: &ResponseHead) {
-        if status != StatusCode::MISDIRECTED_REQUEST {
+    fn handle_refusal(
+        &self,
+        target: &Target,
+        sent: &SendRecord,
+        status: StatusCode,
+        head: &ResponseHead,
+    ) {
+        if head.endpoint.as_deref().is_some_and(|there| there != target.endpoint.as_str()) {
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                target.mark_unreachable(self.gateway.clock.now());
+            }
             return;
         }
-        if head.endpoint.as_deref().is_some_and(|there| there != target.endpoint.as_str()) {
-            return target.mark_unreachable(self.gateway.clock.now());
+        // Only a signed response shows that an endpoint states no limit any more.
+        if head.notice.limit.is_some() {
+            self.record_notice(target, sent, head.notice);
+        }
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            return;
         }
         // The engine has unexpected weights; its next heartbeat or the leader reports which.
         target.suspend(self.gateway.clock.now());
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -35,7 +35,7 @@
 use fleet::LeaderSighting;
 use member::Roster;
 use prefix::{PartChain, SentPrompt, UnreportedPrompts};
-use rand::SeedableRng as _;
+use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use route::{BudgetSettings, EngineSpeed, RetryBudget, Warm, WarmSettings};
 use routes::{Organisation, Route, Table};
@@ -144,7 +144,7 @@
     crash_evidence: RefCell<CrashEvidence>,
     /// Timestamp of the latest roster.
     roster_updated_at: Cell<MonotonicTime>,
-    /// Number of hosts that share the fleet's retry budget.
+    /// Number of hosts that share the fleet's retry budget and the limits that endpoints state.
     router_count: Cell<u32>,
     budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
     warm: RefCell<Warm>,
@@ -220,6 +220,11 @@
         placement::choose(&self.targets.borrow(), requirements, &mut warm, &mut *rng)
     }
 
+    /// Returns a random number from 0 to 1.
+    fn random_share(&self) -> f64 {
+        self.rng.borrow_mut().random_range(0.0..1.0)
+    }
+
     /// Records that an engine prefills a prompt, and queues the record for the other hosts.
     fn record_sent(&self, target: &Target, chain: &PartChain, saved: bool) {
         let (now, weights) = (self.clock.now(), target.version());
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -65,6 +65,8 @@
     pub body: ByteCount,
     /// Remaining time of the objective for the first event.
     pub first_event_objective: Duration,
+    /// Number of hosts that share the limits that endpoints state.
+    pub router_count: u32,
 }
 
 /// Requirements of a prompt on its engine.
@@ -88,6 +90,8 @@
     AllTried,
     /// No engine could respond in time; there should be capacity after this time.
     Overloaded(Duration),
+    /// Each endpoint states a limit, and this host may send a request after this time.
+    Limited(Duration),
 }
 
 /// Chooses the endpoint for a request.
@@ -110,10 +114,11 @@
         return Err(NoTarget::AllTried);
     }
     let fit: Vec<_> = untried.into_iter().filter(|target| requirements.fits(target)).collect();
+    let permitted = permitted(fit, requirements)?;
     let reachable: Vec<_> =
-        fit.iter().copied().filter(|target| !target.is_avoided(requirements.now)).collect();
+        permitted.iter().copied().filter(|target| !target.is_avoided(requirements.now)).collect();
     // If all are avoided, an attempt costs less than a rejection.
-    let usable = if reachable.is_empty() { fit } else { reachable };
+    let usable = if reachable.is_empty() { permitted } else { reachable };
     let chosen = match &requirements.prompt {
         Some(prompt) => choose_for_prompt(targets, &usable, requirements, prompt, warm, rng)?,
         None => least_loaded(&usable, requirements, rng),
@@ -121,6 +126,18 @@
     chosen.map(Rc::clone).ok_or(NoTarget::TemporarilyUnavailable)
 }
 
+/// Returns the endpoints whose stated limits allow a request now.
+fn permitted<'a>(
+    fit: Vec<&'a Rc<Target>>,
+    requirements: &Requirements<'_>,
+) -> Result<Vec<&'a Rc<Target>>, NoTarget> {
+    let wait = |target: &Rc<Target>| target.limit_wait(requirements.now, requirements.router_count);
+    match fit.iter().map(|target| wait(target)).min() {
+        Some(shortest) if !shortest.is_zero() => Err(NoTarget::Limited(shortest)),
+        _ => Ok(fit.into_iter().filter(|target| wait(target).is_zero()).collect()),
+    }
+}
+
 impl Requirements<'_> {
     fn fits(&self, target: &Target) -> bool {
         if self.max_connections <= target.load().requests {
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -8,16 +8,13 @@
     time::Duration,
 };
 
-use base::{
-    DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, RequestRate, ServiceId,
-    TokenCount,
-};
+use base::{DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, ServiceId, TokenCount};
 use fleet::ReceivedEngineUpdates;
 use member::{
     Announcement, EndpointKind, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster,
 };
 use prefix::{PartCacheModel, PartChain, SentPrompt, rank_by_name};
-use route::{EndpointKey, InFlightLoad, SentLoad};
+use route::{EndpointKey, InFlightLoad, LimitChange, LimitResponse, SentLoad, StatedLimit};
 use routes::KvStore;
 use wire::leader::PublishedView;
 
@@ -38,6 +35,15 @@
 /// Assumed KV capacity of an engine in tokens, until a configuration sets it.
 const DEFAULT_KV_TOKENS: TokenCount = TokenCount::new(60_000);
 
+/// The permission to send a request to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SendPermit {
+    /// The endpoint stated no limit when the permission was given.
+    Unlimited,
+    /// The request counts against the limit that the endpoint states.
+    Counted,
+}
+
 /// An endpoint with its state at this host.
 pub(super) struct Target {
     pub endpoint: EndpointId,
@@ -66,8 +72,8 @@
     suspended_until: Cell<MonotonicTime>,
     /// Load that other routers have placed on the endpoint.
     other_load: Cell<SentLoad>,
-    /// The limit on requests that it stated last.
-    stated_limit: Cell<Option<RequestRate>>,
+    /// The limit on requests that it states.
+    limit: Cell<StatedLimit>,
 }
 
 /// A store of cached prompts, with an estimate of its contents.
@@ -138,7 +144,7 @@
             unreachable_since: Cell::new(None),
             suspended_until: Cell::new(MonotonicTime::ZERO),
             other_load: Cell::default(),
-            stated_limit: Cell::default(),
+            limit: Cell::default(),
         }
     }
 
@@ -225,9 +231,32 @@
         self.answered_at.get().max(self.last_announced_at.get())
     }
 
-    /// Records the limit on requests that it states; returns whether that has changed.
-    pub(super) fn update_stated_limit(&self, limit: Option<RequestRate>) -> bool {
-        self.stated_limit.replace(limit) != limit
+    /// Applies the limit that a response states for all routers, or none, as [`StatedLimit::record`].
+    pub(super) fn record_limit(
+        &self,
+        response: &LimitResponse,
+        routers: u32,
+        phase: f64,
+    ) -> Option<LimitChange> {
+        let mut limit = self.limit.get();
+        let change = limit.record(response, routers, phase);
+        self.limit.set(limit);
+        change
+    }
+
+    /// Returns the time until the limit that it states allows a request of this host.
+    pub(super) fn limit_wait(&self, now: MonotonicTime, routers: u32) -> Duration {
+        self.limit.get().wait(now, routers)
+    }
+
+    /// Takes the permission for a request to it, if the limit that it states allows one.
+    pub(super) fn try_permit(&self, now: MonotonicTime, routers: u32) -> Option<SendPermit> {
+        let mut limit = self.limit.get();
+        if !limit.try_take(now, routers) {
+            return None;
+        }
+        self.limit.set(limit);
+        Some(if limit.is_active() { SendPermit::Counted } else { SendPermit::Unlimited })
     }
 
     /// Marks the endpoint reachable.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! [`Admission`] shares the capacity found by [`CapacityEstimator`] among organisations.
 //! [`OutlierDetector`] ejects endpoints that fail or are slow. [`RetryBudget`], [`Backoff`] and
-//! [`Hedge`] limit retries and hedged requests.
+//! [`Hedge`] limit retries and hedged requests. [`StatedLimit`] is a router's part of the rate that an
+//! endpoint accepts from all of them.
 //!
 //! # Example
 //!
@@ -34,6 +35,7 @@
 mod outlier;
 mod policy;
 mod retry;
+mod stated_limit;
 mod ticket;
 mod transfer;
 mod warm;
@@ -53,6 +55,7 @@
     outlier::{EjectionChange, EjectionState, Outcome, OutlierDetector, OutlierSettings},
     policy::{Candidate, Policy, Request},
     retry::{Backoff, BudgetSettings, RetryBudget},
+    stated_limit::{LimitChange, LimitResponse, StatedLimit},
     ticket::{Action, Arrival, Decision, Priority, Refusal, RefusalReason, Ticket},
     transfer::{Source, TransferSettings, choose_source},
     warm::{Warm, WarmSettings},
