--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -122,7 +122,8 @@
     *recorder = gateway.recorder(organisation.as_deref());
     let caller_deadline = started + caller_request.deadline.unwrap_or(DEFAULT_DEADLINE);
     let deadline = caller_deadline.min(started + route.timeout);
-    let body = tokio::time::timeout_at(deadline, read(&active_configuration.table, body)).await;
+    let reading = read(&active_configuration.table, body);
+    let body = gateway.stop_time.run_until(deadline, reading).await;
     let body = body.map_err(|_| Failure::body_timeout(route.timeout))??;
     gateway.count_request(&route);
     let fingerprints = fingerprints(&head, &caller_request, organisation.as_deref(), &body);
@@ -230,10 +231,10 @@
 async fn buffered_response<D: Dialect>(
     mut exchange: Exchange<D>,
 ) -> Result<BufferedResponse, Failure> {
-    let deadline = exchange.deadline;
+    let (gateway, deadline) = (Rc::clone(&exchange.gateway), exchange.deadline);
     let mut failed: Option<BufferedResponse> = None;
     loop {
-        let fetched = tokio::time::timeout_at(deadline, fetch(&mut exchange)).await;
+        let fetched = gateway.stop_time.run_until(deadline, fetch(&mut exchange)).await;
         let fetched = fetched.unwrap_or_else(|_| Err(FetchError::Failed(timed_out(&exchange))));
         match fetched {
             Ok(response) if response.head.status.is_server_error() && exchange.try_repeat() => {
@@ -312,11 +313,12 @@
     mut exchange: Exchange<D>,
     active: ActiveRequest,
 ) -> Result<Response<Body>, Failure> {
-    let deadline = exchange.deadline;
-    let opening = tokio::time::timeout_at(deadline, exchange.open(None)).await;
+    let (gateway, deadline) = (Rc::clone(&exchange.gateway), exchange.deadline);
+    let opening = gateway.stop_time.run_until(deadline, exchange.open(None)).await;
     let started = opening.unwrap_or_else(|_| Err(timed_out(&exchange)))?;
     if started.response.status() != StatusCode::OK {
-        let collected = tokio::time::timeout_at(deadline, collect(&exchange, started)).await;
+        let collecting = collect(&exchange, started);
+        let collected = gateway.stop_time.run_until(deadline, collecting).await;
         let response = collected.unwrap_or_else(|_| Err(FetchError::Failed(timed_out(&exchange))));
         let response = response.map_err(FetchError::into_failure)?;
         log_completed(&exchange, response.head.status);
--- a/crates/daemon/src/gateway/listen.rs
+++ b/crates/daemon/src/gateway/listen.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode};
 use telemetry::Metrics;
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{net::TcpListener, sync::watch, time::Instant};
 
 use crate::{
     edge::{ServerCommand, ServerExit},
@@ -147,6 +147,8 @@
 impl<D: Dialect> Drain for Gateway<D> {
     fn leave(&self) {
         self.is_draining.set(true);
+        let time_left = self.drain_notice + self.cfg.drain_limit(self.drain_notice);
+        self.stop_time.set_process_end(Instant::now() + time_left);
     }
 
     fn is_idle(&self) -> bool {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod relay;
 mod segment;
 mod settings;
+mod stop;
 mod targets;
 mod weights;
 
@@ -52,6 +53,7 @@
 use crash_evidence::CrashEvidence;
 use follow::ActiveConfiguration;
 use placement::{NoTarget, Requirements};
+use stop::StopTime;
 use targets::{Target, Targets};
 
 pub use dialect::{
@@ -153,6 +155,7 @@
     connections: Cell<u64>,
     /// Whether responses close their connections, so that callers use other hosts.
     is_draining: Cell<bool>,
+    stop_time: StopTime,
     leader: LeaderClient,
     roster_input: flume::Sender<RosterInput>,
     latest_roster: LatestRoster,
@@ -206,6 +209,7 @@
             active_requests: Rc::default(),
             connections: Cell::new(0),
             is_draining: Cell::new(false),
+            stop_time: StopTime::default(),
             leader: channels.leader.clone(),
             roster_input: channels.roster.clone(),
             latest_roster: channels.latest.clone(),
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -304,7 +304,8 @@
     exchange: &mut Exchange<D>,
     last_id: Option<&str>,
 ) -> Result<StartedResponse, String> {
-    let opening = tokio::time::timeout_at(exchange.deadline, exchange.open(last_id)).await;
+    let (gateway, deadline) = (Rc::clone(&exchange.gateway), exchange.deadline);
+    let opening = gateway.stop_time.run_until(deadline, exchange.open(last_id)).await;
     let started = opening.map_err(|_| "no endpoint resumed in time".to_owned())?;
     let started = started.map_err(|failure| failure.detail)?;
     match started.response.status() {
@@ -346,6 +347,9 @@
             () = exchange.wait_until_start_overdue(weights), if !has_started => {
                 return SegmentEnd::Cancelled(exchange::NOT_STARTED_IN_TIME.to_owned());
             }
+            () = exchange.gateway.stop_time.passed(), if !caller.has_begun() => {
+                return SegmentEnd::TimedOut;
+            }
             () = unreachable => {
                 return SegmentEnd::Stalled(exchange::UNREACHABLE.to_owned());
             }
