quorum: a pre-vote counts though its voter missed the latest term

Cause: a voter that grants a pre-vote keeps its term, so its reply bears an older one, and a candidate dropped replies of older terms as those of a stale leader. A voter learns of the term when it campaigns itself, but one that is not yet in its own log's voters never does. The final state of the case shows it: two candidates at term 4 with the same log, and the voter whose support both lack at term 3, its own log without the change that made it a voter.

A reply to a pre-vote is now matched by its campaign alone; the votes of the election itself are as before, so nothing that safety rests on has changed.

new_voter_that_missed_a_term_supports_a_candidate: no leader before.

--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Action, Body, CommittedVoters, Config, Entry, FolderId, HardState, Input, Message, Refusal,
-    Registration, RestoredState, Role, Status, VoterSet, Write,
+    Registration, RestoredState, Role, Status, VoteKind, VoterSet, Write,
     election::Campaign,
     follower::{IncomingSnapshot, SnapshotChunk},
     leader::LeaderState,
@@ -190,6 +190,12 @@
             }
             return self.handle_vote(sender, campaign, vote_kind, candidate, actions);
         }
+        if let Body::VoteReply { campaign, vote_kind: VoteKind::PreVote, granted } = body
+            && term <= self.hard.term
+        {
+            // A voter keeps its term when it grants a pre-vote, and may have missed the latest one.
+            return self.handle_vote_reply(sender, campaign, VoteKind::PreVote, granted, actions);
+        }
         if term < self.hard.term {
             return self.reject_stale_leader(from, &body, actions);
         }
