gateway: an endpoint that states that it leaves gets no more requests

A response that tells of its endpoint was read for its request only; hosts learnt of leaving endpoints by announcements alone, which may be late, or say nothing of it.

The host that reads the head takes that incarnation out of its targets before the head is passed on, so no request, retry, resumed stream, transfer or load of weights picks it; a request that had chosen it and not yet been sent goes elsewhere. It reports it to the leader with those whose leaving was announced, and all others follow. No announcement brings the incarnation back; the entry ends with it, and a new incarnation at the address gets requests. The counter of notices now has a label for what was stated.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -135,8 +135,8 @@
 enum AttemptError {
     /// The endpoint was unreachable.
     Unreachable(String),
-    /// The endpoint stated a limit meanwhile that allows no request; none was sent.
-    Limited,
+    /// The endpoint stated meanwhile that it accepts no request now; none was sent.
+    Withheld(&'static str),
     /// The endpoint reported that it has not run the request.
     Refused(StatusCode),
     /// The request may have run.
@@ -306,12 +306,12 @@
                 }
                 (why, false)
             }
-            AttemptError::Limited => {
-                log::info!(request:%, endpoint:%; "request withheld, endpoint stated a limit");
+            AttemptError::Withheld(why) => {
+                log::info!(request:%, endpoint:%, why; "request withheld from endpoint");
                 if self.progress.tried.len() < MAX_ENDPOINTS_TRIED {
                     return Ok(());
                 }
-                ("the endpoint's stated limit allows no request".to_owned(), false)
+                (why.to_owned(), false)
             }
             AttemptError::Refused(status) => {
                 log::info!(request:%, endpoint:%, status = status.as_u16();
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::{MonotonicTime, TokenCount};
+use base::{MonotonicTime, RequestRate, TokenCount};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -11,6 +11,7 @@
     header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
 };
 use route::{EndpointNotice, LimitChange, LimitResponse};
+use telemetry::NoticeKind;
 use tokio::time::Instant;
 
 use crate::{
@@ -54,10 +55,7 @@
         let connection = connected.map_err(AttemptError::Unreachable)?;
         let (mut sender, driver) = (connection.sender, AbortOnDrop(connection.driver));
         target.mark_reachable();
-        // The endpoint may have stated a limit since it was chosen.
-        if permit == SendPermit::Unlimited && self.try_permit(target).is_none() {
-            return Err(AttemptError::Limited);
-        }
+        self.check_withheld(target, permit)?;
 
         let transfers = self.transfers(target);
         let request = self.request(target, resume_after, transfers);
@@ -72,6 +70,17 @@
         Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
     }
 
+    /// Returns an error if the endpoint stated, since it was chosen, that it accepts no request now.
+    fn check_withheld(&self, target: &Target, permit: SendPermit) -> Result<(), AttemptError> {
+        if self.gateway.targets.borrow().has_left(target) {
+            return Err(AttemptError::Withheld("the endpoint leaves"));
+        }
+        if permit == SendPermit::Unlimited && self.try_permit(target).is_none() {
+            return Err(AttemptError::Withheld("the endpoint's stated limit allows no request"));
+        }
+        Ok(())
+    }
+
     /// Waits for the head of the response to a request that is being sent.
     ///
     /// An endpoint that doesn't respond is given up only once another one takes over.
@@ -182,15 +191,31 @@
 
     /// Records what the endpoint states about itself in the response to a request.
     fn record_notice(&self, target: &Target, sent: &SendRecord, notice: EndpointNotice) {
+        self.record_limit(target, sent, notice.limit);
+        self.record_constraints(target, notice);
+    }
+
+    /// Records what a response states that keeps requests from its endpoint, whatever it leaves out.
+    fn record_constraints(&self, target: &Target, notice: EndpointNotice) {
+        let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        if notice.leaving && gateway.targets.borrow_mut().record_stated_leaving(now, target) {
+            gateway.metrics.endpoint_notice(NoticeKind::Leaving);
+            log::info!(endpoint:% = target.endpoint, incarnation:% = target.incarnation,
+                request:% = self.caller_request.id; "endpoint stated that it leaves");
+        }
+    }
+
+    fn record_limit(&self, target: &Target, sent: &SendRecord, limit: Option<RequestRate>) {
         let gateway = &self.gateway;
         let (routers, phase) = (gateway.router_count.get(), gateway.random_share());
         let received = gateway.clock.now();
-        let response = LimitResponse { limit: notice.limit, sent: sent.at, received };
+        let response = LimitResponse { limit, sent: sent.at, received };
         let (request, endpoint) = (&self.caller_request.id, &target.endpoint);
         match target.record_limit(&response, routers, phase) {
             None => {}
             Some(LimitChange::Stated(limit)) => {
-                gateway.metrics.endpoint_limit_stated();
+                gateway.metrics.endpoint_notice(NoticeKind::Limit);
                 log::info!(endpoint:%, incarnation:% = target.incarnation, request:%, limit:%, routers;
                     "endpoint stated a request limit");
             }
@@ -217,8 +242,9 @@
         }
         // Only a signed response shows that an endpoint states no limit any more.
         if head.notice.limit.is_some() {
-            self.record_notice(target, sent, head.notice);
+            self.record_limit(target, sent, head.notice.limit);
         }
+        self.record_constraints(target, head.notice);
         if status != StatusCode::MISDIRECTED_REQUEST {
             return;
         }
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -138,9 +138,12 @@
         self.active_configuration.replace(Some(Rc::new(active_configuration)));
     }
 
-    /// Returns the incarnations of endpoints that announced to this host that they leave.
+    /// Returns the incarnations of endpoints that announced or stated to this host that they leave.
     fn leaving_endpoints(&self) -> Vec<IncarnationKey> {
-        self.latest_roster.load().map_or_else(Vec::new, |roster| targets::leaving(&roster))
+        let roster = self.latest_roster.load();
+        let mut leaving = roster.map_or_else(Vec::new, |roster| targets::leaving(&roster));
+        leaving.extend(self.targets.borrow().stated_leaving());
+        leaving
     }
 
     fn read_table(&self, number: ConfigurationNumber, content: &[u8]) -> Option<Arc<Table>> {
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -276,6 +276,8 @@
     stores: Vec<Store>,
     /// Incarnations of endpoints that announced to this host or another one that they leave.
     leaving_set: LeavingSet,
+    /// Running incarnations that stated in a response to this host that they leave.
+    stated_leaving: BTreeSet<IncarnationKey>,
 }
 
 /// Changes of the set of endpoints.
@@ -289,8 +291,9 @@
     /// Applies a newer roster.
     pub(super) fn update(&mut self, roster: &Roster) -> TargetChanges {
         self.leaving_set.record_leaving(roster.at, &leaving(roster));
+        self.renew_stated_leaving(roster);
         let mut usable = usable(&roster.endpoints);
-        usable.retain(|id, record| !self.leaving_set.contains(id, record.announcement.incarnation));
+        usable.retain(|_, record| !self.is_leaving(&record.announcement));
         let mut changes = TargetChanges::default();
         self.by_id.retain(|id, target| {
             let stays = usable
@@ -393,12 +396,47 @@
         self.by_id.retain(|id, target| {
             let leaves = self.leaving_set.contains(id, target.incarnation);
             if leaves {
-                log::info!(endpoint:% = id; "endpoint removed, leave reported by another host");
+                log::info!(endpoint:% = id; "endpoint removed, reported to leave");
             }
             !leaves
         });
     }
 
+    /// Removes an endpoint that stated in a response that it leaves; returns whether that is news.
+    pub(super) fn record_stated_leaving(&mut self, now: MonotonicTime, target: &Target) -> bool {
+        let key = IncarnationKey::new(&target.endpoint, target.incarnation);
+        let is_new = self.stated_leaving.insert(key);
+        self.remove_leaving(now, &[key]);
+        is_new
+    }
+
+    /// Returns the incarnations that stated in a response to this host that they leave.
+    pub(super) fn stated_leaving(&self) -> impl Iterator<Item = IncarnationKey> + '_ {
+        self.stated_leaving.iter().copied()
+    }
+
+    /// Keeps the incarnations that stated that they leave until they end; their announcements may say
+    /// otherwise.
+    fn renew_stated_leaving(&mut self, roster: &Roster) {
+        if self.stated_leaving.is_empty() {
+            return;
+        }
+        let running: BTreeSet<_> = roster
+            .endpoints
+            .iter()
+            .filter(|record| is_running(record))
+            .map(|record| IncarnationKey::of(&record.announcement))
+            .collect();
+        self.stated_leaving.retain(|key| running.contains(key));
+        let keys: Vec<_> = self.stated_leaving().collect();
+        self.leaving_set.record_leaving(roster.at, &keys);
+    }
+
+    /// Returns whether the incarnation of an announcement is known to leave.
+    pub(super) fn is_leaving(&self, announcement: &Announcement) -> bool {
+        self.leaving_set.contains(&announcement.endpoint, announcement.incarnation)
+    }
+
     /// Returns whether an endpoint is known to have announced that it leaves; its end is planned.
     pub(super) fn has_left(&self, target: &Target) -> bool {
         self.leaving_set.contains(&target.endpoint, target.incarnation)
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -19,7 +19,10 @@
     replica::{ReplicaInput, ReplicaView},
 };
 
-use super::{Dialect, EngineReport, Gateway, LoadWeightsRequest, targets};
+use super::{
+    Dialect, EngineReport, Gateway, LoadWeightsRequest,
+    targets::{self, Targets},
+};
 
 /// Time between steps of the rollout.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -150,8 +153,9 @@
     if let Some(active_configuration) = gateway.active_configuration() {
         active.rollout.set_desired_weights(active_configuration.weights.clone());
     }
-    active.rollout.set_engines(&engines(&roster));
-    for target in gateway.targets.borrow().iter() {
+    let targets = gateway.targets.borrow();
+    active.rollout.set_engines(&engines(&roster, &targets));
+    for target in targets.iter() {
         active.rollout.record_version(&target.endpoint, target.incarnation, target.version());
     }
     active.rollout.set_loads(|endpoint| load_of(&view.loads, endpoint));
@@ -197,9 +201,10 @@
 }
 
 /// Returns the engines that accept requests.
-fn engines(roster: &Roster) -> Vec<EngineView> {
+fn engines(roster: &Roster, targets: &Targets) -> Vec<EngineView> {
     let ready = roster.endpoints.iter().filter(|record| record.state == EndpointState::Ready);
     ready
+        .filter(|record| !targets.is_leaving(&record.announcement))
         .filter_map(|record| {
             let (model, version) = targets::served_model(&record.announcement)?;
             Some(EngineView {
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -39,7 +39,9 @@
     export::{ExportCounts, Exporter, FlushOutcome},
     log_queue::{LogBudget, LogGuard, LogQueue},
     logs::{LogFormat, init_logs},
-    metrics::{MAX_LABELLED_ORGANISATIONS, Metrics, OTHER_ORGANISATIONS_LABEL, QuorumRole},
+    metrics::{
+        MAX_LABELLED_ORGANISATIONS, Metrics, NoticeKind, OTHER_ORGANISATIONS_LABEL, QuorumRole,
+    },
     recorder::{InFlight, Recorder, Refusal},
     trace::{RequestStage, SampleRatio, Span, TraceConfig, Tracer},
 };
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -45,6 +45,24 @@
     }
 }
 
+/// What an endpoint states about itself in a response, as a metric label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoticeKind {
+    /// It leaves.
+    Leaving,
+    /// It accepts a limited rate of requests.
+    Limit,
+}
+
+impl NoticeKind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::Limit => "limit",
+        }
+    }
+}
+
 /// The metrics of a router.
 #[derive(Debug)]
 pub struct Metrics {
@@ -120,9 +138,9 @@
         self.instruments.connections_cut.add(1, &[]);
     }
 
-    /// Counts a limit on requests that an endpoint began to state, or changed.
-    pub fn endpoint_limit_stated(&self) {
-        self.instruments.endpoint_limits_stated.add(1, &[]);
+    /// Counts what an endpoint stated about itself and had not stated before.
+    pub fn endpoint_notice(&self, kind: NoticeKind) {
+        self.instruments.endpoint_notices.add(1, &[KeyValue::new("notice", kind.as_str())]);
     }
 
     /// Counts gossip bytes sent.
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{OrganisationId, Revision, Term, TokenCount, Verdict};
-use telemetry::{MAX_LABELLED_ORGANISATIONS, Metrics, QuorumRole, Refusal};
+use telemetry::{MAX_LABELLED_ORGANISATIONS, Metrics, NoticeKind, QuorumRole, Refusal};
 
 fn organisation(i: usize) -> OrganisationId {
     format!("org-{i}").parse().unwrap()
@@ -26,7 +26,7 @@
     recorder.verdict(Verdict::MayHaveRun);
     recorder.refusal(Refusal::NoQuorum);
     metrics.connection_cut();
-    metrics.endpoint_limit_stated();
+    metrics.endpoint_notice(NoticeKind::Limit);
     metrics.set_configuration_revision(Revision::new(7));
     metrics.set_quorum_state(QuorumRole::Leader, Term::new(3));
     let cases = [
@@ -37,7 +37,7 @@
         (r#"verdicts_total{organisation="org-0",verdict="may-have-run"}"#, 1.0),
         (r#"refusals_total{organisation="org-0",reason="no-quorum"}"#, 1.0),
         ("connections_cut_total", 1.0),
-        ("endpoint_limits_stated_total", 1.0),
+        (r#"endpoint_notices_total{notice="limit"}"#, 1.0),
         ("configuration_revision", 7.0),
         (r#"quorum_role{role="leader"}"#, 1.0),
         (r#"quorum_role{role="follower"}"#, 0.0),
