gateway: an endpoint that states a wait gets no requests until its end

The wait is decoded into the notice of the head, kept per incarnation and host, and obeyed by requests, retries, resumed streams and the calls of the rollout of weights, from the moment the head is read. It counts as no failure. Hosts return spread over a quarter of it. Where all endpoints wait, a request is refused at once with the shortest rest.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -369,7 +369,7 @@
                 Err(why) if self.may_recover_soon(why) && Instant::now() < until => {
                     tokio::time::sleep(ENDPOINT_POLL_INTERVAL).await;
                 }
-                Err(why @ (NoTarget::Overloaded(wait) | NoTarget::Limited(wait))) => {
+                Err(why @ (NoTarget::Overloaded(wait) | NoTarget::Withheld(wait))) => {
                     return Err(self.rejected_for(no_target_message(why), wait));
                 }
                 Err(why) => return Err(self.failure(no_target_message(why).to_owned(), false)),
@@ -382,7 +382,7 @@
         match why {
             NoTarget::TemporarilyUnavailable => true,
             NoTarget::Unknown | NoTarget::Overloaded(_) => self.gateway.is_starting(),
-            NoTarget::AllTried | NoTarget::Limited(_) => false,
+            NoTarget::AllTried | NoTarget::Withheld(_) => false,
         }
     }
 
@@ -474,7 +474,7 @@
     match why {
         NoTarget::Unknown => "the service has no known endpoint",
         NoTarget::Overloaded(_) => "no engine could respond in time",
-        NoTarget::Limited(_) => "the endpoints' stated limits allow no request at present",
+        NoTarget::Withheld(_) => "the endpoints stated that they accept no request at present",
         NoTarget::TemporarilyUnavailable => "no endpoint of the service is available at present",
         NoTarget::AllTried => "no endpoint of the service accepted the request",
     }
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -75,6 +75,9 @@
         if self.gateway.targets.borrow().has_left(target) {
             return Err(AttemptError::Withheld("the endpoint leaves"));
         }
+        if !target.wait_left(self.gateway.clock.now()).is_zero() {
+            return Err(AttemptError::Withheld("the endpoint accepts no requests for a time"));
+        }
         if permit == SendPermit::Unlimited && self.try_permit(target).is_none() {
             return Err(AttemptError::Withheld("the endpoint's stated limit allows no request"));
         }
@@ -199,6 +202,9 @@
     fn record_constraints(&self, target: &Target, notice: EndpointNotice) {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
+        if let Some(wait) = notice.wait {
+            gateway.record_wait(target, wait);
+        }
         if notice.leaving && gateway.targets.borrow_mut().record_stated_leaving(now, target) {
             gateway.metrics.endpoint_notice(NoticeKind::Leaving);
             log::info!(endpoint:% = target.endpoint, incarnation:% = target.incarnation,
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -90,8 +90,8 @@
     AllTried,
     /// No engine could respond in time; there should be capacity after this time.
     Overloaded(Duration),
-    /// Each endpoint states a limit, and this host may send a request after this time.
-    Limited(Duration),
+    /// Each endpoint stated a limit or a wait; the first accepts a request after this time.
+    Withheld(Duration),
 }
 
 /// Chooses the endpoint for a request.
@@ -126,14 +126,17 @@
     chosen.map(Rc::clone).ok_or(NoTarget::TemporarilyUnavailable)
 }
 
-/// Returns the endpoints whose stated limits allow a request now.
+/// Returns the endpoints whose stated limits and waits allow a request now.
 fn permitted<'a>(
     fit: Vec<&'a Rc<Target>>,
     requirements: &Requirements<'_>,
 ) -> Result<Vec<&'a Rc<Target>>, NoTarget> {
-    let wait = |target: &Rc<Target>| target.limit_wait(requirements.now, requirements.router_count);
+    let wait = |target: &Rc<Target>| {
+        let limit_wait = target.limit_wait(requirements.now, requirements.router_count);
+        target.wait_left(requirements.now).max(limit_wait)
+    };
     match fit.iter().map(|target| wait(target)).min() {
-        Some(shortest) if !shortest.is_zero() => Err(NoTarget::Limited(shortest)),
+        Some(shortest) if !shortest.is_zero() => Err(NoTarget::Withheld(shortest)),
         _ => Ok(fit.into_iter().filter(|target| wait(target).is_zero()).collect()),
     }
 }
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -14,7 +14,9 @@
     Announcement, EndpointKind, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster,
 };
 use prefix::{PartCacheModel, PartChain, SentPrompt, rank_by_name};
-use route::{EndpointKey, InFlightLoad, LimitChange, LimitResponse, SentLoad, StatedLimit};
+use route::{
+    EndpointKey, InFlightLoad, LimitChange, LimitResponse, SentLoad, StatedLimit, StatedWait,
+};
 use routes::KvStore;
 use wire::leader::PublishedView;
 
@@ -74,6 +76,8 @@
     other_load: Cell<SentLoad>,
     /// The limit on requests that it states.
     limit: Cell<StatedLimit>,
+    /// For how long it accepts no requests from this host, as it stated.
+    wait: Cell<StatedWait>,
 }
 
 /// A store of cached prompts, with an estimate of its contents.
@@ -145,6 +149,7 @@
             suspended_until: Cell::new(MonotonicTime::ZERO),
             other_load: Cell::default(),
             limit: Cell::default(),
+            wait: Cell::default(),
         }
     }
 
@@ -244,6 +249,18 @@
         change
     }
 
+    /// Applies a wait that it states for this host, as [`StatedWait::record`].
+    pub(super) fn record_wait(&self, now: MonotonicTime, stated: Duration, draw: f64) {
+        let mut wait = self.wait.get();
+        wait.record(now, stated, draw);
+        self.wait.set(wait);
+    }
+
+    /// Returns the time until it accepts requests from this host again.
+    pub(super) fn wait_left(&self, now: MonotonicTime) -> Duration {
+        self.wait.get().left(now)
+    }
+
     /// Returns the time until the limit that it states allows a request of this host.
     pub(super) fn limit_wait(&self, now: MonotonicTime, routers: u32) -> Duration {
         self.limit.get().wait(now, routers)
@@ -472,6 +489,11 @@
         self.by_id.values()
     }
 
+    /// Returns an endpoint.
+    pub(super) fn get(&self, id: &EndpointId) -> Option<&Rc<Target>> {
+        self.by_id.get(id)
+    }
+
     /// Returns the endpoints of a service.
     pub(super) fn of_service<'a>(
         &'a self,
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -236,10 +236,15 @@
     order: LoadOrder,
 ) {
     let Some(address) = address(roster, &order.endpoint) else { return };
+    if gateway.is_waited_for(&order.endpoint) {
+        let refused = EngineResponse::Ordered(order, OrderOutcome::Refused);
+        let _ = active.response_tx.try_send(refused);
+        return;
+    }
     let (gateway, response_tx, term) =
         (Rc::clone(gateway), active.response_tx.clone(), active.term);
     tokio::task::spawn_local(async move {
-        let outcome = match query_report(&gateway, address).await {
+        let outcome = match query_report(&gateway, &order.endpoint, address).await {
             Some(state) if has_weights(&state, &order) => OrderOutcome::AlreadyLoaded,
             Some(state) if state.busy => OrderOutcome::Busy,
             Some(state) => send_order(&gateway, address, &order, term, state.orders).await,
@@ -275,10 +280,12 @@
     if !still_leads {
         return OrderOutcome::Refused;
     }
-    match send_request(connection, address, gateway.dialect.load_weights_request(&request)).await {
-        Some((head, _)) => gateway.dialect.load_weights_outcome(&head),
-        None => OrderOutcome::Unknown,
-    }
+    let request = gateway.dialect.load_weights_request(&request);
+    let Some((head, _)) = send_request(connection, address, request).await else {
+        return OrderOutcome::Unknown;
+    };
+    gateway.record_call_wait(&order.endpoint, &head);
+    gateway.dialect.load_weights_outcome(&head)
 }
 
 /// Requests the state of the engines that load weights.
@@ -297,10 +304,12 @@
             continue;
         }
         *next = now + REPORT_POLL_INTERVAL;
-        let Some(address) = address(roster, &id) else { continue };
+        let Some(address) = address(roster, &id).filter(|_| !gateway.is_waited_for(&id)) else {
+            continue;
+        };
         let (gateway, response_tx) = (Rc::clone(gateway), active.response_tx.clone());
         tokio::task::spawn_local(async move {
-            if let Some(report) = query_report(&gateway, address).await {
+            if let Some(report) = query_report(&gateway, &id, address).await {
                 let _ = response_tx.try_send(EngineResponse::Reported {
                     endpoint: id,
                     incarnation,
@@ -317,12 +326,31 @@
     Some(record.announcement.address)
 }
 
+impl<D: Dialect> Gateway<D> {
+    /// Returns whether an endpoint stated that it accepts no requests from this host yet.
+    fn is_waited_for(&self, endpoint: &EndpointId) -> bool {
+        let targets = self.targets.borrow();
+        let target = targets.get(endpoint);
+        target.is_some_and(|target| !target.wait_left(self.clock.now()).is_zero())
+    }
+
+    /// Records the wait that an endpoint states in a response to a call of the rollout.
+    fn record_call_wait(&self, endpoint: &EndpointId, head: &response::Parts) {
+        let Some(wait) = self.dialect.response_head(head).notice.wait else { return };
+        if let Some(target) = self.targets.borrow().get(endpoint) {
+            self.record_wait(target, wait);
+        }
+    }
+}
+
 async fn query_report<D: Dialect>(
     gateway: &Gateway<D>,
+    endpoint: &EndpointId,
     address: SocketAddr,
 ) -> Option<EngineReport> {
     let connection = connect(gateway, address).await?;
     let (head, body) = send_request(connection, address, gateway.dialect.report_request()).await?;
+    gateway.record_call_wait(endpoint, &head);
     match gateway.dialect.report(head.status, &body) {
         Ok(report) => Some(report),
         Err(e) => {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -51,7 +51,7 @@
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
     kind::{AnyPolicy, PolicyKind},
     load_aggregator::{EndpointKey, LoadAggregator, SentLoad},
-    notice::EndpointNotice,
+    notice::{EndpointNotice, StatedWait},
     outlier::{EjectionChange, EjectionState, Outcome, OutlierDetector, OutlierSettings},
     policy::{Candidate, Policy, Request},
     retry::{Backoff, BudgetSettings, RetryBudget},
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -50,6 +50,8 @@
 pub enum NoticeKind {
     /// It leaves.
     Leaving,
+    /// It accepts no requests for a time.
+    Wait,
     /// It accepts a limited rate of requests.
     Limit,
 }
@@ -58,6 +60,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Leaving => "leaving",
+            Self::Wait => "wait",
             Self::Limit => "limit",
         }
     }
