gateway: choice and notices are modules of their own; no change of behaviour

exchange.rs had 481 lines and four jobs; what chooses an endpoint is in exchange/choice.rs now, and all that reads and obeys notices in notices.rs.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -1,10 +1,11 @@
 //! A caller's request and its attempts at endpoints.
 
 mod attempt;
+mod choice;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use base::{ByteCount, EndpointId, MonotonicTime, Verdict};
+use base::{EndpointId, MonotonicTime, Verdict};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri, body::Incoming};
 use prefix::{PartChain, PartId};
@@ -17,9 +18,8 @@
 
 use super::{
     CallerRequest, Dialect, Gateway, Prompt,
-    follow::{ActiveConfiguration, NO_DESIRED_WEIGHTS},
-    placement::{NoTarget, PromptRequirements, Requirements},
-    targets::{InFlight, SendPermit, Target},
+    follow::ActiveConfiguration,
+    targets::{InFlight, Target},
 };
 
 /// Most endpoints that are tried for a request, reachable or not.
@@ -28,15 +28,6 @@
 /// Most endpoints that a request is sent to before it fails as refused.
 const MAX_SENT_ATTEMPTS: u32 = 4;
 
-/// Longest wait for a temporarily unavailable endpoint, as while engines load weights.
-const MAX_ENDPOINT_WAIT: Duration = Duration::from_millis(500);
-
-/// Time between checks for such an endpoint.
-const ENDPOINT_POLL_INTERVAL: Duration = Duration::from_millis(10);
-
-/// Shortest `Retry-After` for a request that is rejected for lack of capacity.
-const MIN_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
-
 /// `Retry-After` of a request that crashes endpoints, or has a part that does.
 const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 
@@ -346,109 +337,6 @@
         }
         Failure::unavailable(why, self.gateway.retry_after())
     }
-
-    /// Rejects a request for lack of capacity, with a `Retry-After` that spreads the retries.
-    fn rejected_for(&self, why: &str, wait: Duration) -> Failure {
-        let wait = wait.max(MIN_OVERLOAD_RETRY_AFTER).mul_f64(1.0 + self.service_draw());
-        let mut failure = self.failure(why.to_owned(), false);
-        if failure.retry_after.is_some() {
-            failure.retry_after = Some(wait);
-        }
-        failure
-    }
-
-    /// Chooses an endpoint, and waits briefly while none is available.
-    async fn choose_or_wait(&mut self) -> Result<(Rc<Target>, SendPermit), Failure> {
-        let until = (Instant::now() + MAX_ENDPOINT_WAIT).min(self.deadline);
-        loop {
-            match self.choose_permitted() {
-                Ok((target, permit)) => {
-                    self.progress.tried.push(target.endpoint.clone());
-                    return Ok((target, permit));
-                }
-                Err(why) if self.may_recover_soon(why) && Instant::now() < until => {
-                    tokio::time::sleep(ENDPOINT_POLL_INTERVAL).await;
-                }
-                Err(why @ (NoTarget::Overloaded(wait) | NoTarget::Withheld(wait))) => {
-                    return Err(self.rejected_for(no_target_message(why), wait));
-                }
-                Err(why) => return Err(self.failure(no_target_message(why).to_owned(), false)),
-            }
-        }
-    }
-
-    /// Returns whether an endpoint may become available soon.
-    fn may_recover_soon(&self, why: NoTarget) -> bool {
-        match why {
-            NoTarget::TemporarilyUnavailable => true,
-            NoTarget::Unknown | NoTarget::Overloaded(_) => self.gateway.is_starting(),
-            NoTarget::AllTried | NoTarget::Withheld(_) => false,
-        }
-    }
-
-    /// Chooses an endpoint and takes the permission to send it a request.
-    fn choose_permitted(&self) -> Result<(Rc<Target>, SendPermit), NoTarget> {
-        let target = self.choose()?;
-        let permit = self.try_permit(&target);
-        // The choice has just found a permission.
-        let permit = permit.ok_or(NoTarget::TemporarilyUnavailable)?;
-        Ok((target, permit))
-    }
-
-    fn try_permit(&self, target: &Target) -> Option<SendPermit> {
-        let gateway = &self.gateway;
-        target.try_permit(gateway.clock.now(), gateway.router_count.get())
-    }
-
-    fn choose(&self) -> Result<Rc<Target>, NoTarget> {
-        let gateway = &self.gateway;
-        let now = gateway.clock.now();
-        let draw = self.service_draw();
-        let service = self.route.pick_service(draw).ok_or(NoTarget::Unknown)?;
-        let newest = gateway.active_configuration();
-        let table = &self.active_configuration.table;
-        let configured = table.service(service);
-        let engine = configured.and_then(|service| service.engine.as_ref());
-        let requirements = Requirements {
-            service,
-            prompt: self.prompt_requirements(&newest),
-            tried: &self.progress.tried,
-            now,
-            local_data_centre: &gateway.data_centre,
-            slots: engine.map_or(0, |engine| engine.slots),
-            max_connections: configured.map_or(u32::MAX, |service| service.max_connections),
-            body: ByteCount::new(self.body.len() as u64),
-            first_event_objective: self
-                .route
-                .objective
-                .saturating_sub(now.saturating_since(self.arrived)),
-            router_count: gateway.router_count.get(),
-        };
-        gateway.choose(&requirements)
-    }
-
-    /// Hashes the request id to `0.0..1.0`, the same for each attempt, to choose a service.
-    fn service_draw(&self) -> f64 {
-        let digest =
-            base::Hasher::default().field(self.caller_request.id.as_str().as_bytes()).finish();
-        let bytes: [u8; 4] = std::array::from_fn(|i| digest.as_bytes()[i]);
-        f64::from(u32::from_le_bytes(bytes)) / (f64::from(u32::MAX) + 1.0)
-    }
-
-    /// Returns the prompt's requirements by the versions desired now, not those at the arrival.
-    fn prompt_requirements<'a>(
-        &'a self,
-        newest: &'a Option<Rc<ActiveConfiguration>>,
-    ) -> Option<PromptRequirements<'a>> {
-        let prompt = self.caller_request.prompt.as_ref()?;
-        let desired = newest.as_ref().and_then(|active| active.weights.get(&prompt.model));
-        Some(PromptRequirements {
-            model: &prompt.model,
-            chain: self.chain.as_ref()?,
-            weights: desired.unwrap_or(&NO_DESIRED_WEIGHTS),
-            max_outdated: self.gateway.cfg.max_outdated_at_send(),
-        })
-    }
 }
 
 /// Waits until an endpoint counts as unreachable; forever if the request can't be retried.
@@ -469,13 +357,3 @@
         tokio::time::sleep(PAUSE_POLL_INTERVAL).await;
     }
 }
-
-fn no_target_message(why: NoTarget) -> &'static str {
-    match why {
-        NoTarget::Unknown => "the service has no known endpoint",
-        NoTarget::Overloaded(_) => "no engine could respond in time",
-        NoTarget::Withheld(_) => "the endpoints stated that they accept no request at present",
-        NoTarget::TemporarilyUnavailable => "no endpoint of the service is available at present",
-        NoTarget::AllTried => "no endpoint of the service accepted the request",
-    }
-}
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::{MonotonicTime, RequestRate, TokenCount};
+use base::{MonotonicTime, TokenCount};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
@@ -10,8 +10,6 @@
     body::{Body as _, Incoming},
     header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
 };
-use route::{EndpointNotice, LimitChange, LimitResponse};
-use telemetry::NoticeKind;
 use tokio::time::Instant;
 
 use crate::{
@@ -55,7 +53,7 @@
         let connection = connected.map_err(AttemptError::Unreachable)?;
         let (mut sender, driver) = (connection.sender, AbortOnDrop(connection.driver));
         target.mark_reachable();
-        self.check_withheld(target, permit)?;
+        self.check_withheld(target, permit).map_err(AttemptError::Withheld)?;
 
         let transfers = self.transfers(target);
         let request = self.request(target, resume_after, transfers);
@@ -70,20 +68,6 @@
         Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
     }
 
-    /// Returns an error if the endpoint stated, since it was chosen, that it accepts no request now.
-    fn check_withheld(&self, target: &Target, permit: SendPermit) -> Result<(), AttemptError> {
-        if self.gateway.targets.borrow().has_left(target) {
-            return Err(AttemptError::Withheld("the endpoint leaves"));
-        }
-        if !target.wait_left(self.gateway.clock.now()).is_zero() {
-            return Err(AttemptError::Withheld("the endpoint accepts no requests for a time"));
-        }
-        if permit == SendPermit::Unlimited && self.try_permit(target).is_none() {
-            return Err(AttemptError::Withheld("the endpoint's stated limit allows no request"));
-        }
-        Ok(())
-    }
-
     /// Waits for the head of the response to a request that is being sent.
     ///
     /// An endpoint that doesn't respond is given up only once another one takes over.
@@ -192,46 +176,6 @@
         Ok(Response::from_parts(parts, body))
     }
 
-    /// Records what the endpoint states about itself in the response to a request.
-    fn record_notice(&self, target: &Target, sent: &SendRecord, notice: EndpointNotice) {
-        self.record_limit(target, sent, notice.limit);
-        self.record_constraints(target, notice);
-    }
-
-    /// Records what a response states that keeps requests from its endpoint, whatever it leaves out.
-    fn record_constraints(&self, target: &Target, notice: EndpointNotice) {
-        let gateway = &self.gateway;
-        let now = gateway.clock.now();
-        if let Some(wait) = notice.wait {
-            gateway.record_wait(target, wait);
-        }
-        if notice.leaving && gateway.targets.borrow_mut().record_stated_leaving(now, target) {
-            gateway.metrics.endpoint_notice(NoticeKind::Leaving);
-            log::info!(endpoint:% = target.endpoint, incarnation:% = target.incarnation,
-                request:% = self.caller_request.id; "endpoint stated that it leaves");
-        }
-    }
-
-    fn record_limit(&self, target: &Target, sent: &SendRecord, limit: Option<RequestRate>) {
-        let gateway = &self.gateway;
-        let (routers, phase) = (gateway.router_count.get(), gateway.random_share());
-        let received = gateway.clock.now();
-        let response = LimitResponse { limit, sent: sent.at, received };
-        let (request, endpoint) = (&self.caller_request.id, &target.endpoint);
-        match target.record_limit(&response, routers, phase) {
-            None => {}
-            Some(LimitChange::Stated(limit)) => {
-                gateway.metrics.endpoint_notice(NoticeKind::Limit);
-                log::info!(endpoint:%, incarnation:% = target.incarnation, request:%, limit:%, routers;
-                    "endpoint stated a request limit");
-            }
-            Some(LimitChange::Lifted) => {
-                log::info!(endpoint:%, incarnation:% = target.incarnation, request:%;
-                    "endpoint lifted its request limit");
-            }
-        }
-    }
-
     /// Handles a refusal by another process at the address, or by an engine with other weights.
     fn handle_refusal(
         &self,
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod headers;
 mod listen;
+mod notices;
 mod placement;
 mod relay;
 mod segment;
@@ -40,7 +41,7 @@
 use rand_pcg::Pcg64Mcg;
 use route::{BudgetSettings, EngineSpeed, RetryBudget, Warm, WarmSettings};
 use routes::{Organisation, Route, Table};
-use telemetry::{Metrics, NoticeKind, Recorder};
+use telemetry::{Metrics, Recorder};
 
 use crate::{
     clock::Clock,
@@ -224,15 +225,6 @@
         placement::choose(&self.targets.borrow(), requirements, &mut warm, &mut *rng)
     }
 
-    /// Records that an endpoint stated for how long it accepts no requests from this host.
-    fn record_wait(&self, target: &Target, wait: Duration) {
-        target.record_wait(self.clock.now(), wait, self.random_share());
-        self.metrics.endpoint_notice(NoticeKind::Wait);
-        log::info!(endpoint:% = target.endpoint, incarnation:% = target.incarnation,
-            wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-            "endpoint stated a wait");
-    }
-
     /// Returns a random number from 0 to 1.
     fn random_share(&self) -> f64 {
         self.rng.borrow_mut().random_range(0.0..1.0)
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -326,23 +326,6 @@
     Some(record.announcement.address)
 }
 
-impl<D: Dialect> Gateway<D> {
-    /// Returns whether an endpoint stated that it accepts no requests from this host yet.
-    fn is_waited_for(&self, endpoint: &EndpointId) -> bool {
-        let targets = self.targets.borrow();
-        let target = targets.get(endpoint);
-        target.is_some_and(|target| !target.wait_left(self.clock.now()).is_zero())
-    }
-
-    /// Records the wait that an endpoint states in a response to a call of the rollout.
-    fn record_call_wait(&self, endpoint: &EndpointId, head: &response::Parts) {
-        let Some(wait) = self.dialect.response_head(head).notice.wait else { return };
-        if let Some(target) = self.targets.borrow().get(endpoint) {
-            self.record_wait(target, wait);
-        }
-    }
-}
-
 async fn query_report<D: Dialect>(
     gateway: &Gateway<D>,
     endpoint: &EndpointId,
