gateway: a request beyond the limits of endpoints may come back within a second or two

Callers were told to come back after this host's own wait, 3.1 s with a limit of 0.6 a second at two endpoints and three hosts, and 100 s with 200 hosts. But the next host that they reach has permissions of its own.

--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -45,6 +45,9 @@
 /// Number of home engines of a prompt's shared prefix.
 const HOME_COUNT: u32 = 1;
 
+/// Longest wait for an endpoint at its limit; another host may have a permission sooner.
+const MAX_LIMIT_WAIT: Duration = Duration::from_secs(1);
+
 /// Requests added to the load of an endpoint in another data centre, for requests without a prompt.
 const REMOTE_REQUEST_PENALTY: u32 = 2;
 
@@ -133,7 +136,7 @@
 ) -> Result<Vec<&'a Rc<Target>>, NoTarget> {
     let wait = |target: &Rc<Target>| {
         let limit_wait = target.limit_wait(requirements.now, requirements.router_count);
-        target.wait_left(requirements.now).max(limit_wait)
+        target.wait_left(requirements.now).max(limit_wait.min(MAX_LIMIT_WAIT))
     };
     match fit.iter().map(|target| wait(target)).min() {
         Some(shortest) if !shortest.is_zero() => Err(NoTarget::Withheld(shortest)),
