gateway: why a request is withheld is a type, not a text

Cause: the check before sending returned a text as its error, which a reader had to compare to tell the three reasons apart.

Ruled out: one function for this check and the choice's filter of endpoints: the choice needs the shortest wait of all, the check the reason and a permission.

Change: `Withheld` with `Display`; the lines of the log are the same. No change of behaviour.

Conclusion: the reasons can be matched on, as other errors of an attempt are.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 use super::{
     CallerRequest, Dialect, Gateway, Prompt,
     follow::ActiveConfiguration,
+    notices::Withheld,
     targets::{InFlight, Target},
 };
 
@@ -127,7 +128,7 @@
     /// The endpoint was unreachable.
     Unreachable(String),
     /// The endpoint stated meanwhile that it accepts no request now; none was sent.
-    Withheld(&'static str),
+    Withheld(Withheld),
     /// The endpoint reported that it has not run the request.
     Refused(StatusCode),
     /// The request may have run.
@@ -298,11 +299,11 @@
                 (why, false)
             }
             AttemptError::Withheld(why) => {
-                log::info!(request:%, endpoint:%, why; "request withheld from endpoint");
+                log::info!(request:%, endpoint:%, why:%; "request withheld from endpoint");
                 if self.progress.tried.len() < MAX_ENDPOINTS_TRIED {
                     return Ok(());
                 }
-                (why.to_owned(), false)
+                (why.to_string(), false)
             }
             AttemptError::Refused(status) => {
                 log::info!(request:%, endpoint:%, status = status.as_u16();
--- a/crates/daemon/src/gateway/notices.rs
+++ b/crates/daemon/src/gateway/notices.rs
@@ -1,6 +1,6 @@
 //! Obeys what endpoints state about themselves in their responses.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use base::{EndpointId, RequestRate};
 use hyper::http::response;
@@ -13,21 +13,42 @@
     targets::{SendPermit, Target},
 };
 
+/// Why a request that was about to be sent is withheld from its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Withheld {
+    /// The endpoint leaves.
+    Leaving,
+    /// The endpoint accepts no requests for a time.
+    Waiting,
+    /// The endpoint's stated limit allows no request.
+    Limited,
+}
+
+impl fmt::Display for Withheld {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Leaving => "the endpoint leaves",
+            Self::Waiting => "the endpoint accepts no requests for a time",
+            Self::Limited => "the endpoint's stated limit allows no request",
+        })
+    }
+}
+
 impl<D: Dialect> Exchange<D> {
     /// Returns an error if the endpoint stated, since it was chosen, that it accepts no request now.
     pub(super) fn check_withheld(
         &self,
         target: &Target,
         permit: SendPermit,
-    ) -> Result<(), &'static str> {
+    ) -> Result<(), Withheld> {
         if self.gateway.targets.borrow().has_left(target) {
-            return Err("the endpoint leaves");
+            return Err(Withheld::Leaving);
         }
         if !target.wait_left(self.gateway.clock.now()).is_zero() {
-            return Err("the endpoint accepts no requests for a time");
+            return Err(Withheld::Waiting);
         }
         if permit == SendPermit::Unlimited && self.try_permit(target).is_none() {
-            return Err("the endpoint's stated limit allows no request");
+            return Err(Withheld::Limited);
         }
         Ok(())
     }
