quorum: a voter that restarts asks whoever leads, not only the hosts in its log

Cause: a restarted voter asked only the hosts that its log names, and believed only folders that its log names, or a committed change that such a folder reported. Once all of these had new folders, nobody could confirm it. In the model the same happens by a change of voters that no host left knows to be committed.

Change: what a host reports as committed is believed from any host, as it stays true. A change that isn't known to be committed is reported beside the reply, by a message of its own, so that older hosts are still understood. Leaders and candidates that call on the pending voter are asked too, since its log may name none of the present hosts. A majority of the reported voters must confirm the start as before, with the same records of what the folder held. A folder that the newest committed voters exclude is told so.

Ruled out: confirming by records alone, without a majority (an outdated copy would pass); raising the term of a removed folder so that it may follow (its next start would then look newer than its records).

Tests, failing before: voter_that_missed_new_disks_of_all_others_votes_again (Pending), outdated_copy_is_refused_by_voters_with_new_disks (Pending, now Refused).

--- a/crates/cli/src/view.rs
+++ b/crates/cli/src/view.rs
@@ -66,10 +66,12 @@
 }
 
 fn voter_table(voters: &[Voter]) -> Table {
-    let mut rows = table(&["VOTER", "FOLDER", "HOLDS"]);
+    let mut rows = table(&["VOTER", "FOLDER", "HOLDS", "HEARD"]);
     for voter in voters {
         let holds = or_dash(voter.matched);
-        rows.add_row([voter.host.as_str(), &voter.folder, &holds]);
+        let heard = or_dash(voter.heard_ms.map(|millis| format!("{} ago", format_millis(millis))));
+        let absent = if voter.absent { " (absent)" } else { "" };
+        rows.add_row([voter.host.as_str(), &voter.folder, &holds, &format!("{heard}{absent}")]);
     }
     rows
 }
--- a/crates/daemon/src/admin/status.rs
+++ b/crates/daemon/src/admin/status.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use base::{LogIndex, Term};
+use base::{LogIndex, MonotonicTime, Term};
 use member::{EndpointKind, EndpointRecord, PeerState as MemberState, Roster};
 use telemetry::QuorumRole as Role;
 use wire::operator::{
@@ -60,13 +60,19 @@
 }
 
 /// Lists the voters according to this host's replica.
-pub(super) fn voters(view: &ReplicaView) -> Vec<Voter> {
+pub(super) fn voters(now: MonotonicTime, view: &ReplicaView) -> Vec<Voter> {
     let folders = view.node.voters.folders.iter();
     folders
-        .map(|(host, folder)| Voter {
-            host: host.clone(),
-            folder: folder.to_string().into(),
-            matched: view.node.progress.get(host).map(|progress| progress.matched),
+        .map(|(host, folder)| {
+            let progress = view.node.progress.get(host);
+            let heard_at = progress.and_then(|progress| progress.last_contact);
+            Voter {
+                host: host.clone(),
+                folder: folder.to_string().into(),
+                matched: progress.map(|progress| progress.matched),
+                heard_ms: heard_at.map(|at| millis(now.saturating_since(at))),
+                absent: view.absent_voters.contains(host),
+            }
         })
         .collect()
 }
@@ -110,7 +116,7 @@
         leader: node.leader.clone(),
         commit: node.commit,
         applied: node.applied,
-        voters: voters(view),
+        voters: voters(api.context.clock.now(), view),
         folder: Some(view.folder.to_string().into()),
         registration: Some(node.registration.to_string().into()),
         failure: view.failure.as_deref().map(Arc::from),
--- a/crates/daemon/src/admin/voters.rs
+++ b/crates/daemon/src/admin/voters.rs
@@ -9,13 +9,13 @@
 
 /// Lists the voters; on the leader with the matched log index of each.
 pub(super) fn list(api: &AdminApi) -> Result<Voters, ApiError> {
-    let view = api.context.replica.load();
+    let (now, view) = (api.context.clock.now(), api.context.replica.load());
     if let Some(view) = view.as_ref().filter(|view| view.node.role == quorum::Role::Leader) {
-        return Ok(Voters { voters: status::voters(view) });
+        return Ok(Voters { voters: status::voters(now, view) });
     }
     match api.leader.submit(&LeaderRequest::ReadVoters) {
         Ok(response) => voters(response),
-        Err(error) => Ok(Voters { voters: status::voters(&view.ok_or(error)?) }),
+        Err(error) => Ok(Voters { voters: status::voters(now, &view.ok_or(error)?) }),
     }
 }
 
@@ -49,6 +49,8 @@
         host,
         folder: folder.to_string().into(),
         matched: None,
+        heard_ms: None,
+        absent: false,
     };
     Ok(Voters { voters: folders.into_iter().map(voter).collect() })
 }
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -26,7 +26,7 @@
     followers::{Followers, PendingPoll},
     pending::{PendingRead, PendingRequests, ReplySender},
     reads::ReadState,
-    voters::{self, VoterHealing},
+    voters::{self, AbsenceLog, RegistrationLog, VoterHealing},
     writer::{DiskSpeed, Writer, Written},
 };
 
@@ -64,6 +64,9 @@
     /// Dropped once this host no longer leads, to report a leadership transfer as done.
     transfer_done: Option<flume::Sender<()>>,
     voter_healing: VoterHealing,
+    absence_log: AbsenceLog,
+    registration_log: RegistrationLog,
+    voters_logged_at: MonotonicTime,
     /// The term in which this host leads, and when it started to.
     leading: Option<(Term, MonotonicTime)>,
     followers: Followers,
@@ -121,6 +124,9 @@
             failure: None,
             transfer_done: None,
             voter_healing: VoterHealing::new(cfg.healing),
+            absence_log: AbsenceLog::default(),
+            registration_log: RegistrationLog::new(clock.now()),
+            voters_logged_at: MonotonicTime::ZERO,
             leading: None,
             followers: Followers::default(),
         };
@@ -149,6 +155,7 @@
             self.execute_actions();
             self.update_leadership();
             self.propose_due_voters();
+            self.log_voters();
             self.respond_to_due_polls();
             self.compact();
             let now = self.clock.now();
@@ -297,6 +304,24 @@
         }
     }
 
+    /// Logs voters that don't vote.
+    fn log_voters(&mut self) {
+        let now = self.clock.now();
+        if now.saturating_since(self.voters_logged_at) < voters::HEALING_CHECK_INTERVAL {
+            return;
+        }
+        self.voters_logged_at = now;
+        let status = self.node.status();
+        self.registration_log.record(now, status.registration);
+        match self.leading {
+            Some((_, since)) => {
+                let leading_for = now.saturating_since(since);
+                self.absence_log.record(now, &status, &self.host, leading_for);
+            }
+            None => self.absence_log.clear(),
+        }
+    }
+
     /// Proposes a change of the voters, if one is due.
     fn propose_due_voters(&mut self) {
         let Some((_, since)) = self.leading else { return };
@@ -500,6 +525,7 @@
         self.channels.state.store(ReplicaView {
             node: self.node.status(),
             folder: self.node.folder(),
+            absent_voters: self.absence_log.absent(),
             history: self.fleet.configuration().history().skip(skipped).cloned().collect(),
             unsettled: self.fleet.ledger().unsettled().count(),
             lease_until: self.node.lease_until(self.clock.now()),
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -8,6 +8,7 @@
 mod writer;
 
 use std::{
+    collections::BTreeSet,
     io,
     path::PathBuf,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -99,6 +100,8 @@
     pub node: quorum::Status,
     /// The id of the data folder that this host votes with.
     pub folder: quorum::FolderId,
+    /// The voters that take no part, if this host leads.
+    pub absent_voters: Arc<BTreeSet<HostId>>,
     /// The latest changes of the configuration, oldest first.
     pub history: Vec<fleet::ChangeRecord>,
     /// Calls that are open or whose outcome is unknown.
--- a/crates/quorum/src/healing.rs
+++ b/crates/quorum/src/healing.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use base::{HostId, LogIndex, MonotonicTime};
 
@@ -80,6 +80,15 @@
     (stays_safe && view.can_commit(&next, settings)).then_some(next)
 }
 
+/// Returns the voters that take no part: those not heard from for
+/// [`HealingSettings::replace_after`], and those whose host has another folder.
+pub fn absent_voters(view: &LeaderView<'_>, settings: &HealingSettings) -> BTreeSet<HostId> {
+    let is_absent = |(host, folder): &(&HostId, &FolderId)| {
+        view.is_presumed_lost(host, settings) || view.has_other_folder(host, **folder)
+    };
+    view.voters().filter(is_absent).map(|(host, _)| host.clone()).collect()
+}
+
 impl LeaderView<'_> {
     /// Returns the voters other than the leader.
     fn voters(&self) -> impl Iterator<Item = (&HostId, &FolderId)> {
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -42,7 +42,12 @@
 //! holds at least what they have recorded of it: its start count, the highest term in which it
 //! voted or acknowledged, and the highest entry that it acknowledged in that term. They record this
 //! from votes, from the leader's heartbeats and from earlier registrations, and store it with their
-//! vote. Three cases are not detected:
+//! vote. Its own log may be so old that all voters it names have other folders by now, or that they
+//! are other hosts. It therefore asks leaders and candidates that call on it too, and takes part
+//! with the voters that they report, of which a majority must confirm it in the same way. A folder
+//! that the newest committed voters no longer include is told so.
+//!
+//! Three cases are not detected:
 //!
 //! - a copy made since the last start, if the confirming voters have no record of what it lacks:
 //!   they never received the latest acknowledgements (the leader of that time is down), or they
@@ -99,9 +104,9 @@
 pub use crate::{
     action::{Action, Input, Refusal, Write},
     config::Config,
-    healing::{HealingSettings, LeaderView, next_voters},
+    healing::{HealingSettings, LeaderView, absent_voters, next_voters},
     hints::LeaderHints,
-    message::{AppendOutcome, Body, CommittedVoters, FoundingState, Message, VoteKind},
+    message::{AppendOutcome, Body, FoundingState, Message, VoteKind, VotersAt},
     node::Node,
     progress::Progress,
     registration::Registration,
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -114,10 +114,15 @@
         self.voters.last().map_or(LogIndex::ZERO, |(index, _)| *index)
     }
 
+    /// Returns the last change of voters at or before the entry at `index`.
+    pub(crate) fn voters_change_at(&self, index: LogIndex) -> Option<(LogIndex, &VoterSet)> {
+        let known = self.voters.iter().rev().find(|(changed, _)| *changed <= index);
+        known.map(|(changed, voters)| (*changed, voters))
+    }
+
     /// Returns the voters after the entry at `index`.
     pub(crate) fn voters_at(&self, index: LogIndex) -> VoterSet {
-        let known = self.voters.iter().rev().find(|(changed, _)| *changed <= index);
-        known.map(|(_, voters)| voters.clone()).unwrap_or_default()
+        self.voters_change_at(index).map(|(_, voters)| voters.clone()).unwrap_or_default()
     }
 
     /// Replaces the log up to the snapshot's last entry, which is in the log, except trailing
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -112,8 +112,8 @@
         starts: StartCount,
         /// Whether the folder holds at least what the voter has recorded of it.
         accepted: bool,
-        /// The latest committed voters, if the last change in the voter's log is committed.
-        committed: Option<CommittedVoters>,
+        /// The latest voters that the replying host knows to be committed.
+        committed: Option<VotersAt>,
     },
     /// Makes the receiver campaign at once; the sender no longer leads.
     Campaign,
@@ -126,11 +126,13 @@
         /// The state of the log in the replying folder.
         founding: FoundingState,
     },
+    /// Reports, beside [`Body::RegisterReply`], a last change of voters not known to be committed.
+    UncommittedVoters(VotersAt),
 }
 
-/// Voters that are known to be committed.
+/// Voters, and the entry that set them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CommittedVoters {
+pub struct VotersAt {
     /// The entry that set them.
     pub index: LogIndex,
     /// The voters.
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -7,14 +7,14 @@
 use rand::{Rng, RngExt};
 
 use crate::{
-    Action, Body, CommittedVoters, Config, Entry, FolderId, HardState, Input, Message, Refusal,
-    Registration, RestoredState, Role, Status, VoteKind, VoterSet, Write,
+    Action, Body, Config, Entry, FolderId, HardState, Input, Message, Refusal, Registration,
+    RestoredState, Role, Status, VoteKind, VoterSet, Write,
     election::Campaign,
     follower::{IncomingSnapshot, SnapshotChunk},
     leader::LeaderState,
     log::{Log, before},
     message::Sender,
-    registration,
+    registration::{self, RegistrationReports},
 };
 
 /// A replica of the log: a voter or a learner.
@@ -37,9 +37,7 @@
     pub(crate) learners: BTreeSet<HostId>,
     pub(crate) incoming: Option<IncomingSnapshot>,
     pub(crate) registration: Registration,
-    pub(crate) accepted_by: BTreeMap<HostId, FolderId>,
-    /// Committed voters newer than this node's log, received from other voters.
-    pub(crate) later_voters: Option<CommittedVoters>,
+    pub(crate) reports: RegistrationReports,
     pub(crate) retry_at: MonotonicTime,
     pub(crate) fresh_founders: BTreeMap<HostId, FolderId>,
     pub(crate) founding_denied: bool,
@@ -71,8 +69,7 @@
             learners: BTreeSet::new(),
             incoming: None,
             registration,
-            accepted_by: BTreeMap::new(),
-            later_voters: None,
+            reports: RegistrationReports::default(),
             retry_at: now,
             fresh_founders: BTreeMap::new(),
             founding_denied: false,
@@ -174,6 +171,9 @@
             Body::RegisterReply { starts, accepted, committed } => {
                 return self.handle_register_reply(sender, starts, accepted, committed, actions);
             }
+            Body::UncommittedVoters(voters) => {
+                return self.handle_uncommitted_voters(sender, voters, actions);
+            }
             Body::FoundingQuery => return self.handle_founding_query(from, folder, actions),
             Body::FoundingReply { requester, founding } => {
                 return self.handle_founding_reply(sender, requester, founding, actions);
@@ -181,7 +181,7 @@
             _ => {}
         }
         if self.registration != Registration::Done {
-            return;
+            return self.note_contact(from, &body);
         }
         if let Body::Vote { campaign, vote_kind, voter_folder, last_index, last_term } = body {
             let candidate = (last_term, last_index);
--- a/crates/quorum/src/registration.rs
+++ b/crates/quorum/src/registration.rs
@@ -1,18 +1,25 @@
-use std::{collections::BTreeSet, fmt};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
 
 use base::{HostId, LogIndex, Term};
 use rand::Rng;
 
 use crate::{
-    Action, Body, CommittedVoters, FolderId, FolderRecord, Node, StartCount, VoterSet,
-    message::Sender,
+    Action, Body, FolderId, FolderRecord, Node, StartCount, VoterSet, VotersAt, message::Sender,
 };
 
+/// Most hosts that are kept as contacts; more don't vote in any fleet.
+const MAX_CONTACTS: usize = 64;
+
 /// The state of the registration of a node's folder; a voter can't vote before it is done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Registration {
     /// A majority of the voters has not confirmed the folder yet.
     Pending,
+    /// As pending, and the newest voters that are known to be committed no longer include it.
+    Removed,
     /// A majority has confirmed the folder, or the folder is not a voter's.
     Done,
     /// A voter has recorded more of this folder than it holds: it is an outdated copy.
@@ -23,6 +30,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Pending => "waiting for a majority to confirm the data folder",
+            Self::Removed => "unconfirmed: the data folder is no longer a voter's",
             Self::Done => "confirmed",
             Self::Refused => "refused: the data folder is an older copy",
         })
@@ -34,16 +42,45 @@
     if voters.admits(host, folder) { Registration::Pending } else { Registration::Done }
 }
 
+/// What other hosts reported to a node that registers its folder.
+///
+/// The log of the node may be so old that the voters it names are all lost, so it also takes part
+/// in the registration with voters that others report, whoever they are: what is committed stays
+/// so, and voters that aren't committed yet may be the only ones left that can go on.
+#[derive(Debug, Default)]
+pub(crate) struct RegistrationReports {
+    /// The folders from which hosts accepted the registration.
+    accepted_by: BTreeMap<HostId, FolderId>,
+    /// The newest committed voters, if they are newer than those in this node's log.
+    committed: Option<VotersAt>,
+    /// Changes of voters that may not be committed, by the host that reported them.
+    uncommitted: BTreeMap<HostId, VotersAt>,
+    /// Hosts that sent messages as leaders or candidates.
+    contacts: BTreeSet<HostId>,
+}
+
+impl RegistrationReports {
+    /// Returns the reported voters, of which uncommitted ones count only after committed ones.
+    fn voters(&self) -> impl Iterator<Item = &VoterSet> {
+        let committed_at = self.committed.as_ref().map(|committed| committed.index);
+        let uncommitted = self.uncommitted.values().filter(move |v| committed_at < Some(v.index));
+        self.committed.iter().chain(uncommitted).map(|reported| &reported.voters)
+    }
+
+    fn hosts(&self) -> impl Iterator<Item = &HostId> {
+        self.voters().flat_map(|voters| voters.folders.keys()).chain(&self.contacts)
+    }
+}
+
 impl<R: Rng> Node<R> {
     pub(crate) fn tick_registration(&mut self, actions: &mut Vec<Action>) {
-        if self.registration != Registration::Pending || self.now < self.retry_at {
+        if !self.is_registering() || self.now < self.retry_at {
             return;
         }
         self.retry_at = self.now + self.cfg.heartbeat_interval;
         let (starts, last_index) = (self.next_start(), self.log.last_index());
-        let later = self.later_voters.iter().flat_map(|later| later.voters.folders.keys());
         let mut others = BTreeSet::from_iter(self.other_voters());
-        others.extend(later.filter(|host| **host != self.cfg.host).cloned());
+        others.extend(self.reports.hosts().filter(|host| **host != self.cfg.host).cloned());
         for host in others {
             self.send(&host, Body::Register { starts, last_index }, actions);
         }
@@ -77,36 +114,74 @@
         }
         let committed = self.committed_voters();
         self.send(from.host, Body::RegisterReply { starts, accepted, committed }, actions);
+        if self.commit < self.log.voters_index() {
+            let (index, voters) = (self.log.voters_index(), self.log.voters().clone());
+            self.send(from.host, Body::UncommittedVoters(VotersAt { index, voters }), actions);
+        }
+    }
+
+    /// Records a host that sent a message which this node can't handle while it registers.
+    ///
+    /// Leaders and candidates know newer voters than this node's log may name.
+    pub(crate) fn note_contact(&mut self, from: &HostId, body: &Body) {
+        let leads = matches!(body, Body::Vote { .. } | Body::Append { .. } | Body::Chunk { .. });
+        if leads && self.is_registering() && self.reports.contacts.len() < MAX_CONTACTS {
+            self.reports.contacts.insert(from.clone());
+        }
+    }
+
+    fn is_registering(&self) -> bool {
+        matches!(self.registration, Registration::Pending | Registration::Removed)
     }
 
-    /// Records committed voters, if they are newer than this node's log.
-    fn record_later_voters(&mut self, committed: Option<CommittedVoters>) {
-        let known = self.later_voters.as_ref().map(|later| later.index);
-        let known = known.unwrap_or_default().max(self.log.voters_index());
-        if let Some(committed) = committed.filter(|committed| known < committed.index) {
-            self.later_voters = Some(committed);
+    /// Records committed voters, if this node's log doesn't hold them.
+    fn record_committed_voters(&mut self, committed: VotersAt) {
+        let own = self.log.voters_change_at(self.commit);
+        let known = self.reports.committed.as_ref().map(|committed| committed.index);
+        let known = known.max(own.map(|(index, _)| index));
+        let held = self.log.voters_change_at(committed.index);
+        if known < Some(committed.index) && held != Some((committed.index, &committed.voters)) {
+            let is_voter = committed.voters.admits(&self.cfg.host, self.folder);
+            self.registration =
+                if is_voter { Registration::Pending } else { Registration::Removed };
+            self.reports.committed = Some(committed);
         }
     }
 
+    pub(crate) fn handle_uncommitted_voters(
+        &mut self,
+        from: Sender<'_>,
+        voters: VotersAt,
+        actions: &mut Vec<Action>,
+    ) {
+        let committed = self.log.voters_change_at(self.commit).map(|(index, _)| index);
+        let is_newer = committed < Some(voters.index);
+        if !self.is_registering() || !is_newer || !voters.voters.admits(from.host, from.folder) {
+            return;
+        }
+        self.reports.uncommitted.insert(from.host.clone(), voters);
+        self.finish_registration(actions);
+    }
+
     pub(crate) fn handle_register_reply(
         &mut self,
         from: Sender<'_>,
         starts: StartCount,
         accepted: bool,
-        committed: Option<CommittedVoters>,
+        committed: Option<VotersAt>,
         actions: &mut Vec<Action>,
     ) {
-        let current = self.registration == Registration::Pending && starts == self.next_start();
-        let may_confirm = |voters: &VoterSet| voters.admits(from.host, from.folder);
-        if !current || !self.confirming_voters().any(may_confirm) {
+        if !self.is_registering() || starts != self.next_start() {
             return;
         }
         if !accepted {
             self.registration = Registration::Refused;
             return;
         }
-        self.record_later_voters(committed);
-        self.accepted_by.insert(from.host.clone(), from.folder);
+        if let Some(committed) = committed {
+            self.record_committed_voters(committed);
+        }
+        self.reports.accepted_by.insert(from.host.clone(), from.folder);
         self.finish_registration(actions);
     }
 
@@ -163,29 +238,27 @@
         }
         self.hard.starts = self.next_start();
         self.registration = Registration::Done;
-        self.accepted_by.clear();
-        self.later_voters = None;
+        self.reports = RegistrationReports::default();
         self.save_hard_state(actions);
     }
 
     /// Returns the voters that may confirm this node's folder.
     ///
-    /// Newer committed voters can confirm it too, since voters that this node's log still names may
-    /// be lost permanently.
+    /// Reported ones can confirm it too, since voters that this node's log still names may be lost
+    /// permanently.
     fn confirming_voters(&self) -> impl Iterator<Item = &VoterSet> {
-        let later = self.later_voters.iter().map(|later| &later.voters);
         let admits = |voters: &&VoterSet| voters.admits(&self.cfg.host, self.folder);
-        std::iter::once(self.log.voters()).chain(later.filter(admits))
+        std::iter::once(self.log.voters()).chain(self.reports.voters().filter(admits))
     }
 
     fn is_confirmed_by(&self, voters: &VoterSet) -> bool {
-        let accepted = self.accepted_by.iter();
+        let accepted = self.reports.accepted_by.iter();
         let confirmed = accepted.filter(|(host, folder)| voters.admits(host, **folder)).count();
         voters.majority() <= confirmed + 1
     }
 
-    fn committed_voters(&self) -> Option<CommittedVoters> {
-        let index = self.log.voters_index();
-        (index <= self.commit).then(|| CommittedVoters { index, voters: self.log.voters().clone() })
+    fn committed_voters(&self) -> Option<VotersAt> {
+        let (index, voters) = self.log.voters_change_at(self.commit)?;
+        Some(VotersAt { index, voters: voters.clone() })
     }
 }
--- a/crates/quorum/tests/healing.rs
+++ b/crates/quorum/tests/healing.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use base::MonotonicTime;
-use quorum::{HealingSettings, Input, LeaderView, next_voters};
+use base::{HostId, MonotonicTime};
+use quorum::{HealingSettings, Input, LeaderView, Registration, absent_voters, next_voters};
 
 use crate::cluster::{Cluster, host};
 
@@ -56,6 +56,15 @@
         }
     }
 
+    /// Returns the voters that take no part, as the leader sees them.
+    fn absent_voters(&self) -> Vec<HostId> {
+        let leader = self.leader();
+        let (status, me, now) = (self.cluster.status(leader), host(leader), self.cluster.now);
+        let leading_for = now.saturating_since(self.leading_since[&leader]);
+        let view = LeaderView { status: &status, me: &me, now, leading_for };
+        absent_voters(&view, &Self::settings()).into_iter().collect()
+    }
+
     fn leader(&self) -> usize {
         self.cluster.leader().expect("a leader")
     }
@@ -165,6 +174,83 @@
     healing.check_recovered();
 }
 
+/// Loses the disks of all voters but `absent`, each once the one before has been added again.
+fn replace_all_disks_but(healing: &mut HealingCluster, absent: usize) {
+    for i in (0..5).filter(|i| *i != absent) {
+        healing.cluster.lose_disk(i);
+        healing.run(4000);
+    }
+}
+
+fn check_survives_two_lost_disks(mut healing: HealingCluster, kept: usize) {
+    healing.commit("order 2");
+    let lost: Vec<_> = (0..5).filter(|i| *i != kept).take(2).collect();
+    lost.iter().for_each(|i| healing.cluster.lose_disk(*i));
+    healing.run(6000);
+    healing.commit("order 3");
+    healing.check_recovered();
+}
+
+#[test]
+fn voter_that_missed_new_disks_of_all_others_votes_again() {
+    let mut healing = five_voters();
+    let absent = healing.others(1)[0];
+    healing.cluster.crash(absent);
+    replace_all_disks_but(&mut healing, absent);
+    healing.cluster.start(absent);
+    healing.run(2000);
+    assert_eq!(healing.cluster.registration(absent), Registration::Done);
+    check_survives_two_lost_disks(healing, absent);
+}
+
+#[test]
+fn voter_that_takes_no_part_is_named() {
+    let mut healing = five_voters();
+    assert_eq!(healing.absent_voters(), []);
+    let crashed = healing.others(1)[0];
+    healing.cluster.crash(crashed);
+    healing.run(3000);
+    assert_eq!(healing.absent_voters(), [host(crashed)]);
+    healing.cluster.start(crashed);
+    healing.run(1000);
+    assert_eq!(healing.absent_voters(), []);
+}
+
+#[test]
+fn voter_that_was_replaced_while_absent_learns_that_it_was_removed() {
+    let mut healing = HealingCluster::new(3, 3);
+    healing.cluster.crash(5);
+    healing.run(3000);
+    let absent = healing.others(1)[0];
+    healing.cluster.crash(absent);
+    healing.cluster.start(5);
+    healing.run(5000);
+    for i in (0..6).filter(|i| *i != absent) {
+        healing.cluster.lose_disk(i);
+        healing.run(4000);
+    }
+    healing.cluster.start(absent);
+    healing.run(2000);
+    assert_eq!(healing.cluster.registration(absent), Registration::Removed);
+    healing.check_recovered();
+}
+
+#[test]
+fn outdated_copy_is_refused_by_voters_with_new_disks() {
+    let mut healing = five_voters();
+    let absent = healing.others(1)[0];
+    let copy = healing.cluster.machines[absent].disk.clone();
+    healing.commit("order 1");
+    healing.run(400);
+    healing.cluster.crash(absent);
+    replace_all_disks_but(&mut healing, absent);
+    healing.cluster.machines[absent].disk = copy;
+    healing.cluster.start(absent);
+    healing.run(4000);
+    assert_eq!(healing.cluster.registration(absent), Registration::Refused);
+    assert_eq!(healing.cluster.checker.violations, []);
+}
+
 #[test]
 fn majority_exceeds_the_disks_that_may_be_lost() {
     for lost_disks in 0..4 {
--- a/crates/quorum/tests/model.rs
+++ b/crates/quorum/tests/model.rs
@@ -1,6 +1,6 @@
 //! Random runs with failures; the invariants are checked after each step.
 
-use std::time::Duration;
+use std::{fmt::Debug, str::FromStr, time::Duration};
 
 use base::LogIndex;
 use proptest::{
@@ -163,11 +163,17 @@
     cluster.propose_voters(leader, voters);
 }
 
+/// Returns the number in an environment variable, if it is set.
+fn number_from_env<T: FromStr<Err: Debug>>(name: &str) -> Option<T> {
+    Some(std::env::var(name).ok()?.parse().expect("a whole number"))
+}
+
+/// Returns the settings of a test; `MODEL_CASES` and `MODEL_SEED` play others than CI does.
 fn config(cases: u32) -> ProptestConfig {
     ProptestConfig {
-        cases,
+        cases: number_from_env("MODEL_CASES").unwrap_or(cases),
         failure_persistence: None,
-        rng_seed: RngSeed::Fixed(5),
+        rng_seed: RngSeed::Fixed(number_from_env("MODEL_SEED").unwrap_or(5)),
         max_shrink_iters: 200,
         ..ProptestConfig::default()
     }
--- a/crates/wire/src/operator/status.rs
+++ b/crates/wire/src/operator/status.rs
@@ -101,6 +101,13 @@
     /// Index of the last entry it is known to have stored; set only by a leader.
     #[serde(default)]
     pub matched: Option<LogIndex>,
+    /// Time since the latest message that it replied to, in milliseconds; set only by a leader for
+    /// the other voters that it has heard from.
+    #[serde(default)]
+    pub heard_ms: Option<u64>,
+    /// Whether the leader counts it for majorities although it takes no part; set only by a leader.
+    #[serde(default)]
+    pub absent: bool,
 }
 
 /// Another router.
