departures: acknowledged once the replicated log holds them

Cause: the answer was given once the departure was in the roster thread's channel, in the memory of one process. Gossip leaves at its next tick (200 ms), the poll that also tells the leader up to 300 ms later, and an endpoint that is gone says it once.

Change: Command::Depart names an endpoint's incarnation. It is acknowledged once committed, for POST /announce of the daemon too. Later announcements of the same incarnation are answered from what this host knows to be committed, and those of endpoints that serve cost nothing, as before. An unknown endpoint that names its incarnation is committed too: others may know it. Without a majority the endpoint is told 503 and asks another host.

--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -42,7 +42,9 @@
     Settings,
     clock::Clock,
     configurations::{Configurations, InForce},
+    departures::DepartureLog,
     leader_client::LeaderClient,
+    replica::ReplicaState,
     roster::RosterInput,
 };
 
@@ -78,6 +80,8 @@
     pub configurations: Configurations,
     /// Client of the quorum's leader.
     pub leader: LeaderClient,
+    /// The replica thread's state.
+    pub replica_state: ReplicaState,
     /// The incarnation of this process.
     pub incarnation: Incarnation,
     /// The process's metrics.
@@ -123,6 +127,7 @@
     configurations: Configurations,
     in_force: RefCell<Arc<InForce>>,
     leader: LeaderClient,
+    departures: DepartureLog,
     owner: Owner,
     clock: Clock,
     metrics: Arc<Metrics>,
@@ -150,6 +155,11 @@
             configurations: channels.configurations.clone(),
             in_force: RefCell::new(channels.configurations.in_force().unwrap_or_default()),
             leader: channels.leader.clone(),
+            departures: DepartureLog::new(
+                clock,
+                channels.leader.clone(),
+                channels.replica_state.clone(),
+            ),
             owner,
             clock,
             metrics: Arc::clone(&channels.metrics),
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use base::EndpointId;
+use base::{EndpointId, Incarnation};
 use fleet::{Command, Reply};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{Request, Response};
@@ -57,13 +57,9 @@
 
 async fn execute<D: Dialect>(gateway: &Rc<Gateway<D>>, request: ControlRequest) -> ControlResponse {
     match request {
-        ControlRequest::Announce(announcement) => announce(gateway, *announcement),
+        ControlRequest::Announce(announcement) => announce(gateway, *announcement).await,
         ControlRequest::Leave { endpoint, incarnation } => {
-            match leaving_announcement(gateway, &endpoint, incarnation) {
-                Some(announcement) => announce(gateway, announcement),
-                // No request is routed to an unknown endpoint.
-                None => ControlResponse::Done,
-            }
+            leave(gateway, &endpoint, incarnation).await
         }
         ControlRequest::Publish(publication) => {
             let number = publication.number;
@@ -81,23 +77,60 @@
     }
 }
 
+/// Records that an endpoint leaves; without an incarnation, that is the one known here.
+async fn leave<D: Dialect>(
+    gateway: &Gateway<D>,
+    endpoint: &EndpointId,
+    incarnation: Option<Incarnation>,
+) -> ControlResponse {
+    if let Some(announcement) = leaving_announcement(gateway, endpoint, incarnation) {
+        return announce(gateway, announcement).await;
+    }
+    match incarnation {
+        // Other hosts may know it.
+        Some(incarnation) => commit_departure(gateway, endpoint, incarnation).await,
+        None => ControlResponse::Done,
+    }
+}
+
+async fn commit_departure<D: Dialect>(
+    gateway: &Gateway<D>,
+    endpoint: &EndpointId,
+    incarnation: Incarnation,
+) -> ControlResponse {
+    match gateway.departures.commit(endpoint, incarnation).await {
+        Ok(()) => ControlResponse::Done,
+        Err(_) => ControlResponse::Unavailable("no leader confirmed that the endpoint leaves"),
+    }
+}
+
 /// Passes an announcement to the roster, unless this host is isolated and can't gossip it.
-fn announce<D: Dialect>(gateway: &Gateway<D>, mut announcement: Announcement) -> ControlResponse {
+///
+/// That an endpoint leaves is done only once the replicated log holds it too.
+async fn announce<D: Dialect>(
+    gateway: &Gateway<D>,
+    mut announcement: Announcement,
+) -> ControlResponse {
     announcement.lease = announcement.lease.max(MIN_ANNOUNCEMENT_LEASE);
     if gateway.latest_roster.load().is_some_and(|roster| roster.isolated) {
         return ControlResponse::Unavailable("this host can't reach any other router");
     }
-    match gateway.roster_input.try_send(RosterInput::Announced(announcement)) {
-        Ok(()) => ControlResponse::Done,
-        Err(_) => ControlResponse::Unavailable("the router is overloaded or shutting down"),
+    let leaving = announcement.leaving;
+    let (endpoint, incarnation) = (announcement.endpoint.clone(), announcement.incarnation);
+    if gateway.roster_input.try_send(RosterInput::Announced(announcement)).is_err() {
+        return ControlResponse::Unavailable("the router is overloaded or shutting down");
+    }
+    if leaving {
+        return commit_departure(gateway, &endpoint, incarnation).await;
     }
+    ControlResponse::Done
 }
 
 /// Returns the announcement that removes an endpoint, if it is known here.
 fn leaving_announcement<D: Dialect>(
     gateway: &Gateway<D>,
     endpoint: &EndpointId,
-    incarnation: Option<base::Incarnation>,
+    incarnation: Option<Incarnation>,
 ) -> Option<Announcement> {
     let roster = gateway.latest_roster.load()?;
     let record =
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 
 use crate::{
     clock::Clock,
+    departures::DepartureLog,
     edge::{ServerCommand, ServerExit},
     leader_client::LeaderClient,
     replica::{ReplicaInput, ReplicaState},
@@ -158,6 +159,7 @@
     is_draining: Cell<bool>,
     stop_time: StopTime,
     leader: LeaderClient,
+    departures: DepartureLog,
     roster_input: flume::Sender<RosterInput>,
     latest_roster: LatestRoster,
     replica: Option<flume::Sender<ReplicaInput>>,
@@ -212,6 +214,11 @@
             is_draining: Cell::new(false),
             stop_time: StopTime::default(),
             leader: channels.leader.clone(),
+            departures: DepartureLog::new(
+                clock,
+                channels.leader.clone(),
+                channels.replica_state.clone(),
+            ),
             roster_input: channels.roster.clone(),
             latest_roster: channels.latest.clone(),
             replica: channels.replica.clone(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -24,6 +24,7 @@
 mod admin;
 mod clock;
 mod configurations;
+mod departures;
 mod directory;
 mod edge;
 mod failure;
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -91,6 +91,7 @@
             admin_queries,
             configurations: shared.configurations.clone(),
             leader,
+            replica_state: shared.replica_state.clone(),
             incarnation: shared.incarnation,
             metrics: Arc::clone(&shared.metrics),
             tracer,
@@ -219,6 +220,7 @@
             outbox: self.outbox.clone(),
             directory: self.directory.clone(),
             configurations: self.configurations.clone(),
+            roster: self.roster.clone(),
             state: self.replica_state.clone(),
         };
         replica::spawn(replica_cfg, self.clock, channels)?;
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -1,9 +1,10 @@
 //! The event loop that drives the quorum node and executes its actions.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use base::{HostId, LogIndex, MonotonicTime, Term, UnixMillis};
-use fleet::{Command, Fleet};
+use fleet::{Command, Departure, Fleet};
+use member::IncarnationKey;
 use quorum::{
     Action, Config, Entry, Input, Message, Node, Payload, RestoredState, Role, Snapshot, SyncGate,
     VoterSet,
@@ -19,6 +20,7 @@
     clock::Clock,
     configurations::Configuration,
     peers::{Envelope, Outgoing, QuorumCall, SubmitCall},
+    roster::RosterInput,
 };
 
 use super::{
@@ -130,8 +132,7 @@
             leading: None,
             followers: Followers::default(),
         };
-        driver.publish_configuration();
-        driver.record_desired_weights();
+        driver.publish_fleet();
         Ok(driver)
     }
 
@@ -425,8 +426,7 @@
                 self.fleet = fleet;
                 self.snapshot_at = snapshot.last_index;
                 self.pending.replaced_through(snapshot.last_index);
-                self.publish_configuration();
-                self.record_desired_weights();
+                self.publish_fleet();
             }
             Err(e) => {
                 log::error!("invalid snapshot from leader: error={e}");
@@ -461,6 +461,12 @@
                 if matches!(command, Command::Change(_)) {
                     self.publish_configuration();
                 }
+                if let Command::Depart(departure) = &command {
+                    log::info!(endpoint:% = departure.endpoint,
+                        incarnation:% = departure.incarnation, index:%;
+                        "departure of an endpoint committed");
+                    self.record_departure(departure);
+                }
                 if matches!(command, Command::Publish(_) | Command::SetDesiredWeights(_)) {
                     self.followers.record_change();
                     self.record_desired_weights();
@@ -474,6 +480,27 @@
         }
     }
 
+    /// Passes on all that this host's other threads need of the replicated state.
+    fn publish_fleet(&mut self) {
+        self.publish_configuration();
+        self.record_desired_weights();
+        let departures = Arc::clone(self.fleet.departures());
+        let recent = departures.recent(self.clock.wall());
+        recent.for_each(|departure| self.record_departure(&departure));
+    }
+
+    /// Tells the followers and this host's roster that an endpoint leaves.
+    fn record_departure(&mut self, departure: &Departure) {
+        let Departure { endpoint, incarnation, .. } = departure;
+        let key = IncarnationKey::new(endpoint, *incarnation);
+        self.followers.record_leaving(self.clock.now(), &[key]);
+        let departed =
+            RosterInput::Departed { endpoint: endpoint.clone(), incarnation: *incarnation };
+        if self.channels.roster.try_send(departed).is_err() {
+            log::warn!(endpoint:%; "departure not passed on to the roster, its channel is full");
+        }
+    }
+
     fn record_desired_weights(&mut self) {
         self.followers.record_desired_weights(self.clock.now(), self.fleet.published());
     }
@@ -530,6 +557,7 @@
             unsettled: self.fleet.ledger().unsettled().count(),
             lease_until: self.node.lease_until(self.clock.now()),
             loads,
+            departures: Arc::clone(self.fleet.departures()),
             failure: self.failure.clone(),
         });
     }
@@ -544,6 +572,7 @@
         Command::Release(release) => &mut release.at,
         Command::Resolve(resolve) => &mut resolve.at,
         Command::OwnerGone(gone) => &mut gone.at,
+        Command::Depart(departure) => &mut departure.at,
         Command::Publish(_) | Command::SetDesiredWeights(_) => return command,
     };
     *at = now;
--- a/crates/daemon/src/replica/followers.rs
+++ b/crates/daemon/src/replica/followers.rs
@@ -72,14 +72,19 @@
     ) {
         self.loads.report(now, poll.from.clone(), std::mem::take(&mut poll.loads));
         self.sent.extend(&poll.from, std::mem::take(&mut poll.sent));
-        if self.leaving_set.record_leaving(now, &poll.leaving) {
-            self.changes += 1;
-        }
+        self.record_leaving(now, &poll.leaving);
         self.record_crashes(now, std::mem::take(&mut poll.crashes));
         let deadline = now + poll.max_wait.min(MAX_POLL_WAIT);
         self.polls.push(PendingPoll { poll, reply, deadline });
     }
 
+    /// Records incarnations of endpoints that leave, and tells the followers if that is news.
+    pub(super) fn record_leaving(&mut self, now: MonotonicTime, leaving: &[IncarnationKey]) {
+        if self.leaving_set.record_leaving(now, leaving) {
+            self.changes += 1;
+        }
+    }
+
     fn record_crashes(&mut self, now: MonotonicTime, report: CrashReport) {
         for known in report.quarantined {
             self.crash_detector.adopt(now, known);
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -17,7 +17,7 @@
 
 use base::{HostId, MonotonicTime};
 use eyre::WrapErr as _;
-use fleet::{EngineUpdate, WeightsAge};
+use fleet::{Departures, EngineUpdate, WeightsAge};
 use quorum::HealingSettings;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
@@ -29,6 +29,7 @@
     configurations::Configurations,
     directory::Directory,
     peers::{Envelope, QuorumCall, SubmitCall},
+    roster::RosterInput,
 };
 
 use driver::{Driver, DriverEnd};
@@ -85,6 +86,8 @@
     pub directory: Directory,
     /// Receives each committed configuration.
     pub configurations: Configurations,
+    /// Receives each committed departure of an endpoint.
+    pub roster: flume::Sender<RosterInput>,
     /// Publishes the thread's state.
     pub state: ReplicaState,
 }
@@ -110,6 +113,8 @@
     pub lease_until: Option<MonotonicTime>,
     /// Load on endpoints, as routers reported it to this host.
     pub loads: Vec<SentLoad>,
+    /// The endpoints that are committed to leave.
+    pub departures: Arc<Departures>,
     /// The error after which the thread no longer acknowledges requests, if one occurred.
     pub failure: Option<String>,
 }
@@ -119,6 +124,11 @@
         self.lock().clone()
     }
 
+    /// Returns the endpoints that are committed to leave, as far as this host has applied the log.
+    pub(crate) fn departures(&self) -> Arc<Departures> {
+        self.lock().as_ref().map(|view| Arc::clone(&view.departures)).unwrap_or_default()
+    }
+
     fn store(&self, view: ReplicaView) {
         *self.lock() = Some(view);
     }
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use base::{ByteCount, HostId, MonotonicTime, Revision, Term};
+use base::{ByteCount, EndpointId, HostId, Incarnation, MonotonicTime, Revision, Term};
 use member::{Announcement, Budget, EndpointChange, Membership, PeerUpdate, Roster, TICK_INTERVAL};
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
@@ -33,6 +33,13 @@
 pub(crate) enum RosterInput {
     /// An endpoint's announcement to this router.
     Announced(Announcement),
+    /// The replicated log says that an endpoint leaves.
+    Departed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The incarnation that leaves.
+        incarnation: Incarnation,
+    },
     /// A gossip message from another router.
     Gossip(GossipCall),
     /// Another router's response to gossip.
@@ -164,6 +171,9 @@
                     log::debug!(endpoint:% = stale.endpoint; "stale announcement dropped");
                 }
             }
+            RosterInput::Departed { endpoint, incarnation } => {
+                self.membership.depart(now, &endpoint, incarnation);
+            }
             RosterInput::Gossip(call) => self.handle_gossip(now, &call),
             RosterInput::GossipResponse { sent, message } => {
                 self.handle_gossip_response(now, sent, &message)
--- a/crates/fleet/src/command.rs
+++ b/crates/fleet/src/command.rs
@@ -8,7 +8,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{DesiredWeights, Publication};
+use crate::{Departure, DesiredWeights, Publication};
 
 /// The process that holds a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -208,4 +208,6 @@
     Publish(Publication),
     /// Sets the version of a model's weights that engines should load.
     SetDesiredWeights(DesiredWeights),
+    /// Records that an endpoint leaves.
+    Depart(Departure),
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -38,6 +38,7 @@
 mod declaration;
 mod declaration_error;
 mod declaration_file;
+mod departures;
 mod diff;
 mod engine_updates;
 mod explanation;
@@ -65,6 +66,7 @@
     contents::{Contents, DesiredModel, Exception, Organisation, Reason},
     declaration::Declaration,
     declaration_error::DeclarationError,
+    departures::{Departure, Departures},
     diff::{Difference, diff},
     engine_updates::{EngineUpdateLog, ReceivedEngineUpdates},
     explanation::{Explanation, Source},
--- a/crates/fleet/src/reply.rs
+++ b/crates/fleet/src/reply.rs
@@ -155,4 +155,6 @@
     Publish(PublishReply),
     /// To desired weights: the model's resulting version.
     Weights(u32),
+    /// To the departure of an endpoint: it is recorded.
+    Departed,
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    CallKey, Claim, Command, Published, Reply, Scope, Settings,
+    CallKey, Claim, Command, Departures, Published, Reply, Scope, Settings,
     codec::{self, CodecError},
     configuration::{Configuration, ConfigurationRecord},
     ledger::{Ledger, SettingsSource},
@@ -19,6 +19,7 @@
     configuration: Configuration,
     ledger: Ledger,
     published: Arc<Published>,
+    departures: Arc<Departures>,
 }
 
 impl Fleet {
@@ -55,6 +56,10 @@
             Command::SetDesiredWeights(desired) => {
                 Reply::Weights(Arc::make_mut(&mut self.published).set_desired_weights(desired))
             }
+            Command::Depart(departure) => {
+                Arc::make_mut(&mut self.departures).record(departure);
+                Reply::Departed
+            }
         }
     }
 
@@ -88,6 +93,11 @@
         &self.published
     }
 
+    /// Returns the endpoints that leave.
+    pub fn departures(&self) -> &Arc<Departures> {
+        &self.departures
+    }
+
     /// Encodes the whole state as a snapshot.
     pub fn to_snapshot(&self) -> Vec<u8> {
         let mut bytes = codec::encode(&SnapshotRef {
@@ -96,6 +106,10 @@
             ledger: &self.ledger,
         });
         bytes.extend(codec::encode(&*self.published));
+        // Earlier versions can't read a snapshot that has more than this.
+        if !self.departures.is_empty() {
+            bytes.extend(codec::encode(&*self.departures));
+        }
         bytes
     }
 
@@ -106,8 +120,12 @@
     /// Returns an error if the bytes have an unknown format version or are damaged.
     pub fn from_snapshot(bytes: &[u8]) -> Result<Self, CodecError> {
         let (snapshot, left): (Snapshot, _) = codec::decode_first(bytes)?;
-        // Snapshots of earlier versions end here.
-        let published = if left.is_empty() { Published::default() } else { codec::decode(left)? };
+        // Snapshots of earlier versions end here, or after the next part.
+        let (published, left) = match left {
+            [] => (Published::default(), left),
+            left => codec::decode_first(left)?,
+        };
+        let departures = if left.is_empty() { Departures::default() } else { codec::decode(left)? };
         if !snapshot.ledger.is_consistent() {
             return Err(CodecError::inconsistent());
         }
@@ -116,6 +134,7 @@
             configuration: snapshot.configuration.try_into()?,
             ledger: snapshot.ledger,
             published: Arc::new(published),
+            departures: Arc::new(departures),
         })
     }
 
--- a/crates/member/src/endpoints.rs
+++ b/crates/member/src/endpoints.rs
@@ -1,8 +1,8 @@
 use std::{collections::BTreeMap, error, fmt, sync::Arc, time::Duration};
 
-use base::{EndpointId, HostId, MonotonicTime, Sequence};
+use base::{EndpointId, HostId, Incarnation, MonotonicTime, Sequence};
 
-use crate::{Announcement, EndpointKind, IncarnationKey, Load};
+use crate::{Announcement, EndpointKind, IncarnationKey, LeavingSet, Load};
 
 /// Time for which the record of an ended incarnation is kept as a tombstone.
 pub const TOMBSTONE_RETENTION: Duration = Duration::from_secs(3600);
@@ -20,6 +20,8 @@
     incarnations: BTreeMap<IncarnationKey, EndpointId>,
     lease_floor: Duration,
     live_count: usize,
+    /// Incarnations that left according to other sources than announcements.
+    departed: LeavingSet,
 }
 
 /// An endpoint's newest announcement and the state of its lease.
@@ -168,6 +170,28 @@
         Some(self.apply(now, Arc::new(announcement), renewal.age, Some(router)))
     }
 
+    /// Records that an incarnation of an endpoint leaves, whether or not it is known yet.
+    ///
+    /// Returns the change, if it was ready.
+    pub fn depart(
+        &mut self,
+        now: MonotonicTime,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+    ) -> Option<EndpointChange> {
+        let key = IncarnationKey::new(endpoint, incarnation);
+        self.departed.record_leaving(now, &[key]);
+        let record = self.find_incarnation(&key)?;
+        if record.state != EndpointState::Ready {
+            return None;
+        }
+        let mut announcement = Announcement::clone(&record.announcement);
+        announcement.sequence = announcement.sequence.next();
+        announcement.leaving = true;
+        let (age, relayed_by) = (record.age(now), record.relayed_by.clone());
+        self.apply(now, Arc::new(announcement), age, relayed_by).ok()
+    }
+
     /// Sets the lease floor, which keeps the rate of renewals within the traffic budget.
     pub fn set_lease_floor(&mut self, floor: Duration) {
         if self.lease_floor == floor {
@@ -226,10 +250,13 @@
     fn apply(
         &mut self,
         now: MonotonicTime,
-        announcement: Arc<Announcement>,
+        mut announcement: Arc<Announcement>,
         age: Duration,
         relayed_by: Option<HostId>,
     ) -> Result<EndpointChange, StaleAnnouncement> {
+        if self.departed.contains(&announcement.endpoint, announcement.incarnation) {
+            Arc::make_mut(&mut announcement).leaving = true;
+        }
         let endpoint = announcement.endpoint.clone();
         let record = self.records.get(&endpoint);
         let Some(change) = self.classify(record, &announcement, age) else {
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use base::{EndpointId, HostId, MonotonicTime, Revision};
+use base::{EndpointId, HostId, Incarnation, MonotonicTime, Revision};
 use rand::{Rng, seq::IndexedRandom};
 
 use crate::{
@@ -147,6 +147,15 @@
         Ok(change)
     }
 
+    /// Records that an incarnation of an endpoint leaves, as the replicated log says, and queues the
+    /// change for gossip.
+    pub fn depart(&mut self, now: MonotonicTime, endpoint: &EndpointId, incarnation: Incarnation) {
+        let old = self.endpoints.find(endpoint).cloned();
+        let Some(change) = self.endpoints.depart(now, endpoint, incarnation) else { return };
+        self.enqueue_change(old.as_ref(), &change);
+        self.changes.push(change);
+    }
+
     /// Advances timers to `now` and returns the messages to send.
     ///
     /// The driver calls it every [`TICK_INTERVAL`]; late calls are harmless.
