replica: commands are accepted only by as many voters as outlive the lost disks

Cause: the log is founded by three seeds and grows to five voters within about a second. Until then two hosts are a majority, and what they committed was acknowledged although two disks may be lost at once.

Change: a leader with self-healing takes commands only from twice the disks that may be lost, and one, voters. Four of five keep an entry too, but may be unable to elect a leader that has it, so they do only while one voter is replaced, whose disk is one of the lost ones then: that there were five before shows in the state, which no command changes earlier. One host that promises nothing of lost disks, and fleets whose operators change the voters, accept at once as before.

Ruled out: founding with five (a seed that is down would stop the first start); a flag in the log (the state tells it).

--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -66,6 +66,8 @@
     /// Dropped once this host no longer leads, to report a leadership transfer as done.
     transfer_done: Option<flume::Sender<()>>,
     voter_healing: VoterHealing,
+    /// Whether commands were accepted when the last one arrived.
+    accepts_commands: bool,
     absence_log: AbsenceLog,
     registration_log: RegistrationLog,
     voters_logged_at: MonotonicTime,
@@ -126,6 +128,7 @@
             failure: None,
             transfer_done: None,
             voter_healing: VoterHealing::new(cfg.healing),
+            accepts_commands: true,
             absence_log: AbsenceLog::default(),
             registration_log: RegistrationLog::new(clock.now()),
             voters_logged_at: MonotonicTime::ZERO,
@@ -236,6 +239,9 @@
             return reply.not_written(None);
         }
         match LeaderRequest::from_bytes(&call.request) {
+            Ok(LeaderRequest::Command(_)) if !self.may_accept_commands() => {
+                reply.not_written(self.node.leader().cloned());
+            }
             Ok(LeaderRequest::Command(command)) => {
                 let id = self.pending.propose(reply);
                 let command = with_leader_time(command, self.clock.wall()).to_bytes().into();
@@ -264,6 +270,28 @@
         }
     }
 
+    /// Returns whether a command that this host commits outlives the disks that may be lost; logs
+    /// changes.
+    fn may_accept_commands(&mut self) -> bool {
+        if self.node.role() != Role::Leader {
+            return true;
+        }
+        let voters = self.node.voters().folders.len();
+        // Commands were accepted only from as many voters as it takes.
+        let were_complete = || !self.fleet.is_pristine();
+        let accepts = self.voter_healing.keeps_commits(voters, false)
+            || self.voter_healing.keeps_commits(voters, were_complete());
+        if accepts != self.accepts_commands {
+            self.accepts_commands = accepts;
+            if accepts {
+                log::info!(voters; "commands accepted, enough voters to outlive lost disks");
+            } else {
+                log::warn!(voters; "commands refused, too few voters to outlive lost disks");
+            }
+        }
+        accepts
+    }
+
     /// Queues a follower's poll, or rejects it if another host leads.
     fn queue_poll(&mut self, poll: FollowRequest, reply: ReplySender) {
         if self.node.role() != Role::Leader {
--- a/crates/daemon/src/replica/voters.rs
+++ b/crates/daemon/src/replica/voters.rs
@@ -31,6 +31,13 @@
         self.settings.is_some()
     }
 
+    /// Returns whether the voters keep what they commit if as many disks are lost as may be.
+    ///
+    /// Without self-healing, operators decide how many voters there are.
+    pub(super) fn keeps_commits(&self, voters: usize, were_complete: bool) -> bool {
+        self.settings.is_none_or(|settings| settings.keeps_commits(voters, were_complete))
+    }
+
     /// Returns the voters to propose, if a check is due and finds any; `me` has led since `since`.
     pub(super) fn due_voters_change(
         &mut self,
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -98,6 +98,11 @@
         &self.departures
     }
 
+    /// Returns whether no command has changed the state yet.
+    pub fn is_pristine(&self) -> bool {
+        *self == Self { applied: self.applied, ..Self::default() }
+    }
+
     /// Encodes the whole state as a snapshot.
     pub fn to_snapshot(&self) -> Vec<u8> {
         let mut bytes = codec::encode(&SnapshotRef {
--- a/crates/quorum/src/healing.rs
+++ b/crates/quorum/src/healing.rs
@@ -40,6 +40,15 @@
     pub fn min_voters(&self) -> usize {
         (2 * self.lost_disks).max(1)
     }
+
+    /// Returns whether what `voters` commit outlives the disks that may be lost, and the rest can
+    /// elect a leader that has it.
+    ///
+    /// Fewer voters than [`target_voters`](Self::target_voters) do only while one is replaced, as its
+    /// disk is among the lost ones then: `were_complete` tells whether there were as many before.
+    pub fn keeps_commits(&self, voters: usize, were_complete: bool) -> bool {
+        self.target_voters() <= voters || were_complete && self.min_voters() <= voters
+    }
 }
 
 /// A leader's view of the other hosts at a time.
--- a/crates/quorum/src/node.rs
+++ b/crates/quorum/src/node.rs
@@ -130,6 +130,11 @@
         self.folder
     }
 
+    /// Returns the voters after the last entry, committed or not.
+    pub fn voters(&self) -> &VoterSet {
+        self.log.voters()
+    }
+
     /// Returns the node's status.
     pub fn status(&self) -> Status {
         Status {
--- a/crates/quorum/tests/healing.rs
+++ b/crates/quorum/tests/healing.rs
@@ -251,6 +251,27 @@
     assert_eq!(healing.cluster.checker.violations, []);
 }
 
+macro_rules! commit_cases {
+    ($($name:ident: $lost:expr, $voters:expr, $were_complete:expr => $kept:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            let settings = HealingSettings { lost_disks: $lost, ..HealingSettings::default() };
+            assert_eq!(settings.keeps_commits($voters, $were_complete), $kept);
+        }
+    )*};
+}
+
+commit_cases! {
+    founders_of_a_larger_quorum_keep_no_commits: 2, 3, false => false,
+    quorum_that_grows_keeps_no_commits: 2, 4, false => false,
+    whole_quorum_keeps_commits: 2, 5, false => true,
+    quorum_with_a_voter_in_replacement_keeps_commits: 2, 4, true => true,
+    quorum_below_the_minimum_keeps_no_commits: 2, 3, true => false,
+    three_voters_keep_commits_with_one_lost_disk: 1, 3, false => true,
+    two_of_three_voters_keep_commits_while_one_is_replaced: 1, 2, true => true,
+    single_host_that_may_lose_no_disk_keeps_commits: 0, 1, false => true,
+}
+
 #[test]
 fn majority_exceeds_the_disks_that_may_be_lost() {
     for lost_disks in 0..4 {
