daemon: all buffered responses share a bounded memory

What operators of a similar system saw: a faulty server sent bytes without end until its caller closed, the host that had called it ran out of memory, and the requests of its other callers ended with it.

Cause here: each response may take 16 MiB and nothing bounded the sum. A connection to an endpoint buffered up to 400 KiB of a head.

Change: BufferBudget, 32 MiB for all responses that are buffered, incomplete events of streams included. Each may take as much as is left besides it, 64 KiB in any case, so that those that take much fail first and sound ones don't. A connection to an endpoint buffers 32 KiB.

--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -40,6 +40,7 @@
 
 use crate::{
     Settings,
+    buffers::BufferBudget,
     clock::Clock,
     configurations::{Configurations, InForce},
     departures::DepartureLog,
@@ -128,6 +129,8 @@
     in_force: RefCell<Arc<InForce>>,
     leader: LeaderClient,
     departures: DepartureLog,
+    /// Memory for responses of services.
+    buffer_budget: Rc<BufferBudget>,
     owner: Owner,
     clock: Clock,
     metrics: Arc<Metrics>,
@@ -160,6 +163,7 @@
                 channels.leader.clone(),
                 channels.replica_state.clone(),
             ),
+            buffer_budget: Rc::default(),
             owner,
             clock,
             metrics: Arc::clone(&channels.metrics),
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -3,7 +3,7 @@
 use base::{Hasher, IdempotencyKey, OrganisationId, ParseError, ServiceId, Verdict};
 use bytes::Bytes;
 use fleet::{CallKey, Scope, StoredResponse};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     body::Incoming,
@@ -13,7 +13,7 @@
 use route::Outcome;
 use telemetry::{Refusal, RequestStage};
 
-use crate::{failure::Failure, net, serve::RequestBody};
+use crate::{buffers::Buffered, failure::Failure, net, serve::RequestBody};
 
 use super::{
     ActiveRequest, Edge,
@@ -267,6 +267,7 @@
     status: StatusCode,
     content_type: Option<HeaderValue>,
     body: Bytes,
+    _buffered: Buffered,
 }
 
 /// Reads a service's complete response, so that a truncated one is never passed on as complete.
@@ -276,7 +277,7 @@
 ) -> Result<ServiceResponse, Failure> {
     let (parts, body) = response.into_parts();
     let max_bytes = usize::try_from(edge.cfg.limits.body_bytes.as_u64()).unwrap_or(usize::MAX);
-    let body = Limited::new(body, max_bytes).collect().await.map_err(|e| {
+    let body = edge.buffer_budget.read(body, max_bytes).await.map_err(|e| {
         Failure::bad_gateway(
             format!("could not read the service's response: {e}"),
             Verdict::MayHaveRun,
@@ -285,7 +286,8 @@
     Ok(ServiceResponse {
         status: parts.status,
         content_type: parts.headers.get(CONTENT_TYPE).cloned(),
-        body: body.to_bytes(),
+        body: body.bytes,
+        _buffered: body.buffered,
     })
 }
 
--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -11,14 +11,22 @@
 use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
-use crate::net::AbortOnDrop;
+use crate::{
+    buffers::{Buffered, BufferedBody},
+    net::AbortOnDrop,
+};
 
 use super::{ActiveRequest, caller_stream::StreamItem};
 
 /// The body of a response to a caller.
 pub(super) enum Body {
     /// A body that is fully buffered.
-    Whole(Full<Bytes>),
+    Whole {
+        /// The bytes.
+        body: Full<Bytes>,
+        /// The memory that they take, if they are an endpoint's response.
+        _buffered: Option<Buffered>,
+    },
     /// A body that is streamed as it arrives.
     Relayed(RelayedBody),
 }
@@ -43,6 +51,11 @@
 impl error::Error for Truncated {}
 
 impl Body {
+    /// Creates the body of an endpoint's response.
+    pub(super) fn buffered(body: BufferedBody) -> Self {
+        Self::Whole { body: Full::new(body.bytes), _buffered: Some(body.buffered) }
+    }
+
     pub(super) fn relayed(
         rx: flume::Receiver<StreamItem>,
         task: AbortOnDrop,
@@ -54,7 +67,7 @@
 
 impl From<Bytes> for Body {
     fn from(bytes: Bytes) -> Self {
-        Self::Whole(Full::new(bytes))
+        Self::Whole { body: Full::new(bytes), _buffered: None }
     }
 }
 
@@ -67,7 +80,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
+            Self::Whole { body, .. } => {
+                Pin::new(body).poll_frame(cx).map_err(|never| match never {})
+            }
             Self::Relayed(body) => Pin::new(&mut body.rx).poll_next(cx).map(|item| match item {
                 Some(StreamItem::Events(bytes)) => Some(Ok(Frame::data(bytes))),
                 Some(StreamItem::End) => None,
@@ -78,14 +93,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body) => body.is_end_stream(),
+            Self::Whole { body, .. } => body.is_end_stream(),
             Self::Relayed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body) => body.size_hint(),
+            Self::Whole { body, .. } => body.size_hint(),
             Self::Relayed(_) => SizeHint::default(),
         }
     }
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -16,7 +16,11 @@
 use telemetry::Recorder;
 use tokio::time::Instant;
 
-use crate::{failure::Failure, serve::RequestBody};
+use crate::{
+    buffers::{BufferedBody, ReadError},
+    failure::Failure,
+    serve::RequestBody,
+};
 
 use super::{
     ActiveRequest, CallerRequest, Dialect, Gateway,
@@ -44,7 +48,7 @@
 /// A complete response of an endpoint.
 struct BufferedResponse {
     head: response::Parts,
-    body: Bytes,
+    body: BufferedBody,
 }
 
 /// Handles a request and logs its outcome in one line.
@@ -288,16 +292,16 @@
 ) -> Result<BufferedResponse, FetchError> {
     let StartedResponse { response, in_flight, sent, is_unframed, .. } = started;
     let (head, body) = response.into_parts();
-    match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
+    match exchange.gateway.buffer_budget.read(body, MAX_RESPONSE_BYTES).await {
         Ok(body) => {
             // An endpoint may fail a request without running it, as at its deadline.
             if exchange.chain.is_none() && !head.status.is_server_error() && !is_unframed {
                 exchange.record_survival();
             }
-            Ok(BufferedResponse { head, body: body.to_bytes() })
+            Ok(BufferedResponse { head, body })
         }
         Err(e) => {
-            if !e.is::<LengthLimitError>() {
+            if matches!(e, ReadError::Connection(_)) {
                 exchange.record_lost_call(in_flight.target(), &sent);
             }
             log::info!(request:% = exchange.caller_request.id,
@@ -338,7 +342,7 @@
 
 impl BufferedResponse {
     fn into_response(self) -> Response<Body> {
-        let mut response = Response::new(Body::from(self.body));
+        let mut response = Response::new(Body::buffered(self.body));
         *response.status_mut() = self.head.status;
         *response.headers_mut() = headers::end_to_end(&self.head.headers);
         response
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 use telemetry::{Metrics, Recorder};
 
 use crate::{
+    buffers::BufferBudget,
     clock::Clock,
     departures::DepartureLog,
     edge::{ServerCommand, ServerExit},
@@ -154,6 +155,8 @@
     warm: RefCell<Warm>,
     rng: RefCell<Pcg64Mcg>,
     active_requests: Rc<Cell<u64>>,
+    /// Memory for responses of endpoints.
+    buffer_budget: Rc<BufferBudget>,
     connections: Cell<u64>,
     /// Whether responses close their connections, so that callers use other hosts.
     is_draining: Cell<bool>,
@@ -210,6 +213,7 @@
             warm: RefCell::new(Warm::new(warm_settings())),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
             active_requests: Rc::default(),
+            buffer_budget: Rc::default(),
             connections: Cell::new(0),
             is_draining: Cell::new(false),
             stop_time: StopTime::default(),
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -207,7 +207,8 @@
 }
 
 fn segment_of<D: Dialect>(exchange: &Exchange<D>, started: StartedResponse) -> Segment {
-    Segment::new(started, exchange.route.retry_policy.may_repeat())
+    let buffered = exchange.gateway.buffer_budget.begin();
+    Segment::new(started, buffered, exchange.route.retry_policy.may_repeat())
 }
 
 /// Records that an engine ended as it began to answer, which the request may have caused.
--- a/crates/daemon/src/gateway/segment.rs
+++ b/crates/daemon/src/gateway/segment.rs
@@ -4,6 +4,8 @@
 use http_body_util::BodyExt as _;
 use wire::sse::{CompleteEvents, EventSplitter};
 
+use crate::buffers::Buffered;
+
 use super::exchange::StartedResponse;
 
 /// Largest event that is buffered until it is complete.
@@ -16,6 +18,8 @@
 pub(super) struct Segment {
     pub started: StartedResponse,
     splitter: EventSplitter,
+    /// The memory that its incomplete event takes.
+    buffered: Buffered,
     /// What was received while the stream was about to resume elsewhere.
     pending: Option<Received>,
     /// When its first event arrived.
@@ -40,10 +44,11 @@
 
 impl Segment {
     /// Creates a segment from a response whose head has arrived.
-    pub(super) fn new(started: StartedResponse, may_migrate: bool) -> Self {
+    pub(super) fn new(started: StartedResponse, buffered: Buffered, may_migrate: bool) -> Self {
         Self {
             started,
             splitter: EventSplitter::new(MAX_EVENT_BYTES),
+            buffered,
             pending: None,
             first_event: None,
             has_survived: false,
@@ -79,10 +84,15 @@
                 None => return self.end(),
             };
             let Ok(data) = frame.into_data() else { continue };
-            match self.splitter.push(&data) {
-                Ok(split) if split.events == 0 => {}
-                Ok(split) => return Received::Events(split),
+            let split = match self.splitter.push(&data) {
+                Ok(split) => split,
                 Err(e) => return Received::Malformed(e.to_string()),
+            };
+            if let Err(e) = self.buffered.resize(self.splitter.buffered_bytes()) {
+                return Received::Malformed(e.to_string());
+            }
+            if split.events != 0 {
+                return Received::Events(split);
             }
         }
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 //! ```
 
 mod admin;
+mod buffers;
 mod clock;
 mod configurations;
 mod departures;
--- a/crates/daemon/src/net.rs
+++ b/crates/daemon/src/net.rs
@@ -21,6 +21,10 @@
 /// second, after which TCP retransmits.
 const LISTEN_BACKLOG: i32 = 4096;
 
+/// Most bytes that a connection to an endpoint buffers, and so of a response's head; hosts have
+/// hundreds of such connections.
+const MAX_READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// Listens on `address`.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
@@ -75,7 +79,11 @@
 ) -> Result<FreshConnection, String> {
     let connecting = async {
         let stream = connect(source, address).await.map_err(|e| e.to_string())?;
-        http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())
+        http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| e.to_string())
     };
     let connected = tokio::time::timeout(timeout, connecting).await;
     let (sender, connection) = connected.map_err(|_| "timeout".to_owned())??;
--- a/crates/wire/src/sse.rs
+++ b/crates/wire/src/sse.rs
@@ -180,6 +180,11 @@
         Ok(complete)
     }
 
+    /// Returns the number of buffered bytes, all of an incomplete event.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     pub fn is_within_event(&self) -> bool {
         !self.buf.is_empty()
