gateway: a silent endpoint keeps its request until another one has responded

Cause: the attempt at the silent endpoint ended, and its connection with it, once a retry was granted, before another endpoint was even chosen.

Change: the attempt goes on while another endpoint is asked, and the first of the two that responds is taken. If the silent one fails meanwhile, the other decides; if the other can't, the host waits for the silent one to the deadline. Attempts and retries are counted as before.

Ruled out: giving up after a longer silence (any limit ends some sound answer).

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -135,9 +135,6 @@
     MayHaveRun(String),
     /// The request's deadline passed; the request may have run.
     TimedOut,
-    /// The endpoint doesn't respond and may still run the request; another one takes over, and the
-    /// retry was spent from the budget.
-    Replaced(String),
 }
 
 impl<D: Dialect> Exchange<D> {
@@ -324,10 +321,6 @@
             AttemptError::TimedOut => {
                 return Err(Failure::timed_out(NO_RESPONSE, Verdict::MayHaveRun));
             }
-            AttemptError::Replaced(why) => {
-                log::info!(request:%, endpoint:%, why; "attempt replaced, request may have run");
-                return Ok(());
-            }
         };
         Err(self.failure(why, may_have_run))
     }
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::{
+    failure::Failure,
     gateway::{
         AttemptHead, Dialect, EngineHead, ResponseHead,
         placement::{self, Transfers},
@@ -38,6 +39,14 @@
 /// Time between checks whether an engine's weights are outdated for too long.
 const OUTDATED_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Who responded to a request that was sent to an endpoint.
+enum Responder {
+    /// The endpoint.
+    Attempted(Response<Incoming>),
+    /// Another one, while the endpoint was silent; its response is checked.
+    Replacement(Box<StartedResponse>),
+}
+
 impl<D: Dialect> Exchange<D> {
     /// Sends the request to an endpoint and waits for the head of its response.
     pub(super) async fn attempt(
@@ -62,7 +71,11 @@
         }
         self.progress.count_sent();
         let sent = self.send_record(target);
-        let response = self.response(target, sender.send_request(request), sent).await?;
+        let sending = sender.send_request(request);
+        let response = match self.response(target, sending, sent, resume_after).await? {
+            Responder::Attempted(response) => response,
+            Responder::Replacement(started) => return Ok(*started),
+        };
         let response = self.check_response(target, &sent, response)?;
         let is_unframed = is_unframed(&response);
         Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
@@ -70,39 +83,72 @@
 
     /// Waits for the head of the response to a request that is being sent.
     ///
-    /// An endpoint that doesn't respond is given up only once another one takes over.
+    /// An endpoint that doesn't respond keeps the request until another one has responded.
     async fn response(
         &mut self,
         target: &Rc<Target>,
         sending: impl Future<Output = hyper::Result<Response<Incoming>>>,
         sent: SendRecord,
-    ) -> Result<Response<Incoming>, AttemptError> {
+        resume_after: Option<&str>,
+    ) -> Result<Responder, AttemptError> {
         tokio::pin!(sending);
         loop {
             let why = tokio::select! {
                 biased;
-                response = &mut sending => return match response {
-                    Ok(response) => Ok(response),
-                    Err(e) if e.is_canceled() => {
-                        self.progress.count_not_run();
-                        Err(AttemptError::Unreachable(e.to_string()))
-                    }
-                    Err(e) => {
-                        // An engine that ends before the head may not have begun to run the request.
-                        if self.chain.is_none() && !e.is_parse() {
-                            self.record_lost_call(target, &sent);
-                        }
-                        Err(AttemptError::MayHaveRun(format!("no response: {e}")))
-                    }
-                },
+                response = &mut sending => return self.attempted(target, &sent, response),
                 () = tokio::time::sleep_until(self.deadline) => return Err(AttemptError::TimedOut),
                 () = self.wait_until_start_overdue(sent.weights) => {
                     return Err(AttemptError::MayHaveRun(NOT_STARTED_IN_TIME.to_owned()));
                 }
                 why = self.wait_until_suspect(target) => why,
             };
-            if self.try_replace() {
-                return Err(AttemptError::Replaced(why.to_owned()));
+            if !self.try_replace() {
+                continue;
+            }
+            log::info!(request:% = self.caller_request.id, endpoint:% = target.endpoint, why;
+                "silent endpoint suspected, another one is asked");
+            // An attempt may lead to another one, so its future is boxed.
+            match first_response(&mut sending, Box::pin(self.open(resume_after))).await {
+                FirstResponse::Attempted(response) => {
+                    return self.attempted(target, &sent, response);
+                }
+                FirstResponse::Replacement { started, lost } => {
+                    if let Some(e) = lost {
+                        // The replacement has responded; this only records what was lost.
+                        let _ = self.attempted(target, &sent, Err(e));
+                    }
+                    log::info!(request:% = self.caller_request.id, endpoint:% = target.endpoint,
+                        to:% = started.in_flight.target().endpoint;
+                        "attempt replaced, request may have run");
+                    return Ok(Responder::Replacement(started));
+                }
+                FirstResponse::NoReplacement(failure) => {
+                    log::info!(request:% = self.caller_request.id, endpoint:% = target.endpoint,
+                        why = failure.detail; "no other endpoint responded, the silent one goes on");
+                }
+            }
+        }
+    }
+
+    /// Handles the outcome of the attempt at an endpoint.
+    fn attempted(
+        &mut self,
+        target: &Rc<Target>,
+        sent: &SendRecord,
+        response: hyper::Result<Response<Incoming>>,
+    ) -> Result<Responder, AttemptError> {
+        match response {
+            Ok(response) => Ok(Responder::Attempted(response)),
+            Err(e) if e.is_canceled() => {
+                self.progress.count_not_run();
+                Err(AttemptError::Unreachable(e.to_string()))
+            }
+            Err(e) => {
+                // An engine that ends before the head may not have begun to run the request.
+                if self.chain.is_none() && !e.is_parse() {
+                    self.record_lost_call(target, sent);
+                }
+                Err(AttemptError::MayHaveRun(format!("no response: {e}")))
             }
         }
     }
@@ -277,6 +323,37 @@
     }
 }
 
+/// The first response of a silent endpoint and of another one that may replace it.
+enum FirstResponse {
+    /// The silent endpoint responded, or both failed.
+    Attempted(hyper::Result<Response<Incoming>>),
+    /// The other one responded; the attempt at the silent one may have failed before.
+    Replacement { started: Box<StartedResponse>, lost: Option<hyper::Error> },
+    /// No other one responded; the silent one may still do so.
+    NoReplacement(Failure),
+}
+
+async fn first_response(
+    mut sending: impl Future<Output = hyper::Result<Response<Incoming>>> + Unpin,
+    mut replacing: impl Future<Output = Result<StartedResponse, Failure>> + Unpin,
+) -> FirstResponse {
+    let lost = tokio::select! {
+        biased;
+        response = &mut sending => match response {
+            Ok(response) => return FirstResponse::Attempted(Ok(response)),
+            Err(e) => e,
+        },
+        replaced = &mut replacing => return match replaced {
+            Ok(started) => FirstResponse::Replacement { started: Box::new(started), lost: None },
+            Err(failure) => FirstResponse::NoReplacement(failure),
+        },
+    };
+    match replacing.await {
+        Ok(started) => FirstResponse::Replacement { started: Box::new(started), lost: Some(lost) },
+        Err(_) => FirstResponse::Attempted(Err(lost)),
+    }
+}
+
 /// Returns whether a response that has just begun ends with its connection.
 fn is_unframed(response: &Response<Incoming>) -> bool {
     let headers = response.headers();
