replica: requests and the replicated state are modules of the driver

Its functions are moved unchanged: requests to the leader with their responses, and what is applied to the replicated state and passed on. No change of behaviour.

--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -1,33 +1,29 @@
 //! The event loop that drives the quorum node and executes its actions.
 
+mod requests;
+mod state;
+
 use std::{sync::Arc, time::Duration};
 
-use base::{HostId, LogIndex, MonotonicTime, Term, UnixMillis};
-use fleet::{Command, Departure, Fleet};
-use member::IncarnationKey;
-use quorum::{
-    Action, Config, Entry, Input, Message, Node, Payload, RestoredState, Role, Snapshot, SyncGate,
-    VoterSet,
-};
+use base::{HostId, LogIndex, MonotonicTime, Term};
+use fleet::Fleet;
+use quorum::{Action, Config, Input, Message, Node, RestoredState, Role, SyncGate};
 use rand_pcg::Pcg64Mcg;
 use store::{Disk, Log};
 use wire::{
-    leader::{FollowRequest, LeaderRequest, LeaderResponse},
+    leader::LeaderResponse,
     peer::{quorum_from_bytes, quorum_to_bytes},
 };
 
 use crate::{
     clock::Clock,
-    configurations::Configuration,
-    peers::{Envelope, Outgoing, QuorumCall, SubmitCall},
-    roster::RosterInput,
+    peers::{Envelope, Outgoing, QuorumCall},
 };
 
 use super::{
     ReplicaChannels, ReplicaConfig, ReplicaInput, ReplicaView,
-    followers::{Followers, PendingPoll},
-    pending::{PendingRead, PendingRequests, ReplySender},
-    reads::ReadState,
+    followers::Followers,
+    pending::{PendingRequests, ReplySender},
     voters::{self, AbsenceLog, RegistrationLog, VoterHealing},
     writer::{DiskSpeed, Writer, Written},
 };
@@ -38,12 +34,6 @@
 /// Largest number of inputs that are handled before the node's actions are executed.
 const MAX_INPUT_BATCH: usize = 512;
 
-/// Applied entries after which a snapshot replaces the log.
-const SNAPSHOT_AFTER_ENTRIES: u64 = 4096;
-
-/// Bytes of applied commands after which a snapshot replaces the log.
-const SNAPSHOT_AFTER_BYTES: usize = 4 << 20;
-
 /// Largest number of configuration changes that are shown to operators.
 const MAX_SHOWN_CHANGES: usize = 1_000;
 
@@ -233,86 +223,6 @@
         }
     }
 
-    fn handle_request(&mut self, call: SubmitCall) {
-        let reply = ReplySender::new(call.reply);
-        if self.failure.is_some() {
-            return reply.not_written(None);
-        }
-        match LeaderRequest::from_bytes(&call.request) {
-            Ok(LeaderRequest::Command(_)) if !self.may_accept_commands() => {
-                reply.not_written(self.node.leader().cloned());
-            }
-            Ok(LeaderRequest::Command(command)) => {
-                let id = self.pending.propose(reply);
-                let command = with_leader_time(command, self.clock.wall()).to_bytes().into();
-                self.step(Input::Propose { id, command });
-            }
-            Ok(LeaderRequest::AddVoter { host, folder }) => {
-                self.change_voters(reply, |voters| {
-                    voters.folders.insert(host, folder);
-                });
-            }
-            Ok(LeaderRequest::RemoveVoter { host }) => {
-                self.change_voters(reply, |voters| {
-                    voters.folders.remove(&host);
-                });
-            }
-            Ok(
-                request @ (LeaderRequest::ReadCall(_)
-                | LeaderRequest::ReadUnsettled
-                | LeaderRequest::ReadRevision
-                | LeaderRequest::ReadHistory
-                | LeaderRequest::ReadVoters
-                | LeaderRequest::ReadPublished),
-            ) => self.read(request, reply),
-            Ok(LeaderRequest::FollowPublished(poll)) => self.queue_poll(poll, reply),
-            Err(e) => reply.respond(&LeaderResponse::Refused(e.to_string())),
-        }
-    }
-
-    /// Returns whether a command that this host commits outlives the disks that may be lost; logs
-    /// changes.
-    fn may_accept_commands(&mut self) -> bool {
-        if self.node.role() != Role::Leader {
-            return true;
-        }
-        let voters = self.node.voters().folders.len();
-        // Commands were accepted only from as many voters as it takes.
-        let were_complete = || !self.fleet.is_pristine();
-        let accepts = self.voter_healing.keeps_commits(voters, false)
-            || self.voter_healing.keeps_commits(voters, were_complete());
-        if accepts != self.accepts_commands {
-            self.accepts_commands = accepts;
-            if accepts {
-                log::info!(voters; "commands accepted, enough voters to outlive lost disks");
-            } else {
-                log::warn!(voters; "commands refused, too few voters to outlive lost disks");
-            }
-        }
-        accepts
-    }
-
-    /// Queues a follower's poll, or rejects it if another host leads.
-    fn queue_poll(&mut self, poll: FollowRequest, reply: ReplySender) {
-        if self.node.role() != Role::Leader {
-            return reply.not_written(self.node.leader().cloned());
-        }
-        self.followers.add_poll(self.clock.now(), poll, reply);
-    }
-
-    /// Responds to due polls by reads, so that each response confirms that this host leads.
-    fn respond_to_due_polls(&mut self) {
-        let leads = self.node.role() == Role::Leader;
-        if leads {
-            self.followers.quarantine_suspects(self.clock.now());
-        }
-        let due = self.followers.take_due(self.clock.now(), self.node.term(), leads);
-        for PendingPoll { poll, reply, .. } in due {
-            self.read(LeaderRequest::FollowPublished(poll), reply);
-        }
-        self.execute_actions();
-    }
-
     /// Tracks whether this host leads, and logs changes.
     fn update_leadership(&mut self) {
         if self.node.role() != Role::Leader {
@@ -366,25 +276,6 @@
         self.execute_actions();
     }
 
-    fn change_voters(&mut self, reply: ReplySender, change: impl FnOnce(&mut VoterSet)) {
-        match voters::changed(&self.node.status(), change) {
-            Some(voters) => self.propose_voters(voters, reply),
-            // That no change is needed is certain only once this host's leadership is confirmed.
-            None => self.read(LeaderRequest::ReadVoters, reply),
-        }
-    }
-
-    fn propose_voters(&mut self, voters: VoterSet, reply: ReplySender) {
-        let id = self.pending.propose(reply);
-        self.step(Input::ProposeVoters { id, voters });
-    }
-
-    /// Responds to a read-only request once this host's leadership is confirmed.
-    fn read(&mut self, request: LeaderRequest, reply: ReplySender) {
-        let id = self.pending.read(PendingRead { request, reply });
-        self.step(Input::Read { id });
-    }
-
     fn step(&mut self, input: Input) {
         if self.failure.is_none() {
             self.node.step(self.clock.now(), input, &mut self.actions);
@@ -448,131 +339,6 @@
         let _ = self.channels.outbox.try_send(Envelope { to, message });
     }
 
-    fn restore(&mut self, snapshot: &Snapshot) {
-        match Fleet::from_snapshot(&snapshot.data) {
-            Ok(fleet) => {
-                self.fleet = fleet;
-                self.snapshot_at = snapshot.last_index;
-                self.pending.replaced_through(snapshot.last_index);
-                self.publish_fleet();
-            }
-            Err(e) => {
-                log::error!("invalid snapshot from leader: error={e}");
-                self.failure = Some(e.to_string());
-            }
-        }
-    }
-
-    fn apply(&mut self, entry: Entry) {
-        let pending = self.pending.committed(entry.index, entry.term);
-        let response = match &entry.payload {
-            Payload::Empty => {
-                self.fleet.skip(entry.index);
-                return;
-            }
-            Payload::Voters(voters) => {
-                self.fleet.skip(entry.index);
-                LeaderResponse::Voters(voters.clone())
-            }
-            Payload::Command(command) => self.apply_command(entry.index, command),
-        };
-        if let Some(reply) = pending {
-            reply.respond(&response);
-        }
-    }
-
-    fn apply_command(&mut self, index: LogIndex, command: &[u8]) -> LeaderResponse {
-        self.applied_bytes += command.len();
-        match Command::from_bytes(command) {
-            Ok(command) => {
-                let reply = self.fleet.apply(index, &command);
-                if matches!(command, Command::Change(_)) {
-                    self.publish_configuration();
-                }
-                if let Command::Depart(departure) = &command {
-                    log::info!(endpoint:% = departure.endpoint,
-                        incarnation:% = departure.incarnation, index:%;
-                        "departure of an endpoint committed");
-                    self.record_departure(departure);
-                }
-                if matches!(command, Command::Publish(_) | Command::SetDesiredWeights(_)) {
-                    self.followers.record_change();
-                    self.record_desired_weights();
-                }
-                LeaderResponse::Reply(reply)
-            }
-            Err(e) => {
-                self.fleet.skip(index);
-                LeaderResponse::Refused(e.to_string())
-            }
-        }
-    }
-
-    /// Passes on all that this host's other threads need of the replicated state.
-    fn publish_fleet(&mut self) {
-        self.publish_configuration();
-        self.record_desired_weights();
-        let departures = Arc::clone(self.fleet.departures());
-        let recent = departures.recent(self.clock.wall());
-        recent.for_each(|departure| self.record_departure(&departure));
-    }
-
-    /// Tells the followers and this host's roster that an endpoint leaves.
-    fn record_departure(&mut self, departure: &Departure) {
-        let Departure { endpoint, incarnation, .. } = departure;
-        let key = IncarnationKey::new(endpoint, *incarnation);
-        self.followers.record_leaving(self.clock.now(), &[key]);
-        let departed =
-            RosterInput::Departed { endpoint: endpoint.clone(), incarnation: *incarnation };
-        if self.channels.roster.try_send(departed).is_err() {
-            log::warn!(endpoint:%; "departure not passed on to the roster, its channel is full");
-        }
-    }
-
-    fn record_desired_weights(&mut self) {
-        self.followers.record_desired_weights(self.clock.now(), self.fleet.published());
-    }
-
-    fn publish_configuration(&self) {
-        let configuration = self.fleet.configuration();
-        let Some(last) = configuration.history().next_back() else { return };
-        self.channels.configurations.apply_if_newer(Configuration {
-            revision: configuration.revision(),
-            declaration: configuration.text().clone(),
-            author: last.author.clone(),
-            reason: last.reason.clone(),
-            change: last.id.clone(),
-            at: last.at,
-        });
-    }
-
-    fn respond_to_read(&mut self, read: PendingRead) {
-        let mut state = ReadState {
-            now: self.clock.now(),
-            node: &self.node,
-            fleet: &self.fleet,
-            followers: &mut self.followers,
-        };
-        if let Some(response) = state.response(&read.request) {
-            read.reply.respond(&response);
-        }
-    }
-
-    fn compact(&mut self) {
-        let applied = self.fleet.applied();
-        let since = applied.as_u64().saturating_sub(self.snapshot_at.as_u64());
-        let is_below_limits =
-            since < SNAPSHOT_AFTER_ENTRIES && self.applied_bytes < SNAPSHOT_AFTER_BYTES;
-        if is_below_limits || self.failure.is_some() {
-            return;
-        }
-        self.snapshot_at = applied;
-        self.applied_bytes = 0;
-        let data = self.fleet.to_snapshot().into();
-        self.step(Input::Snapshot { through: applied, data });
-        self.execute_actions();
-    }
-
     fn publish_view(&mut self) {
         let loads = self.followers.loads(self.clock.now());
         let history = self.fleet.configuration().history();
@@ -590,19 +356,3 @@
         });
     }
 }
-
-/// Sets a command's timestamp to the leader's time.
-fn with_leader_time(mut command: Command, now: UnixMillis) -> Command {
-    let at = match &mut command {
-        Command::Change(change) => &mut change.at,
-        Command::Claim(claim) => &mut claim.at,
-        Command::Finish(finish) => &mut finish.at,
-        Command::Release(release) => &mut release.at,
-        Command::Resolve(resolve) => &mut resolve.at,
-        Command::OwnerGone(gone) => &mut gone.at,
-        Command::Depart(departure) => &mut departure.at,
-        Command::Publish(_) | Command::SetDesiredWeights(_) => return command,
-    };
-    *at = now;
-    command
-}
