--- a/crates/quorum/tests/healing.rs
+++ b/crates/quorum/tests/healing.rs
@@ -174,14 +174,74 @@
     healing.check_recovered();
 }
 
-/// Loses the disks of all voters but `absent`, each once the one before has been added again.
+/// Loses the disks of these voters, each once the one before has been added again.
+fn replace_disks(healing: &mut HealingCluster, order: &[usize]) {
+    for i in order {
+        healing.cluster.lose_disk(*i);
+        healing.run(4000);
+    }
+}
+
+/// Loses the disks of all voters but `absent`.
 fn replace_all_disks_but(healing: &mut HealingCluster, absent: usize) {
-    for i in (0..5).filter(|i| *i != absent) {
-        healing.cluster.lose_disk(i);
+    let others: Vec<_> = (0..5).filter(|i| *i != absent).collect();
+    replace_disks(healing, &others);
+}
+
+/// Returns all orders of `hosts`.
+fn orders(hosts: &[usize]) -> Vec<Vec<usize>> {
+    if hosts.is_empty() {
+        return vec![Vec::new()];
+    }
+    let with_first = |first: usize| {
+        let others: Vec<_> = hosts.iter().copied().filter(|host| *host != first).collect();
+        orders(&others).into_iter().map(move |rest| [vec![first], rest].concat())
+    };
+    hosts.iter().copied().flat_map(with_first).collect()
+}
+
+/// Checks the registration of a voter that was absent while the others got new disks in each order,
+/// with the folder that it had or with an older copy.
+fn check_registration(is_older_copy: bool, restarts_all: bool, expected: Registration) {
+    let absent = five_voters().others(1)[0];
+    let others: Vec<_> = (0..5).filter(|i| *i != absent).collect();
+    for order in orders(&others) {
+        let mut healing = five_voters();
+        let copy = healing.cluster.machines[absent].disk.clone();
+        healing.commit("order 1");
+        healing.run(400);
+        healing.cluster.crash(absent);
+        replace_disks(&mut healing, &order);
+        if is_older_copy {
+            healing.cluster.machines[absent].disk = copy;
+        }
+        if restarts_all {
+            others.iter().for_each(|i| healing.cluster.restart(*i));
+        }
+        healing.cluster.start(absent);
         healing.run(4000);
+        assert_eq!(healing.cluster.registration(absent), expected, "{order:?}");
+        healing.commit("order 2");
+        assert_eq!(healing.cluster.checker.violations, [], "{order:?}");
     }
 }
 
+macro_rules! registration_cases {
+    ($($name:ident: $is_older_copy:expr, $restarts_all:expr => $expected:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            check_registration($is_older_copy, $restarts_all, $expected);
+        }
+    )*};
+}
+
+registration_cases! {
+    voter_is_confirmed_whatever_the_order_of_new_disks: false, false => Registration::Done,
+    voter_is_confirmed_after_new_disks_and_a_restart_of_all: false, true => Registration::Done,
+    older_copy_is_refused_whatever_the_order_of_new_disks: true, false => Registration::Refused,
+    older_copy_is_refused_after_new_disks_and_a_restart_of_all: true, true => Registration::Refused,
+}
+
 fn check_survives_two_lost_disks(mut healing: HealingCluster, kept: usize) {
     healing.commit("order 2");
     let lost: Vec<_> = (0..5).filter(|i| *i != kept).take(2).collect();
