daemon: doc comments where a newcomer stops

What first_response does when the silent endpoint fails first, and what a new DepartureLog knows, had to be read from the code. Comments only.

--- a/crates/daemon/src/departures.rs
+++ b/crates/daemon/src/departures.rs
@@ -29,6 +29,7 @@
 }
 
 impl DepartureLog {
+    /// Creates a log that has confirmed no departure yet.
     pub(crate) fn new(clock: Clock, leader: LeaderClient, replica: ReplicaState) -> Self {
         Self { clock, leader, replica, confirmed: RefCell::default() }
     }
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -333,6 +333,8 @@
     NoReplacement(Failure),
 }
 
+/// Waits for the first response of a silent endpoint and of its replacement; if the silent one fails
+/// meanwhile, the replacement decides.
 async fn first_response(
     mut sending: impl Future<Output = hyper::Result<Response<Incoming>>> + Unpin,
     mut replacing: impl Future<Output = Result<StartedResponse, Failure>> + Unpin,
