gateway: cached parts are shared by the configuration of each attempt

Cause: the salt said "isolated:NAME" or "shared" by the caller's own organisation, so nothing changed for those who share when one of them left, in engines and in the store. The hashes behind the beliefs about warm prompts decided the same once more. And both went by the organisation at a request's arrival: a late body, a retry and a resumed stream ran in the scope of the earlier configuration. Ruled out: hosts that apply the change late (all had applied version 3 before the requests came; the salt in the record was shared:1 at each).

Change: CacheScope in prefix, chosen by Table::cache_scope alone; salt and hashes come from it. The shared scope is named by the digest of the set of isolated organisations, so it follows from the configuration without state, and parts in it were made by, and are used by, organisations outside that set only. Each attempt takes the scope of the active configuration, before its endpoint is chosen and right before it is sent.

Read again at such a change: every shared part in use once; nothing at other changes.

--- a/crates/daemon/src/gateway/dialect.rs
+++ b/crates/daemon/src/gateway/dialect.rs
@@ -11,7 +11,7 @@
     http::{request, response},
 };
 use member::Announcement;
-use prefix::{Part, PartId};
+use prefix::{CacheScope, Part, PartChain, PartId};
 use route::EndpointNotice;
 use routes::Table;
 
@@ -127,6 +127,11 @@
 }
 
 impl Prompt {
+    /// Hashes the parts; no other scope has hashes in common with it.
+    pub(super) fn chain(&self, scope: &CacheScope) -> PartChain {
+        scope.chain(&self.model, &self.parts)
+    }
+
     /// Returns the parts that other requests may share: all but the last.
     pub fn shared_parts(&self) -> impl Iterator<Item = PartId> + '_ {
         let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -2,13 +2,14 @@
 
 mod attempt;
 mod choice;
+mod scope;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use base::{EndpointId, MonotonicTime, Verdict};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri, body::Incoming};
-use prefix::{PartChain, PartId};
+use prefix::{CacheScope, PartChain, PartId};
 use quarantine::{RequestFingerprints, Suspect};
 use routes::{Organisation, Route};
 use telemetry::Recorder;
@@ -74,6 +75,9 @@
     /// Deadline of the caller.
     pub caller_deadline: Instant,
     pub arrived: MonotonicTime,
+    /// The scope of the cached parts that the latest attempt may use.
+    pub scope: CacheScope,
+    /// The prompt's parts, hashed in that scope.
     pub chain: Option<PartChain>,
     pub fingerprints: RequestFingerprints,
     pub recorder: Recorder,
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -64,6 +64,7 @@
         target.mark_reachable();
         self.check_withheld(target, permit).map_err(AttemptError::Withheld)?;
 
+        self.update_scope();
         let transfers = self.transfers(target);
         let request = self.request(target, resume_after, transfers);
         if let Some(chain) = &self.chain {
@@ -274,7 +275,7 @@
         resume_after: Option<&str>,
         transfers: Transfers,
     ) -> Request<Full<Bytes>> {
-        let salt = self.salt(target.version());
+        let salt = self.scope.salt(target.version());
         let engine = self.chain.as_ref().map(|_| EngineHead {
             weights: target.version(),
             salt: &salt,
@@ -309,14 +310,6 @@
         placement::transfers(&targets, target, chain, self.gateway.clock.now())
     }
 
-    /// Returns the cache salt, which separates isolated organisations and versions of the weights.
-    fn salt(&self, weights: u32) -> String {
-        match self.organisation.as_ref().filter(|organisation| organisation.isolated) {
-            Some(organisation) => format!("isolated:{}:{weights}", organisation.name),
-            None => format!("shared:{weights}"),
-        }
-    }
-
     fn urgency(&self) -> u8 {
         let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
         own.unwrap_or(self.route.priority)
--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -41,6 +41,7 @@
     pub(super) async fn choose_or_wait(&mut self) -> Result<(Rc<Target>, SendPermit), Failure> {
         let until = (Instant::now() + MAX_ENDPOINT_WAIT).min(self.deadline);
         loop {
+            self.update_scope();
             match self.choose_permitted() {
                 Ok((target, permit)) => {
                     self.progress.tried.push(target.endpoint.clone());
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -163,7 +163,7 @@
         }
         self.label_organisations(&table);
         let unconfirmed = self.unconfirmed_for(self.clock.now());
-        log::info!(number:%, routes = table.routes().count(),
+        log::info!(number:%, routes = table.routes().count(), isolated = table.isolated().count(),
             unconfirmed_ms = unconfirmed.as_millis() as u64; "configuration applied");
         Some(Arc::new(table))
     }
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -10,7 +10,6 @@
     header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER},
     http::{request, response},
 };
-use prefix::PartChain;
 use quarantine::{RequestContent, RequestFingerprints};
 use routes::{Organisation, Route, Table};
 use telemetry::Recorder;
@@ -131,8 +130,10 @@
     let body = body.map_err(|_| Failure::body_timeout(route.timeout))??;
     gateway.count_request(&route);
     let fingerprints = fingerprints(&head, &caller_request, organisation.as_deref(), &body);
+    let scope = active_configuration.table.cache_scope(organisation.as_deref());
     let exchange = Exchange {
-        chain: caller_request.prompt.as_ref().map(|prompt| chain(prompt, organisation.as_deref())),
+        chain: caller_request.prompt.as_ref().map(|prompt| prompt.chain(&scope)),
+        scope,
         gateway: Rc::clone(gateway),
         route: Arc::clone(&route),
         organisation,
@@ -220,17 +221,6 @@
     path.parse().map_err(|_| Failure::bad_request("the path is malformed"))
 }
 
-/// Hashes a prompt's parts; isolated organisations share none with others.
-fn chain(prompt: &super::Prompt, organisation: Option<&Organisation>) -> PartChain {
-    let isolated = organisation.filter(|organisation| organisation.isolated);
-    let salt = base::Hasher::default()
-        .field(prompt.model.as_str().as_bytes())
-        .field(isolated.map_or("", |organisation| &organisation.name).as_bytes())
-        .finish();
-    let bytes: [u8; 8] = std::array::from_fn(|i| salt.as_bytes()[i]);
-    PartChain::new(u64::from_le_bytes(bytes), &prompt.parts)
-}
-
 /// Fetches a complete response; an idempotent request is retried after a truncated or failed one.
 async fn buffered_response<D: Dialect>(
     mut exchange: Exchange<D>,
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -8,6 +8,9 @@
 //! of memory. [`rank`] assigns each prefix a home endpoint by rendezvous hashing, without any
 //! state; [`HotPrefixes`] and [`Replication`] assign several homes to a hot prefix.
 //!
+//! Prompts whose parts callers have named are hashed in a [`CacheScope`], which says whose requests may
+//! use each other's cached parts.
+//!
 //! # Example
 //!
 //! ```
@@ -27,6 +30,7 @@
 mod index;
 mod parts;
 mod placement;
+mod scope;
 mod shared;
 mod slot;
 mod table;
@@ -38,6 +42,7 @@
     index::{IndexSettings, PrefixMatches, WarmIndex},
     parts::{Part, PartCacheModel, PartChain, PartId},
     placement::{Replication, homes, rank, rank_by_name},
+    scope::CacheScope,
     shared::{SentPrompt, SentPromptLog, UnreportedPrompts},
     slot::Slot,
 };
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -5,6 +5,7 @@
 };
 
 use base::{ByteCount, ServiceId};
+use prefix::CacheScope;
 
 use crate::{ApiKey, KvStore, Organisation, Route, Service, TableError};
 
@@ -33,7 +34,7 @@
 }
 
 /// A validated routing configuration.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Table {
     /// Routes by host, the longest prefix first.
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
@@ -42,6 +43,22 @@
     organisations: Vec<Arc<Organisation>>,
     keys: HashMap<ApiKey, usize>,
     limits: Limits,
+    /// The scope of cached parts of all requests but those of isolated organisations.
+    shared_scope: CacheScope,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            by_host: HashMap::new(),
+            services: BTreeMap::new(),
+            stores: Vec::new(),
+            organisations: Vec::new(),
+            keys: HashMap::new(),
+            limits: Limits::default(),
+            shared_scope: CacheScope::shared([]),
+        }
+    }
 }
 
 impl Table {
@@ -70,6 +87,7 @@
         for organisation in organisations {
             table.add_organisation(organisation)?;
         }
+        table.shared_scope = CacheScope::shared(table.isolated().map(|isolated| &*isolated.name));
         Ok(table)
     }
 
@@ -89,6 +107,29 @@
         self.organisations.iter()
     }
 
+    /// Returns the organisations whose cached parts are kept apart from all others.
+    pub fn isolated(&self) -> impl Iterator<Item = &Arc<Organisation>> {
+        self.organisations.iter().filter(|organisation| organisation.isolated)
+    }
+
+    /// Returns the scope of the cached parts that requests of an organisation may use, or requests
+    /// without one.
+    ///
+    /// An organisation that the table no longer has stays isolated if it was so before.
+    pub fn cache_scope(&self, organisation: Option<&Organisation>) -> CacheScope {
+        match organisation {
+            Some(organisation) if self.is_isolated(organisation) => {
+                CacheScope::isolated(&organisation.name)
+            }
+            Some(_) | None => self.shared_scope.clone(),
+        }
+    }
+
+    fn is_isolated(&self, organisation: &Organisation) -> bool {
+        let known = self.organisations.iter().find(|known| known.name == organisation.name);
+        known.map_or(organisation.isolated, |known| known.isolated)
+    }
+
     /// Returns whether the table has organisations; without any, callers need no keys.
     pub fn has_organisations(&self) -> bool {
         !self.organisations.is_empty()
