gateway: an announcement counts once the configuration names its service

The servers ran, and their heartbeats were answered 200.

Cause: the record of an endpoint goes by its id and the later start, whatever the service; the server's own announcements were stale from then on, for an hour, with a line at level debug. Ruled out: parsing (the heartbeat is well formed; those of odd_entries are refused when they are decoded).

Change: the host that gets an announcement holds it while its configuration doesn't name the service, by id and service, and applies the newest of each with the rest of its lease when one does. Leases, gossip and incarnations never see it before. Dropped announcements have a line and a counter. The announcements of endpoints are a module of their own, moved out of control.rs.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -2,18 +2,16 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use base::{EndpointId, Incarnation};
 use fleet::{Command, Reply};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{Request, Response};
-use member::Announcement;
 use wire::leader::{LeaderRequest, LeaderResponse};
 
-use crate::{leader_client::LeaderRequestError, roster::RosterInput, serve::RequestBody};
+use crate::{leader_client::LeaderRequestError, serve::RequestBody};
 
 use super::{
     ActiveRequest, ControlRequest, ControlRequestError, ControlResponse, Dialect, Gateway,
-    body::Body,
+    announcements, body::Body,
 };
 
 /// Largest body of a control request, in bytes.
@@ -22,9 +20,6 @@
 /// Longest wait for the leader, a little shorter than the clients' own timeout.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Shortest lease of an announcement; heartbeats may be seconds late.
-const MIN_ANNOUNCEMENT_LEASE: Duration = Duration::from_secs(6);
-
 /// Handles a control request.
 pub(super) async fn handle<D: Dialect>(
     gateway: Rc<Gateway<D>>,
@@ -57,9 +52,11 @@
 
 async fn execute<D: Dialect>(gateway: &Rc<Gateway<D>>, request: ControlRequest) -> ControlResponse {
     match request {
-        ControlRequest::Announce(announcement) => announce(gateway, *announcement).await,
+        ControlRequest::Announce(announcement) => {
+            announcements::announce(gateway, *announcement).await
+        }
         ControlRequest::Leave { endpoint, incarnation } => {
-            leave(gateway, &endpoint, incarnation).await
+            announcements::leave(gateway, &endpoint, incarnation).await
         }
         ControlRequest::Publish(publication) => {
             let number = publication.number;
@@ -77,73 +74,6 @@
     }
 }
 
-/// Records that an endpoint leaves; without an incarnation, that is the one known here.
-async fn leave<D: Dialect>(
-    gateway: &Gateway<D>,
-    endpoint: &EndpointId,
-    incarnation: Option<Incarnation>,
-) -> ControlResponse {
-    if let Some(announcement) = leaving_announcement(gateway, endpoint, incarnation) {
-        return announce(gateway, announcement).await;
-    }
-    match incarnation {
-        // Other hosts may know it.
-        Some(incarnation) => commit_departure(gateway, endpoint, incarnation).await,
-        None => ControlResponse::Done,
-    }
-}
-
-async fn commit_departure<D: Dialect>(
-    gateway: &Gateway<D>,
-    endpoint: &EndpointId,
-    incarnation: Incarnation,
-) -> ControlResponse {
-    match gateway.departures.commit(endpoint, incarnation).await {
-        Ok(()) => ControlResponse::Done,
-        Err(_) => ControlResponse::Unavailable("no leader confirmed that the endpoint leaves"),
-    }
-}
-
-/// Passes an announcement to the roster, unless this host is isolated and can't gossip it.
-///
-/// That an endpoint leaves is done only once the replicated log holds it too.
-async fn announce<D: Dialect>(
-    gateway: &Gateway<D>,
-    mut announcement: Announcement,
-) -> ControlResponse {
-    announcement.lease = announcement.lease.max(MIN_ANNOUNCEMENT_LEASE);
-    if gateway.latest_roster.load().is_some_and(|roster| roster.isolated) {
-        return ControlResponse::Unavailable("this host can't reach any other router");
-    }
-    let leaving = announcement.leaving;
-    let (endpoint, incarnation) = (announcement.endpoint.clone(), announcement.incarnation);
-    if gateway.roster_input.try_send(RosterInput::Announced(announcement)).is_err() {
-        return ControlResponse::Unavailable("the router is overloaded or shutting down");
-    }
-    if leaving {
-        return commit_departure(gateway, &endpoint, incarnation).await;
-    }
-    ControlResponse::Done
-}
-
-/// Returns the announcement that removes an endpoint, if it is known here.
-fn leaving_announcement<D: Dialect>(
-    gateway: &Gateway<D>,
-    endpoint: &EndpointId,
-    incarnation: Option<Incarnation>,
-) -> Option<Announcement> {
-    let roster = gateway.latest_roster.load()?;
-    let record =
-        roster.endpoints.iter().find(|record| record.announcement.endpoint == *endpoint)?;
-    let mut announcement = Announcement::clone(&record.announcement);
-    if incarnation.is_some_and(|leaving| leaving != announcement.incarnation) {
-        return None;
-    }
-    announcement.sequence = announcement.sequence.next();
-    announcement.leaving = true;
-    Some(announcement)
-}
-
 /// Sends a command to the leader; retries are safe, as every command is idempotent.
 async fn submit<D: Dialect>(gateway: &Gateway<D>, command: Command) -> ControlResponse {
     let response = gateway.leader.submit(&LeaderRequest::Command(command), LEADER_TIMEOUT).await;
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -136,6 +136,9 @@
         let active_configuration =
             ActiveConfiguration { number: view.number, table, weights, confirmed: sent };
         self.active_configuration.replace(Some(Rc::new(active_configuration)));
+        if current_number != Some(view.number) {
+            self.release_announcements();
+        }
     }
 
     /// Returns the incarnations of endpoints that announced or stated to this host that they leave.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! One thread serves callers, the load balancer's readiness checks, and the control requests of
 //! operators and endpoints, each on the address that the settings name for it.
 
+mod announcements;
 mod body;
 mod caller_stream;
 mod control;
@@ -35,7 +36,7 @@
 
 use base::{DataCentreId, HostId, MonotonicTime, OrganisationId, ServiceId};
 use fleet::LeaderSighting;
-use member::Roster;
+use member::{HeldAnnouncements, Roster};
 use prefix::{PartChain, SentPrompt, UnreportedPrompts};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
@@ -144,6 +145,7 @@
     started: MonotonicTime,
     active_configuration: RefCell<Option<Rc<ActiveConfiguration>>>,
     targets: RefCell<Targets>,
+    held_announcements: RefCell<HeldAnnouncements>,
     /// Prompts sent to engines that were not reported to the leader yet.
     unreported_prompts: RefCell<UnreportedPrompts>,
     crash_evidence: RefCell<CrashEvidence>,
@@ -205,6 +207,7 @@
             started: clock.now(),
             active_configuration: RefCell::new(None),
             targets: RefCell::default(),
+            held_announcements: RefCell::default(),
             unreported_prompts: RefCell::default(),
             crash_evidence: RefCell::default(),
             roster_updated_at: Cell::new(MonotonicTime::ZERO),
--- a/crates/daemon/src/roster.rs
+++ b/crates/daemon/src/roster.rs
@@ -8,7 +8,7 @@
 use member::{Announcement, Budget, EndpointChange, Membership, PeerUpdate, Roster, TICK_INTERVAL};
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
-use telemetry::{Metrics, QuorumRole};
+use telemetry::{Metrics, QuorumRole, UnusedAnnouncement};
 use wire::peer::{gossip_from_bytes, gossip_to_bytes};
 
 use crate::{
@@ -167,9 +167,7 @@
         let now = self.clock.now();
         match input {
             RosterInput::Announced(announcement) => {
-                if let Err(stale) = self.membership.announce(now, announcement) {
-                    log::debug!(endpoint:% = stale.endpoint; "stale announcement dropped");
-                }
+                self.announce(now, announcement);
             }
             RosterInput::Departed { endpoint, incarnation } => {
                 self.membership.depart(now, &endpoint, incarnation);
@@ -187,6 +185,15 @@
         self.request_configuration(now);
     }
 
+    fn announce(&mut self, now: MonotonicTime, announcement: Announcement) {
+        let (incarnation, sequence) = (announcement.incarnation, announcement.sequence);
+        if let Err(stale) = self.membership.announce(now, announcement) {
+            self.channels.metrics.unused_announcement(UnusedAnnouncement::Stale);
+            log::info!(endpoint:% = stale.endpoint, incarnation:%, sequence:%;
+                "stale announcement dropped");
+        }
+    }
+
     fn handle_gossip(&mut self, now: MonotonicTime, call: &GossipCall) {
         self.channels.metrics.gossip_received(byte_count(&call.message));
         match gossip_from_bytes(&call.message) {
--- a/crates/member/src/announcement.rs
+++ b/crates/member/src/announcement.rs
@@ -47,14 +47,19 @@
 }
 
 impl EndpointKind {
-    /// Returns whether the endpoint belongs to `service`.
-    pub fn is_service(&self, service: &ServiceId) -> bool {
+    /// Returns the service that the endpoint belongs to; engines may belong to none.
+    pub fn service(&self) -> Option<&ServiceId> {
         match self {
-            Self::Service(served) => served == service,
-            Self::Engine(engine) => engine.service.as_ref() == Some(service),
+            Self::Service(service) => Some(service),
+            Self::Engine(engine) => engine.service.as_ref(),
         }
     }
 
+    /// Returns whether the endpoint belongs to `service`.
+    pub fn is_service(&self, service: &ServiceId) -> bool {
+        self.service() == Some(service)
+    }
+
     /// Returns whether `other` is equal apart from its load.
     pub fn is_same_service(&self, other: &Self) -> bool {
         match (self, other) {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -51,6 +51,7 @@
 mod detector;
 mod endpoints;
 mod exchange;
+mod held;
 mod leaving_set;
 mod link;
 mod membership;
@@ -65,6 +66,7 @@
         EndpointChange, EndpointRecord, EndpointState, Endpoints, MAX_ENDPOINTS, MAX_TOMBSTONES,
         RelayedRenewal, StaleAnnouncement, TOMBSTONE_RETENTION,
     },
+    held::{HeldAnnouncements, MAX_HELD_ANNOUNCEMENTS},
     leaving_set::LeavingSet,
     membership::{Membership, Outgoing, Roster, TICK_INTERVAL},
     message::{
--- a/crates/telemetry/src/instruments.rs
+++ b/crates/telemetry/src/instruments.rs
@@ -28,6 +28,7 @@
     pub(crate) claims: Counter<u64>,
     pub(crate) connections_cut: Counter<u64>,
     pub(crate) endpoint_notices: Counter<u64>,
+    pub(crate) unused_announcements: Counter<u64>,
     pub(crate) gossip_bytes: Counter<u64>,
     pub(crate) revision: Gauge<u64>,
     pub(crate) quorum_role: Gauge<u64>,
@@ -71,6 +72,10 @@
                 "Connections of callers that ended while a response was due.",
             ),
             endpoint_notices: count("endpoint_notices", "What endpoints stated about themselves."),
+            unused_announcements: count(
+                "unused_announcements",
+                "Announcements of endpoints that were not applied.",
+            ),
             gossip_bytes: count("gossip_bytes", "Bytes of gossip by direction."),
             revision: gauge("configuration_revision", "Revision of the configuration in force."),
             quorum_role: gauge("quorum_role", "1 for the role held, 0 for the others."),
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -41,6 +41,7 @@
     logs::{LogFormat, init_logs},
     metrics::{
         MAX_LABELLED_ORGANISATIONS, Metrics, NoticeKind, OTHER_ORGANISATIONS_LABEL, QuorumRole,
+        UnusedAnnouncement,
     },
     recorder::{InFlight, Recorder, Refusal},
     trace::{RequestStage, SampleRatio, Span, TraceConfig, Tracer},
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -66,6 +66,24 @@
     }
 }
 
+/// Why an endpoint's announcement was not applied, as a metric label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnusedAnnouncement {
+    /// A newer one of the endpoint is known.
+    Stale,
+    /// No configuration names its service yet; it is held until one does.
+    UnknownService,
+}
+
+impl UnusedAnnouncement {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Stale => "stale",
+            Self::UnknownService => "unknown-service",
+        }
+    }
+}
+
 /// The metrics of a router.
 #[derive(Debug)]
 pub struct Metrics {
@@ -146,6 +164,11 @@
         self.instruments.endpoint_notices.add(1, &[KeyValue::new("notice", kind.as_str())]);
     }
 
+    /// Counts an endpoint's announcement that was not applied.
+    pub fn unused_announcement(&self, why: UnusedAnnouncement) {
+        self.instruments.unused_announcements.add(1, &[KeyValue::new("reason", why.as_str())]);
+    }
+
     /// Counts gossip bytes sent.
     pub fn gossip_sent(&self, bytes: ByteCount) {
         self.instruments.gossip_bytes.add(bytes.as_u64(), &self.sent);
