gateway: the retry budget belongs to the service that a request goes to

What callers and servers saw: 32 retries in a window at one service where 10 are allowed, over four routes that lead to it and each name another service, of no weight, first.

Cause: the budget was kept by a route's first service, so routes that share a service but not the first one spent a budget each; and the retries of a split route's other services were taken from the first one's. Ruled out: several hosts (the test has one). Change: credit and retries go by the service that the request's draw picks, which is the same for all its attempts. Test: retry_budgets, 32 retries at one service before, at most 10 after.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use base::{EndpointId, MonotonicTime, Verdict};
+use base::{EndpointId, MonotonicTime, ServiceId, Verdict};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri, body::Incoming};
 use prefix::{CacheScope, PartChain, PartId};
@@ -176,6 +176,13 @@
         Err(failure)
     }
 
+    /// Credits the retry budget of the request's service.
+    pub(super) fn count_request(&self) {
+        if let Some(service) = self.service() {
+            self.gateway.count_request(service);
+        }
+    }
+
     /// Returns whether the request may be sent again although it may have run.
     ///
     /// A permitted retry is spent from the budget.
@@ -205,14 +212,16 @@
     ///
     /// A permitted migration is spent from the budget.
     pub(super) fn try_migrate(&self) -> bool {
-        self.may_attempt_again() && self.count_retry(self.gateway.try_migration_retry(&self.route))
+        self.may_attempt_again() && self.spend_retry(Gateway::try_migration_retry)
     }
 
     fn try_retry(&self) -> bool {
-        self.count_retry(self.gateway.try_retry(&self.route))
+        self.spend_retry(Gateway::try_retry)
     }
 
-    fn count_retry(&self, is_granted: bool) -> bool {
+    /// Spends a retry from the budget of the request's service, and counts it.
+    fn spend_retry(&self, try_spend: impl Fn(&Gateway<D>, &ServiceId) -> bool) -> bool {
+        let is_granted = self.service().is_some_and(|service| try_spend(&self.gateway, service));
         if is_granted {
             self.recorder.retry();
         }
--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::ByteCount;
+use base::{ByteCount, ServiceId};
 use tokio::time::Instant;
 
 use crate::{
@@ -84,8 +84,7 @@
     pub(super) fn choose(&self) -> Result<Rc<Target>, NoTarget> {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
-        let draw = self.service_draw();
-        let service = self.route.pick_service(draw).ok_or(NoTarget::Unknown)?;
+        let service = self.service().ok_or(NoTarget::Unknown)?;
         let newest = gateway.active_configuration();
         let table = &self.active_configuration.table;
         let configured = table.service(service);
@@ -108,6 +107,11 @@
         gateway.choose(&requirements)
     }
 
+    /// Returns the service that all attempts of the request go to.
+    pub(super) fn service(&self) -> Option<&ServiceId> {
+        self.route.pick_service(self.service_draw())
+    }
+
     /// Hashes the request id to `0.0..1.0`, the same for each attempt, to choose a service.
     fn service_draw(&self) -> f64 {
         let digest =
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -128,7 +128,6 @@
     let reading = read(&active_configuration.table, body);
     let body = gateway.stop_time.run_until(deadline, reading).await;
     let body = body.map_err(|_| Failure::body_timeout(route.timeout))??;
-    gateway.count_request(&route);
     let fingerprints = fingerprints(&head, &caller_request, organisation.as_deref(), &body);
     let scope = active_configuration.table.cache_scope(organisation.as_deref());
     let exchange = Exchange {
@@ -150,6 +149,7 @@
         recorder: recorder.clone(),
         progress: Progress::default(),
     };
+    exchange.count_request();
     if route.retry_policy.is_stream() {
         return stream(exchange, active).await;
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -41,7 +41,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use route::{BudgetSettings, EngineSpeed, RetryBudget, Warm, WarmSettings};
-use routes::{Organisation, Route, Table};
+use routes::{Organisation, Table};
 use telemetry::{Metrics, Recorder};
 
 use crate::{
@@ -270,34 +270,33 @@
         }
     }
 
-    /// Credits the retry budget for a request.
-    fn count_request(&self, route: &Route) {
-        self.with_budget(route, RetryBudget::earn);
+    /// Credits a service's retry budget for a request.
+    fn count_request(&self, service: &ServiceId) {
+        self.with_budget(service, RetryBudget::earn);
     }
 
-    /// Spends a retry from this host's share of the fleet's budget, if one is left.
-    fn try_retry(&self, route: &Route) -> bool {
-        self.with_budget(route, RetryBudget::try_spend)
+    /// Spends a retry at a service from this host's share of the fleet's budget, if one is left.
+    fn try_retry(&self, service: &ServiceId) -> bool {
+        self.with_budget(service, RetryBudget::try_spend)
     }
 
     /// Spends a retry to migrate a healthy stream, if the reserve for failed requests is left.
-    fn try_migration_retry(&self, route: &Route) -> bool {
-        self.with_budget(route, |budget, now| {
+    fn try_migration_retry(&self, service: &ServiceId) -> bool {
+        self.with_budget(service, |budget, now| {
             budget.try_spend_above_reserve(now, RETRY_RESERVE_SHARE)
         })
     }
 
     fn with_budget<T>(
         &self,
-        route: &Route,
+        service: &ServiceId,
         update: impl Fn(&mut RetryBudget, MonotonicTime) -> T,
     ) -> T {
         let now = self.clock.now();
         let mut budgets = self.budgets.borrow_mut();
-        let service = route.services.first().map(|entry| entry.service.clone());
-        let service = service.expect("a route has a service");
         let settings = self.budget_settings();
-        let budget = budgets.entry(service).or_insert_with(|| RetryBudget::new(now, settings));
+        let budget =
+            budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(now, settings));
         budget.set_settings(settings);
         update(budget, now)
     }
