gateway: what an endpoint stated holds when it returns after its lease has ended

What endpoints saw: 9 requests in 4 s of 8 hosts where a limit of 0.2 a second allows 6, after a cut had ended the lease and the same incarnation came back.

Cause: the limit and the wait lay in the host's record of the endpoint, which goes with its lease; the endpoint was new to each host afterwards. Ruled out: limits lifted by a response without one (none came meanwhile); leaving, which is kept for 30 s after the last report. Change: when a record goes, its limit and wait are kept for that incarnation, 1,024 at most, and the record of a returning one begins with them. Tests: limit_holds_when_the_endpoint_returns_after_its_lease_has_ended, 9 requests before, at most 6 after; route/ended_constraints.

--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -15,7 +15,8 @@
 };
 use prefix::{PartCacheModel, PartChain, SentPrompt, rank_by_name};
 use route::{
-    EndpointKey, InFlightLoad, LimitChange, LimitResponse, SentLoad, StatedLimit, StatedWait,
+    EndedConstraints, EndpointKey, InFlightLoad, LimitChange, LimitResponse, SentLoad,
+    StatedConstraints, StatedLimit, StatedWait,
 };
 use routes::KvStore;
 use wire::leader::PublishedView;
@@ -127,7 +128,12 @@
 }
 
 impl Target {
-    fn new(record: &EndpointRecord, service: ServiceId, kv_tokens: TokenCount) -> Self {
+    fn new(
+        record: &EndpointRecord,
+        service: ServiceId,
+        kv_tokens: TokenCount,
+        constraints: StatedConstraints,
+    ) -> Self {
         let (announcement, written) = (record.announcement.as_ref(), record.written);
         let model = served_model(announcement);
         Self {
@@ -148,11 +154,15 @@
             unreachable_since: Cell::new(None),
             suspended_until: Cell::new(MonotonicTime::ZERO),
             other_load: Cell::default(),
-            limit: Cell::default(),
-            wait: Cell::default(),
+            limit: Cell::new(constraints.limit),
+            wait: Cell::new(constraints.wait),
         }
     }
 
+    fn constraints(&self) -> StatedConstraints {
+        StatedConstraints { limit: self.limit.get(), wait: self.wait.get() }
+    }
+
     /// Returns the version of its weights.
     pub(super) fn version(&self) -> u32 {
         self.version.get()
@@ -295,6 +305,8 @@
     leaving_set: LeavingSet,
     /// Running incarnations that stated in a response to this host that they leave.
     stated_leaving: BTreeSet<IncarnationKey>,
+    /// What endpoints had stated to this host when their leases ended.
+    ended_constraints: EndedConstraints,
 }
 
 /// Changes of the set of endpoints.
@@ -318,6 +330,8 @@
                 .is_some_and(|record| record.announcement.incarnation == target.incarnation);
             if !stays {
                 changes.left.push(id.clone());
+                let (incarnation, constraints) = (target.incarnation, target.constraints());
+                self.ended_constraints.keep(roster.at, id, incarnation, constraints);
             }
             stays
         });
@@ -330,9 +344,14 @@
                 target.stale_after.set(roster.stale_after);
                 continue;
             }
-            let Some(service) = service(announcement) else { continue };
+            let Some(service) = announcement.kind.service() else { continue };
             let kv_tokens = self.kv_tokens.get(service).copied().unwrap_or(DEFAULT_KV_TOKENS);
-            let target = Target::new(record, service.clone(), kv_tokens);
+            let constraints = self.ended_constraints.take(id, announcement.incarnation);
+            if constraints != StatedConstraints::default() {
+                log::info!(endpoint:% = id, incarnation:% = announcement.incarnation;
+                    "endpoint returned, what it had stated still holds");
+            }
+            let target = Target::new(record, service.clone(), kv_tokens, constraints);
             target.stale_after.set(roster.stale_after);
             self.by_id.insert(id.clone(), Rc::new(target));
             changes.joined.push(id.clone());
@@ -547,13 +566,6 @@
     matches!(record.state, EndpointState::Ready | EndpointState::Leaving)
 }
 
-fn service(announcement: &Announcement) -> Option<&ServiceId> {
-    match &announcement.kind {
-        EndpointKind::Engine(engine) => engine.service.as_ref(),
-        EndpointKind::Service(service) => Some(service),
-    }
-}
-
 /// Returns the model that an engine serves, with the version of its weights.
 pub(super) fn served_model(announcement: &Announcement) -> Option<(ModelId, u32)> {
     let EndpointKind::Engine(engine) = &announcement.kind else { return None };
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -25,6 +25,7 @@
 mod admission;
 mod baseline;
 mod capacity;
+mod ended_constraints;
 mod estimate;
 mod fair_queue;
 mod headroom;
@@ -46,6 +47,7 @@
     admission::{Admission, AdmissionSettings},
     baseline::{Hash, LeastInFlight, RoundRobin},
     capacity::{CapacityEstimator, CapacitySettings},
+    ended_constraints::{EndedConstraints, MAX_ENDED_CONSTRAINTS, StatedConstraints},
     estimate::TtftEstimate,
     headroom::{EngineSpeed, Headroom, InFlightLoad, choose_with_headroom},
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
