--- a/crates/daemon/src/gateway/crash_evidence.rs
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -12,7 +12,7 @@
 use quarantine::{Crash, Quarantined, RequestFingerprints, Survivals, Suspect};
 use wire::leader::{CrashReport, PublishedView};
 
-use super::targets::Target;
+use super::target::Target;
 
 /// Largest number of crashes that wait to be reported, of those with parts and of the others.
 const MAX_UNREPORTED: usize = 64;
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -21,7 +21,7 @@
     CallerRequest, Dialect, Gateway, Prompt,
     follow::ActiveConfiguration,
     notices::Withheld,
-    targets::{InFlight, Target},
+    target::{InFlight, Target},
 };
 
 /// Most endpoints that are tried for a request, reachable or not.
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -17,7 +17,7 @@
     gateway::{
         AttemptHead, Dialect, EngineHead, ResponseHead,
         placement::{self, Transfers},
-        targets::{InFlight, SendPermit, Target},
+        target::{InFlight, SendPermit, Target},
     },
     net::{self, AbortOnDrop},
 };
--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -11,7 +11,7 @@
         Dialect,
         follow::{ActiveConfiguration, NO_DESIRED_WEIGHTS},
         placement::{NoTarget, PromptRequirements, Requirements},
-        targets::{SendPermit, Target},
+        target::{SendPermit, Target},
     },
 };
 
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod follow;
 mod forward;
 mod headers;
+mod kv_stores;
 mod listen;
 mod notices;
 mod placement;
@@ -20,6 +21,7 @@
 mod segment;
 mod settings;
 mod stop;
+mod target;
 mod targets;
 mod weights;
 
@@ -58,7 +60,8 @@
 use follow::ActiveConfiguration;
 use placement::{NoTarget, Requirements};
 use stop::StopTime;
-use targets::{Target, Targets};
+use target::Target;
+use targets::Targets;
 
 pub use dialect::{
     AttemptHead, CallerRequest, ControlRequest, ControlRequestError, ControlResponse, DecodeError,
--- a/crates/daemon/src/gateway/notices.rs
+++ b/crates/daemon/src/gateway/notices.rs
@@ -10,7 +10,7 @@
 use super::{
     Dialect, Gateway,
     exchange::{Exchange, SendRecord},
-    targets::{SendPermit, Target},
+    target::{SendPermit, Target},
 };
 
 /// Why a request that was about to be sent is withheld from its endpoint.
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -10,7 +10,7 @@
     Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Warm, choose_with_headroom,
 };
 
-use super::targets::{Target, Targets};
+use super::{target::Target, targets::Targets};
 
 /// Cost of an endpoint in another data centre, as time.
 const REMOTE_COST: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/gateway/weights.rs
+++ b/crates/daemon/src/gateway/weights.rs
@@ -19,10 +19,7 @@
     replica::{ReplicaInput, ReplicaView},
 };
 
-use super::{
-    Dialect, EngineReport, Gateway, LoadWeightsRequest,
-    targets::{self, Targets},
-};
+use super::{Dialect, EngineReport, Gateway, LoadWeightsRequest, target, targets::Targets};
 
 /// Time between steps of the rollout.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -206,7 +203,7 @@
     ready
         .filter(|record| !targets.is_leaving(&record.announcement))
         .filter_map(|record| {
-            let (model, version) = targets::served_model(&record.announcement)?;
+            let (model, version) = target::served_model(&record.announcement)?;
             Some(EngineView {
                 endpoint: record.announcement.endpoint.clone(),
                 incarnation: record.announcement.incarnation,
