quorum: the log is founded though founders restart without being told of it

Cause: founders are named by settings only. Restarted without them, the first one doesn't write the first entry, and any other one doesn't answer the first one. Ruled out: the folder (it is whole and empty), the network (all hear each other). Change: a voter keeps the founders that it was told in its data folder before it opens the log, and takes them from there if its settings name none; a host without any, its folder empty, answers whoever asks. Only the first founder acts on that, and only if all founders' folders are empty, so no second log can be founded by it.

Open: a first founder whose folder is lost before the log is founded.

--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 mod followers;
+mod founders;
 mod pending;
 mod reads;
 mod voters;
@@ -153,12 +154,13 @@
 }
 
 fn open(cfg: &ReplicaConfig, clock: Clock, channels: &ReplicaChannels) -> eyre::Result<Driver> {
+    let cfg = ReplicaConfig { founders: founders::founders(cfg)?, ..cfg.clone() };
     let folder = cfg.data_dir.join(LOG_FOLDER_NAME);
     let new_folder = quorum::FolderId::new(rand::random());
     let (log, restored) =
         Log::open(&folder, RealDisk, new_folder).wrap_err("can't open the data folder")?;
     let rng = Pcg64Mcg::seed_from_u64(rand::random());
-    Driver::new(cfg.clone(), clock, rng, log, restored, channels.clone())
+    Driver::new(cfg, clock, rng, log, restored, channels.clone())
 }
 
 fn spawn_thread(
--- a/crates/quorum/src/founding.rs
+++ b/crates/quorum/src/founding.rs
@@ -34,7 +34,7 @@
         let founding = match self.log.entry(FOUNDING_INDEX).map(|entry| &entry.payload) {
             Some(Payload::Voters(voters)) => FoundingState::Founded(voters.clone()),
             _ if !self.is_fresh() => FoundingState::Compacted,
-            _ if self.cfg.founders.first() == Some(from) => FoundingState::Fresh,
+            _ if self.may_be_first_founder(from) => FoundingState::Fresh,
             _ => return,
         };
         self.send(from, Body::FoundingReply { requester, founding }, actions);
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Returns whether `host` may write the first entry, as far as this node's settings tell.
+    ///
+    /// A founder that restarts during the first start may no longer be told who the founders are.
+    /// Whoever the reply reaches, only the first founder acts on it.
+    fn may_be_first_founder(&self, host: &HostId) -> bool {
+        self.cfg.founders.first().is_none_or(|first| first == host)
+    }
+
     fn is_fresh(&self) -> bool {
         self.log.is_fresh() && self.hard.term == Term::ZERO
     }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -25,7 +25,8 @@
 //!
 //! The hosts in [`Config::founders`] query each other's folders. The first-listed host writes the
 //! first entry, with the folder of each founder, once all others have replied that their folder is
-//! empty and that they list the same host first. The others copy that entry. A host whose disk was
+//! empty and that they list the same host first, or none, as a founder may that has restarted. The
+//! others copy that entry. A host whose disk was
 //! lost has a new folder. It can't found a second log, since one founder whose folder is not empty
 //! prevents that, and it can't vote. Hosts that were added later and aren't listed aren't queried;
 //! keep the list up to date.
--- a/crates/quorum/tests/cluster.rs
+++ b/crates/quorum/tests/cluster.rs
@@ -76,6 +76,8 @@
     packets: Vec<Packet>,
     rng: Pcg64Mcg,
     founders: usize,
+    /// Hosts whose settings name no founders when they start.
+    pub unaware: BTreeSet<usize>,
     last_id: u64,
 }
 
@@ -91,6 +93,7 @@
             packets: Vec::new(),
             rng: Pcg64Mcg::seed_from_u64(11),
             founders,
+            unaware: BTreeSet::new(),
             last_id: 0,
         };
         for i in 0..founders + spares {
@@ -124,7 +127,9 @@
 
     pub fn config(&self, i: usize) -> Config {
         let mut cfg = Config::new(host(i));
-        cfg.founders = (0..self.founders).map(host).collect();
+        if !self.unaware.contains(&i) {
+            cfg.founders = (0..self.founders).map(host).collect();
+        }
         cfg.max_batch_bytes = 256;
         cfg.max_chunk_bytes = 3;
         cfg
--- a/crates/quorum/tests/lost_disk.rs
+++ b/crates/quorum/tests/lost_disk.rs
@@ -26,6 +26,61 @@
     assert!(cluster.leader().is_some());
 }
 
+/// Guards against a log that is never founded because a founder ended during the first start, and
+/// its settings don't name the founders when it is back.
+macro_rules! founding_goes_on_after_founders_restart {
+    ($($name:ident: $restarted:expr, $lost_disk:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut cluster = Cluster::new(3, 0);
+            // Keeps the log from being founded before the restart.
+            $restarted.iter().for_each(|&i| cluster.isolate(i));
+            cluster.run(300);
+            assert_eq!(cluster.leader(), None);
+            for i in $restarted {
+                cluster.unaware.insert(i);
+                match $lost_disk {
+                    true => cluster.lose_disk(i),
+                    false => cluster.restart(i),
+                }
+            }
+            cluster.cut.clear();
+            cluster.run(2000);
+            let leader = cluster.leader().expect("a leader within 2 s");
+            assert_eq!(cluster.status(leader).voters.folders.len(), 3);
+            // The restarted ones vote.
+            cluster.crash(leader);
+            cluster.run(3000);
+            assert!(cluster.leader().is_some());
+            assert_eq!(cluster.checker.violations, []);
+        }
+    )*};
+}
+
+founding_goes_on_after_founders_restart! {
+    last_founder_restarts: [2], false;
+    last_founder_restarts_with_an_empty_folder: [2], true;
+    all_founders_but_the_first_restart: [1, 2], false;
+    all_founders_but_the_first_restart_with_empty_folders: [1, 2], true;
+}
+
+#[test]
+fn hosts_that_name_no_founders_found_no_second_log() {
+    let (mut cluster, _) = Cluster::with_leader(3, 0);
+    cluster.crash(1);
+    cluster.unaware.insert(2);
+    cluster.lose_disk(2);
+    // The first founder's settings still name the founders.
+    cluster.lose_disk(0);
+    cluster.run(3000);
+    assert!(cluster.machines[0].disk.is_fresh());
+    cluster.start(1);
+    cluster.run(5000);
+    assert_eq!(cluster.leader(), None);
+    assert!(cluster.machines[0].disk.is_fresh());
+    assert_eq!(cluster.checker.violations, []);
+}
+
 #[test]
 fn lost_disk_founds_no_second_log() {
     let (mut cluster, _) = Cluster::with_leader(3, 0);
