gateway: an endpoint that lost connections is checked, its late heartbeats are no sign of life

Callers saw: endpoints that a call crashed one after the other, long after it had crashed the third. Cause: evidence on a lost connection was withdrawn by any heartbeat that arrived within 1.5 s after it, also one that the endpoint had sent before its end. A time of arrival was taken for the time of an event. Change: after a lost connection the host opens two connections to the endpoint, 50 and 500 ms later, and sends nothing. Refused twice and no answer since: it has ended. Accepted twice: it runs on. Otherwise announcements decide after 1.5 s, as before. Ruled out: the times of heartbeats (they carry none), one check (a server at its limit of connections may refuse one).

--- a/crates/daemon/src/gateway/crash_evidence.rs
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
+    fmt,
     rc::Rc,
     time::Duration,
 };
@@ -30,6 +31,27 @@
 /// Time in which what an endpoint sent before its end still arrives.
 const DELIVERY_TIME: Duration = Duration::from_millis(100);
 
+/// Whether an endpoint that ended connections still runs, as new connections to it show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LivenessCheck {
+    /// Each connection was refused: no process listens there.
+    Ended,
+    /// Each connection was accepted.
+    Running,
+    /// Connections timed out, or some were refused and some accepted.
+    Inconclusive,
+}
+
+impl fmt::Display for LivenessCheck {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ended => "ended",
+            Self::Running => "running",
+            Self::Inconclusive => "inconclusive",
+        })
+    }
+}
+
 /// A host's evidence on parts and requests that crash endpoints, and the leader's findings.
 #[derive(Default)]
 pub(super) struct CrashEvidence {
@@ -55,6 +77,26 @@
     target: Rc<Target>,
     request: RequestFingerprints,
     parts: Vec<PartId>,
+    /// The outcome of the endpoint's check, once it is known.
+    check: Option<LivenessCheck>,
+}
+
+impl UnconfirmedCrash {
+    /// Returns whether the endpoint has ended; `None` if that isn't known yet.
+    ///
+    /// A heartbeat that was sent before the end may arrive after it, so a check of the endpoint goes
+    /// before its announcements.
+    fn has_ended(&self, now: MonotonicTime) -> Option<bool> {
+        let has_shown_since = |sign: MonotonicTime| self.at + DELIVERY_TIME < sign;
+        match self.check {
+            Some(LivenessCheck::Running) => Some(false),
+            Some(LivenessCheck::Ended) => Some(!has_shown_since(self.target.answered_at())),
+            Some(LivenessCheck::Inconclusive) | None => {
+                let is_due = CONFIRMATION_TIME <= now.saturating_since(self.at);
+                is_due.then(|| !has_shown_since(self.target.alive_at()))
+            }
+        }
+    }
 }
 
 impl CrashEvidence {
@@ -69,17 +111,35 @@
     }
 
     /// Records that an endpoint ended the connection of a request that it may have begun to run.
+    ///
+    /// Returns whether to check if the endpoint still runs; one check at a time is enough.
     pub(super) fn record_lost_connection(
         &mut self,
         now: MonotonicTime,
         target: &Rc<Target>,
         request: RequestFingerprints,
         parts: Vec<PartId>,
-    ) {
-        if self.unconfirmed.len() < MAX_UNREPORTED {
-            let target = Rc::clone(target);
-            self.unconfirmed.push(UnconfirmedCrash { at: now, target, request, parts });
+    ) -> bool {
+        if MAX_UNREPORTED <= self.unconfirmed.len() {
+            return false;
         }
+        let is_checked = self.unchecked(target).next().is_some();
+        let target = Rc::clone(target);
+        let lost = UnconfirmedCrash { at: now, target, request, parts, check: None };
+        self.unconfirmed.push(lost);
+        !is_checked
+    }
+
+    /// Records the outcome of an endpoint's check for all connections that it has ended; returns
+    /// their number.
+    pub(super) fn record_check(&mut self, target: &Rc<Target>, check: LivenessCheck) -> usize {
+        self.unchecked(target).map(|lost| lost.check = Some(check)).count()
+    }
+
+    fn unchecked(&mut self, target: &Rc<Target>) -> impl Iterator<Item = &mut UnconfirmedCrash> {
+        let is_unchecked =
+            |lost: &UnconfirmedCrash| Rc::ptr_eq(&lost.target, target) && lost.check.is_none();
+        self.unconfirmed.iter_mut().filter(move |lost| is_unchecked(lost))
     }
 
     /// Records that an endpoint has answered a request, with these parts and fingerprints.
@@ -169,16 +229,15 @@
         }
     }
 
-    /// Moves lost connections to the report whose endpoints have shown no sign of life since.
+    /// Moves lost connections to the report whose endpoints have ended.
     fn confirm(&mut self, now: MonotonicTime, has_left: impl Fn(&Target) -> bool) {
-        let is_due = |lost: &UnconfirmedCrash| CONFIRMATION_TIME <= now.saturating_since(lost.at);
-        let (due, waiting) =
-            std::mem::take(&mut self.unconfirmed).into_iter().partition::<Vec<_>, _>(is_due);
-        self.unconfirmed = waiting;
-        for lost in due {
-            let is_alive = lost.at + DELIVERY_TIME < lost.target.alive_at();
-            if !is_alive && !has_left(&lost.target) {
-                self.push(crash(&lost.target, lost.request, lost.parts));
+        for lost in std::mem::take(&mut self.unconfirmed) {
+            match lost.has_ended(now) {
+                None => self.unconfirmed.push(lost),
+                Some(true) if !has_left(&lost.target) => {
+                    self.push(crash(&lost.target, lost.request, lost.parts));
+                }
+                Some(_) => {}
             }
         }
     }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
 use super::{
     CallerRequest, Dialect, Gateway, Prompt,
     follow::ActiveConfiguration,
+    liveness,
     notices::Withheld,
     target::{InFlight, Target},
 };
@@ -269,7 +270,9 @@
         let now = self.gateway.clock.now();
         let mut evidence = self.gateway.crash_evidence.borrow_mut();
         let parts = self.shared_parts().collect();
-        evidence.record_lost_connection(now, target, self.fingerprints, parts);
+        if evidence.record_lost_connection(now, target, self.fingerprints, parts) {
+            liveness::spawn_check(Rc::clone(&self.gateway), Rc::clone(target));
+        }
     }
 
     /// Records that an endpoint answered the request.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod headers;
 mod kv_stores;
 mod listen;
+mod liveness;
 mod notices;
 mod placement;
 mod relay;
--- a/crates/daemon/src/gateway/target.rs
+++ b/crates/daemon/src/gateway/target.rs
@@ -214,6 +214,11 @@
         self.answered_at.set(now);
     }
 
+    /// Returns when the endpoint last answered a request of this host.
+    pub(super) fn answered_at(&self) -> MonotonicTime {
+        self.answered_at.get()
+    }
+
     /// Returns when the endpoint last announced itself, or answered a request of this host.
     pub(super) fn alive_at(&self) -> MonotonicTime {
         self.answered_at.get().max(self.last_announced_at.get())
