quarantine: an engine that ends before the head of a response is evidence

Callers saw: engines that crashed one after the other on the same request, or on requests with one part, long after the third and the fifth crash, between real processes. Cause: where a request has a prompt, an end before the head counted for nothing, as bystanders wait there too. That relies on a head that always arrives; a reset discards what was not read, the head with it. Change: such an end is evidence once the endpoint is known to have ended. It counts against a suspect only if the request was sent after the last end that counts, so engines that end together count once. Crashes carry their age and the time waited; messages between hosts are version 4. Thresholds unchanged. Ruled out: the same weight as other ends (all that waits in a data centre that loses power would be condemned), only without a begun request at the engine (a neighbour that had just begun hides the cause).

--- a/crates/daemon/src/gateway/crash_evidence.rs
+++ b/crates/daemon/src/gateway/crash_evidence.rs
@@ -15,13 +15,14 @@
 
 use super::target::Target;
 
-/// Largest number of crashes that wait to be reported, of those with parts and of the others.
+/// Largest number of crashes that wait to be reported, of each kind: a burst of one kind leaves room
+/// for the others.
 const MAX_UNREPORTED: usize = 64;
 
 /// Largest number of reported crashes that are kept for the next leader.
-const MAX_REPORTED: usize = 2 * MAX_UNREPORTED;
+const MAX_REPORTED: usize = 3 * MAX_UNREPORTED;
 
-/// Time for which they are kept; a leader counts them from their arrival.
+/// Time from the end for which they are kept.
 const REPORTED_RETENTION: Duration = Duration::from_secs(60);
 
 /// Time after a lost connection in which a sign of life shows that its endpoint has not ended; a
@@ -57,26 +58,47 @@
 pub(super) struct CrashEvidence {
     survivals: Survivals,
     unconfirmed: Vec<UnconfirmedCrash>,
-    unreported: Vec<Crash<IncarnationKey>>,
+    unreported: Vec<RecordedCrash>,
     /// The crashes that a leader knows, oldest first; the next one needs them too.
-    reported: VecDeque<ReportedCrash>,
+    reported: VecDeque<RecordedCrash>,
     /// The term of the leader that knows them.
     term: Term,
     suspects: Vec<Suspect>,
     quarantined_since: BTreeMap<Suspect, MonotonicTime>,
 }
 
-struct ReportedCrash {
-    at: MonotonicTime,
+/// A crash, without its age.
+#[derive(Clone, PartialEq, Eq)]
+struct RecordedCrash {
+    ended: MonotonicTime,
     crash: Crash<IncarnationKey>,
 }
 
+impl RecordedCrash {
+    fn of_report(now: MonotonicTime, crash: Crash<IncarnationKey>) -> Self {
+        let ended = now.saturating_sub(crash.age);
+        Self { ended, crash: Crash { age: Duration::ZERO, ..crash } }
+    }
+
+    fn to_report(&self, now: MonotonicTime) -> Crash<IncarnationKey> {
+        Crash { age: now.saturating_since(self.ended), ..self.crash.clone() }
+    }
+}
+
+/// What an endpoint lost as it ended.
+pub(super) struct LostRequest {
+    pub request: RequestFingerprints,
+    /// The parts of its prompt that other requests may share.
+    pub parts: Vec<PartId>,
+    /// Time for which it had waited for the head of its response, if none had come.
+    pub waited: Option<Duration>,
+}
+
 /// The end of a connection, unless the endpoint only reset it.
 struct UnconfirmedCrash {
     at: MonotonicTime,
     target: Rc<Target>,
-    request: RequestFingerprints,
-    parts: Vec<PartId>,
+    lost: LostRequest,
     /// The outcome of the endpoint's check, once it is known.
     check: Option<LivenessCheck>,
 }
@@ -100,14 +122,9 @@
 }
 
 impl CrashEvidence {
-    /// Records that an engine ended as it began to answer a prompt with these shared parts.
-    pub(super) fn record_crash(
-        &mut self,
-        target: &Target,
-        request: RequestFingerprints,
-        parts: Vec<PartId>,
-    ) {
-        self.push(crash(target, request, parts));
+    /// Records that an engine ended at `now` as it began to answer a request.
+    pub(super) fn record_crash(&mut self, now: MonotonicTime, target: &Target, lost: LostRequest) {
+        self.push(recorded_crash(now, target, lost));
     }
 
     /// Records that an endpoint ended the connection of a request that it may have begun to run.
@@ -117,16 +134,16 @@
         &mut self,
         now: MonotonicTime,
         target: &Rc<Target>,
-        request: RequestFingerprints,
-        parts: Vec<PartId>,
+        lost: LostRequest,
     ) -> bool {
-        if MAX_UNREPORTED <= self.unconfirmed.len() {
+        let has_waited = lost.waited.is_some();
+        let is_alike = |other: &&UnconfirmedCrash| other.lost.waited.is_some() == has_waited;
+        if MAX_UNREPORTED <= self.unconfirmed.iter().filter(is_alike).count() {
             return false;
         }
         let is_checked = self.unchecked(target).next().is_some();
         let target = Rc::clone(target);
-        let lost = UnconfirmedCrash { at: now, target, request, parts, check: None };
-        self.unconfirmed.push(lost);
+        self.unconfirmed.push(UnconfirmedCrash { at: now, target, lost, check: None });
         !is_checked
     }
 
@@ -168,8 +185,9 @@
     ) -> CrashReport {
         self.confirm(now, has_left);
         let quarantined = self.quarantined_since.iter();
+        let unreported = std::mem::take(&mut self.unreported);
         CrashReport {
-            crashes: std::mem::take(&mut self.unreported),
+            crashes: unreported.iter().map(|crash| crash.to_report(now)).collect(),
             survivals: self.survivals.among(now, &self.suspects),
             quarantined: quarantined
                 .map(|(&suspect, since)| Quarantined { suspect, age: now.saturating_since(*since) })
@@ -177,19 +195,23 @@
         }
     }
 
-    /// Restores the crashes of a report that didn't reach the leader.
-    pub(super) fn restore(&mut self, report: CrashReport) {
-        report.crashes.into_iter().for_each(|crash| self.push(crash));
+    /// Restores the crashes of a report made at `reported` that didn't reach the leader.
+    pub(super) fn restore(&mut self, reported: MonotonicTime, report: CrashReport) {
+        let crashes = report.crashes.into_iter();
+        crashes.for_each(|crash| self.push(RecordedCrash::of_report(reported, crash)));
     }
 
-    /// Applies the leader's findings in the response to a report.
+    /// Applies the leader's findings in the response to a report made at `reported`.
     pub(super) fn apply_view(
         &mut self,
         now: MonotonicTime,
+        reported: MonotonicTime,
         report: CrashReport,
         view: &PublishedView,
     ) {
-        self.record_reported(now, report.crashes, view.version.term);
+        let crashes = report.crashes.into_iter();
+        let crashes = crashes.map(|crash| RecordedCrash::of_report(reported, crash));
+        self.record_reported(now, crashes, view.version.term);
         self.suspects.clone_from(&view.suspects);
         let quarantined = view.quarantined.iter();
         let since: BTreeMap<_, _> =
@@ -210,22 +232,22 @@
     fn record_reported(
         &mut self,
         now: MonotonicTime,
-        crashes: Vec<Crash<IncarnationKey>>,
+        crashes: impl Iterator<Item = RecordedCrash>,
         term: Term,
     ) {
-        self.reported.retain(|known| now.saturating_since(known.at) < REPORTED_RETENTION);
+        self.reported.retain(|known| now.saturating_since(known.ended) < REPORTED_RETENTION);
         if std::mem::replace(&mut self.term, term) != term {
-            let earlier: Vec<_> = self.reported.iter().map(|known| known.crash.clone()).collect();
+            let earlier: Vec<_> = self.reported.iter().cloned().collect();
             earlier.into_iter().for_each(|crash| self.push(crash));
         }
         for crash in crashes {
-            if self.reported.iter().any(|known| known.crash == crash) {
+            if self.reported.contains(&crash) {
                 continue;
             }
             if self.reported.len() == MAX_REPORTED {
                 self.reported.pop_front();
             }
-            self.reported.push_back(ReportedCrash { at: now, crash });
+            self.reported.push_back(crash);
         }
     }
 
@@ -235,26 +257,26 @@
             match lost.has_ended(now) {
                 None => self.unconfirmed.push(lost),
                 Some(true) if !has_left(&lost.target) => {
-                    self.push(crash(&lost.target, lost.request, lost.parts));
+                    self.push(recorded_crash(lost.at, &lost.target, lost.lost));
                 }
                 Some(_) => {}
             }
         }
     }
 
-    fn push(&mut self, crash: Crash<IncarnationKey>) {
-        let is_alike =
-            |other: &&Crash<IncarnationKey>| other.parts.is_empty() == crash.parts.is_empty();
-        if self.unreported.iter().filter(is_alike).count() < MAX_UNREPORTED {
-            self.unreported.push(crash);
+    fn push(&mut self, recorded: RecordedCrash) {
+        let kind = |recorded: &RecordedCrash| {
+            (recorded.crash.parts.is_empty(), recorded.crash.waited.is_some())
+        };
+        let alike = self.unreported.iter().filter(|other| kind(other) == kind(&recorded));
+        if alike.count() < MAX_UNREPORTED {
+            self.unreported.push(recorded);
         }
     }
 }
 
-fn crash(
-    target: &Target,
-    request: RequestFingerprints,
-    parts: Vec<PartId>,
-) -> Crash<IncarnationKey> {
-    Crash { engine: IncarnationKey::new(&target.endpoint, target.incarnation), request, parts }
+fn recorded_crash(ended: MonotonicTime, target: &Target, lost: LostRequest) -> RecordedCrash {
+    let engine = IncarnationKey::new(&target.endpoint, target.incarnation);
+    let LostRequest { request, parts, waited } = lost;
+    RecordedCrash { ended, crash: Crash { engine, request, parts, age: Duration::ZERO, waited } }
 }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -19,6 +19,7 @@
 
 use super::{
     CallerRequest, Dialect, Gateway, Prompt,
+    crash_evidence::LostRequest,
     follow::ActiveConfiguration,
     liveness,
     notices::Withheld,
@@ -254,8 +255,20 @@
         if self.gateway.targets.borrow().has_left(target) {
             return;
         }
+        let now = self.gateway.clock.now();
         let mut evidence = self.gateway.crash_evidence.borrow_mut();
-        evidence.record_crash(target, self.fingerprints, self.shared_parts().collect());
+        evidence.record_crash(now, target, self.lost_request(None));
+    }
+
+    /// Records that an endpoint ended the connection of a request before the head of its response.
+    pub(super) fn record_lost_head(&self, target: &Rc<Target>, sent: &SendRecord) {
+        match self.chain {
+            None => self.record_lost_call(target, sent),
+            Some(_) => {
+                let waited = self.gateway.clock.now().saturating_since(sent.at);
+                self.record_lost(target, self.lost_request(Some(waited)));
+            }
+        }
     }
 
     /// Records that an endpoint ended the connection of a call before its response was complete.
@@ -267,14 +280,21 @@
 
     /// Records that an endpoint ended the connection of a request that it may just have begun.
     pub(super) fn record_lost_connection(&self, target: &Rc<Target>) {
+        self.record_lost(target, self.lost_request(None));
+    }
+
+    fn record_lost(&self, target: &Rc<Target>, lost: LostRequest) {
         let now = self.gateway.clock.now();
         let mut evidence = self.gateway.crash_evidence.borrow_mut();
-        let parts = self.shared_parts().collect();
-        if evidence.record_lost_connection(now, target, self.fingerprints, parts) {
+        if evidence.record_lost_connection(now, target, lost) {
             liveness::spawn_check(Rc::clone(&self.gateway), Rc::clone(target));
         }
     }
 
+    fn lost_request(&self, waited: Option<Duration>) -> LostRequest {
+        LostRequest { request: self.fingerprints, parts: self.shared_parts().collect(), waited }
+    }
+
     /// Records that an endpoint answered the request.
     pub(super) fn record_survival(&self) {
         let now = self.gateway.clock.now();
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -145,9 +145,8 @@
                 Err(AttemptError::Unreachable(e.to_string()))
             }
             Err(e) => {
-                // An engine that ends before the head may not have begun to run the request.
-                if self.chain.is_none() && !e.is_parse() {
-                    self.record_lost_call(target, sent);
+                if !e.is_parse() {
+                    self.record_lost_head(target, sent);
                 }
                 Err(AttemptError::MayHaveRun(format!("no response: {e}")))
             }
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -86,7 +86,7 @@
                 log_late_response(now.saturating_since(sent));
                 (version, next_sent) = (view.version, view.next_sent);
                 gateway.targets.borrow_mut().apply_view(now, &loads, &view);
-                gateway.crash_evidence.borrow_mut().apply_view(now, crashes, &view);
+                gateway.crash_evidence.borrow_mut().apply_view(now, sent, crashes, &view);
                 gateway.apply_view(sent, &view);
             }
             Ok(other) => {
@@ -95,7 +95,7 @@
             }
             Err(why) => {
                 gateway.unreported_prompts.borrow_mut().restore(reported);
-                gateway.crash_evidence.borrow_mut().restore(crashes);
+                gateway.crash_evidence.borrow_mut().restore(sent, crashes);
                 if !std::mem::replace(&mut is_leader_lost, true) {
                     log::warn!(why:? = why; "leader poll failed");
                 }
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -26,7 +26,7 @@
 use handshake::FleetSecret;
 
 /// Version of the messages between routers.
-const PROTOCOL_VERSION: u16 = 3;
+const PROTOCOL_VERSION: u16 = 4;
 
 /// Longest message accepted, in words of 8 bytes; an unauthenticated client can make the process
 /// allocate this much.
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -15,6 +15,11 @@
     /// The parts of its prompt that other requests may share, in order; empty if none may be the
     /// cause.
     pub parts: Vec<PartId>,
+    /// Time from the end to the report.
+    pub age: Duration,
+    /// Time for which the request had waited for the head of its response, if none had come: the
+    /// engine may not have begun to run it.
+    pub waited: Option<Duration>,
 }
 
 impl<E> Crash<E> {
--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -23,7 +23,8 @@
 /// Time for which a suspect stays in quarantine.
 const QUARANTINE_TIME: Duration = Duration::from_secs(600);
 
-/// Largest number of crashes that are kept, of those that speak against parts and of the others.
+/// Largest number of crashes that are kept: of requests with shared parts that had begun, of those
+/// that had waited, and of the others.
 const MAX_CRASHES: usize = 256;
 
 /// Largest number of engines whose end is known to be explained.
@@ -56,6 +57,23 @@
     crash: Crash<E>,
 }
 
+impl<E> RecordedCrash<E> {
+    fn ended(&self) -> MonotonicTime {
+        self.at.saturating_sub(self.crash.age)
+    }
+
+    /// Returns when the request was sent, if it may not have begun to run.
+    fn waiting_since(&self) -> Option<MonotonicTime> {
+        self.crash.waited.map(|waited| self.ended().saturating_sub(waited))
+    }
+
+    /// Returns whether the crash counts among the same crashes up to the bounds on their number.
+    fn is_alike(&self, crash: &Crash<E>) -> bool {
+        let kind = |crash: &Crash<E>| (crash.parts.is_empty(), crash.waited.is_some());
+        kind(&self.crash) == kind(crash)
+    }
+}
+
 /// A suspect that was found to crash engines, and the evidence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Finding {
@@ -70,8 +88,12 @@
 /// The crashes since a suspect was last answered.
 #[derive(Debug)]
 struct Evidence<E> {
-    /// The engines, by the request that each of them lost.
+    /// The engines that count, by the request that each of them lost.
     engines: BTreeMap<RequestFingerprint, BTreeSet<E>>,
+    /// Engines that lost a request which had waited there since before the last end that counts.
+    simultaneous: BTreeSet<E>,
+    /// The last end that counts.
+    counted_until: MonotonicTime,
     first_crash: MonotonicTime,
     last_crash: MonotonicTime,
     /// Largest number of suspects of the same kind before this one in a request; suspects further
@@ -101,7 +123,30 @@
 
 impl<E: Clone + Ord> Evidence<E> {
     fn new(first_crash: MonotonicTime) -> Self {
-        Self { engines: BTreeMap::new(), first_crash, last_crash: first_crash, depth: 0 }
+        Self {
+            engines: BTreeMap::new(),
+            simultaneous: BTreeSet::new(),
+            counted_until: MonotonicTime::ZERO,
+            first_crash,
+            last_crash: first_crash,
+            depth: 0,
+        }
+    }
+
+    /// Counts a crash; crashes come in the order of the engines' ends.
+    ///
+    /// Engines that end together, as in a data centre without power, take all that waits there with
+    /// them. A request that waited counts only if it was sent after the last end that counts.
+    fn record(&mut self, recorded: &RecordedCrash<E>) {
+        let engine = recorded.crash.engine.clone();
+        if recorded.waiting_since().is_some_and(|since| since < self.counted_until) {
+            self.simultaneous.insert(engine);
+            return;
+        }
+        self.engines.entry(recorded.crash.request.with_prompt).or_default().insert(engine);
+        self.counted_until = recorded.ended();
+        self.first_crash = recorded.at.min(self.first_crash);
+        self.last_crash = recorded.at.max(self.last_crash);
     }
 
     fn all_engines(&self) -> BTreeSet<&E> {
@@ -169,8 +214,7 @@
         if self.is_explained(&crash.engine) {
             return;
         }
-        let is_alike =
-            |recorded: &RecordedCrash<E>| recorded.crash.parts.is_empty() == crash.parts.is_empty();
+        let is_alike = |recorded: &RecordedCrash<E>| recorded.is_alike(crash);
         if self.crashes.iter().filter(|recorded| is_alike(recorded)).count() == MAX_CRASHES {
             let oldest = self.crashes.iter().position(is_alike);
             oldest.map(|oldest| self.crashes.remove(oldest));
@@ -238,12 +282,13 @@
             let engines = evidence.all_engines().len();
             (Reverse(has_survived), evidence.cause(**suspect), engines, evidence.depth)
         })?;
-        let engines: BTreeSet<E> = found.all_engines().into_iter().cloned().collect();
+        let mut engines: BTreeSet<E> = found.all_engines().into_iter().cloned().collect();
         let finding = Finding {
             suspect,
             engines: engines.len(),
             first_crash_age: now.saturating_since(found.first_crash),
         };
+        engines.extend(found.simultaneous.iter().cloned());
         self.next_review = None;
         self.quarantined.insert(suspect, now);
         self.hearings.close(suspect);
@@ -303,7 +348,10 @@
 
     fn evidence(&self, now: MonotonicTime) -> BTreeMap<Suspect, Evidence<E>> {
         let mut all = BTreeMap::new();
-        for RecordedCrash { at, crash } in &self.crashes {
+        let mut by_end: Vec<_> = self.crashes.iter().collect();
+        by_end.sort_by_key(|recorded| recorded.ended());
+        for recorded in by_end {
+            let RecordedCrash { at, crash } = recorded;
             let parts = crash.parts.iter().copied().map(Suspect::Part).enumerate();
             let requests = crash.request.iter().map(Suspect::Request).enumerate();
             for (depth, suspect) in parts.chain(requests) {
@@ -313,9 +361,7 @@
                     continue;
                 }
                 let evidence = all.entry(suspect).or_insert_with(|| Evidence::new(*at));
-                let lost = evidence.engines.entry(crash.request.with_prompt).or_default();
-                lost.insert(crash.engine.clone());
-                evidence.last_crash = *at;
+                evidence.record(recorded);
                 evidence.depth = depth.max(evidence.depth);
             }
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -24,7 +24,8 @@
 //!     let now = MonotonicTime::from_millis(100 * engine);
 //!     let fingerprint = RequestFingerprint::new(engine);
 //!     let request = RequestFingerprints { content: fingerprint, with_prompt: fingerprint };
-//!     detector.record_crash(now, &Crash { engine, request, parts: vec![sound, bad] });
+//!     let (parts, age) = (vec![sound, bad], Duration::ZERO);
+//!     detector.record_crash(now, &Crash { engine, request, parts, age, waited: None });
 //!     let suspect = Suspect::Part(sound);
 //!     detector.record_survival(now, Survival { suspect, age: Duration::ZERO });
 //! }
--- a/crates/quarantine/tests/detector.rs
+++ b/crates/quarantine/tests/detector.rs
@@ -29,7 +29,10 @@
 fn crash(detector: &mut Detector<u64>, engines: std::ops::Range<u64>, parts: &[PartId]) {
     for engine in engines {
         let (request, parts) = (request(engine), parts.to_vec());
-        detector.record_crash(at(50 * engine), &Crash { engine, request, parts });
+        detector.record_crash(
+            at(50 * engine),
+            &Crash { engine, request, parts, age: Duration::ZERO, waited: None },
+        );
     }
 }
 
@@ -84,7 +87,13 @@
     for millis in 0..20 {
         detector.record_crash(
             at(millis),
-            &Crash { engine: 1, request: request(millis), parts: vec![BAD] },
+            &Crash {
+                engine: 1,
+                request: request(millis),
+                parts: vec![BAD],
+                age: Duration::ZERO,
+                waited: None,
+            },
         );
     }
     assert_eq!(found(&mut detector, 20 + HEARD_MS), None);
--- a/crates/quarantine/tests/requests.rs
+++ b/crates/quarantine/tests/requests.rs
@@ -34,7 +34,10 @@
 /// Records that an engine ended 50 ms times its number after the start.
 fn crash(detector: &mut Detector<u64>, engine: u64, number: u64, parts: &[PartId]) {
     let request = fingerprints(number);
-    detector.record_crash(at(50 * engine), &Crash { engine, request, parts: parts.to_vec() });
+    detector.record_crash(
+        at(50 * engine),
+        &Crash { engine, request, parts: parts.to_vec(), age: Duration::ZERO, waited: None },
+    );
 }
 
 fn survive(detector: &mut Detector<u64>, millis: u64, suspect: Suspect) {
@@ -140,7 +143,13 @@
 fn request_that_comes_again_once_a_minute_is_found() {
     let mut detector = Detector::default();
     for minute in 0..3 {
-        let crash = Crash { engine: minute, request: fingerprints(DEADLY), parts: vec![SYSTEM] };
+        let crash = Crash {
+            engine: minute,
+            request: fingerprints(DEADLY),
+            parts: vec![SYSTEM],
+            age: Duration::ZERO,
+            waited: None,
+        };
         detector.record_crash(at(60_000 * minute), &crash);
         assert_eq!(detector.update(at(60_000 * minute)).is_some(), minute == 2);
     }
@@ -155,7 +164,10 @@
             content: RequestFingerprint::new(DEADLY),
             with_prompt: RequestFingerprint::new(engine),
         };
-        detector.record_crash(at(50 * engine), &Crash { engine, request, parts: vec![] });
+        detector.record_crash(
+            at(50 * engine),
+            &Crash { engine, request, parts: vec![], age: Duration::ZERO, waited: None },
+        );
     }
     assert_eq!(found(&mut detector, 3), [request(DEADLY)]);
 }
@@ -168,7 +180,10 @@
             content: RequestFingerprint::new(1),
             with_prompt: RequestFingerprint::new(DEADLY),
         };
-        detector.record_crash(at(50 * engine), &Crash { engine, request, parts: vec![] });
+        detector.record_crash(
+            at(50 * engine),
+            &Crash { engine, request, parts: vec![], age: Duration::ZERO, waited: None },
+        );
     }
     assert_eq!(found(&mut detector, 3), [request(DEADLY)]);
 }
@@ -188,7 +203,7 @@
                     content: RequestFingerprint::new(DEADLY),
                     with_prompt: RequestFingerprint::new(prompt),
                 };
-                detector.record_crash(at(100 * engine), &Crash { engine, request, parts });
+                detector.record_crash(at(100 * engine), &Crash { engine, request, parts, age: Duration::ZERO, waited: None });
                 survive(&mut detector, 100 * engine, Suspect::Part(SYSTEM));
                 let now = at(100 * engine + HEARD_MS);
                 let found = std::iter::from_fn(|| detector.update(now));
@@ -228,12 +243,24 @@
     for engine in 100..200 {
         detector.record_crash(
             at(0),
-            &Crash { engine, request: fingerprints(engine), parts: vec![PartId::new(engine)] },
+            &Crash {
+                engine,
+                request: fingerprints(engine),
+                parts: vec![PartId::new(engine)],
+                age: Duration::ZERO,
+                waited: None,
+            },
         );
     }
     for (engine, millis) in [(1, 1), (2, 100), (3, 200)] {
         let parts = vec![SYSTEM, BAD];
-        let crash = Crash { engine, request: request(10 + engine), parts };
+        let crash = Crash {
+            engine,
+            request: request(10 + engine),
+            parts,
+            age: Duration::ZERO,
+            waited: None,
+        };
         if engine == 1 {
             detector.record_crash(at(0), &Crash { parts: vec![], ..crash.clone() });
         }
@@ -274,7 +301,13 @@
 fn lose(detector: &mut Detector<u64>, millis: u64, numbers: std::ops::Range<u64>) {
     for number in numbers {
         let request = fingerprints(number);
-        let crash = Crash { engine: 1_000 + number % 12, request, parts: vec![] };
+        let crash = Crash {
+            engine: 1_000 + number % 12,
+            request,
+            parts: vec![],
+            age: Duration::ZERO,
+            waited: None,
+        };
         detector.record_crash(at(millis), &crash);
     }
 }
@@ -282,7 +315,13 @@
 #[test]
 fn popular_request_among_many_victims_is_asked_about() {
     let mut detector = Detector::default();
-    let popular = |engine| Crash { engine, request: fingerprints(1), parts: vec![] };
+    let popular = |engine| Crash {
+        engine,
+        request: fingerprints(1),
+        parts: vec![],
+        age: Duration::ZERO,
+        waited: None,
+    };
     (0..3).for_each(|engine| detector.record_crash(at(0), &popular(engine)));
     lose(&mut detector, 1, 2_000..2_100);
     assert_eq!(hear(&mut detector, 50..=2_000, &[request(1)]), None);
@@ -292,7 +331,13 @@
 fn request_that_routers_were_not_asked_about_is_not_condemned() {
     let mut detector = Detector::default();
     lose(&mut detector, 0, 2_000..2_100);
-    let popular = |engine| Crash { engine, request: fingerprints(1), parts: vec![] };
+    let popular = |engine| Crash {
+        engine,
+        request: fingerprints(1),
+        parts: vec![],
+        age: Duration::ZERO,
+        waited: None,
+    };
     (0..3).for_each(|engine| detector.record_crash(at(1), &popular(engine)));
     assert_eq!(detector.update(at(700)), None);
     assert!(detector.suspects().contains(&request(1)));
@@ -305,7 +350,13 @@
     let mut detector = Detector::default();
     for engine in 0..3 {
         for number in 2_000..2_100 {
-            let crash = Crash { engine, request: fingerprints(number), parts: vec![] };
+            let crash = Crash {
+                engine,
+                request: fingerprints(number),
+                parts: vec![],
+                age: Duration::ZERO,
+                waited: None,
+            };
             detector.record_crash(at(0), &crash);
         }
     }
@@ -320,7 +371,13 @@
     for engine in 0..3 {
         let start = 250 * engine;
         lose(&mut detector, start, 2_000 + 80 * engine..2_080 + 80 * engine);
-        let deadly = Crash { engine, request: fingerprints(DEADLY), parts: vec![] };
+        let deadly = Crash {
+            engine,
+            request: fingerprints(DEADLY),
+            parts: vec![],
+            age: Duration::ZERO,
+            waited: None,
+        };
         detector.record_crash(at(start), &deadly);
         assert_eq!(hear(&mut detector, start + 50..=start + 90, &[]), None);
     }
