quarantine: a part that ended more engines goes before a bystander that came again

Cause: a request that came again as it was is found first, also where a part of other requests ended all of its engines and further ones. Ends before the head made such bystanders more frequent. Change: such a request waits until the part is found, which then explains its engines.

--- a/crates/quarantine/src/detector.rs
+++ b/crates/quarantine/src/detector.rs
@@ -183,6 +183,18 @@
         }
     }
 
+    /// Returns whether different requests ended all engines of `other`, and further ones.
+    fn explains_more_than(&self, other: &Self) -> bool {
+        let engines = self.lost_engines();
+        let others = other.lost_engines();
+        others.is_subset(&engines) && others.len() < self.weight_by_request()
+    }
+
+    /// Returns the engines that lost the suspect, whether they count or not.
+    fn lost_engines(&self) -> BTreeSet<&E> {
+        self.engines.values().flatten().chain(&self.simultaneous).collect()
+    }
+
     fn shares_engines(&self, other: &Self) -> bool {
         let others = other.all_engines();
         self.engines.values().flatten().any(|engine| others.contains(engine))
@@ -282,13 +294,12 @@
             let engines = evidence.all_engines().len();
             (Reverse(has_survived), evidence.cause(**suspect), engines, evidence.depth)
         })?;
-        let mut engines: BTreeSet<E> = found.all_engines().into_iter().cloned().collect();
         let finding = Finding {
             suspect,
-            engines: engines.len(),
+            engines: found.all_engines().len(),
             first_crash_age: now.saturating_since(found.first_crash),
         };
-        engines.extend(found.simultaneous.iter().cloned());
+        let engines: BTreeSet<E> = found.lost_engines().into_iter().cloned().collect();
         self.next_review = None;
         self.quarantined.insert(suspect, now);
         self.hearings.close(suspect);
@@ -311,19 +322,24 @@
             .collect()
     }
 
-    /// Returns whether a never-answered part may explain the crashes of a content.
+    /// Returns whether a never-answered part may explain the crashes of a request better.
+    ///
+    /// For a content that is any part of the same engines. A request that came again may have been a
+    /// bystander each time where a part ended all of its engines and others too.
     fn may_be_due_to_a_part(
         &self,
         suspect: Suspect,
         evidence: &Evidence<E>,
         sufficient: &BTreeMap<Suspect, &Evidence<E>>,
     ) -> bool {
-        let is_rival = |(other, of_other): (&Suspect, &&Evidence<E>)| {
-            !other.is_request()
-                && !self.survived.contains_key(other)
-                && of_other.shares_engines(evidence)
+        let explains = |of_part: &Evidence<E>| match evidence.cause(suspect) {
+            Cause::Part => false,
+            Cause::Content => of_part.shares_engines(evidence),
+            Cause::SameRequest => of_part.explains_more_than(evidence),
         };
-        evidence.cause(suspect) == Cause::Content && sufficient.iter().any(is_rival)
+        sufficient.iter().any(|(other, of_other)| {
+            !other.is_request() && !self.survived.contains_key(other) && explains(of_other)
+        })
     }
 
     /// Returns all suspects, those closest to their quarantine first.
