--- a/crates/daemon/src/gateway/dialect.rs
+++ b/crates/daemon/src/gateway/dialect.rs
@@ -113,6 +113,8 @@
     pub deadline: Option<Duration>,
     /// The prompt, if the request is for a model.
     pub prompt: Option<Prompt>,
+    /// Prompt tokens and maximum output tokens together, if the request states them.
+    pub tokens: Option<TokenCount>,
 }
 
 /// A prompt for a model.
--- a/crates/routes/src/organisation.rs
+++ b/crates/routes/src/organisation.rs
@@ -1,5 +1,7 @@
 use std::{fmt, sync::Arc};
 
+use quota::Quota;
+
 /// A caller's API key; redacted in debug output.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ApiKey(Arc<str>);
@@ -34,4 +36,6 @@
     pub priority: Option<u8>,
     /// Whether its cached prompts are kept apart from those of other organisations.
     pub isolated: bool,
+    /// Its limit across all routers, if it has one.
+    pub quota: Option<Quota>,
 }
--- a/crates/routes/tests/cache_scopes.rs
+++ b/crates/routes/tests/cache_scopes.rs
@@ -53,7 +53,7 @@
 
 fn organisation(name: &str, status: Status) -> Organisation {
     let isolated = status == Status::Isolated;
-    Organisation { name: name.into(), keys: Vec::new(), priority: None, isolated }
+    Organisation { name: name.into(), keys: Vec::new(), priority: None, isolated, quota: None }
 }
 
 fn table(statuses: &[Status]) -> Table {
--- a/crates/routes/tests/table.rs
+++ b/crates/routes/tests/table.rs
@@ -28,7 +28,7 @@
 
 fn organisation(name: &str, keys: &[&str]) -> Organisation {
     let keys = keys.iter().map(|key| ApiKey::new(key)).collect();
-    Organisation { name: name.into(), keys, priority: None, isolated: false }
+    Organisation { name: name.into(), keys, priority: None, isolated: false, quota: None }
 }
 
 fn table(routes: Vec<Route>, organisations: Vec<Organisation>) -> Result<Table, TableError> {
