gateway: requests of limited organisations are charged to their quotas

Cause: the limits of organisations were decoded and not applied.

Change: routers report what they admit of open organisations with their polls, and ask the leader about requests of metered ones, together and one ask at a time; the leader answers from its ledger, without the log, while it holds its lease. A request over the limit gets 429 with Retry-After; the charge of one that was never sent is returned when it is dropped.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -23,6 +23,7 @@
     follow::ActiveConfiguration,
     liveness,
     notices::Withheld,
+    quotas::Charge,
     target::{InFlight, Target},
 };
 
@@ -82,6 +83,8 @@
     /// The prompt's parts, hashed in that scope.
     pub chain: Option<PartChain>,
     pub fingerprints: RequestFingerprints,
+    /// What the request costs its organisation, if that is limited.
+    pub charge: Option<Charge>,
     pub recorder: Recorder,
     pub progress: Progress,
 }
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -71,6 +71,9 @@
             self.gateway.record_sent(target, chain, transfers.save_to.is_some());
         }
         self.progress.count_sent();
+        if let Some(charge) = &mut self.charge {
+            charge.spend();
+        }
         let sent = self.send_record(target);
         let sending = sender.send_request(request);
         let response = match self.response(target, sending, sent, resume_after).await? {
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -10,7 +10,7 @@
     FollowCursor, FollowRequest, LeaderRequest, LeaderResponse, PublishedView, ViewVersion,
 };
 
-use crate::replica::ReplicaInput;
+use crate::replica::{QuotaList, ReplicaInput};
 
 use super::{Dialect, Gateway, targets};
 
@@ -35,6 +35,8 @@
     pub number: ConfigurationNumber,
     pub table: Arc<Table>,
     pub weights: BTreeMap<ModelId, WeightsHistory>,
+    /// The quotas of limited organisations.
+    pub quotas: QuotaList,
     /// When the poll was sent whose response confirmed that nothing newer was published.
     pub confirmed: MonotonicTime,
 }
@@ -62,9 +64,11 @@
             .crash_evidence
             .borrow_mut()
             .take_report(sent, |target| gateway.targets.borrow().has_left(target));
+        let (quota, next_quota) =
+            (gateway.quota_report(), gateway.quotas.gate().borrow().position());
         let request = LeaderRequest::FollowPublished(FollowRequest {
             from: gateway.host.clone(),
-            seen: FollowCursor { number, version, next_sent },
+            seen: FollowCursor { number, version, next_sent, next_quota },
             max_wait: if gateway.cfg.callers.is_some() {
                 CALLERS_MAX_POLL_WAIT
             } else {
@@ -74,6 +78,7 @@
             sent: reported.clone(),
             leaving: gateway.leaving_endpoints(),
             crashes: crashes.clone(),
+            quota,
         });
         match gateway.leader.submit(&request, FOLLOW_TIMEOUT).await {
             Ok(LeaderResponse::Published(view)) => {
@@ -87,6 +92,7 @@
                 (version, next_sent) = (view.version, view.next_sent);
                 gateway.targets.borrow_mut().apply_view(now, &loads, &view);
                 gateway.crash_evidence.borrow_mut().apply_view(now, sent, crashes, &view);
+                gateway.quotas.gate().borrow_mut().apply_view(sent, view.quota.as_ref());
                 gateway.apply_view(sent, &view);
             }
             Ok(other) => {
@@ -96,6 +102,7 @@
             Err(why) => {
                 gateway.unreported_prompts.borrow_mut().restore(reported);
                 gateway.crash_evidence.borrow_mut().restore(sent, crashes);
+                gateway.quotas.gate().borrow_mut().record_failed_poll(gateway.clock.now());
                 if !std::mem::replace(&mut is_leader_lost, true) {
                     log::warn!(why:? = why; "leader poll failed");
                 }
@@ -105,6 +112,15 @@
     }
 }
 
+/// Returns the limited organisations with their quotas.
+fn quota_list(table: &Table) -> QuotaList {
+    let organisations = table.organisations();
+    let limited = organisations.filter_map(|organisation| {
+        organisation.quota.map(|quota| (Arc::clone(&organisation.name), quota))
+    });
+    limited.collect()
+}
+
 /// Logs a response that took longer than a poll may wait.
 fn log_late_response(took: Duration) {
     if LATE_RESPONSE_THRESHOLD <= took {
@@ -122,19 +138,26 @@
             log::error!(current:%, received:%; "leader published an older configuration");
             return;
         }
-        let table = match (&view.content, current) {
+        let (table, quotas) = match (&view.content, current) {
             (Some(content), _) if view.number != ConfigurationNumber::default() => {
                 match self.read_table(view.number, content) {
-                    Some(table) => table,
+                    Some(table) => {
+                        let quotas = quota_list(&table);
+                        (table, quotas)
+                    }
                     None => return,
                 }
             }
-            (_, Some(current)) => Arc::clone(&current.table),
+            (_, Some(current)) => (Arc::clone(&current.table), Arc::clone(&current.quotas)),
             (_, None) => return,
         };
+        if let Some(replica) = &self.replica {
+            // A list that a full channel drops is sent again with the next view.
+            let _ = replica.try_send(ReplicaInput::Quotas(Arc::clone(&quotas)));
+        }
         let weights = self.merge_desired_weights(view);
         let active_configuration =
-            ActiveConfiguration { number: view.number, table, weights, confirmed: sent };
+            ActiveConfiguration { number: view.number, table, weights, quotas, confirmed: sent };
         self.active_configuration.replace(Some(Rc::new(active_configuration)));
         if current_number != Some(view.number) {
             self.release_announcements();
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -130,6 +130,12 @@
     let body = body.map_err(|_| Failure::body_timeout(route.timeout))??;
     let fingerprints = fingerprints(&head, &caller_request, organisation.as_deref(), &body);
     let scope = active_configuration.table.cache_scope(organisation.as_deref());
+    let charging = gateway.charge(organisation.as_deref(), caller_request.tokens);
+    let charge = gateway.stop_time.run_until(deadline, charging).await;
+    let charge = charge.map_err(|_| {
+        let detail = "the quota was not decided in time";
+        Failure::unavailable(detail, gateway.retry_after())
+    })??;
     let exchange = Exchange {
         chain: caller_request.prompt.as_ref().map(|prompt| prompt.chain(&scope)),
         scope,
@@ -146,6 +152,7 @@
         caller_deadline,
         arrived: gateway.clock.now(),
         fingerprints,
+        charge,
         recorder: recorder.clone(),
         progress: Progress::default(),
     };
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod liveness;
 mod notices;
 mod placement;
+mod quotas;
 mod relay;
 mod segment;
 mod settings;
@@ -60,6 +61,7 @@
 use crash_evidence::CrashEvidence;
 use follow::ActiveConfiguration;
 use placement::{NoTarget, Requirements};
+use quotas::Quotas;
 use stop::StopTime;
 use target::Target;
 use targets::Targets;
@@ -161,6 +163,7 @@
     warm: RefCell<Warm>,
     rng: RefCell<Pcg64Mcg>,
     active_requests: Rc<Cell<u64>>,
+    quotas: Rc<Quotas>,
     /// Memory for responses of endpoints.
     buffer_budget: Rc<BufferBudget>,
     connections: Cell<u64>,
@@ -220,6 +223,7 @@
             warm: RefCell::new(Warm::new(warm_settings())),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
             active_requests: Rc::default(),
+            quotas: Rc::default(),
             buffer_budget: Rc::default(),
             connections: Cell::new(0),
             is_draining: Cell::new(false),
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -209,6 +209,7 @@
             ReplicaInput::Learners(hosts) => self.step(Input::Learners(hosts)),
             ReplicaInput::EngineUpdate(engines) => self.followers.set_engines(engines),
             ReplicaInput::WeightAges { at, ages } => self.followers.record_weights_ages(at, &ages),
+            ReplicaInput::Quotas(list) => self.followers.quotas.set(self.clock.now(), list),
             ReplicaInput::TransferLeadership(done) => {
                 self.step(Input::Transfer);
                 self.transfer_done = Some(done);
@@ -229,6 +230,7 @@
             if self.leading.take().is_some() {
                 log::info!(term:% = self.node.term(); "leadership lost");
                 self.followers.clear_crashes();
+                self.followers.quotas.end_term();
             }
             // Engine states of a former leader are outdated.
             self.followers.clear_engines();
@@ -238,6 +240,7 @@
         if self.leading.is_none_or(|(led_term, _)| led_term != term) {
             self.leading = Some((term, self.clock.now()));
             self.followers.clear_engines();
+            self.followers.quotas.start_term(self.clock.now());
             self.followers.record_change();
             log::info!(term:%; "leadership acquired");
         }
--- a/crates/daemon/src/replica/driver/requests.rs
+++ b/crates/daemon/src/replica/driver/requests.rs
@@ -3,6 +3,7 @@
 use base::UnixMillis;
 use fleet::Command;
 use quorum::{Input, Role, VoterSet};
+use quota::Demand;
 use wire::leader::{FollowRequest, LeaderRequest, LeaderResponse};
 
 use crate::peers::SubmitCall;
@@ -51,10 +52,24 @@
                 | LeaderRequest::ReadPublished),
             ) => self.read(request, reply),
             Ok(LeaderRequest::FollowPublished(poll)) => self.queue_poll(poll, reply),
+            Ok(LeaderRequest::AskQuota(demands)) => self.answer_quota(&demands, reply),
             Err(e) => reply.respond(&LeaderResponse::Refused(e.to_string())),
         }
     }
 
+    /// Answers demands at once; the lease ensures that no other host leads and grants as well.
+    fn answer_quota(&mut self, demands: &[Demand], reply: ReplySender) {
+        let now = self.clock.now();
+        let answers = match self.node.holds_lease(now) {
+            true => self.followers.quotas.answer(now, demands),
+            false => None,
+        };
+        match answers {
+            Some(answers) => reply.respond(&LeaderResponse::Quota(answers)),
+            None => reply.not_written(self.node.leader().cloned()),
+        }
+    }
+
     /// Returns whether a command that this host commits outlives the disks that may be lost; logs
     /// changes.
     fn may_accept_commands(&mut self) -> bool {
@@ -90,6 +105,7 @@
         let leads = self.node.role() == Role::Leader;
         if leads {
             self.followers.quarantine_suspects(self.clock.now());
+            self.followers.review_quotas(self.clock.now());
         }
         let due = self.followers.take_due(self.clock.now(), self.node.term(), leads);
         for PendingPoll { poll, reply, .. } in due {
--- a/crates/daemon/src/replica/followers.rs
+++ b/crates/daemon/src/replica/followers.rs
@@ -10,7 +10,7 @@
 use route::{LoadAggregator, SentLoad};
 use wire::leader::{CrashReport, FollowCursor, FollowRequest, PublishedView, ViewVersion};
 
-use super::pending::ReplySender;
+use super::{pending::ReplySender, quotas::Quotas};
 
 /// Longest time for which a poll waits for a change; shorter than the follower's timeout.
 const MAX_POLL_WAIT: Duration = Duration::from_millis(400);
@@ -33,6 +33,7 @@
     leaving_set: LeavingSet,
     crash_detector: Detector<IncarnationKey>,
     next_crash_check: MonotonicTime,
+    pub(super) quotas: Quotas,
     /// When weights became the desired ones, as far as this host observed or received it.
     weights: BTreeMap<ModelId, WeightsHistory>,
     /// Number of changes so far; each one ends the waiting polls.
@@ -56,6 +57,7 @@
             leaving_set: LeavingSet::default(),
             crash_detector: Detector::default(),
             next_crash_check: MonotonicTime::ZERO,
+            quotas: Quotas::default(),
             weights: BTreeMap::new(),
             changes: 0,
         }
@@ -74,6 +76,9 @@
         self.sent.extend(&poll.from, std::mem::take(&mut poll.sent));
         self.record_leaving(now, &poll.leaving);
         self.record_crashes(now, std::mem::take(&mut poll.crashes));
+        if let Some(report) = poll.quota.take() {
+            self.quotas.record(now, &poll.from, &report);
+        }
         let deadline = now + poll.max_wait.min(MAX_POLL_WAIT);
         self.polls.push(PendingPoll { poll, reply, deadline });
     }
@@ -111,6 +116,13 @@
         }
     }
 
+    /// Tells the followers at once of organisations that became metered.
+    pub(super) fn review_quotas(&mut self, now: MonotonicTime) {
+        if self.quotas.review(now) {
+            self.changes += 1;
+        }
+    }
+
     /// Removes and returns the polls whose sender has seen another version or whose deadline has
     /// passed; all of them if this host does not lead.
     pub(super) fn take_due(
@@ -197,6 +209,7 @@
             next_sent: self.sent.next(),
             suspects: self.crash_detector.suspects(),
             quarantined: self.crash_detector.quarantined(now),
+            quota: self.quotas.view(if same_leader { seen.next_quota } else { 0 }),
         }
     }
 
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -4,6 +4,7 @@
 mod followers;
 mod founders;
 mod pending;
+mod quotas;
 mod reads;
 mod voters;
 mod writer;
@@ -35,6 +36,8 @@
 
 use driver::{Driver, DriverEnd};
 
+pub(crate) use quotas::QuotaList;
+
 /// Subfolder of the data folder for the log and the snapshots.
 const LOG_FOLDER_NAME: &str = "quorum";
 
@@ -58,6 +61,8 @@
         /// The ages.
         ages: Vec<WeightsAge>,
     },
+    /// The quotas of the configuration in force.
+    Quotas(QuotaList),
     /// Requests a leadership transfer before shutdown; the sender is dropped once this host no
     /// longer leads.
     TransferLeadership(flume::Sender<()>),
--- a/crates/daemon/src/replica/reads.rs
+++ b/crates/daemon/src/replica/reads.rs
@@ -33,7 +33,8 @@
             LeaderRequest::FollowPublished(poll) => self.published(&poll.seen, Some(&poll.from)),
             LeaderRequest::Command(_)
             | LeaderRequest::AddVoter { .. }
-            | LeaderRequest::RemoveVoter { .. } => return None,
+            | LeaderRequest::RemoveVoter { .. }
+            | LeaderRequest::AskQuota(_) => return None,
         };
         Some(response)
     }
--- a/crates/quota/src/fill_clock.rs
+++ b/crates/quota/src/fill_clock.rs
@@ -18,6 +18,7 @@
 /// The time for which buckets are filled: it advances at the share of known routers that are live.
 #[derive(Clone, Debug)]
 pub(crate) struct FillClock<R> {
+    started: MonotonicTime,
     now: MonotonicTime,
     /// Fill time so far, in seconds.
     filled: f64,
@@ -33,6 +34,7 @@
 impl<R: Clone + Eq + Hash> FillClock<R> {
     pub(crate) fn new(now: MonotonicTime) -> Self {
         Self {
+            started: now,
             now,
             filled: 0.0,
             last_polls: HashMap::new(),
@@ -68,8 +70,17 @@
         u32::try_from(self.last_polls.len()).unwrap_or(u32::MAX).max(self.reported)
     }
 
+    /// Returns how much fill time is expected to pass per time.
+    ///
+    /// At the start of a term few routers have polled yet, and where none is live one will poll
+    /// soon; waits that assume that this stays so would be many times too long.
+    pub(crate) fn expected_speed(&self) -> f64 {
+        let is_new = self.now.saturating_since(self.started) < LIVE_TIME;
+        if is_new || self.live == 0 { 1.0 } else { self.speed() }
+    }
+
     /// Returns how much fill time passes per time.
-    pub(crate) fn speed(&self) -> f64 {
+    fn speed(&self) -> f64 {
         self.live as f64 / f64::from(self.known().max(1))
     }
 
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -20,7 +20,7 @@
 /// Shortest wait of a denial.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
-/// Longest wait of a denial, as while no router fills the buckets.
+/// Longest wait of a denial.
 const MAX_WAIT: Duration = Duration::from_secs(60);
 
 /// The leader's token buckets, one for each limited organisation.
@@ -35,6 +35,8 @@
     open: OpenLog,
     reports: CountedReports<R>,
     next_review: MonotonicTime,
+    /// Changes of organisations since the last [`Ledger::take_changes`], and whether each is open.
+    changes: Vec<(OrganisationKey, bool)>,
     /// Whether an organisation became metered since the last [`Ledger::take_metered`].
     has_metered: bool,
 }
@@ -49,6 +51,7 @@
             open: OpenLog::default(),
             reports: CountedReports::default(),
             next_review: now,
+            changes: Vec::new(),
             has_metered: false,
         }
     }
@@ -125,7 +128,8 @@
 
     fn wait(&self, organisation: OrganisationKey) -> Duration {
         let debt = self.buckets.get(&organisation).map_or(0.0, Bucket::debt_seconds);
-        let wait = Duration::try_from_secs_f64(debt / self.clock.speed()).unwrap_or(MAX_WAIT);
+        let wait =
+            Duration::try_from_secs_f64(debt / self.clock.expected_speed()).unwrap_or(MAX_WAIT);
         wait.clamp(MIN_WAIT, MAX_WAIT)
     }
 
@@ -136,14 +140,16 @@
         }
         self.next_review = now + REVIEW_INTERVAL;
         let at = self.clock.at(now);
-        let Self { active, buckets, open, .. } = self;
+        let Self { active, buckets, open, changes, .. } = self;
         active.retain(|&organisation, last_traffic| {
             let is_active = now.saturating_since(*last_traffic) < TRAFFIC_RETENTION;
             let bucket = buckets.get_mut(&organisation);
             if !is_active {
                 open.set(organisation, false);
-            } else if bucket.is_some_and(|bucket| bucket.may_reopen(at)) {
-                open.set(organisation, true);
+            } else if bucket.is_some_and(|bucket| bucket.may_reopen(at))
+                && open.set(organisation, true)
+            {
+                changes.push((organisation, true));
             }
             is_active
         });
@@ -155,6 +161,12 @@
         std::mem::take(&mut self.has_metered)
     }
 
+    /// Takes the organisations that became open or metered since the last call, and whether each is
+    /// open; those without traffic aren't among them.
+    pub fn take_changes(&mut self) -> Vec<(OrganisationKey, bool)> {
+        std::mem::take(&mut self.changes)
+    }
+
     /// Returns what changed of the open organisations since a router's position in this term; 0 is
     /// that of a router without a view.
     pub fn view(&self, position: u64) -> QuotaView {
@@ -175,6 +187,7 @@
 
     fn set_metered(&mut self, organisation: OrganisationKey) {
         if self.open.set(organisation, false) {
+            self.changes.push((organisation, false));
             self.has_metered = true;
         }
     }
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -10,6 +10,7 @@
 use prefix::SentPrompt;
 use quarantine::{Crash, Quarantined, Survival, Suspect};
 use quorum::{FolderId, VoterSet};
+use quota::{Answer, Demand, QuotaReport, QuotaView};
 use route::SentLoad;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -46,6 +47,8 @@
     ReadPublished,
     /// Reads the published state once it differs from the cursor's, or after a timeout (long poll).
     FollowPublished(FollowRequest),
+    /// Asks whether requests of limited organisations may run; not repeated by the sender.
+    AskQuota(Vec<Demand>),
 }
 
 /// A long poll for the published state, which also reports the sender's loads and prompts.
@@ -65,6 +68,8 @@
     pub leaving: Vec<IncarnationKey>,
     /// What the router knows of crashes of endpoints.
     pub crashes: CrashReport,
+    /// What the router has admitted of limited organisations, if it serves callers and there are any.
+    pub quota: Option<QuotaReport>,
 }
 
 /// A router's evidence on the parts of prompts and the requests that crash endpoints.
@@ -87,6 +92,8 @@
     pub version: ViewVersion,
     /// The position after the sent prompts of the last response, in the same term.
     pub next_sent: u64,
+    /// The position after the quota changes of the last response, in the same term.
+    pub next_quota: u64,
 }
 
 /// The version of a leader's response; equal versions come from the same leader and state.
@@ -123,6 +130,8 @@
     pub suspects: Vec<Suspect>,
     /// What is kept from endpoints.
     pub quarantined: Vec<Quarantined>,
+    /// The limited organisations whose requests need no ask, if there are any limits.
+    pub quota: Option<QuotaView>,
 }
 
 /// The leader's response.
@@ -144,6 +153,8 @@
     History(Vec<ChangeRecord>),
     /// The published state.
     Published(Box<PublishedView>),
+    /// The answers to demands, in order.
+    Quota(Vec<Answer>),
 }
 
 /// A call that is open or whose outcome is unknown.
