gateway: sites without quotas send no quota list to the replica

Cause: each view sent an empty list of quotas to the replica thread and woke it.

Change: an empty list is sent only with a configuration of another number.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -151,7 +151,8 @@
             (_, Some(current)) => (Arc::clone(&current.table), Arc::clone(&current.quotas)),
             (_, None) => return,
         };
-        if let Some(replica) = &self.replica {
+        let may_be_news = !quotas.is_empty() || current_number != Some(view.number);
+        if let Some(replica) = self.replica.as_ref().filter(|_| may_be_news) {
             // A list that a full channel drops is sent again with the next view.
             let _ = replica.try_send(ReplicaInput::Quotas(Arc::clone(&quotas)));
         }
