--- a/crates/bench/src/process.rs
+++ b/crates/bench/src/process.rs
@@ -63,6 +63,8 @@
     pub admin_listen: SocketAddr,
     /// Other flags.
     pub flags: Vec<String>,
+    /// Environment variables of the daemon's settings.
+    pub env: Vec<(String, String)>,
 }
 
 impl DaemonSpec {
@@ -76,6 +78,7 @@
             peer_listen: free_port(ip, FIRST_PEER_PORT),
             admin_listen: free_port(ip, FIRST_ADMIN_PORT),
             flags: Vec::new(),
+            env: Vec::new(),
         }
     }
 
@@ -86,6 +89,13 @@
         self
     }
 
+    /// Adds an environment variable.
+    #[must_use]
+    pub fn env(mut self, name: &str, value: impl ToString) -> Self {
+        self.env.push((name.to_owned(), value.to_string()));
+        self
+    }
+
     /// Adds a flag without a value.
     #[must_use]
     pub fn switch(mut self, name: &str) -> Self {
@@ -110,6 +120,7 @@
                 command.env_remove(name);
             }
         }
+        command.envs(self.env.iter().map(|(name, value)| (name, value)));
         if let Some(level) = log_level() {
             command.env("DOTTERELREACH_LOG_LEVEL", level);
         }
