daemon: bodies of all interfaces share one budget, connections are limited

Clients that sent large or unfinished bodies could make a process exceed its machine's memory: only endpoints' responses were bounded, frames kept whole read buffers, and the operator's interface held a thread for each slow client, so that 16 of them blocked it.

A declared length over the limit is refused with 413 at the head, a full budget with 503 and Retry-After, a body that brings less than 4 KiB in 5 s with 408. Operators' requests are read like callers'; handlers get a thread once the body is there.

--- a/crates/bench/tests/hostile_callers.rs
+++ b/crates/bench/tests/hostile_callers.rs
@@ -18,15 +18,22 @@
 }
 
 fn start() -> Daemon {
+    start_with(&[])
+}
+
+fn start_with(flags: &[(&str, u64)]) -> Daemon {
     let program =
         Program { path: PathBuf::from(env!("CARGO_BIN_EXE_bench")), args: vec!["daemon".into()] };
-    let spec = DaemonSpec::new("host-1", "a")
+    let mut spec = DaemonSpec::new("host-1", "a")
         .flag("--fleet-key", FLEET_KEY)
         .flag("--organisation-key", key_flag())
         .flag("--max-header-bytes", 8192)
         .flag("--max-body-bytes", 65536)
         .flag("--header-timeout", "300ms")
         .flag("--body-timeout", "300ms");
+    for (flag, value) in flags {
+        spec = spec.flag(flag, value);
+    }
     let mut daemon = Daemon::start(&program, spec).unwrap();
     daemon.wait_ready(Duration::from_secs(10)).unwrap();
     daemon
@@ -207,6 +214,34 @@
     assert_serving(daemon.spec().listen);
 }
 
+/// A caller that opens connections without end must not take those of others.
+#[test]
+fn connections_over_the_limit_are_closed() {
+    let daemon = start_with(&[("--max-connections", 8)]);
+    let address = daemon.spec().listen;
+    // One address may have three quarters of the connections.
+    let open: Vec<_> = (0..6).map(|_| TcpStream::connect(address).unwrap()).collect();
+    assert_eq!(exchange(address, b"GET /v1/models HTTP/1.1\r\nhost: r\r\n\r\n"), "");
+    drop(open);
+    std::thread::sleep(Duration::from_millis(200));
+    assert_serving(address);
+}
+
+/// An organisation that sends many requests at once must not take the place of others.
+#[test]
+fn organisation_requests_over_the_limit_are_refused() {
+    let daemon = start_with(&[("--max-organisation-requests", 1)]);
+    let address = daemon.spec().listen;
+    let request = post("/services/none/x", "right-key", "{}");
+    // A request waits for a first endpoint before it is answered.
+    let mut first = TcpStream::connect(address).unwrap();
+    first.write_all(&request).unwrap();
+    std::thread::sleep(Duration::from_millis(50));
+    let second = exchange(address, &request);
+    assert!(second.starts_with("HTTP/1.1 429"), "{second}");
+    assert!(second.contains("not-run"), "{second}");
+}
+
 #[test]
 fn large_header_keeps_memory_bounded() {
     let daemon = start();
--- a/crates/daemon/src/admin/declaration.rs
+++ b/crates/daemon/src/admin/declaration.rs
@@ -14,7 +14,7 @@
 use super::{AdminApi, body, json, problems::ApiError};
 
 /// Largest body of a change, in bytes: a declaration with each quote escaped.
-const MAX_CHANGE_BODY_BYTES: u64 = 6 << 20;
+pub(super) const MAX_CHANGE_BODY_BYTES: u64 = 6 << 20;
 
 /// Longest wait until an accepted change is in force at this router.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/daemon/src/admin/mod.rs
+++ b/crates/daemon/src/admin/mod.rs
@@ -6,11 +6,12 @@
 mod declaration;
 mod explain;
 mod leader;
+mod listen;
 mod problems;
 mod status;
 mod voters;
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc};
 
 use base::Incarnation;
 use rouille::{Request, Response};
@@ -21,21 +22,15 @@
 };
 
 use crate::{
-    Settings, clock::Clock, configurations::Configurations, edge::AdminQuery,
-    leader_client::LeaderClient, readiness::Readiness, replica::ReplicaState, roster::LatestRoster,
+    Settings, buffers::BufferBudget, clock::Clock, configurations::Configurations,
+    edge::AdminQuery, leader_client::LeaderClient, net, readiness::Readiness,
+    replica::ReplicaState, roster::LatestRoster,
 };
 
 use auth::OperatorKeys;
 use leader::BlockingLeaderClient;
 use problems::ApiError;
 
-/// Threads that serve requests; more than may wait for the leader, so that health checks still get
-/// a response.
-const POOL_THREADS: usize = 16;
-
-/// Longest wait for a request in one poll of the server.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Prefix of every operator path.
 const OPERATOR_PREFIX: &str = "/operator/";
 
@@ -53,6 +48,8 @@
     pub leader: LeaderClient,
     pub admin_queries: flume::Sender<AdminQuery>,
     pub metrics: Arc<Metrics>,
+    /// Memory for bodies of requests.
+    pub buffer_budget: Arc<BufferBudget>,
 }
 
 /// Handles the interface's requests.
@@ -73,15 +70,9 @@
         leader: BlockingLeaderClient::new(context.leader.clone()),
         context,
     };
-    let server = rouille::Server::new(address, move |req| api.handle(req))
-        .map_err(|e| io::Error::other(format!("{address}: {e}")))?
-        .pool_size(POOL_THREADS);
-    std::thread::Builder::new().name("admin".into()).spawn(move || {
-        loop {
-            server.poll_timeout(POLL_INTERVAL);
-        }
-    })?;
-    Ok(())
+    let listener = net::listen(address).map_err(|e| io::Error::other(format!("{address}: {e}")))?;
+    let budget = Arc::clone(&api.context.buffer_budget);
+    listen::spawn(api, budget, listener)
 }
 
 impl AdminApi {
--- a/crates/daemon/src/buffers.rs
+++ b/crates/daemon/src/buffers.rs
@@ -1,36 +1,68 @@
-//! Bounds the memory that endpoints' responses take while they are buffered.
+//! Bounds the memory that bodies of requests and responses take while they are buffered.
 
-use std::{cell::Cell, error, fmt, rc::Rc};
+use std::{
+    error, fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use base::ByteCount;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
+use telemetry::Metrics;
+use tokio::time::Instant;
 
-/// Most bytes of all responses that are buffered at once.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
+use crate::serve::RequestBody;
 
-/// Bytes that each response may buffer however much others do, so that those that take much fail
-/// first.
-const FREE_BYTES: usize = 64 << 10;
+/// Share of the process's memory that all buffered bodies may take together, as a divisor.
+///
+/// On a host with 88 MB, eight bodies of 4 MB fit, beside the 20 MB that an idle process takes.
+const MEMORY_DIVISOR: u64 = 2;
+
+/// Share of the budget that only small bodies may take, as a divisor.
+const SMALL_DIVISOR: usize = 8;
+
+/// Largest body that may take the share of small ones.
+const SMALL_BYTES: usize = 64 << 10;
+
+/// `Retry-After` of a request whose body finds no memory, in which slow bodies are refused.
+pub(crate) const MEMORY_RETRY_AFTER: Duration = PROGRESS_WINDOW;
+
+/// Size of a body's first segment; most bodies fit.
+const FIRST_SEGMENT_BYTES: usize = 4 << 10;
+
+/// Size of each further segment; small enough for the heap to use again for any body.
+const SEGMENT_BYTES: usize = 32 << 10;
+
+/// Time in which a request's body must bring at least [`MIN_PROGRESS_BYTES`].
+const PROGRESS_WINDOW: Duration = Duration::from_secs(5);
 
-/// The memory for buffered responses, shared by all of them.
+/// Fewest bytes of an unfinished body in each window; a hundredth of the smallest link's rate.
+const MIN_PROGRESS_BYTES: usize = 4 << 10;
+
+/// The memory for buffered bodies, shared by all threads of the process.
 ///
-/// A response may take at most as much as is left, so that a few long ones get all they need, and
-/// many that never end can't take the place of the others.
-#[derive(Debug, Default)]
+/// A body may take at most as much as is left, so that a few long ones get all they need, and many
+/// that never end can't take the place of the others.
+#[derive(Debug)]
 pub(crate) struct BufferBudget {
-    used: Cell<usize>,
+    max: usize,
+    used: AtomicUsize,
+    metrics: Arc<Metrics>,
 }
 
-/// The part of a [`BufferBudget`] that a response takes, until dropped.
+/// The part of a [`BufferBudget`] that a body takes, until dropped.
 #[derive(Debug)]
 pub(crate) struct Buffered {
-    budget: Rc<BufferBudget>,
+    budget: Arc<BufferBudget>,
     bytes: usize,
 }
 
-/// A response that takes more memory than is left for it.
+/// A body that takes more memory than is left for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct BufferFull {
     /// The bytes that it took before.
@@ -65,7 +97,78 @@
 
 impl error::Error for ReadError {}
 
-/// A response's whole body, with the memory that it takes.
+/// The bytes of an unfinished body, in pieces of one size.
+///
+/// A single growing buffer is copied as it grows, which leaves gaps in the heap as large as the bodies.
+#[derive(Default)]
+struct Segments {
+    segments: Vec<BytesMut>,
+    bytes: usize,
+}
+
+impl Segments {
+    fn len(&self) -> usize {
+        self.bytes
+    }
+
+    fn push(&mut self, mut data: &[u8]) {
+        self.bytes += data.len();
+        while !data.is_empty() {
+            let last = match self.segments.last_mut() {
+                Some(last) if last.len() < last.capacity() => last,
+                _ => self.add_segment(),
+            };
+            let (now, later) = data.split_at(data.len().min(last.capacity() - last.len()));
+            last.extend_from_slice(now);
+            data = later;
+        }
+    }
+
+    fn add_segment(&mut self) -> &mut BytesMut {
+        let is_first = self.segments.is_empty();
+        let size = if is_first { FIRST_SEGMENT_BYTES } else { SEGMENT_BYTES };
+        self.segments.push(BytesMut::with_capacity(size));
+        self.segments.last_mut().expect("a segment was added")
+    }
+
+    fn into_bytes(mut self) -> Bytes {
+        if self.segments.len() <= 1 {
+            return self.segments.pop().unwrap_or_default().freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.bytes);
+        for segment in self.segments {
+            whole.extend_from_slice(&segment);
+        }
+        whole.freeze()
+    }
+}
+
+/// Why a request's body could not be read as a whole.
+#[derive(Debug)]
+pub(crate) enum RequestReadError {
+    /// It is longer than the limit, or declares to be.
+    TooLarge,
+    /// It takes more memory than is left for it.
+    Full,
+    /// It arrived too slowly.
+    Stalled,
+    /// Its connection ended, or its framing is malformed.
+    Connection(hyper::Error),
+}
+
+impl RequestReadError {
+    /// Returns the reason's label in metrics.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::TooLarge => "too-large",
+            Self::Full => "memory-full",
+            Self::Stalled => "stalled",
+            Self::Connection(_) => "connection",
+        }
+    }
+}
+
+/// A whole body, with the memory that it takes.
 #[derive(Debug)]
 pub(crate) struct BufferedBody {
     pub bytes: Bytes,
@@ -73,9 +176,65 @@
 }
 
 impl BufferBudget {
-    /// Begins a response, which takes no memory yet.
-    pub(crate) fn begin(self: &Rc<Self>) -> Buffered {
-        Buffered { budget: Rc::clone(self), bytes: 0 }
+    /// Creates the budget of a process that may use `memory` in all.
+    pub(crate) fn new(memory: ByteCount, metrics: Arc<Metrics>) -> Self {
+        let max = usize::try_from(memory.as_u64() / MEMORY_DIVISOR).unwrap_or(usize::MAX);
+        Self { max, used: AtomicUsize::new(0), metrics }
+    }
+
+    /// Begins a body, which takes no memory yet.
+    pub(crate) fn begin(self: &Arc<Self>) -> Buffered {
+        Buffered { budget: Arc::clone(self), bytes: 0 }
+    }
+
+    /// Reads a request's whole body of up to `max_bytes`.
+    ///
+    /// Frames are copied, as each would otherwise keep a whole read buffer of its connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is too long or too slow, or no memory is left for it.
+    pub(crate) async fn read_request(
+        self: &Arc<Self>,
+        body: RequestBody,
+        max_bytes: usize,
+    ) -> Result<BufferedBody, RequestReadError> {
+        let read = self.read_unrecorded(body, max_bytes).await;
+        read.inspect_err(|e| self.metrics.body_refused(e.as_str()))
+    }
+
+    async fn read_unrecorded(
+        self: &Arc<Self>,
+        mut body: RequestBody,
+        max_bytes: usize,
+    ) -> Result<BufferedBody, RequestReadError> {
+        if (max_bytes as u64) < body.size_hint().lower() {
+            return Err(RequestReadError::TooLarge);
+        }
+        let mut buffered = self.begin();
+        let mut buf = Segments::default();
+        let mut deadline = Instant::now() + PROGRESS_WINDOW;
+        let mut min_bytes = MIN_PROGRESS_BYTES;
+        loop {
+            let Ok(frame) = tokio::time::timeout_at(deadline, body.frame()).await else {
+                if buf.len() < min_bytes {
+                    return Err(RequestReadError::Stalled);
+                }
+                min_bytes = buf.len() + MIN_PROGRESS_BYTES;
+                deadline = Instant::now() + PROGRESS_WINDOW;
+                continue;
+            };
+            let Some(frame) = frame else { break };
+            let frame = frame.map_err(RequestReadError::Connection)?;
+            let Ok(data) = frame.into_data() else { continue };
+            let bytes = buf.len() + data.len();
+            if max_bytes < bytes {
+                return Err(RequestReadError::TooLarge);
+            }
+            buffered.resize(bytes).map_err(|_| RequestReadError::Full)?;
+            buf.push(&data);
+        }
+        Ok(BufferedBody { bytes: buf.into_bytes(), buffered })
     }
 
     /// Reads a response's whole body of up to `max_bytes`.
@@ -84,12 +243,12 @@
     ///
     /// Returns an error if it is too long, truncated or malformed.
     pub(crate) async fn read(
-        self: &Rc<Self>,
+        self: &Arc<Self>,
         mut body: Incoming,
         max_bytes: usize,
     ) -> Result<BufferedBody, ReadError> {
         let mut buffered = self.begin();
-        let mut buf = BytesMut::new();
+        let mut buf = Segments::default();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(ReadError::Connection)?.into_data() else { continue };
             let bytes = buf.len() + data.len();
@@ -97,25 +256,39 @@
                 return Err(ReadError::Full(buffered.full()));
             }
             buffered.resize(bytes).map_err(ReadError::Full)?;
-            buf.extend_from_slice(&data);
+            buf.push(&data);
         }
-        Ok(BufferedBody { bytes: buf.freeze(), buffered })
+        Ok(BufferedBody { bytes: buf.into_bytes(), buffered })
+    }
+
+    /// Returns whether a body may take `bytes` where all together take `used`.
+    fn fits(&self, used: usize, bytes: usize) -> bool {
+        if bytes <= SMALL_BYTES {
+            return used <= self.max;
+        }
+        let left = (self.max - self.max / SMALL_DIVISOR).saturating_sub(used);
+        bytes <= left
     }
 }
 
 impl Buffered {
-    /// Sets the number of bytes that the response takes.
+    /// Sets the number of bytes that the body takes.
     ///
     /// # Errors
     ///
     /// Returns an error if that is more than is left; it takes as much as before then.
     pub(crate) fn resize(&mut self, bytes: usize) -> Result<(), BufferFull> {
-        let others = self.budget.used.get() - self.bytes;
-        let left = MAX_BUFFERED_BYTES.saturating_sub(others + bytes);
-        if self.bytes < bytes && FREE_BYTES < bytes && left < bytes {
+        if bytes <= self.bytes {
+            self.budget.used.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
+            self.bytes = bytes;
+            return Ok(());
+        }
+        let more = bytes - self.bytes;
+        let used = self.budget.used.fetch_add(more, Ordering::Relaxed) + more;
+        if !self.budget.fits(used, bytes) {
+            self.budget.used.fetch_sub(more, Ordering::Relaxed);
             return Err(self.full());
         }
-        self.budget.used.set(others + bytes);
         self.bytes = bytes;
         Ok(())
     }
@@ -127,6 +300,6 @@
 
 impl Drop for Buffered {
     fn drop(&mut self) {
-        self.budget.used.set(self.budget.used.get() - self.bytes);
+        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
--- a/crates/daemon/src/edge/admission.rs
+++ b/crates/daemon/src/edge/admission.rs
@@ -34,6 +34,8 @@
     /// Whether the capacity was set from slot counts that engines reported.
     slots_reported: bool,
     waiting: HashMap<Ticket, flume::Sender<WaitOutcome>>,
+    /// Most requests of one organisation in flight, whatever the declaration says.
+    max_requests: u64,
     in_flight: HashMap<OrganisationId, u32>,
 }
 
@@ -57,13 +59,14 @@
 }
 
 impl AdmissionController {
-    pub(super) fn new(clock: Clock) -> Self {
+    pub(super) fn new(clock: Clock, max_requests: u64) -> Self {
         let state = AdmissionState {
             clock,
             admission: Admission::new(AdmissionSettings::default()),
             capacity: None,
             slots_reported: false,
             waiting: HashMap::new(),
+            max_requests,
             in_flight: HashMap::new(),
         };
         Self(Rc::new(RefCell::new(state)))
@@ -79,10 +82,10 @@
         organisation: &OrganisationId,
         settings: &fleet::Settings,
     ) -> Result<ConcurrencyPermit, Failure> {
-        let max = settings.max_concurrent_requests.as_u32();
         let mut state = self.0.borrow_mut();
+        let max = state.max_requests.min(settings.max_concurrent_requests.as_u32().into());
         let count = state.in_flight.entry(organisation.clone()).or_default();
-        if max <= *count {
+        if max <= u64::from(*count) {
             let detail = format!("{organisation} has {max} requests in flight, the most allowed");
             return Err(Failure::too_many(detail, CONCURRENCY_RETRY_AFTER));
         }
--- a/crates/daemon/src/edge/announce.rs
+++ b/crates/daemon/src/edge/announce.rs
@@ -25,7 +25,7 @@
 ) -> Result<Response<Body>, Failure> {
     edge.keys.check_fleet(req.headers())?;
     let body = body::read(edge, req.into_body()).await?;
-    let announcement = AnnouncementBody::from_slice(&body)
+    let announcement = AnnouncementBody::from_slice(&body.bytes)
         .and_then(Announcement::try_from)
         .map_err(|e| Failure::bad_request(e.to_string()))?;
     let leaving = announcement.leaving;
--- a/crates/daemon/src/edge/body.rs
+++ b/crates/daemon/src/edge/body.rs
@@ -4,10 +4,15 @@
     task::{Context, Poll},
 };
 
-use crate::{failure::Failure, net::AbortOnDrop, serve::RequestBody};
+use crate::{
+    buffers::{BufferedBody, MEMORY_RETRY_AFTER, RequestReadError},
+    failure::Failure,
+    net::AbortOnDrop,
+    serve::RequestBody,
+};
 use bytes::Bytes;
 use futures_util::Stream as _;
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
 use super::{ActiveRequest, Edge};
@@ -83,13 +88,19 @@
 }
 
 /// Reads a request's body within the configured limits on size and time.
-pub(super) async fn read(edge: &Edge, body: RequestBody) -> Result<Bytes, Failure> {
+pub(super) async fn read(edge: &Edge, body: RequestBody) -> Result<BufferedBody, Failure> {
     let max_bytes = usize::try_from(edge.cfg.limits.body_bytes.as_u64()).unwrap_or(usize::MAX);
-    let reading = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(edge.cfg.timeouts.body, reading).await {
-        Err(_) => Err(Failure::body_timeout(edge.cfg.timeouts.body)),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Failure::body_too_large(max_bytes)),
-        Ok(Err(_)) => Err(Failure::bad_request("the body is incomplete or malformed")),
-    }
+    let timeout = edge.cfg.timeouts.body;
+    let reading = edge.buffer_budget.read_request(body, max_bytes);
+    let Ok(read) = tokio::time::timeout(timeout, reading).await else {
+        return Err(Failure::body_timeout(timeout));
+    };
+    read.map_err(|e| match e {
+        RequestReadError::TooLarge => Failure::body_too_large(max_bytes),
+        RequestReadError::Full => Failure::memory_full(MEMORY_RETRY_AFTER),
+        RequestReadError::Stalled => Failure::body_stalled(),
+        RequestReadError::Connection(_) => {
+            Failure::bad_request("the body is incomplete or malformed")
+        }
+    })
 }
--- a/crates/daemon/src/edge/completions.rs
+++ b/crates/daemon/src/edge/completions.rs
@@ -39,8 +39,8 @@
     let organisation = edge.keys.organisation(req.headers())?;
     let (parts, body) = req.into_parts();
     let body = body::read(edge, body).await?;
-    let completion =
-        CompletionRequest::from_slice(&body).map_err(|e| Failure::bad_request(e.to_string()))?;
+    let completion = CompletionRequest::from_slice(&body.bytes)
+        .map_err(|e| Failure::bad_request(e.to_string()))?;
     check_path(parts.uri.path(), completion.kind())?;
     let resume = last_event_id(&parts.headers)?;
     let stream = completion.wants_stream();
@@ -83,9 +83,11 @@
     let (tx, rx) = flume::bounded(CHANNEL_CAPACITY);
     let kind = job.completion.kind();
     let in_flight = job.recorder.in_flight();
+    let held = body.buffered;
     let relay = relay::run(Rc::clone(edge), job, tx);
     let task = AbortOnDrop(tokio::task::spawn_local(async move {
         let _in_flight = in_flight;
+        let _held = held;
         relay.await;
     }));
     let mut response = if stream {
--- a/crates/daemon/src/edge/listen.rs
+++ b/crates/daemon/src/edge/listen.rs
@@ -59,6 +59,10 @@
         }
     }
 
+    fn max_connections(&self) -> u64 {
+        self.cfg.limits.connections
+    }
+
     fn connections(&self) -> &Cell<u64> {
         &self.connections
     }
--- a/crates/daemon/src/edge/mod.rs
+++ b/crates/daemon/src/edge/mod.rs
@@ -87,6 +87,8 @@
     pub incarnation: Incarnation,
     /// The process's metrics.
     pub metrics: Arc<Metrics>,
+    /// Memory for bodies of requests and responses.
+    pub buffer_budget: Arc<BufferBudget>,
     /// Starts spans.
     pub tracer: Tracer,
 }
@@ -129,8 +131,8 @@
     in_force: RefCell<Arc<InForce>>,
     leader: LeaderClient,
     departures: DepartureLog,
-    /// Memory for responses of services.
-    buffer_budget: Rc<BufferBudget>,
+    /// Memory for bodies of requests and responses.
+    buffer_budget: Arc<BufferBudget>,
     owner: Owner,
     clock: Clock,
     metrics: Arc<Metrics>,
@@ -147,7 +149,7 @@
             keys: AuthKeys::new(&cfg, channels.configurations.clone()),
             router: RefCell::new(router),
             roster_at: Cell::new(MonotonicTime::ZERO),
-            admission: AdmissionController::new(clock),
+            admission: AdmissionController::new(clock, cfg.limits.organisation_requests),
             retries: Retries::new(clock, seed),
             cfg,
             active: RefCell::default(),
@@ -163,7 +165,7 @@
                 channels.leader.clone(),
                 channels.replica_state.clone(),
             ),
-            buffer_budget: Rc::default(),
+            buffer_budget: Arc::clone(&channels.buffer_budget),
             owner,
             clock,
             metrics: Arc::clone(&channels.metrics),
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -13,7 +13,12 @@
 use route::Outcome;
 use telemetry::{Refusal, RequestStage};
 
-use crate::{buffers::Buffered, failure::Failure, net, serve::RequestBody};
+use crate::{
+    buffers::{Buffered, BufferedBody},
+    failure::Failure,
+    net,
+    serve::RequestBody,
+};
 
 use super::{
     ActiveRequest, Edge,
@@ -45,7 +50,7 @@
     pub service: ServiceId,
     path: String,
     parts: Parts,
-    body: Bytes,
+    body: BufferedBody,
     pub settings: fleet::Settings,
     pub tracked: TrackedRequest,
 }
@@ -224,7 +229,7 @@
             .field(self.parts.method.as_str().as_bytes())
             .field(self.service.as_str().as_bytes())
             .field(self.path.as_bytes())
-            .field(&self.body)
+            .field(&self.body.bytes)
             .finish();
         let call = CallKey { organisation: self.organisation.clone(), key };
         Ok(Some(KeyedCall { call, request }))
@@ -232,7 +237,7 @@
 
     pub(super) fn request(&self, in_flight: &InFlight) -> Request<Full<Bytes>> {
         let target = in_flight.target();
-        let mut req = Request::new(Full::new(self.body.clone()));
+        let mut req = Request::new(Full::new(self.body.bytes.clone()));
         *req.method_mut() = self.parts.method.clone();
         *req.uri_mut() = self.path.parse().expect("a path taken from a valid one is valid");
         let headers = req.headers_mut();
--- a/crates/daemon/src/failure.rs
+++ b/crates/daemon/src/failure.rs
@@ -87,6 +87,11 @@
         Self::refused(StatusCode::REQUEST_TIMEOUT, "body timeout", detail)
     }
 
+    pub(crate) fn body_stalled() -> Self {
+        let detail = "the body arrived too slowly";
+        Self::refused(StatusCode::REQUEST_TIMEOUT, "body timeout", detail)
+    }
+
     pub(crate) fn unavailable(detail: impl Into<String>, retry_after: Duration) -> Self {
         let mut failure =
             Self::refused(StatusCode::SERVICE_UNAVAILABLE, "no endpoint available", detail);
@@ -94,6 +99,14 @@
         failure
     }
 
+    /// Refuses a request whose body finds no memory.
+    pub(crate) fn memory_full(retry_after: Duration) -> Self {
+        let detail = "too many bodies are held in memory";
+        let mut failure = Self::refused(StatusCode::SERVICE_UNAVAILABLE, "memory full", detail);
+        failure.retry_after = Some(retry_after);
+        failure
+    }
+
     pub(crate) fn bad_gateway(detail: impl Into<String>, verdict: Verdict) -> Self {
         Self::new(StatusCode::BAD_GATEWAY, "endpoint failed", detail, verdict)
     }
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -3,11 +3,10 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use fleet::{Command, Reply};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{Request, Response};
 use wire::leader::{LeaderRequest, LeaderResponse};
 
-use crate::{leader_client::LeaderRequestError, serve::RequestBody};
+use crate::{buffers::RequestReadError, leader_client::LeaderRequestError, serve::RequestBody};
 
 use super::{
     ActiveRequest, ControlRequest, ControlRequestError, ControlResponse, Dialect, Gateway,
@@ -27,14 +26,22 @@
 ) -> Response<Body> {
     let _active = ActiveRequest::begin(&gateway);
     let (head, body) = req.into_parts();
-    let response = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => match gateway.dialect.control_request(&head, &body.to_bytes()) {
+    let response = match gateway.buffer_budget.read_request(body, MAX_BODY_BYTES).await {
+        Ok(body) => match gateway.dialect.control_request(&head, &body.bytes) {
             Ok(request) => execute(&gateway, request).await,
             Err(ControlRequestError::Unknown) => ControlResponse::Unknown,
             Err(ControlRequestError::Malformed(e)) => ControlResponse::Malformed(e.to_string()),
         },
-        Err(e) if e.is::<LengthLimitError>() => ControlResponse::TooLarge,
-        Err(e) => ControlResponse::Malformed(format!("can't read the body: {e}")),
+        Err(RequestReadError::TooLarge) => ControlResponse::TooLarge,
+        Err(RequestReadError::Full) => {
+            ControlResponse::Unavailable("too many bodies are held in memory")
+        }
+        Err(RequestReadError::Stalled) => {
+            ControlResponse::Malformed("the body arrived too slowly".to_owned())
+        }
+        Err(RequestReadError::Connection(e)) => {
+            ControlResponse::Malformed(format!("can't read the body: {e}"))
+        }
     };
     log_rejected(&response, head.uri.path());
     gateway.dialect.control_response(&response).map(Body::from)
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -15,7 +15,7 @@
 use telemetry::Recorder;
 use tokio::time::Instant;
 
-use crate::{failure::Failure, net::AbortOnDrop};
+use crate::{buffers::Buffered, failure::Failure, net::AbortOnDrop};
 
 use super::{
     CallerRequest, Dialect, Gateway, Prompt,
@@ -72,6 +72,8 @@
     /// The end-to-end fields of the caller's request.
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// The memory that the body takes.
+    pub _buffered: Buffered,
     /// Deadline of the complete response, the earlier of the caller's and the route's.
     pub deadline: Instant,
     /// Deadline of the caller.
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -3,8 +3,6 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use base::Verdict;
-use bytes::Bytes;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
     header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER},
@@ -16,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    buffers::{BufferedBody, ReadError},
+    buffers::{BufferedBody, MEMORY_RETRY_AFTER, ReadError, RequestReadError},
     failure::Failure,
     serve::RequestBody,
 };
@@ -125,9 +123,10 @@
     *recorder = gateway.recorder(organisation.as_deref());
     let caller_deadline = started + caller_request.deadline.unwrap_or(DEFAULT_DEADLINE);
     let deadline = caller_deadline.min(started + route.timeout);
-    let reading = read(&active_configuration.table, body);
+    let reading = read(gateway, &active_configuration.table, body);
     let body = gateway.stop_time.run_until(deadline, reading).await;
     let body = body.map_err(|_| Failure::body_timeout(route.timeout))??;
+    let BufferedBody { bytes: body, buffered } = body;
     let fingerprints = fingerprints(&head, &caller_request, organisation.as_deref(), &body);
     let scope = active_configuration.table.cache_scope(organisation.as_deref());
     let exchange = Exchange {
@@ -142,6 +141,7 @@
         uri: path_and_query(&head.uri)?,
         headers: headers::end_to_end(&head.headers),
         body,
+        _buffered: buffered,
         deadline,
         caller_deadline,
         arrived: gateway.clock.now(),
@@ -206,13 +206,20 @@
     holder.map(Some).ok_or_else(Failure::unauthorised)
 }
 
-async fn read(table: &Table, body: RequestBody) -> Result<Bytes, Failure> {
+async fn read<D: Dialect>(
+    gateway: &Gateway<D>,
+    table: &Table,
+    body: RequestBody,
+) -> Result<BufferedBody, Failure> {
     let max_bytes = usize::try_from(table.limits().body_bytes.as_u64()).unwrap_or(usize::MAX);
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Failure::body_too_large(max_bytes)),
-        Err(_) => Err(Failure::bad_request("the body is truncated or malformed")),
-    }
+    gateway.buffer_budget.read_request(body, max_bytes).await.map_err(|e| match e {
+        RequestReadError::TooLarge => Failure::body_too_large(max_bytes),
+        RequestReadError::Full => Failure::memory_full(MEMORY_RETRY_AFTER),
+        RequestReadError::Stalled => Failure::body_stalled(),
+        RequestReadError::Connection(_) => {
+            Failure::bad_request("the body is truncated or malformed")
+        }
+    })
 }
 
 /// Returns a request's target without scheme and authority, as endpoints get it.
--- a/crates/daemon/src/gateway/listen.rs
+++ b/crates/daemon/src/gateway/listen.rs
@@ -23,6 +23,9 @@
 /// Time for which a connection of an operator or an endpoint may be idle.
 const CONTROL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Most open connections of the load balancer's readiness checks.
+const MAX_READINESS_CONNECTIONS: u64 = 128;
+
 /// Serves callers.
 struct Callers<D: Dialect>(Rc<Gateway<D>>);
 
@@ -66,6 +69,8 @@
 impl<D: Dialect> Serve for ControlClients<D> {
     type Body = Body;
 
+    const DESCRIPTORS: u64 = 1;
+
     fn connection_limits(&self) -> ConnectionLimits {
         control_bounds()
     }
@@ -86,6 +91,12 @@
 impl<D: Dialect> Serve for ReadinessChecks<D> {
     type Body = Body;
 
+    const DESCRIPTORS: u64 = 1;
+
+    fn max_connections(&self) -> u64 {
+        MAX_READINESS_CONNECTIONS
+    }
+
     fn connection_limits(&self) -> ConnectionLimits {
         control_bounds()
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -113,6 +113,8 @@
     pub replica_state: ReplicaState,
     /// Metrics of requests.
     pub metrics: Arc<Metrics>,
+    /// Memory for bodies of requests and responses.
+    pub buffer_budget: Arc<BufferBudget>,
 }
 
 /// The addresses that the gateway's thread listens on.
@@ -161,8 +163,8 @@
     warm: RefCell<Warm>,
     rng: RefCell<Pcg64Mcg>,
     active_requests: Rc<Cell<u64>>,
-    /// Memory for responses of endpoints.
-    buffer_budget: Rc<BufferBudget>,
+    /// Memory for bodies of requests and responses.
+    buffer_budget: Arc<BufferBudget>,
     connections: Cell<u64>,
     /// Whether responses close their connections, so that callers use other hosts.
     is_draining: Cell<bool>,
@@ -220,7 +222,7 @@
             warm: RefCell::new(Warm::new(warm_settings())),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
             active_requests: Rc::default(),
-            buffer_budget: Rc::default(),
+            buffer_budget: Arc::clone(&channels.buffer_budget),
             connections: Cell::new(0),
             is_draining: Cell::new(false),
             stop_time: StopTime::default(),
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -12,6 +12,7 @@
 use crate::{
     Settings,
     admin::{self, AdminContext},
+    buffers::BufferBudget,
     clock::Clock,
     configurations::Configurations,
     directory::Directory,
@@ -60,6 +61,7 @@
     readiness: Readiness,
     outbox: flume::Sender<Envelope>,
     roster: flume::Sender<RosterInput>,
+    buffer_budget: Arc<BufferBudget>,
 }
 
 /// Channels to the replica and roster threads, which both interfaces for callers need.
@@ -94,6 +96,7 @@
             replica_state: shared.replica_state.clone(),
             incarnation: shared.incarnation,
             metrics: Arc::clone(&shared.metrics),
+            buffer_budget: Arc::clone(&shared.buffer_budget),
             tracer,
         };
         let edge = edge::spawn(Arc::clone(cfg), shared.clock, edge_listener, channels)?;
@@ -138,6 +141,7 @@
             replica: replica.clone(),
             replica_state: shared.replica_state.clone(),
             metrics: Arc::clone(&shared.metrics),
+            buffer_budget: Arc::clone(&shared.buffer_budget),
         };
         let identity = Identity {
             host: cfg.host.clone(),
@@ -175,8 +179,11 @@
                 .wrap_err("could not read the configuration in the data folder")?,
             None => Configurations::default(),
         };
+        let buffer_budget =
+            Arc::new(BufferBudget::new(cfg.limits.memory_bytes, Arc::clone(&metrics)));
         Ok(Self {
             cfg: Arc::clone(cfg),
+            buffer_budget,
             clock,
             // Higher than that of any earlier process on this host.
             incarnation: Incarnation::new(clock.wall().as_u64()),
@@ -316,6 +323,7 @@
             leader,
             admin_queries,
             metrics: Arc::clone(&self.metrics),
+            buffer_budget: Arc::clone(&self.buffer_budget),
         };
         admin::spawn(self.cfg.admin_listen, context)
             .wrap_err("could not start the admin interface")?;
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -2,10 +2,14 @@
 
 mod activity;
 mod due;
+mod open;
 mod request_body;
 mod timer;
 
-use std::{cell::Cell, convert::Infallible, error::Error, future::Future, rc::Rc, time::Duration};
+use std::{
+    cell::Cell, convert::Infallible, error::Error, future::Future, net::SocketAddr, rc::Rc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use hyper::{
@@ -29,6 +33,7 @@
 
 use activity::{Activity, Overdue, TimeLimits, Tracked};
 use due::{Due, ResponseDue, TrackedBody};
+use open::OpenConnections;
 use request_body::Unread;
 
 pub(crate) use request_body::RequestBody;
@@ -44,6 +49,9 @@
 /// Time between checks whether all requests have ended, while draining.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time between two log lines on refused connections.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Smallest limit on a request's head that the HTTP library accepts, in bytes.
 const MIN_HEADER_BYTES: usize = 8 << 10;
 
@@ -70,6 +78,12 @@
 
 /// A service for the requests on a thread's connections.
 pub(crate) trait Serve: 'static {
+    /// Descriptors that a connection may take; by default one more, to an endpoint.
+    const DESCRIPTORS: u64 = 2;
+
+    /// Whether a caller that closes its sending side still gets the response.
+    const SERVES_HALF_CLOSED: bool = false;
+
     /// The body of a response.
     type Body: HttpBody<Data = Bytes, Error: Error + Send + Sync + 'static> + Unpin + 'static;
 
@@ -77,6 +91,11 @@
     /// ones.
     fn connection_limits(&self) -> ConnectionLimits;
 
+    /// Returns the most connections that are open at once.
+    fn max_connections(&self) -> u64 {
+        u64::MAX
+    }
+
     /// Returns the counter of open connections.
     fn connections(&self) -> &Cell<u64>;
 
@@ -91,18 +110,22 @@
 }
 
 /// Counts an open connection until dropped.
-struct OpenConnection<S: Serve>(Rc<S>);
+struct OpenConnection<S: Serve> {
+    service: Rc<S>,
+    _open: open::OpenConnection,
+}
 
 impl<S: Serve> OpenConnection<S> {
-    fn begin(service: &Rc<S>) -> Self {
+    fn begin(service: &Rc<S>, open: open::OpenConnection) -> Self {
         service.connections().set(service.connections().get() + 1);
-        Self(Rc::clone(service))
+        Self { service: Rc::clone(service), _open: open }
     }
 }
 
 impl<S: Serve> Drop for OpenConnection<S> {
     fn drop(&mut self) {
-        self.0.connections().set(self.0.connections().get() - 1);
+        let connections = self.service.connections();
+        connections.set(connections.get() - 1);
     }
 }
 
@@ -112,6 +135,8 @@
     listener: TcpListener,
     mut drain: watch::Receiver<bool>,
 ) {
+    let all_open = OpenConnections::new(service.max_connections(), S::DESCRIPTORS);
+    let mut refusals = RefusalLog::default();
     loop {
         let end = async {
             let _ = drain.wait_for(|draining| *draining).await;
@@ -123,8 +148,13 @@
             () = end => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let open = OpenConnection::begin(&service);
+            Ok((stream, caller)) => {
+                let Some(open) = all_open.begin(caller.ip()) else {
+                    service.metrics().connection_refused();
+                    refusals.add(caller);
+                    continue;
+                };
+                let open = OpenConnection::begin(&service, open);
                 let serving = connection(Rc::clone(&service), stream, drain.clone(), open);
                 tokio::task::spawn_local(serving);
             }
@@ -136,6 +166,25 @@
     }
 }
 
+/// Logs refused connections, at most one line in each interval.
+#[derive(Default)]
+struct RefusalLog {
+    count: u64,
+    logged_at: Option<Instant>,
+}
+
+impl RefusalLog {
+    fn add(&mut self, caller: SocketAddr) {
+        self.count += 1;
+        let now = Instant::now();
+        if self.logged_at.is_some_and(|at| now < at + REFUSAL_LOG_INTERVAL) {
+            return;
+        }
+        log::warn!(caller:%, refused = self.count; "connections refused, too many are open");
+        *self = Self { count: 0, logged_at: Some(now) };
+    }
+}
+
 /// A service that can be drained.
 pub(crate) trait Drain {
     /// Starts to ask callers to use other hosts.
@@ -275,6 +324,7 @@
     let tracked = Tracked { io: stream, activity: requests.activity.clone() };
     let connection = http1::Builder::new()
         .header_read_timeout(None)
+        .half_close(S::SERVES_HALF_CLOSED)
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES))
         .max_headers(limits.headers)
         .serve_connection(TokioIo::new(tracked), handler);
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -12,7 +12,7 @@
 use telemetry::{LogFormat, SampleRatio};
 
 use super::{
-    InvalidSettings, Limits, Settings, TelemetrySettings, Timeouts,
+    InvalidSettings, Limits, Settings, TelemetrySettings, Timeouts, memory,
     raw::{ListSetting, Raw, RawLimits, RawTelemetry, RawTimeouts, Setting, SingleSetting},
 };
 
@@ -206,6 +206,12 @@
         body_bytes: ByteCount::new(number(&raw.body_bytes, 4 << 20, 1 << 10..=256 << 20, errors)),
         connections: number(&raw.connections, 10_000, 1..=1_000_000, errors),
         organisation_requests: number(&raw.organisation_requests, 1_000, 1..=1_000_000, errors),
+        memory_bytes: ByteCount::new(number(
+            &raw.memory_bytes,
+            memory::of_machine(),
+            32 << 20..=1 << 40,
+            errors,
+        )),
     }
 }
 
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,4 +1,5 @@
 mod check;
+mod memory;
 mod raw;
 
 use std::{error, fmt, net::SocketAddr, path::PathBuf, str::FromStr, sync::Arc, time::Duration};
@@ -73,6 +74,8 @@
     pub connections: u64,
     /// Most concurrent requests of one organisation.
     pub organisation_requests: u64,
+    /// Memory that the process may use, half of it for bodies of requests and responses.
+    pub memory_bytes: ByteCount,
 }
 
 /// Logs and traces.
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -65,6 +65,7 @@
     pub body_bytes: SingleSetting,
     pub connections: SingleSetting,
     pub organisation_requests: SingleSetting,
+    pub memory_bytes: SingleSetting,
 }
 
 #[derive(Clone, Debug)]
@@ -326,8 +327,21 @@
         "COUNT",
         "Most concurrent requests of one organisation (default: 1000; 1 to 1000000)"
     );
-    construct!(RawLimits { header_bytes, body_bytes, connections, organisation_requests })
-        .group_help("Limits")
+    let memory_bytes = single!(
+        "memory-bytes",
+        "DOTTERELREACH_MEMORY_BYTES",
+        "BYTES",
+        "Memory that the process may use, half of it for bodies (default: that of the machine; \
+         33554432 to 1099511627776)"
+    );
+    construct!(RawLimits {
+        header_bytes,
+        body_bytes,
+        connections,
+        organisation_requests,
+        memory_bytes
+    })
+    .group_help("Limits")
 }
 
 fn timeouts() -> impl Parser<RawTimeouts> {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -71,6 +71,10 @@
         "--max-header-bytes: \"1\" is not a whole number from 8192 to 1048576 \
          (environment: DOTTERELREACH_MAX_HEADER_BYTES)"
     ];
+    memory_below_the_least: ["--memory-bytes", "1000000"], [] => [
+        "--memory-bytes: \"1000000\" is not a whole number from 33554432 to 1099511627776 \
+         (environment: DOTTERELREACH_MEMORY_BYTES)"
+    ];
     voter_without_a_folder: ["--voter"], [] => [
         "--voter: a voter needs --data-dir (environment: DOTTERELREACH_VOTER)"
     ];
--- a/crates/telemetry/src/instruments.rs
+++ b/crates/telemetry/src/instruments.rs
@@ -27,6 +27,8 @@
     pub(crate) resumes: Counter<u64>,
     pub(crate) claims: Counter<u64>,
     pub(crate) connections_cut: Counter<u64>,
+    pub(crate) connections_refused: Counter<u64>,
+    pub(crate) bodies_refused: Counter<u64>,
     pub(crate) endpoint_notices: Counter<u64>,
     pub(crate) unused_announcements: Counter<u64>,
     pub(crate) gossip_bytes: Counter<u64>,
@@ -71,6 +73,11 @@
                 "connections_cut",
                 "Connections of callers that ended while a response was due.",
             ),
+            connections_refused: count(
+                "connections_refused",
+                "Connections of callers closed at once, as too many were open.",
+            ),
+            bodies_refused: count("bodies_refused", "Bodies of requests refused, by reason."),
             endpoint_notices: count("endpoint_notices", "What endpoints stated about themselves."),
             unused_announcements: count(
                 "unused_announcements",
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -159,6 +159,16 @@
         self.instruments.connections_cut.add(1, &[]);
     }
 
+    /// Counts a connection that was closed at once, as too many were open.
+    pub fn connection_refused(&self) {
+        self.instruments.connections_refused.add(1, &[]);
+    }
+
+    /// Counts a body that was refused or given up, with the reason as a label.
+    pub fn body_refused(&self, reason: &'static str) {
+        self.instruments.bodies_refused.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts what an endpoint stated about itself and had not stated before.
     pub fn endpoint_notice(&self, kind: NoticeKind) {
         self.instruments.endpoint_notices.add(1, &[KeyValue::new("notice", kind.as_str())]);
