route: the wait of an urgent request counts only urgent work

Cause: headroom was computed from all prompt tokens that wait at an engine, so an engine with 600 ms of long prompts admitted another of these and refused a chat, which it would have served first.

Change: routers count and report the waiting prompt tokens of urgent requests (priority 0) beside the total, the leader sums them, and the wait of an urgent request is computed from them. It applies where a service's routes differ in priority and the configuration has quotas; `Table::has_quotas` is false until organisations can have them, so all decisions are as before.

--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -23,6 +23,8 @@
 
 use self::transfer::{FetchingEngine, is_kv_store_service};
 
+use crate::in_flight::Work;
+
 use super::{
     policies::Policies,
     prefix_tracker::PrefixTracker,
@@ -254,7 +256,10 @@
         let cold = req.prompt_tokens.as_u64().saturating_sub(warm.as_u64());
         Ok(ChosenEngine {
             was_idle: target.in_flight() == 0,
-            in_flight: InFlight::begin(target, TokenCount::new(cold)),
+            in_flight: InFlight::begin(
+                target,
+                Work { prefill_tokens: TokenCount::new(cold), ..Work::default() },
+            ),
             endpoint: (*id).clone(),
             weights: weights.clone(),
             salt,
@@ -284,7 +289,7 @@
         let PrefixIdentity { salt, chain, .. } = requirements.identity(&weights);
         Some(ChosenEngine {
             was_idle: false,
-            in_flight: InFlight::begin(target, TokenCount::new(0)),
+            in_flight: InFlight::begin(target, Work::default()),
             endpoint: endpoint.clone(),
             weights,
             salt,
@@ -329,7 +334,7 @@
         let chosen = self.service_policy.choose(&req, &candidates, &mut self.rng);
         let eligible = available[chosen.ok_or(NoEndpoint::Unavailable)?];
         self.service_outliers.record_sent(now, eligible.id);
-        Ok((eligible.id.clone(), InFlight::begin(eligible.target, TokenCount::ZERO)))
+        Ok((eligible.id.clone(), InFlight::begin(eligible.target, Work::default())))
     }
 
     fn add_target(&mut self, now: MonotonicTime, record: &EndpointRecord) -> Target {
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -10,6 +10,7 @@
     body::{Body as _, Incoming},
     header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
 };
+use route::Urgency;
 use tokio::time::Instant;
 
 use crate::{
@@ -19,6 +20,7 @@
         placement::{self, Transfers},
         target::{InFlight, SendPermit, Target},
     },
+    in_flight::Work,
     net::{self, AbortOnDrop},
 };
 
@@ -55,7 +57,7 @@
         permit: SendPermit,
         resume_after: Option<&str>,
     ) -> Result<StartedResponse, AttemptError> {
-        let in_flight = InFlight::begin(target, self.uncached_tokens(target));
+        let in_flight = InFlight::begin(target, self.work(target));
         let (source, address) = (self.gateway.source, target.address);
         let left = self.deadline.saturating_duration_since(Instant::now());
         let connected = net::connect_http(source, address, CONNECT_TIMEOUT.min(left)).await;
@@ -262,6 +264,12 @@
         now + left.mul_f64(ATTEMPT_TIME_SHARE).max(MIN_ATTEMPT_TIMEOUT).min(left)
     }
 
+    /// Returns what the request adds to the work of an endpoint.
+    fn work(&self, target: &Target) -> Work {
+        let prefill_tokens = self.uncached_tokens(target);
+        Work { prefill_tokens, urgency: Urgency::of(self.urgency()) }
+    }
+
     fn uncached_tokens(&self, target: &Target) -> TokenCount {
         let Some(chain) = &self.chain else { return TokenCount::ZERO };
         let warm = target.warm_tokens(chain).as_u64();
@@ -309,7 +317,8 @@
         placement::transfers(&targets, target, chain, self.gateway.clock.now())
     }
 
-    fn urgency(&self) -> u8 {
+    /// Returns the priority of the request; 0 is the most urgent.
+    pub(super) fn urgency(&self) -> u8 {
         let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
         own.unwrap_or(self.route.priority)
     }
--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -3,6 +3,8 @@
 use std::{rc::Rc, time::Duration};
 
 use base::{ByteCount, ServiceId};
+use route::Urgency;
+use routes::Table;
 use tokio::time::Instant;
 
 use crate::{
@@ -96,6 +98,7 @@
             now,
             local_data_centre: &gateway.data_centre,
             slots: engine.map_or(0, |engine| engine.slots),
+            urgency: self.effective_urgency(table, service),
             max_connections: configured.map_or(u32::MAX, |service| service.max_connections),
             body: ByteCount::new(self.body.len() as u64),
             first_event_objective: self
@@ -107,6 +110,14 @@
         gateway.choose(&requirements)
     }
 
+    /// Returns the class that the wait of the request is computed for.
+    fn effective_urgency(&self, table: &Table, service: &ServiceId) -> Urgency {
+        match table.distinguishes_urgency(service) {
+            true => Urgency::of(self.urgency()),
+            false => Urgency::Normal,
+        }
+    }
+
     /// Returns the service that all attempts of the request go to.
     pub(super) fn service(&self) -> Option<&ServiceId> {
         self.route.pick_service(self.service_draw())
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -7,7 +7,8 @@
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
 use route::{
-    Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Warm, choose_with_headroom,
+    Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Urgency, Warm,
+    choose_with_headroom,
 };
 
 use super::{target::Target, targets::Targets};
@@ -62,6 +63,8 @@
     pub local_data_centre: &'a DataCentreId,
     /// Concurrent requests that an endpoint runs, 0 if unknown.
     pub slots: u32,
+    /// The class that the wait is computed for; normal if the service's requests all have one.
+    pub urgency: Urgency,
     /// Connections that an endpoint accepts from all hosts together; each carries one request.
     pub max_connections: u32,
     /// The size of the request's body.
@@ -188,7 +191,7 @@
     let uncached =
         TokenCount::new(tokens.saturating_sub(target.warm_tokens(prompt.chain).as_u64()));
     EngineSpeed::with_slots(requirements.slots).headroom(
-        target.load(),
+        target.load_by_urgency().ahead_of(requirements.urgency),
         uncached,
         requirements.first_event_objective,
     )
--- a/crates/daemon/src/gateway/target.rs
+++ b/crates/daemon/src/gateway/target.rs
@@ -10,8 +10,8 @@
 use member::{Announcement, EndpointKind, EndpointRecord};
 use prefix::{PartCacheModel, PartChain};
 use route::{
-    EndpointKey, InFlightLoad, LimitChange, LimitResponse, SentLoad, StatedConstraints,
-    StatedLimit, StatedWait,
+    EndpointKey, InFlightLoad, LimitChange, LimitResponse, LoadByUrgency, SentLoad,
+    StatedConstraints, StatedLimit, StatedWait,
 };
 
 use crate::in_flight::{self, CountsInFlight, InFlightCounts};
@@ -161,6 +161,10 @@
         self.work.prefill_tokens()
     }
 
+    pub(super) fn urgent_prefill_tokens(&self) -> TokenCount {
+        self.work.urgent_prefill_tokens()
+    }
+
     pub(super) fn warm_tokens(&self, chain: &PartChain) -> TokenCount {
         self.cache.borrow().warm_tokens(chain)
     }
@@ -180,6 +184,16 @@
         }
     }
 
+    /// Returns the load that all routers have placed on it, with the urgent part.
+    pub(super) fn load_by_urgency(&self) -> LoadByUrgency {
+        let urgent = self.urgent_prefill_tokens().as_u64();
+        let others = u64::from(self.other_load().urgent_prefill_tokens);
+        LoadByUrgency {
+            total: self.load(),
+            urgent_prefill_tokens: TokenCount::new(urgent + others),
+        }
+    }
+
     /// Returns the load that other routers have placed on it.
     pub(super) fn other_load(&self) -> SentLoad {
         self.other_load.get()
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -111,7 +111,8 @@
         busy.map(|target| SentLoad {
             endpoint: target.key,
             requests: target.in_flight(),
-            prefill_tokens: u32::try_from(target.prefill_tokens().as_u64()).unwrap_or(u32::MAX),
+            prefill_tokens: reported_tokens(target.prefill_tokens()),
+            urgent_prefill_tokens: reported_tokens(target.urgent_prefill_tokens()),
         })
         .collect()
     }
@@ -128,6 +129,9 @@
                 endpoint,
                 requests: all.requests.saturating_sub(own.requests),
                 prefill_tokens: all.prefill_tokens.saturating_sub(own.prefill_tokens),
+                urgent_prefill_tokens: all
+                    .urgent_prefill_tokens
+                    .saturating_sub(own.urgent_prefill_tokens),
             });
         }
         self.loads_at = now;
@@ -287,3 +291,8 @@
 fn is_running(record: &EndpointRecord) -> bool {
     matches!(record.state, EndpointState::Ready | EndpointState::Leaving)
 }
+
+/// Returns a number of tokens as load reports have it.
+fn reported_tokens(tokens: TokenCount) -> u32 {
+    u32::try_from(tokens.as_u64()).unwrap_or(u32::MAX)
+}
--- a/crates/daemon/src/in_flight.rs
+++ b/crates/daemon/src/in_flight.rs
@@ -3,12 +3,23 @@
 use std::{cell::Cell, rc::Rc};
 
 use base::TokenCount;
+use route::Urgency;
 
 /// Counts of an endpoint's requests in flight.
 #[derive(Debug, Default)]
 pub(crate) struct InFlightCounts {
     requests: Cell<u32>,
     prefill_tokens: Cell<u64>,
+    /// The part of `prefill_tokens` that belongs to urgent requests.
+    urgent_prefill_tokens: Cell<u64>,
+}
+
+/// What a request adds to the work of its endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Work {
+    /// Tokens to prefill.
+    pub prefill_tokens: TokenCount,
+    pub urgency: Urgency,
 }
 
 /// An endpoint that counts its requests in flight.
@@ -22,6 +33,7 @@
     target: Rc<T>,
     /// The request's tokens that wait for prefill.
     prefill_tokens: Cell<u64>,
+    urgency: Urgency,
 }
 
 impl InFlightCounts {
@@ -34,15 +46,35 @@
     pub(crate) fn prefill_tokens(&self) -> TokenCount {
         TokenCount::new(self.prefill_tokens.get())
     }
+
+    /// Returns the number of tokens of urgent requests that wait for prefill.
+    pub(crate) fn urgent_prefill_tokens(&self) -> TokenCount {
+        TokenCount::new(self.urgent_prefill_tokens.get())
+    }
+
+    fn add_prefill(&self, urgency: Urgency, tokens: u64) {
+        self.prefill_tokens.set(self.prefill_tokens.get() + tokens);
+        if urgency == Urgency::Urgent {
+            self.urgent_prefill_tokens.set(self.urgent_prefill_tokens.get() + tokens);
+        }
+    }
+
+    fn remove_prefill(&self, urgency: Urgency, tokens: u64) {
+        self.prefill_tokens.set(self.prefill_tokens.get() - tokens);
+        if urgency == Urgency::Urgent {
+            self.urgent_prefill_tokens.set(self.urgent_prefill_tokens.get() - tokens);
+        }
+    }
 }
 
 impl<T: CountsInFlight> InFlight<T> {
-    /// Counts a request with `prefill_tokens` to prefill.
-    pub(crate) fn begin(target: &Rc<T>, prefill_tokens: TokenCount) -> Self {
-        let (counts, tokens) = (target.in_flight_counts(), prefill_tokens.as_u64());
+    /// Counts a request with its work.
+    pub(crate) fn begin(target: &Rc<T>, work: Work) -> Self {
+        let (counts, tokens) = (target.in_flight_counts(), work.prefill_tokens.as_u64());
         counts.requests.set(counts.requests.get() + 1);
-        counts.prefill_tokens.set(counts.prefill_tokens.get() + tokens);
-        Self { target: Rc::clone(target), prefill_tokens: Cell::new(tokens) }
+        counts.add_prefill(work.urgency, tokens);
+        let prefill_tokens = Cell::new(tokens);
+        Self { target: Rc::clone(target), prefill_tokens, urgency: work.urgency }
     }
 
     pub(crate) fn target(&self) -> &Rc<T> {
@@ -52,8 +84,7 @@
     /// Records that the prompt has been prefilled.
     pub(crate) fn mark_prefilled(&self) {
         let tokens = self.prefill_tokens.take();
-        let counts = self.target.in_flight_counts();
-        counts.prefill_tokens.set(counts.prefill_tokens.get() - tokens);
+        self.target.in_flight_counts().remove_prefill(self.urgency, tokens);
     }
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -39,6 +39,7 @@
 mod stated_limit;
 mod ticket;
 mod transfer;
+mod urgency;
 mod warm;
 mod warm_v1;
 mod window;
@@ -60,6 +61,7 @@
     stated_limit::{LimitChange, LimitResponse, StatedLimit},
     ticket::{Action, Arrival, Decision, Priority, Refusal, RefusalReason, Ticket},
     transfer::{Source, TransferSettings, choose_source},
+    urgency::{LoadByUrgency, Urgency},
     warm::{Warm, WarmSettings},
     warm_v1::{WarmV1, WarmV1Weights},
 };
--- a/crates/route/src/load_aggregator.rs
+++ b/crates/route/src/load_aggregator.rs
@@ -38,6 +38,8 @@
     pub requests: u32,
     /// Tokens that wait for prefill.
     pub prefill_tokens: u32,
+    /// Those of urgent requests.
+    pub urgent_prefill_tokens: u32,
 }
 
 /// Sums the load that the routers of a site report to have sent to endpoints.
@@ -77,6 +79,8 @@
             sum.endpoint = load.endpoint;
             sum.requests = sum.requests.saturating_add(load.requests);
             sum.prefill_tokens = sum.prefill_tokens.saturating_add(load.prefill_tokens);
+            sum.urgent_prefill_tokens =
+                sum.urgent_prefill_tokens.saturating_add(load.urgent_prefill_tokens);
         }
         sums.into_values().collect()
     }
--- a/crates/route/tests/load_aggregator.rs
+++ b/crates/route/tests/load_aggregator.rs
@@ -15,7 +15,8 @@
 
 fn load(endpoint: &str, requests: u32, prefill_tokens: u32) -> SentLoad {
     let endpoint: EndpointId = endpoint.parse().unwrap();
-    SentLoad { endpoint: EndpointKey::of(&endpoint), requests, prefill_tokens }
+    let endpoint = EndpointKey::of(&endpoint);
+    SentLoad { endpoint, requests, prefill_tokens, urgent_prefill_tokens: prefill_tokens / 2 }
 }
 
 #[test]
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -39,6 +39,8 @@
     /// Routes by host, the longest prefix first.
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: BTreeMap<ServiceId, Service>,
+    /// Services whose routes have different priorities.
+    mixed_priorities: BTreeSet<ServiceId>,
     stores: Vec<KvStore>,
     organisations: Vec<Arc<Organisation>>,
     keys: HashMap<ApiKey, usize>,
@@ -52,6 +54,7 @@
         Self {
             by_host: HashMap::new(),
             services: BTreeMap::new(),
+            mixed_priorities: BTreeSet::new(),
             stores: Vec::new(),
             organisations: Vec::new(),
             keys: HashMap::new(),
@@ -84,6 +87,7 @@
         for routes in table.by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        table.mixed_priorities = table.find_mixed_priorities();
         for organisation in organisations {
             table.add_organisation(organisation)?;
         }
@@ -135,6 +139,24 @@
         !self.organisations.is_empty()
     }
 
+    /// Returns whether any organisation has a quota.
+    ///
+    /// Organisations can't have quotas yet. Once they do, this is computed when the table is built.
+    pub fn has_quotas(&self) -> bool {
+        false
+    }
+
+    /// Returns whether the admission of a service's requests depends on their urgency: its routes
+    /// have different priorities, and organisations have quotas.
+    pub fn distinguishes_urgency(&self, service: &ServiceId) -> bool {
+        self.has_quotas() && self.has_mixed_priorities(service)
+    }
+
+    /// Returns whether the routes of a service have different priorities.
+    pub fn has_mixed_priorities(&self, service: &ServiceId) -> bool {
+        self.mixed_priorities.contains(service)
+    }
+
     /// Returns the service named `name`.
     pub fn service(&self, name: &ServiceId) -> Option<&Service> {
         self.services.get(name)
@@ -160,6 +182,20 @@
         &self.limits
     }
 
+    fn find_mixed_priorities(&self) -> BTreeSet<ServiceId> {
+        let mut first: BTreeMap<&ServiceId, u8> = BTreeMap::new();
+        let mut mixed = BTreeSet::new();
+        for route in self.routes() {
+            for entry in route.services.iter().filter(|entry| entry.weight != 0) {
+                let priority = *first.entry(&entry.service).or_insert(route.priority);
+                if priority != route.priority {
+                    mixed.insert(entry.service.clone());
+                }
+            }
+        }
+        mixed
+    }
+
     fn add_service(&mut self, service: Service) -> Result<(), TableError> {
         let name = service.name.clone();
         match self.services.insert(name.clone(), service) {
--- a/crates/routes/tests/table.rs
+++ b/crates/routes/tests/table.rs
@@ -107,3 +107,25 @@
 fn debug_output_omits_keys() {
     assert!(!format!("{:?}", organisation("a", &["secret"])).contains("secret"));
 }
+
+/// Guards against treating a service as mixed because of another service's routes, or of a route
+/// that sends it nothing.
+#[parameterized(
+    equal = { &[(0, 1), (0, 1)], false },
+    different = { &[(0, 1), (2, 1)], true },
+    different_without_weight = { &[(0, 1), (2, 0)], false },
+)]
+fn mixed_priorities_of_a_service(routes: &[(u8, u32)], expected: bool) {
+    let routes = routes.iter().enumerate().map(|(i, &(priority, weight))| {
+        let weighted =
+            |name: &str, weight| WeightedService { service: name.parse().unwrap(), weight };
+        let services = vec![weighted("desk", weight), weighted("other", 1)];
+        Route { services, priority, ..route("r", "a", &format!("/{i}/")) }
+    });
+    let services = vec![service("desk"), service("other")];
+    let table =
+        Table::new(routes.collect(), services, Vec::new(), Vec::new(), Limits::default()).unwrap();
+    let desk = "desk".parse().unwrap();
+    assert_eq!(table.has_mixed_priorities(&desk), expected);
+    assert!(!table.distinguishes_urgency(&desk), "no organisation has a quota");
+}
