gateway: less urgent requests leave slots of engines to urgent ones

Cause: long streams may hold all slots of an engine, so that a chat finds none.

Change: a sixth of an engine's slots, at least one but never the only one, is left to priority 0 while such a request arrived in the last 5 s at this router or shows in the reported loads. It applies where the wait by urgency does.

--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -91,6 +91,7 @@
         let table = &self.active_configuration.table;
         let configured = table.service(service);
         let engine = configured.and_then(|service| service.engine.as_ref());
+        let urgency = self.effective_urgency(table, service);
         let requirements = Requirements {
             service,
             prompt: self.prompt_requirements(&newest),
@@ -98,7 +99,8 @@
             now,
             local_data_centre: &gateway.data_centre,
             slots: engine.map_or(0, |engine| engine.slots),
-            urgency: self.effective_urgency(table, service),
+            urgency,
+            leaves_reserved_slots: self.leaves_reserved_slots(table, service, urgency),
             max_connections: configured.map_or(u32::MAX, |service| service.max_connections),
             body: ByteCount::new(self.body.len() as u64),
             first_event_objective: self
@@ -118,6 +120,17 @@
         }
     }
 
+    /// Returns whether the request leaves slots to urgent ones, which have arrived recently.
+    fn leaves_reserved_slots(&self, table: &Table, service: &ServiceId, urgency: Urgency) -> bool {
+        let now = self.gateway.clock.now();
+        let targets = self.gateway.targets.borrow();
+        if urgency == Urgency::Urgent {
+            targets.record_urgent(service, now);
+            return false;
+        }
+        table.distinguishes_urgency(service) && targets.has_recent_urgent(service, now)
+    }
+
     /// Returns the service that all attempts of the request go to.
     pub(super) fn service(&self) -> Option<&ServiceId> {
         self.route.pick_service(self.service_draw())
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -65,6 +65,8 @@
     pub slots: u32,
     /// The class that the wait is computed for; normal if the service's requests all have one.
     pub urgency: Urgency,
+    /// Whether the request leaves the slots that are reserved for urgent ones.
+    pub leaves_reserved_slots: bool,
     /// Connections that an endpoint accepts from all hosts together; each carries one request.
     pub max_connections: u32,
     /// The size of the request's body.
@@ -190,7 +192,11 @@
     let tokens = prompt.chain.tokens().as_u64();
     let uncached =
         TokenCount::new(tokens.saturating_sub(target.warm_tokens(prompt.chain).as_u64()));
-    EngineSpeed::with_slots(requirements.slots).headroom(
+    let mut speed = EngineSpeed::with_slots(requirements.slots);
+    if requirements.leaves_reserved_slots {
+        speed = speed.without_reserved_slots();
+    }
+    speed.headroom(
         target.load_by_urgency().ahead_of(requirements.urgency),
         uncached,
         requirements.first_event_objective,
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -1,6 +1,7 @@
 //! The endpoints that may get requests, and the stores that engines use.
 
 use std::{
+    cell::RefCell,
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
@@ -23,12 +24,17 @@
 /// Assumed KV capacity of an engine in tokens, until a configuration sets it.
 const DEFAULT_KV_TOKENS: TokenCount = TokenCount::new(60_000);
 
+/// Time for which an urgent request keeps slots reserved; chats of a busy service arrive more often.
+const URGENT_RETENTION: Duration = Duration::from_secs(5);
+
 /// The endpoints that may get requests.
 #[derive(Default)]
 pub(super) struct Targets {
     by_id: BTreeMap<EndpointId, Rc<Target>>,
     engine_updates: ReceivedEngineUpdates,
     kv_tokens: HashMap<ServiceId, TokenCount>,
+    /// When an urgent request was last known, by service.
+    urgent_at: RefCell<HashMap<ServiceId, MonotonicTime>>,
     /// When the loads of other hosts arrived.
     loads_at: MonotonicTime,
     stores: Stores,
@@ -117,6 +123,21 @@
         .collect()
     }
 
+    /// Records that an urgent request has arrived for a service, at this router or another.
+    pub(super) fn record_urgent(&self, service: &ServiceId, now: MonotonicTime) {
+        let mut urgent_at = self.urgent_at.borrow_mut();
+        match urgent_at.get_mut(service) {
+            Some(at) => *at = now,
+            None => _ = urgent_at.insert(service.clone(), now),
+        }
+    }
+
+    /// Returns whether urgent requests for a service have arrived within [`URGENT_RETENTION`].
+    pub(super) fn has_recent_urgent(&self, service: &ServiceId, now: MonotonicTime) -> bool {
+        let urgent_at = self.urgent_at.borrow();
+        urgent_at.get(service).is_some_and(|at| now.saturating_since(*at) < URGENT_RETENTION)
+    }
+
     /// Sets the load that all hosts have placed on endpoints, of which `own` is this host's share.
     fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
         let find = |loads: &[SentLoad], endpoint| {
@@ -125,6 +146,9 @@
         for target in self.by_id.values() {
             let endpoint = target.key;
             let (own, all) = (find(own, endpoint), find(all, endpoint));
+            if own.urgent_prefill_tokens < all.urgent_prefill_tokens {
+                self.record_urgent(&target.service, now);
+            }
             target.set_other_load(SentLoad {
                 endpoint,
                 requests: all.requests.saturating_sub(own.requests),
--- a/crates/route/src/urgency.rs
+++ b/crates/route/src/urgency.rs
@@ -1,6 +1,9 @@
 use base::TokenCount;
 
-use crate::InFlightLoad;
+use crate::{EngineSpeed, InFlightLoad};
+
+/// Of how many slots of an engine one is reserved for urgent requests.
+const SLOTS_PER_RESERVED: u32 = 6;
 
 /// Whether engines prefill a request before others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -46,3 +49,13 @@
         }
     }
 }
+
+impl EngineSpeed {
+    /// Returns the speed for requests that leave the reserved slots to urgent ones: a sixth of the
+    /// slots and at least one, but never the only one.
+    pub fn without_reserved_slots(self) -> Self {
+        let reserved = (self.max_streams / SLOTS_PER_RESERVED).max(1);
+        let max_streams = self.max_streams.saturating_sub(reserved).max(self.max_streams.min(1));
+        Self { max_streams, ..self }
+    }
+}
--- a/crates/route/tests/urgency.rs
+++ b/crates/route/tests/urgency.rs
@@ -7,7 +7,9 @@
 mod engines;
 
 use base::TokenCount;
-use route::{InFlightLoad, LoadByUrgency, Urgency};
+use route::{EngineSpeed, InFlightLoad, LoadByUrgency, Urgency};
+
+use yare::parameterized;
 
 use engines::{Admission, Load, serve};
 
@@ -54,6 +56,30 @@
     assert!(before.long.share() < after.long.share() + 0.03);
 }
 
+/// Guards against an engine that less urgent requests can't use at all, and one without a reserve.
+#[parameterized(
+    one = { 1, 1 },
+    two = { 2, 1 },
+    eight = { 8, 7 },
+    twelve = { 12, 10 },
+)]
+fn slots_left_to_less_urgent_requests(slots: u32, expected: u32) {
+    let speed = EngineSpeed::with_slots(slots).without_reserved_slots();
+    assert_eq!(speed.max_streams, expected);
+}
+
+/// Guards against chats that are refused because less urgent streams hold all slots.
+#[test]
+fn reserved_slots_leave_room_for_chats_beside_long_streams() {
+    let load = Load { long: 2.6, long_decode: 3_500.0, ..Load::long_bursts() };
+    let before = serve(load, Admission { by_urgency: true, reserved: 0 });
+    let after = serve(load, Admission { by_urgency: true, reserved: 2 });
+    println!("chats in time {:.3} before, {:.3} after", before.chats.share(), after.chats.share());
+    println!("long prompts in time {:.3}, {:.3}", before.long.share(), after.long.share());
+    assert!(before.chats.share() < 0.9);
+    assert!(0.97 < after.chats.share());
+}
+
 /// Guards against a change for sites whose requests all have one class.
 #[test]
 fn equal_urgency_leaves_all_decisions_as_they_were() {
