gateway: tokens in flight at an engine stay within its memory

Cause: an engine ends if the requests that it holds exceed its memory, and all its requests are lost.

Change: routers report the tokens that their requests hold (prompts plus maximum outputs), and a request goes only to an engine that has room for it within three quarters of its memory, or is idle. As all routers send to the few engines last reported to have room, only a share of requests goes to an engine, by its room and the requests that other routers are expected to send before the next reports. A request lost at an engine that held more than the bound is no evidence of a request that crashes engines. It applies where the configuration has quotas: others state an engine's memory for the cache model only.

Partial: Retry-After of a request without memory is a lower bound, the time until the waiting prompts are prefilled.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -252,7 +252,7 @@
 
     /// Records that an engine ended just as it began to answer, unless it has left by itself.
     pub(super) fn record_crash(&self, target: &Target) {
-        if self.gateway.targets.borrow().has_left(target) {
+        if self.gateway.targets.borrow().has_left(target) || self.is_memory_loss(target) {
             return;
         }
         let now = self.gateway.clock.now();
@@ -283,7 +283,25 @@
         self.record_lost(target, self.lost_request(None));
     }
 
+    /// Returns whether a request was lost at an engine that held more than its memory, which shows
+    /// nothing about the request.
+    fn is_memory_loss(&self, target: &Target) -> bool {
+        let now = self.gateway.clock.now();
+        let is_loss =
+            self.engine_memory().is_some_and(|memory| target.may_lack_memory(now, memory));
+        if is_loss {
+            let held = target.held_load();
+            log::warn!(request:% = self.caller_request.id, endpoint:% = target.endpoint,
+                requests = held.requests, held_tokens:% = held.tokens;
+                "request lost at an engine without memory, no evidence against it");
+        }
+        is_loss
+    }
+
     fn record_lost(&self, target: &Rc<Target>, lost: LostRequest) {
+        if self.is_memory_loss(target) {
+            return;
+        }
         let now = self.gateway.clock.now();
         let mut evidence = self.gateway.crash_evidence.borrow_mut();
         if evidence.record_lost_connection(now, target, lost) {
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -267,7 +267,8 @@
     /// Returns what the request adds to the work of an endpoint.
     fn work(&self, target: &Target) -> Work {
         let prefill_tokens = self.uncached_tokens(target);
-        Work { prefill_tokens, urgency: Urgency::of(self.urgency()) }
+        let (urgency, held_tokens) = (Urgency::of(self.urgency()), self.held_tokens());
+        Work { prefill_tokens, urgency, held_tokens }
     }
 
     fn uncached_tokens(&self, target: &Target) -> TokenCount {
--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -2,8 +2,8 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::{ByteCount, ServiceId};
-use route::Urgency;
+use base::{ByteCount, ServiceId, TokenCount};
+use route::{EngineMemory, Urgency};
 use routes::Table;
 use tokio::time::Instant;
 
@@ -28,6 +28,9 @@
 /// Shortest `Retry-After` for a request that is rejected for lack of capacity.
 const MIN_OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Longest time between a router's load reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+
 impl<D: Dialect> Exchange<D> {
     /// Rejects a request for lack of capacity, with a `Retry-After` that spreads the retries.
     fn rejected_for(&self, why: &str, wait: Duration) -> Failure {
@@ -52,7 +55,11 @@
                 Err(why) if self.may_recover_soon(why) && Instant::now() < until => {
                     tokio::time::sleep(ENDPOINT_POLL_INTERVAL).await;
                 }
-                Err(why @ (NoTarget::Overloaded(wait) | NoTarget::Withheld(wait))) => {
+                Err(
+                    why @ (NoTarget::Overloaded(wait)
+                    | NoTarget::Full(wait)
+                    | NoTarget::Withheld(wait)),
+                ) => {
                     return Err(self.rejected_for(no_target_message(why), wait));
                 }
                 Err(why) => return Err(self.failure(no_target_message(why).to_owned(), false)),
@@ -64,7 +71,9 @@
     fn may_recover_soon(&self, why: NoTarget) -> bool {
         match why {
             NoTarget::TemporarilyUnavailable => true,
-            NoTarget::Unknown | NoTarget::Overloaded(_) => self.gateway.is_starting(),
+            NoTarget::Unknown | NoTarget::Overloaded(_) | NoTarget::Full(_) => {
+                self.gateway.is_starting()
+            }
             NoTarget::AllTried | NoTarget::Withheld(_) => false,
         }
     }
@@ -92,6 +101,7 @@
         let configured = table.service(service);
         let engine = configured.and_then(|service| service.engine.as_ref());
         let urgency = self.effective_urgency(table, service);
+        let memory = self.engine_memory();
         let requirements = Requirements {
             service,
             prompt: self.prompt_requirements(&newest),
@@ -99,6 +109,9 @@
             now,
             local_data_centre: &gateway.data_centre,
             slots: engine.map_or(0, |engine| engine.slots),
+            memory,
+            memory_draw: memory.map_or(0.0, |_| gateway.random_share()),
+            unreported: memory.map_or(0.0, |_| self.unreported_requests(service)),
             urgency,
             leaves_reserved_slots: self.leaves_reserved_slots(table, service, urgency),
             max_connections: configured.map_or(u32::MAX, |service| service.max_connections),
@@ -144,6 +157,40 @@
         f64::from(u32::from_le_bytes(bytes)) / (f64::from(u32::MAX) + 1.0)
     }
 
+    /// Returns the tokens that the request occupies at an engine until it ends.
+    pub(super) fn held_tokens(&self) -> TokenCount {
+        let (Some(prompt), Some(chain)) = (&self.caller_request.prompt, &self.chain) else {
+            return TokenCount::ZERO;
+        };
+        TokenCount::new(chain.tokens().as_u64().saturating_add(prompt.output_tokens.as_u64()))
+    }
+
+    /// Counts the request, and returns the number of requests to the service that other routers are
+    /// expected to have sent since their reports, if they get as many as this one.
+    fn unreported_requests(&self, service: &ServiceId) -> f64 {
+        let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        let targets = gateway.targets.borrow();
+        if self.progress.tried.is_empty() {
+            targets.record_arrival(service, now);
+        }
+        let period = targets.loads_age(now) + REPORT_INTERVAL;
+        let others = gateway.router_count.get().saturating_sub(1);
+        targets.expected_arrivals(service, now, period) * f64::from(others)
+    }
+
+    /// Returns the memory of the engines of the request's service, if it bounds their requests.
+    ///
+    /// Configurations without quotas state it only for the estimate of what engines cache.
+    pub(super) fn engine_memory(&self) -> Option<EngineMemory> {
+        let table = &self.active_configuration.table;
+        if !table.has_quotas() {
+            return None;
+        }
+        let service = table.service(self.service()?)?;
+        EngineMemory::new(service.engine.as_ref()?.kv_tokens)
+    }
+
     /// Returns the prompt's requirements by the versions desired now, not those at the arrival.
     pub(super) fn prompt_requirements<'a>(
         &'a self,
@@ -154,6 +201,7 @@
         Some(PromptRequirements {
             model: &prompt.model,
             chain: self.chain.as_ref()?,
+            held_tokens: self.held_tokens(),
             weights: desired.unwrap_or(&NO_DESIRED_WEIGHTS),
             max_outdated: self.gateway.cfg.max_outdated_at_send(),
         })
@@ -164,6 +212,7 @@
     match why {
         NoTarget::Unknown => "the service has no known endpoint",
         NoTarget::Overloaded(_) => "no engine could respond in time",
+        NoTarget::Full(_) => "no engine has memory for the request",
         NoTarget::Withheld(_) => "the endpoints stated that they accept no request at present",
         NoTarget::TemporarilyUnavailable => "no endpoint of the service is available at present",
         NoTarget::AllTried => "no endpoint of the service accepted the request",
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -7,8 +7,8 @@
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
 use route::{
-    Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Urgency, Warm,
-    choose_with_headroom,
+    Candidate, EndpointKey, EngineMemory, EngineSpeed, Headroom, Policy as _, Request, Urgency,
+    Warm, choose_with_headroom,
 };
 
 use super::{target::Target, targets::Targets};
@@ -67,6 +67,12 @@
     pub urgency: Urgency,
     /// Whether the request leaves the slots that are reserved for urgent ones.
     pub leaves_reserved_slots: bool,
+    /// The memory of an engine, if it is known.
+    pub memory: Option<EngineMemory>,
+    /// A random number from 0 to 1 that limits requests to engines with little memory left.
+    pub memory_draw: f64,
+    /// Requests of other routers to the service that are expected and not reported yet.
+    pub unreported: f64,
     /// Connections that an endpoint accepts from all hosts together; each carries one request.
     pub max_connections: u32,
     /// The size of the request's body.
@@ -81,6 +87,8 @@
 pub(super) struct PromptRequirements<'a> {
     pub model: &'a base::ModelId,
     pub chain: &'a PartChain,
+    /// Tokens that it occupies at the engine, its maximum output included.
+    pub held_tokens: TokenCount,
     /// The history of the model's desired weights.
     pub weights: &'a WeightsHistory,
     /// Time from which an outdated version may not serve.
@@ -98,6 +106,8 @@
     AllTried,
     /// No engine could respond in time; there should be capacity after this time.
     Overloaded(Duration),
+    /// No engine has memory for the request; there may be some after this time.
+    Full(Duration),
     /// Each endpoint stated a limit or a wait; the first accepts a request after this time.
     Withheld(Duration),
 }
@@ -121,7 +131,10 @@
     if untried.is_empty() {
         return Err(NoTarget::AllTried);
     }
-    let fit: Vec<_> = untried.into_iter().filter(|target| requirements.fits(target)).collect();
+    let fit: Vec<_> = untried.iter().copied().filter(|target| requirements.fits(target)).collect();
+    if fit.is_empty() && requirements.tried.is_empty() {
+        requirements.check_memory(&untried)?;
+    }
     let permitted = permitted(fit, requirements)?;
     let reachable: Vec<_> =
         permitted.iter().copied().filter(|target| !target.is_avoided(requirements.now)).collect();
@@ -131,7 +144,9 @@
         Some(prompt) => choose_for_prompt(targets, &usable, requirements, prompt, warm, rng)?,
         None => least_loaded(&usable, requirements, rng),
     };
-    chosen.map(Rc::clone).ok_or(NoTarget::TemporarilyUnavailable)
+    let chosen = chosen.ok_or(NoTarget::TemporarilyUnavailable)?;
+    requirements.check_memory_share(chosen, usable.len())?;
+    Ok(Rc::clone(chosen))
 }
 
 /// Returns the endpoints whose stated limits and waits allow a request now.
@@ -151,6 +166,39 @@
 
 impl Requirements<'_> {
     fn fits(&self, target: &Target) -> bool {
+        self.fits_but_for_memory(target) && self.has_memory(target)
+    }
+
+    /// Returns whether the request's tokens fit into the engine's memory beside the others'.
+    fn has_memory(&self, target: &Target) -> bool {
+        let (Some(memory), Some(prompt)) = (self.memory, &self.prompt) else { return true };
+        memory.has_room(target.held_load(), prompt.held_tokens)
+    }
+
+    /// Returns an error if an endpoint fits but for its memory.
+    ///
+    /// Tokens are released as responses end; until then at least the waiting prompts are prefilled.
+    fn check_memory(&self, untried: &[&Rc<Target>]) -> Result<(), NoTarget> {
+        let full = untried.iter().filter(|target| self.fits_but_for_memory(target));
+        let speed = EngineSpeed::with_slots(self.slots);
+        let wait = full.map(|target| speed.expected_ttft(target.load(), TokenCount::ZERO)).min();
+        wait.map_or(Ok(()), |wait| Err(NoTarget::Full(wait)))
+    }
+
+    /// Returns an error unless the request may take what is left of the memory of an endpoint, one of
+    /// `with_room`; a retried request may.
+    fn check_memory_share(&self, target: &Target, with_room: usize) -> Result<(), NoTarget> {
+        let (Some(memory), Some(prompt)) = (self.memory, &self.prompt) else { return Ok(()) };
+        let unreported = self.unreported / with_room.max(1) as f64;
+        let share = memory.admitted_share(target.held_load(), prompt.held_tokens, unreported);
+        if !self.tried.is_empty() || self.memory_draw < share {
+            return Ok(());
+        }
+        let speed = EngineSpeed::with_slots(self.slots);
+        Err(NoTarget::Full(speed.expected_ttft(target.load(), TokenCount::ZERO)))
+    }
+
+    fn fits_but_for_memory(&self, target: &Target) -> bool {
         if self.max_connections <= target.load().requests {
             return false;
         }
--- a/crates/daemon/src/gateway/target.rs
+++ b/crates/daemon/src/gateway/target.rs
@@ -10,8 +10,8 @@
 use member::{Announcement, EndpointKind, EndpointRecord};
 use prefix::{PartCacheModel, PartChain};
 use route::{
-    EndpointKey, InFlightLoad, LimitChange, LimitResponse, LoadByUrgency, SentLoad,
-    StatedConstraints, StatedLimit, StatedWait,
+    EndpointKey, EngineMemory, HeldLoad, InFlightLoad, LimitChange, LimitResponse, LoadByUrgency,
+    SentLoad, StatedConstraints, StatedLimit, StatedWait,
 };
 
 use crate::in_flight::{self, CountsInFlight, InFlightCounts};
@@ -28,6 +28,9 @@
 /// Share of an engine's KV memory that caches prompt parts, beside the running requests.
 const CACHE_SHARE: f64 = 0.7;
 
+/// Time in which the requests of an engine that ended are all found lost.
+const OVER_MEMORY_RETENTION: Duration = Duration::from_secs(1);
+
 /// The permission to send a request to an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SendPermit {
@@ -65,6 +68,8 @@
     suspended_until: Cell<MonotonicTime>,
     /// Load that other routers have placed on the endpoint.
     other_load: Cell<SentLoad>,
+    /// When it was last found to hold more than its memory as it lost a request.
+    over_memory_at: Cell<Option<MonotonicTime>>,
     /// The limit on requests that it states.
     limit: Cell<StatedLimit>,
     /// For how long it accepts no requests from this host, as it stated.
@@ -108,6 +113,7 @@
             unreachable_since: Cell::new(None),
             suspended_until: Cell::new(MonotonicTime::ZERO),
             other_load: Cell::default(),
+            over_memory_at: Cell::new(None),
             limit: Cell::new(constraints.limit),
             wait: Cell::new(constraints.wait),
         }
@@ -165,6 +171,10 @@
         self.work.urgent_prefill_tokens()
     }
 
+    pub(super) fn held_tokens(&self) -> TokenCount {
+        self.work.held_tokens()
+    }
+
     pub(super) fn warm_tokens(&self, chain: &PartChain) -> TokenCount {
         self.cache.borrow().warm_tokens(chain)
     }
@@ -194,6 +204,24 @@
         }
     }
 
+    /// Returns what it holds of all routers' requests.
+    pub(super) fn held_load(&self) -> HeldLoad {
+        let tokens = self.held_tokens().as_u64() + u64::from(self.other_load().held_tokens);
+        HeldLoad { requests: self.load().requests, tokens: TokenCount::new(tokens) }
+    }
+
+    /// Returns whether the loss of a request may be due to a lack of memory.
+    ///
+    /// The requests that it held end one after the other, so the first finding holds for those that
+    /// follow within [`OVER_MEMORY_RETENTION`].
+    pub(super) fn may_lack_memory(&self, now: MonotonicTime, memory: EngineMemory) -> bool {
+        if memory.may_be_exceeded(self.held_load()) {
+            self.over_memory_at.set(Some(now));
+        }
+        let found = self.over_memory_at.get();
+        found.is_some_and(|at| now.saturating_since(at) < OVER_MEMORY_RETENTION)
+    }
+
     /// Returns the load that other routers have placed on it.
     pub(super) fn other_load(&self) -> SentLoad {
         self.other_load.get()
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -12,7 +12,7 @@
 use fleet::ReceivedEngineUpdates;
 use member::{Announcement, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster};
 use prefix::{PartChain, SentPrompt};
-use route::{EndedConstraints, EndpointKey, SentLoad, StatedConstraints};
+use route::{ArrivalRate, EndedConstraints, EndpointKey, SentLoad, StatedConstraints};
 use routes::KvStore;
 use wire::leader::PublishedView;
 
@@ -35,6 +35,8 @@
     kv_tokens: HashMap<ServiceId, TokenCount>,
     /// When an urgent request was last known, by service.
     urgent_at: RefCell<HashMap<ServiceId, MonotonicTime>>,
+    /// Rates of this router's requests to services whose engines have a known memory.
+    arrivals: RefCell<HashMap<ServiceId, ArrivalRate>>,
     /// When the loads of other hosts arrived.
     loads_at: MonotonicTime,
     stores: Stores,
@@ -119,6 +121,7 @@
             requests: target.in_flight(),
             prefill_tokens: reported_tokens(target.prefill_tokens()),
             urgent_prefill_tokens: reported_tokens(target.urgent_prefill_tokens()),
+            held_tokens: reported_tokens(target.held_tokens()),
         })
         .collect()
     }
@@ -138,6 +141,26 @@
         urgent_at.get(service).is_some_and(|at| now.saturating_since(*at) < URGENT_RETENTION)
     }
 
+    /// Counts a request to a service.
+    pub(super) fn record_arrival(&self, service: &ServiceId, now: MonotonicTime) {
+        let mut arrivals = self.arrivals.borrow_mut();
+        match arrivals.get_mut(service) {
+            Some(rate) => rate.record(now),
+            None => arrivals.entry(service.clone()).or_default().record(now),
+        }
+    }
+
+    /// Returns how many requests to a service this router expects in `period`.
+    pub(super) fn expected_arrivals(
+        &self,
+        service: &ServiceId,
+        now: MonotonicTime,
+        period: Duration,
+    ) -> f64 {
+        let arrivals = self.arrivals.borrow();
+        arrivals.get(service).map_or(0.0, |rate| rate.expected_in(now, period))
+    }
+
     /// Sets the load that all hosts have placed on endpoints, of which `own` is this host's share.
     fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
         let find = |loads: &[SentLoad], endpoint| {
@@ -156,6 +179,7 @@
                 urgent_prefill_tokens: all
                     .urgent_prefill_tokens
                     .saturating_sub(own.urgent_prefill_tokens),
+                held_tokens: all.held_tokens.saturating_sub(own.held_tokens),
             });
         }
         self.loads_at = now;
--- a/crates/daemon/src/in_flight.rs
+++ b/crates/daemon/src/in_flight.rs
@@ -12,6 +12,7 @@
     prefill_tokens: Cell<u64>,
     /// The part of `prefill_tokens` that belongs to urgent requests.
     urgent_prefill_tokens: Cell<u64>,
+    held_tokens: Cell<u64>,
 }
 
 /// What a request adds to the work of its endpoint.
@@ -20,6 +21,8 @@
     /// Tokens to prefill.
     pub prefill_tokens: TokenCount,
     pub urgency: Urgency,
+    /// Tokens that it occupies until it ends: its prompt and its maximum output.
+    pub held_tokens: TokenCount,
 }
 
 /// An endpoint that counts its requests in flight.
@@ -34,6 +37,7 @@
     /// The request's tokens that wait for prefill.
     prefill_tokens: Cell<u64>,
     urgency: Urgency,
+    held_tokens: u64,
 }
 
 impl InFlightCounts {
@@ -52,6 +56,11 @@
         TokenCount::new(self.urgent_prefill_tokens.get())
     }
 
+    /// Returns the number of tokens that the requests occupy.
+    pub(crate) fn held_tokens(&self) -> TokenCount {
+        TokenCount::new(self.held_tokens.get())
+    }
+
     fn add_prefill(&self, urgency: Urgency, tokens: u64) {
         self.prefill_tokens.set(self.prefill_tokens.get() + tokens);
         if urgency == Urgency::Urgent {
@@ -73,8 +82,10 @@
         let (counts, tokens) = (target.in_flight_counts(), work.prefill_tokens.as_u64());
         counts.requests.set(counts.requests.get() + 1);
         counts.add_prefill(work.urgency, tokens);
-        let prefill_tokens = Cell::new(tokens);
-        Self { target: Rc::clone(target), prefill_tokens, urgency: work.urgency }
+        let held_tokens = work.held_tokens.as_u64();
+        counts.held_tokens.set(counts.held_tokens.get() + held_tokens);
+        let (target, prefill_tokens) = (Rc::clone(target), Cell::new(tokens));
+        Self { target, prefill_tokens, urgency: work.urgency, held_tokens }
     }
 
     pub(crate) fn target(&self) -> &Rc<T> {
@@ -93,5 +104,6 @@
         self.mark_prefilled();
         let counts = self.target.in_flight_counts();
         counts.requests.set(counts.requests.get() - 1);
+        counts.held_tokens.set(counts.held_tokens.get() - self.held_tokens);
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -23,9 +23,11 @@
 //! ```
 
 mod admission;
+mod arrival_rate;
 mod baseline;
 mod capacity;
 mod ended_constraints;
+mod engine_memory;
 mod estimate;
 mod fair_queue;
 mod headroom;
@@ -46,9 +48,11 @@
 
 pub use crate::{
     admission::{Admission, AdmissionSettings},
+    arrival_rate::ArrivalRate,
     baseline::{Hash, LeastInFlight, RoundRobin},
     capacity::{CapacityEstimator, CapacitySettings},
     ended_constraints::{EndedConstraints, MAX_ENDED_CONSTRAINTS, StatedConstraints},
+    engine_memory::{EngineMemory, HeldLoad},
     estimate::TtftEstimate,
     headroom::{EngineSpeed, Headroom, InFlightLoad, choose_with_headroom},
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
--- a/crates/route/src/load_aggregator.rs
+++ b/crates/route/src/load_aggregator.rs
@@ -40,6 +40,8 @@
     pub prefill_tokens: u32,
     /// Those of urgent requests.
     pub urgent_prefill_tokens: u32,
+    /// Tokens of the requests in flight, prompts plus maximum outputs.
+    pub held_tokens: u32,
 }
 
 /// Sums the load that the routers of a site report to have sent to endpoints.
@@ -81,6 +83,7 @@
             sum.prefill_tokens = sum.prefill_tokens.saturating_add(load.prefill_tokens);
             sum.urgent_prefill_tokens =
                 sum.urgent_prefill_tokens.saturating_add(load.urgent_prefill_tokens);
+            sum.held_tokens = sum.held_tokens.saturating_add(load.held_tokens);
         }
         sums.into_values().collect()
     }
--- a/crates/route/tests/load_aggregator.rs
+++ b/crates/route/tests/load_aggregator.rs
@@ -16,7 +16,9 @@
 fn load(endpoint: &str, requests: u32, prefill_tokens: u32) -> SentLoad {
     let endpoint: EndpointId = endpoint.parse().unwrap();
     let endpoint = EndpointKey::of(&endpoint);
-    SentLoad { endpoint, requests, prefill_tokens, urgent_prefill_tokens: prefill_tokens / 2 }
+    let urgent_prefill_tokens = prefill_tokens / 2;
+    let held_tokens = prefill_tokens * 2;
+    SentLoad { endpoint, requests, prefill_tokens, urgent_prefill_tokens, held_tokens }
 }
 
 #[test]
