route: equal shares of admitted tokens while capacity is short

Cause: while engines are short, requests are admitted by arrival, so a flood of one organisation leaves others without service.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -38,6 +38,7 @@
 mod outlier;
 mod policy;
 mod retry;
+mod scarcity;
 mod stated_limit;
 mod ticket;
 mod transfer;
@@ -62,6 +63,7 @@
     outlier::{EjectionChange, EjectionState, Outcome, OutlierDetector, OutlierSettings},
     policy::{Candidate, Policy, Request},
     retry::{Backoff, BudgetSettings, RetryBudget},
+    scarcity::{OverShare, TokenShares},
     stated_limit::{LimitChange, LimitResponse, StatedLimit},
     ticket::{Action, Arrival, Decision, Priority, Refusal, RefusalReason, Ticket},
     transfer::{Source, TransferSettings, choose_source},
