gateway: an organisation over its share is refused while engines are short

Applies `TokenShares` to the first attempt of each prompt, by service, where the configuration has quotas. The refusal is a 429 with the time until the share allows requests again; its log line has the tokens taken and the share, and it counts as `over-share`.

--- a/crates/daemon/src/failure.rs
+++ b/crates/daemon/src/failure.rs
@@ -115,6 +115,7 @@
             StatusCode::UNAUTHORIZED => Refusal::Unauthorised,
             StatusCode::NOT_FOUND => Refusal::Unknown,
             StatusCode::GATEWAY_TIMEOUT => Refusal::Deadline,
+            StatusCode::TOO_MANY_REQUESTS => Refusal::OverShare,
             status if status.is_client_error() => Refusal::Malformed,
             _ => Refusal::NoEndpoint,
         }
--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod choice;
 mod scope;
+mod shares;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -44,11 +44,13 @@
 
     /// Chooses an endpoint, and waits briefly while none is available.
     pub(super) async fn choose_or_wait(&mut self) -> Result<(Rc<Target>, SendPermit), Failure> {
+        self.check_share()?;
         let until = (Instant::now() + MAX_ENDPOINT_WAIT).min(self.deadline);
         loop {
             self.update_scope();
             match self.choose_permitted() {
                 Ok((target, permit)) => {
+                    self.record_admitted();
                     self.progress.tried.push(target.endpoint.clone());
                     return Ok((target, permit));
                 }
@@ -60,6 +62,9 @@
                     | NoTarget::Full(wait)
                     | NoTarget::Withheld(wait)),
                 ) => {
+                    if !matches!(why, NoTarget::Withheld(_)) {
+                        self.record_shortage();
+                    }
                     return Err(self.rejected_for(no_target_message(why), wait));
                 }
                 Err(why) => return Err(self.failure(no_target_message(why).to_owned(), false)),
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -43,7 +43,7 @@
 use prefix::{PartChain, SentPrompt, UnreportedPrompts};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use route::{BudgetSettings, EngineSpeed, RetryBudget, Warm, WarmSettings};
+use route::{BudgetSettings, EngineSpeed, RetryBudget, TokenShares, Warm, WarmSettings};
 use routes::{Organisation, Table};
 use telemetry::{Metrics, Recorder};
 
@@ -158,6 +158,8 @@
     /// Number of hosts that share the fleet's retry budget and the limits that endpoints state.
     router_count: Cell<u32>,
     budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
+    /// What organisations take of each service's tokens.
+    token_shares: RefCell<HashMap<ServiceId, TokenShares>>,
     warm: RefCell<Warm>,
     rng: RefCell<Pcg64Mcg>,
     active_requests: Rc<Cell<u64>>,
@@ -217,6 +219,7 @@
             roster_updated_at: Cell::new(MonotonicTime::ZERO),
             router_count: Cell::new(1),
             budgets: RefCell::default(),
+            token_shares: RefCell::default(),
             warm: RefCell::new(Warm::new(warm_settings())),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
             active_requests: Rc::default(),
