gateway: a request that waits for an endpoint counts as one arrival

Cause: each choice counted an arrival, and a request that waits for an endpoint chooses every 10 ms, so the rate came out up to 50 times too high and fewer requests were admitted.

Change: the request is counted before its first choice.

--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -45,6 +45,7 @@
     /// Chooses an endpoint, and waits briefly while none is available.
     pub(super) async fn choose_or_wait(&mut self) -> Result<(Rc<Target>, SendPermit), Failure> {
         self.check_share()?;
+        self.record_arrival();
         let until = (Instant::now() + MAX_ENDPOINT_WAIT).min(self.deadline);
         loop {
             self.update_scope();
@@ -170,20 +171,27 @@
         TokenCount::new(chain.tokens().as_u64().saturating_add(prompt.output_tokens.as_u64()))
     }
 
-    /// Counts the request, and returns the number of requests to the service that other routers are
-    /// expected to have sent since their reports, if they get as many as this one.
+    /// Returns the number of requests to the service that other routers are expected to have sent
+    /// since their reports, if they get as many as this one.
     fn unreported_requests(&self, service: &ServiceId) -> f64 {
         let gateway = &self.gateway;
         let now = gateway.clock.now();
         let targets = gateway.targets.borrow();
-        if self.progress.tried.is_empty() {
-            targets.record_arrival(service, now);
-        }
         let period = targets.loads_age(now) + REPORT_INTERVAL;
         let others = gateway.router_count.get().saturating_sub(1);
         targets.expected_arrivals(service, now, period) * f64::from(others)
     }
 
+    /// Counts the request once among those whose engines have a bounded memory.
+    fn record_arrival(&self) {
+        if !self.progress.tried.is_empty() || self.engine_memory().is_none() {
+            return;
+        }
+        let Some(service) = self.service() else { return };
+        let gateway = &self.gateway;
+        gateway.targets.borrow().record_arrival(service, gateway.clock.now());
+    }
+
     /// Returns the memory of the engines of the request's service, if it bounds their requests.
     ///
     /// Configurations without quotas state it only for the estimate of what engines cache.
