--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -1,6 +1,7 @@
 //! The endpoints that may get requests, and the stores that engines use.
 
 use std::{
+    cell::RefCell,
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
@@ -11,7 +12,7 @@
 use fleet::ReceivedEngineUpdates;
 use member::{Announcement, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster};
 use prefix::{PartChain, SentPrompt};
-use route::{EndedConstraints, EndpointKey, SentLoad, StatedConstraints};
+use route::{ArrivalRate, EndedConstraints, EndpointKey, SentLoad, StatedConstraints};
 use routes::KvStore;
 use wire::leader::PublishedView;
 
@@ -23,12 +24,19 @@
 /// Assumed KV capacity of an engine in tokens, until a configuration sets it.
 const DEFAULT_KV_TOKENS: TokenCount = TokenCount::new(60_000);
 
+/// Time for which an urgent request keeps slots reserved; chats of a busy service arrive more often.
+const URGENT_RETENTION: Duration = Duration::from_secs(5);
+
 /// The endpoints that may get requests.
 #[derive(Default)]
 pub(super) struct Targets {
     by_id: BTreeMap<EndpointId, Rc<Target>>,
     engine_updates: ReceivedEngineUpdates,
     kv_tokens: HashMap<ServiceId, TokenCount>,
+    /// When an urgent request was last known, by service.
+    urgent_at: RefCell<HashMap<ServiceId, MonotonicTime>>,
+    /// Rates of this router's requests to services whose engines have a known memory.
+    arrivals: RefCell<HashMap<ServiceId, ArrivalRate>>,
     /// When the loads of other hosts arrived.
     loads_at: MonotonicTime,
     stores: Stores,
@@ -111,11 +119,48 @@
         busy.map(|target| SentLoad {
             endpoint: target.key,
             requests: target.in_flight(),
-            prefill_tokens: u32::try_from(target.prefill_tokens().as_u64()).unwrap_or(u32::MAX),
+            prefill_tokens: reported_tokens(target.prefill_tokens()),
+            urgent_prefill_tokens: reported_tokens(target.urgent_prefill_tokens()),
+            held_tokens: reported_tokens(target.held_tokens()),
         })
         .collect()
     }
 
+    /// Records that an urgent request has arrived for a service, at this router or another.
+    pub(super) fn record_urgent(&self, service: &ServiceId, now: MonotonicTime) {
+        let mut urgent_at = self.urgent_at.borrow_mut();
+        match urgent_at.get_mut(service) {
+            Some(at) => *at = now,
+            None => _ = urgent_at.insert(service.clone(), now),
+        }
+    }
+
+    /// Returns whether urgent requests for a service have arrived within [`URGENT_RETENTION`].
+    pub(super) fn has_recent_urgent(&self, service: &ServiceId, now: MonotonicTime) -> bool {
+        let urgent_at = self.urgent_at.borrow();
+        urgent_at.get(service).is_some_and(|at| now.saturating_since(*at) < URGENT_RETENTION)
+    }
+
+    /// Counts a request to a service.
+    pub(super) fn record_arrival(&self, service: &ServiceId, now: MonotonicTime) {
+        let mut arrivals = self.arrivals.borrow_mut();
+        match arrivals.get_mut(service) {
+            Some(rate) => rate.record(now),
+            None => arrivals.entry(service.clone()).or_default().record(now),
+        }
+    }
+
+    /// Returns how many requests to a service this router expects in `period`.
+    pub(super) fn expected_arrivals(
+        &self,
+        service: &ServiceId,
+        now: MonotonicTime,
+        period: Duration,
+    ) -> f64 {
+        let arrivals = self.arrivals.borrow();
+        arrivals.get(service).map_or(0.0, |rate| rate.expected_in(now, period))
+    }
+
     /// Sets the load that all hosts have placed on endpoints, of which `own` is this host's share.
     fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
         let find = |loads: &[SentLoad], endpoint| {
@@ -124,10 +169,17 @@
         for target in self.by_id.values() {
             let endpoint = target.key;
             let (own, all) = (find(own, endpoint), find(all, endpoint));
+            if own.urgent_prefill_tokens < all.urgent_prefill_tokens {
+                self.record_urgent(&target.service, now);
+            }
             target.set_other_load(SentLoad {
                 endpoint,
                 requests: all.requests.saturating_sub(own.requests),
                 prefill_tokens: all.prefill_tokens.saturating_sub(own.prefill_tokens),
+                urgent_prefill_tokens: all
+                    .urgent_prefill_tokens
+                    .saturating_sub(own.urgent_prefill_tokens),
+                held_tokens: all.held_tokens.saturating_sub(own.held_tokens),
             });
         }
         self.loads_at = now;
@@ -287,3 +339,8 @@
 fn is_running(record: &EndpointRecord) -> bool {
     matches!(record.state, EndpointState::Ready | EndpointState::Leaving)
 }
+
+/// Returns a number of tokens as load reports have it.
+fn reported_tokens(tokens: TokenCount) -> u32 {
+    u32::try_from(tokens.as_u64()).unwrap_or(u32::MAX)
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -23,9 +23,11 @@
 //! ```
 
 mod admission;
+mod arrival_rate;
 mod baseline;
 mod capacity;
 mod ended_constraints;
+mod engine_memory;
 mod estimate;
 mod fair_queue;
 mod headroom;
@@ -36,18 +38,22 @@
 mod outlier;
 mod policy;
 mod retry;
+mod scarcity;
 mod stated_limit;
 mod ticket;
 mod transfer;
+mod urgency;
 mod warm;
 mod warm_v1;
 mod window;
 
 pub use crate::{
     admission::{Admission, AdmissionSettings},
+    arrival_rate::ArrivalRate,
     baseline::{Hash, LeastInFlight, RoundRobin},
     capacity::{CapacityEstimator, CapacitySettings},
     ended_constraints::{EndedConstraints, MAX_ENDED_CONSTRAINTS, StatedConstraints},
+    engine_memory::{EngineMemory, HeldLoad},
     estimate::TtftEstimate,
     headroom::{EngineSpeed, Headroom, InFlightLoad, choose_with_headroom},
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
@@ -57,9 +63,11 @@
     outlier::{EjectionChange, EjectionState, Outcome, OutlierDetector, OutlierSettings},
     policy::{Candidate, Policy, Request},
     retry::{Backoff, BudgetSettings, RetryBudget},
+    scarcity::{OverShare, TokenShares},
     stated_limit::{LimitChange, LimitResponse, StatedLimit},
     ticket::{Action, Arrival, Decision, Priority, Refusal, RefusalReason, Ticket},
     transfer::{Source, TransferSettings, choose_source},
+    urgency::{LoadByUrgency, Urgency},
     warm::{Warm, WarmSettings},
     warm_v1::{WarmV1, WarmV1Weights},
 };
