route: estimate of endpoints' speeds from all routers' response times

A router sees too few responses of an endpoint to tell its speed. Routers sum expected and observed times per incarnation; the estimator compares the sums of all routers with the median of their service and publishes clear differences.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`Admission`] shares the capacity found by [`CapacityEstimator`] among organisations.
 //! [`OutlierDetector`] ejects endpoints that fail or are slow. [`RetryBudget`], [`Backoff`] and
 //! [`Hedge`] limit retries and hedged requests. [`StatedLimit`] is a router's part of the rate that an
-//! endpoint accepts from all of them.
+//! endpoint accepts from all of them. [`SlownessEstimator`] compares the speed of a service's
+//! endpoints by the [`ResponseTimes`] of all routers.
 //!
 //! # Example
 //!
@@ -25,6 +26,7 @@
 mod admission;
 mod baseline;
 mod capacity;
+mod decayed_sums;
 mod ended_constraints;
 mod estimate;
 mod fair_queue;
@@ -35,7 +37,10 @@
 mod notice;
 mod outlier;
 mod policy;
+mod response_times;
 mod retry;
+mod slowness;
+mod slowness_estimator;
 mod stated_limit;
 mod ticket;
 mod transfer;
@@ -56,7 +61,10 @@
     notice::{EndpointNotice, StatedWait},
     outlier::{EjectionChange, EjectionState, Outcome, OutlierDetector, OutlierSettings},
     policy::{Candidate, Policy, Request},
+    response_times::{ResponseSums, ResponseTimes, expected_call_time},
     retry::{Backoff, BudgetSettings, RetryBudget},
+    slowness::{PublishedSlowness, ServiceKey, Slowness},
+    slowness_estimator::SlownessEstimator,
     stated_limit::{LimitChange, LimitResponse, StatedLimit},
     ticket::{Action, Arrival, Decision, Priority, Refusal, RefusalReason, Ticket},
     transfer::{Source, TransferSettings, choose_source},
--- /dev/null
+++ b/crates/route/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Models of load that tests share.
+
+pub mod closed_loop;
