route: slowness scales expected times in score and headroom

A slow warm engine and a fast cold one are compared by one expected time. Candidates and engine speeds without a factor are scored as before.

cargo test -p route: all pass, among them the choice between slow and fast engines. A new leader's first list waits 3 s for responses, so it replaces its predecessor's.

--- a/crates/daemon/src/edge/router.rs
+++ b/crates/daemon/src/edge/router.rs
@@ -15,7 +15,8 @@
 use rand::RngExt as _;
 use rand_pcg::Pcg64Mcg;
 use route::{
-    Candidate, EjectionState, OutlierDetector, OutlierSettings, Policy as _, Request, Warm,
+    Candidate, EjectionState, OutlierDetector, OutlierSettings, Policy as _, Request, Slowness,
+    Warm,
 };
 use wire::kv_transfer::KvTransfer;
 
@@ -394,6 +395,7 @@
             report_age,
             slots: if target.slots() == 0 { self.max_slots } else { target.slots() },
             round_trip: self.round_trips.beyond_local(&target.data_centre()),
+            slowness: Slowness::NOMINAL,
         }
     }
 }
--- a/crates/route/src/headroom.rs
+++ b/crates/route/src/headroom.rs
@@ -3,7 +3,7 @@
 use base::{TokenCount, TokenRate};
 use rand::Rng;
 
-use crate::{Candidate, Policy, Request};
+use crate::{Candidate, Policy, Request, Slowness};
 
 /// The throughput that routers assume of an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -93,6 +93,19 @@
         }
     }
 
+    /// Returns the speed of an engine that is slower by `slowness`.
+    pub fn slowed_by(self, slowness: Slowness) -> Self {
+        if slowness == Slowness::NOMINAL {
+            return self;
+        }
+        let rate = self.prefill_rate.as_u64() as f64 / slowness.factor();
+        Self {
+            prefill_rate: TokenRate::new(rate as u64),
+            cached_ttft: slowness.scale(self.cached_ttft),
+            ..self
+        }
+    }
+
     /// Returns the expected time to first token of a prompt with `cold` tokens to prefill.
     pub fn expected_ttft(&self, load: InFlightLoad, cold: TokenCount) -> Duration {
         self.cached_ttft + self.prefill_time(load.prefill_tokens) + self.prefill_time(cold)
--- a/crates/route/src/policy.rs
+++ b/crates/route/src/policy.rs
@@ -3,6 +3,8 @@
 use base::TokenCount;
 use rand::Rng;
 
+use crate::Slowness;
+
 /// The properties of a request that a policy uses.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Request {
@@ -37,6 +39,8 @@
     pub slots: u32,
     /// Round-trip time to the endpoint's data centre.
     pub round_trip: Duration,
+    /// How much slower the endpoint is than others of its service.
+    pub slowness: Slowness,
 }
 
 /// A policy that chooses among endpoints.
--- a/crates/route/src/slowness_estimator.rs
+++ b/crates/route/src/slowness_estimator.rs
@@ -14,6 +14,10 @@
 /// Time between estimates.
 const ESTIMATE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time from the first report to the first estimate, so that a new leader replaces its predecessor's
+/// factors only by better ones.
+const WARM_UP: Duration = Duration::from_secs(3);
+
 /// Fewest responses that a factor is inferred from.
 const MIN_RESPONSES: f64 = 8.0;
 
@@ -53,7 +57,9 @@
 pub struct SlownessEstimator<K> {
     endpoints: BTreeMap<K, Endpoint>,
     published: BTreeMap<K, PublishedSlowness<K>>,
-    next_estimate: MonotonicTime,
+    /// When the next estimate is due, after the first report.
+    next_estimate: Option<MonotonicTime>,
+    has_published: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -83,7 +89,8 @@
         Self {
             endpoints: BTreeMap::new(),
             published: BTreeMap::new(),
-            next_estimate: MonotonicTime::ZERO,
+            next_estimate: None,
+            has_published: false,
         }
     }
 }
@@ -103,18 +110,22 @@
             });
             endpoint.short.add(now, sums);
             endpoint.long.add(now, sums);
+            self.next_estimate.get_or_insert(now + WARM_UP);
         }
     }
 
-    /// Estimates the factors if that is due; returns whether published ones have changed.
+    /// Estimates the factors if that is due; returns whether they have to be published.
+    ///
+    /// The first estimate is published even if it has no factors, to replace another leader's.
     pub fn update(&mut self, now: MonotonicTime) -> bool {
-        if now < self.next_estimate {
+        if self.next_estimate.is_none_or(|due| now < due) {
             return false;
         }
-        self.next_estimate = now + ESTIMATE_INTERVAL;
+        self.next_estimate = Some(now + ESTIMATE_INTERVAL);
         self.decay(now);
         let estimated = self.estimate();
-        if !self.differs(&estimated) {
+        let is_first = !std::mem::replace(&mut self.has_published, true);
+        if !is_first && !self.differs(&estimated) {
             return false;
         }
         self.published = estimated;
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -3,13 +3,16 @@
 use base::TokenRate;
 use rand::{Rng, RngExt as _};
 
-use crate::{Candidate, Policy, Request, TtftEstimate};
+use crate::{Candidate, EngineSpeed, Policy, Request, TtftEstimate};
 
 /// Parameters of the score of [`Warm`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WarmSettings {
     /// Rate at which an engine computes a prompt's tokens.
     pub prefill_rate: TokenRate,
+    /// Time to the first token of a prompt that is warm completely; only its difference between
+    /// endpoints of different speed counts.
+    pub cached_ttft: Duration,
     /// Delay that a request in flight adds to the time to first token of the next.
     pub request_time: Duration,
     /// Time that a request occupies one of an endpoint's slots.
@@ -36,6 +39,7 @@
     fn default() -> Self {
         Self {
             prefill_rate: TokenRate::new(20_000),
+            cached_ttft: EngineSpeed::default().cached_ttft,
             request_time: Duration::from_millis(2),
             hold_time: Duration::from_millis(500),
             compute_weight: 1.0,
@@ -62,7 +66,8 @@
 /// Chooses the least estimated time to first token; ties are broken at random.
 ///
 /// The estimate is the sum, in seconds, of the time to compute the tokens that are not warm, the
-/// queueing time behind this router's and reported load, and the round-trip time. Reported load has
+/// queueing time behind this router's and reported load, and the round-trip time; the first two are
+/// scaled by the candidate's slowness. Reported load has
 /// less weight the older it is, so that routers do not all converge on an endpoint with one low
 /// report. If no endpoint is known to be warm, the prefix's home is chosen unless its load exceeds
 /// the bound.
@@ -162,6 +167,7 @@
         let token_time = 1.0 / (settings.prefill_rate.as_u64() as f64).max(1.0);
         let request_time = settings.request_time.as_secs_f64();
         let hold_time = settings.hold_time.as_secs_f64();
+        let cached_ttft = settings.cached_ttft.as_secs_f64();
         let prompt = req.prompt_tokens.as_u64();
         candidates.iter().zip(&self.loads).map(move |(candidate, load)| {
             let cold = prompt.saturating_sub(candidate.warm_tokens.as_u64()) as f64;
@@ -169,10 +175,11 @@
             let wait = load.prefill_tokens * token_time
                 + load.requests * request_time
                 + load.queue_rounds(candidate.slots) * hold_time;
+            let factor = candidate.slowness.factor();
             TtftEstimate {
-                compute: compute * settings.compute_weight,
+                compute: compute * settings.compute_weight * factor + cached_ttft * (factor - 1.0),
                 away: compute * settings.away_weight * homes.distance(candidate),
-                wait: wait * settings.wait_weight,
+                wait: wait * settings.wait_weight * factor,
                 round_trip: seconds(candidate.round_trip),
             }
         })
--- a/crates/route/tests/endpoint_performance.rs
+++ b/crates/route/tests/endpoint_performance.rs
@@ -257,6 +257,17 @@
     assert!(site.changes <= 240, "{} changes in 60 s", site.changes);
 }
 
+// Load: 6 equal endpoints, 20 responses/s each, at a new leader. Guards against its predecessor's
+// factors that stay for good, and against a first list from too few responses.
+#[test]
+fn first_list_is_published_after_the_warm_up_even_if_empty() {
+    let mut site = Site::new(100);
+    site.run(Duration::from_millis(2_700), &with_first(6, 20.0, 1.0));
+    assert_eq!(site.changes, 0);
+    site.run(seconds(1), &with_first(6, 20.0, 1.0));
+    assert_eq!((site.changes, site.published()), (1, 0));
+}
+
 #[test]
 fn report_that_did_not_arrive_is_reported_again() {
     let mut times = ResponseTimes::default();
--- a/crates/route/tests/headroom.rs
+++ b/crates/route/tests/headroom.rs
@@ -5,7 +5,9 @@
 use base::TokenCount;
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
-use route::{Candidate, EngineSpeed, Headroom, InFlightLoad, Request, Warm, choose_with_headroom};
+use route::{
+    Candidate, EngineSpeed, Headroom, InFlightLoad, Request, Slowness, Warm, choose_with_headroom,
+};
 use yare::parameterized;
 
 const TARGET_TTFT: Duration = Duration::from_millis(600);
@@ -74,3 +76,15 @@
     assert_eq!(chosen([full(90), enough, full(80)]), Ok(Some(1)));
     assert_eq!(chosen([full(90), full(70), full(80)]), Err(Duration::from_millis(70)));
 }
+
+// Guards against a slow engine that is compared by the speed of the others.
+#[test]
+fn slow_engine_needs_more_headroom() {
+    let (load, cold) = (InFlightLoad::default(), TokenCount::new(2_800));
+    let target = Duration::from_millis(200);
+    let speed = EngineSpeed::default();
+    assert_eq!(speed.headroom(load, cold, target), Headroom::Enough);
+    let slow = speed.slowed_by(Slowness::from_factor(2.0));
+    assert_eq!(slow.expected_ttft(load, cold), speed.expected_ttft(load, cold) * 2);
+    assert_eq!(speed.slowed_by(Slowness::NOMINAL), speed);
+}
--- a/crates/route/tests/policies.rs
+++ b/crates/route/tests/policies.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 use rand::SeedableRng as _;
 use rand_pcg::Pcg64Mcg;
-use route::{AnyPolicy, Candidate, Policy, PolicyKind, Request, Warm, WarmSettings};
+use route::{AnyPolicy, Candidate, Policy, PolicyKind, Request, Slowness, Warm, WarmSettings};
 
 fn tokens(n: u64) -> TokenCount {
     TokenCount::new(n)
@@ -56,6 +56,15 @@
     warm_v1_chooses_the_home_without_warm_candidates: WarmV1, idle() => 2,
     warm_v1_chooses_the_warm_candidate: WarmV1, with(|c| c[0].warm_tokens = tokens(1_000)) => 0,
     home_wins_without_warm_candidates: Warm, idle() => 2,
+    fast_cold_wins_over_slow_warm: Warm, with(|c| {
+        c[2].warm_tokens = tokens(1_000);
+        c[2].slowness = Slowness::from_factor(7.5);
+        c[1].warm_tokens = tokens(500);
+    }) => 1,
+    slow_warm_wins_over_cold: Warm, with(|c| {
+        c[2].warm_tokens = tokens(1_800);
+        c[2].slowness = Slowness::from_factor(1.3);
+    }) => 2,
     warm_wins_over_home: Warm, with(|c| c[0].warm_tokens = tokens(2_000)) => 0,
     warm_wins_over_slightly_less_busy: Warm, with(|c| {
         c[0].warm_tokens = tokens(2_000);
@@ -211,6 +220,7 @@
                 report_age: ms(millis),
                 slots: busy as u32,
                 round_trip: ms(millis),
+                slowness: Slowness::from_factor(reported as f64 / 100.0),
             }
         }).collect();
         let req = Request { prompt_tokens: tokens(prompt), homes };
--- a/crates/route/tests/trace.rs
+++ b/crates/route/tests/trace.rs
@@ -12,7 +12,7 @@
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use route::{AnyPolicy, Candidate, Policy as _, PolicyKind, Request, WarmSettings};
+use route::{AnyPolicy, Candidate, Policy as _, PolicyKind, Request, Slowness, WarmSettings};
 
 const ENGINES: usize = 18;
 const ROUTERS: usize = 8;
@@ -153,6 +153,7 @@
                     report_age: Duration::from_secs_f64(now - at),
                     slots: 0,
                     round_trip: Duration::from_millis(if e % 3 == 0 { 0 } else { 10 }),
+                    slowness: Slowness::NOMINAL,
                 }
             })
             .collect();
