gateway: endpoints are compared by the response times that all hosts observe

Routers report expected and observed times with their polls; the leader publishes the endpoints that differ clearly, and each router scales expected times and in-flight requests by the factors. A change is logged and shown by the metric endpoint_slowness. Off unless GatewaySettings::endpoint_performance is set.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -127,6 +127,9 @@
     pub weights: u32,
     /// Time since newer weights were desired, as far as this host knows.
     pub outdated: Duration,
+    /// Time to the first event or the head of the response that a nominal endpoint was expected to
+    /// take.
+    pub expected: Duration,
 }
 
 /// Why an attempt has no response to forward.
@@ -295,6 +298,11 @@
         LostRequest { request: self.fingerprints, parts: self.shared_parts().collect(), waited }
     }
 
+    /// Records the time until an endpoint responded, or until the request was given up before.
+    pub(super) fn record_response_time(&self, target: &Target, sent: &SendRecord) {
+        self.gateway.record_response_time(self.gateway.clock.now(), target, sent);
+    }
+
     /// Records that an endpoint answered the request.
     pub(super) fn record_survival(&self) {
         let now = self.gateway.clock.now();
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -15,7 +15,7 @@
 use crate::{
     failure::Failure,
     gateway::{
-        AttemptHead, Dialect, EngineHead, ResponseHead,
+        AttemptHead, Dialect, EngineHead, ResponseHead, performance,
         placement::{self, Transfers},
         target::{InFlight, SendPermit, Target},
     },
@@ -78,6 +78,10 @@
             Responder::Replacement(started) => return Ok(*started),
         };
         let response = self.check_response(target, &sent, response)?;
+        // A stream has responded with its first event.
+        if !self.route.retry_policy.is_stream() && !response.status().is_server_error() {
+            self.record_response_time(target, &sent);
+        }
         let is_unframed = is_unframed(&response);
         Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
     }
@@ -97,7 +101,10 @@
             let why = tokio::select! {
                 biased;
                 response = &mut sending => return self.attempted(target, &sent, response),
-                () = tokio::time::sleep_until(self.deadline) => return Err(AttemptError::TimedOut),
+                () = tokio::time::sleep_until(self.deadline) => {
+                    self.record_response_time(target, &sent);
+                    return Err(AttemptError::TimedOut);
+                }
                 () = self.wait_until_start_overdue(sent.weights) => {
                     return Err(AttemptError::MayHaveRun(NOT_STARTED_IN_TIME.to_owned()));
                 }
@@ -117,6 +124,8 @@
                     if let Some(e) = lost {
                         // The replacement has responded; this only records what was lost.
                         let _ = self.attempted(target, &sent, Err(e));
+                    } else {
+                        self.record_response_time(target, &sent);
                     }
                     log::info!(request:% = self.caller_request.id, endpoint:% = target.endpoint,
                         to:% = started.in_flight.target().endpoint;
@@ -164,7 +173,8 @@
 
     fn send_record(&self, target: &Target) -> SendRecord {
         let (at, weights) = (self.gateway.clock.now(), target.version());
-        SendRecord { at, weights, outdated: self.outdated_for(weights, at) }
+        let expected = performance::expected_time(target, self.chain.is_some());
+        SendRecord { at, weights, outdated: self.outdated_for(weights, at), expected }
     }
 
     /// Returns for how long a version of the prompt's weights has not been the newest.
--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -52,6 +52,7 @@
 /// Polls the leader for published changes until the thread ends.
 pub(super) async fn run<D: Dialect>(gateway: Rc<Gateway<D>>) {
     let (mut version, mut next_sent) = (ViewVersion::default(), 0);
+    let mut slowness = ViewVersion::default();
     let mut is_leader_lost = false;
     loop {
         let sent = gateway.clock.now();
@@ -62,9 +63,10 @@
             .crash_evidence
             .borrow_mut()
             .take_report(sent, |target| gateway.targets.borrow().has_left(target));
+        let response_times = gateway.response_times.borrow_mut().take();
         let request = LeaderRequest::FollowPublished(FollowRequest {
             from: gateway.host.clone(),
-            seen: FollowCursor { number, version, next_sent },
+            seen: FollowCursor { number, version, next_sent, slowness },
             max_wait: if gateway.cfg.callers.is_some() {
                 CALLERS_MAX_POLL_WAIT
             } else {
@@ -74,6 +76,7 @@
             sent: reported.clone(),
             leaving: gateway.leaving_endpoints(),
             crashes: crashes.clone(),
+            response_times: response_times.clone(),
         });
         match gateway.leader.submit(&request, FOLLOW_TIMEOUT).await {
             Ok(LeaderResponse::Published(view)) => {
@@ -87,6 +90,10 @@
                 (version, next_sent) = (view.version, view.next_sent);
                 gateway.targets.borrow_mut().apply_view(now, &loads, &view);
                 gateway.crash_evidence.borrow_mut().apply_view(now, sent, crashes, &view);
+                if let Some(list) = &view.slowness {
+                    slowness = list.version;
+                    gateway.apply_slowness(list);
+                }
                 gateway.apply_view(sent, &view);
             }
             Ok(other) => {
@@ -95,6 +102,7 @@
             }
             Err(why) => {
                 gateway.unreported_prompts.borrow_mut().restore(reported);
+                gateway.response_times.borrow_mut().restore(response_times);
                 gateway.crash_evidence.borrow_mut().restore(sent, crashes);
                 if !std::mem::replace(&mut is_leader_lost, true) {
                     log::warn!(why:? = why; "leader poll failed");
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod listen;
 mod liveness;
 mod notices;
+mod performance;
 mod placement;
 mod relay;
 mod segment;
@@ -39,11 +40,13 @@
 
 use base::{DataCentreId, HostId, MonotonicTime, OrganisationId, ServiceId};
 use fleet::LeaderSighting;
-use member::{HeldAnnouncements, Roster};
+use member::{HeldAnnouncements, IncarnationKey, Roster};
 use prefix::{PartChain, SentPrompt, UnreportedPrompts};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use route::{BudgetSettings, EngineSpeed, RetryBudget, Warm, WarmSettings};
+use route::{
+    BudgetSettings, EngineSpeed, ResponseTimes, RetryBudget, Slowness, Warm, WarmSettings,
+};
 use routes::{Organisation, Table};
 use telemetry::{Metrics, Recorder};
 
@@ -153,6 +156,8 @@
     /// Prompts sent to engines that were not reported to the leader yet.
     unreported_prompts: RefCell<UnreportedPrompts>,
     crash_evidence: RefCell<CrashEvidence>,
+    /// Response times of endpoints that were not reported to the leader yet.
+    response_times: RefCell<ResponseTimes<IncarnationKey>>,
     /// Timestamp of the latest roster.
     roster_updated_at: Cell<MonotonicTime>,
     /// Number of hosts that share the fleet's retry budget and the limits that endpoints state.
@@ -214,6 +219,7 @@
             held_announcements: RefCell::default(),
             unreported_prompts: RefCell::default(),
             crash_evidence: RefCell::default(),
+            response_times: RefCell::default(),
             roster_updated_at: Cell::new(MonotonicTime::ZERO),
             router_count: Cell::new(1),
             budgets: RefCell::default(),
@@ -409,6 +415,9 @@
         for endpoint in &changes.left {
             log::debug!(endpoint:%; "endpoint removed from routing");
         }
+        for endpoint in &changes.left_with_slowness {
+            gateway.metrics.set_endpoint_slowness(endpoint, Slowness::NOMINAL.factor());
+        }
         gateway.roster_updated_at.set(roster.at);
         let others = roster.peers.iter().filter(|peer| !peer.update.votes).count();
         let router_count = u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1);
--- /dev/null
+++ b/crates/daemon/src/gateway/performance.rs
@@ -0,0 +1,49 @@
+//! Response times that the leader compares endpoints by, and the slowness that it infers.
+
+use std::time::Duration;
+
+use base::{MonotonicTime, TokenCount};
+use route::{EngineSpeed, ServiceKey, expected_call_time};
+use wire::leader::SlownessList;
+
+use super::{Dialect, Gateway, exchange::SendRecord, target::Target};
+
+/// Returns the expected time to the first event or the head of a response of a nominal endpoint, by
+/// the load of `target` as known now; it includes the request that is about to be sent.
+pub(super) fn expected_time(target: &Target, is_prompt: bool) -> Duration {
+    let load = target.load();
+    if is_prompt {
+        EngineSpeed::default().expected_ttft(load, TokenCount::ZERO)
+    } else {
+        expected_call_time(load.requests.saturating_sub(1))
+    }
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Records that the response to a request began at `now`, or had not begun when the request was
+    /// given up.
+    pub(super) fn record_response_time(
+        &self,
+        now: MonotonicTime,
+        target: &Target,
+        sent: &SendRecord,
+    ) {
+        if !self.cfg.endpoint_performance {
+            return;
+        }
+        let observed = now.saturating_since(sent.at);
+        let service = ServiceKey::of(&target.service);
+        let mut times = self.response_times.borrow_mut();
+        times.record(target.incarnation_key, service, sent.expected, observed);
+    }
+
+    /// Applies the leader's list of slow endpoints.
+    pub(super) fn apply_slowness(&self, list: &SlownessList) {
+        if !self.cfg.endpoint_performance {
+            return;
+        }
+        for target in self.targets.borrow_mut().apply_slowness(&list.endpoints) {
+            self.metrics.set_endpoint_slowness(&target.endpoint, target.slowness().factor());
+        }
+    }
+}
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -7,7 +7,8 @@
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
 use route::{
-    Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Warm, choose_with_headroom,
+    Candidate, EndpointKey, EngineSpeed, Headroom, Policy as _, Request, Slowness, Warm,
+    choose_with_headroom,
 };
 
 use super::{target::Target, targets::Targets};
@@ -187,7 +188,7 @@
     let tokens = prompt.chain.tokens().as_u64();
     let uncached =
         TokenCount::new(tokens.saturating_sub(target.warm_tokens(prompt.chain).as_u64()));
-    EngineSpeed::with_slots(requirements.slots).headroom(
+    EngineSpeed::with_slots(requirements.slots).slowed_by(target.slowness()).headroom(
         target.load(),
         uncached,
         requirements.first_event_objective,
@@ -245,6 +246,7 @@
         slots: requirements.slots,
         // The score adds these costs as it adds a round trip.
         round_trip: cost,
+        slowness: target.slowness(),
     }
 }
 
@@ -377,9 +379,9 @@
 ) -> Option<&'a Rc<Target>> {
     let load = |target: &Target| {
         let is_remote = target.data_centre != *requirements.local_data_centre;
-        target.in_flight()
-            + target.other_load().requests
-            + if is_remote { REMOTE_REQUEST_PENALTY } else { 0 }
+        let penalty = if is_remote { REMOTE_REQUEST_PENALTY } else { 0 };
+        target.slowness().weighted_load(target.load().requests)
+            + Slowness::NOMINAL.weighted_load(penalty)
     };
     let least = usable.iter().map(|target| load(target)).min()?;
     let tied: Vec<_> = usable.iter().filter(|target| load(target) == least).collect();
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -267,6 +267,10 @@
     log_interrupted(exchange, segment, why);
     let outcome = match resume_unless_revived(exchange, segment, last_id).await {
         Some(Ok(next)) => {
+            if segment.first_event.is_none() {
+                let started = &segment.started;
+                exchange.record_response_time(started.in_flight.target(), &started.sent);
+            }
             *segment = segment_of(exchange, next);
             "moved".to_owned()
         }
@@ -386,6 +390,8 @@
     segment.started.in_flight.mark_prefilled();
     if segment.first_event.is_none() {
         log_outdated_start(exchange, &segment.started, now);
+        let started = &segment.started;
+        exchange.record_response_time(started.in_flight.target(), &started.sent);
     }
     let first = *segment.first_event.get_or_insert(now);
     if !segment.has_survived && CRASH_WINDOW <= now.saturating_since(first) {
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -41,6 +41,8 @@
     pub retries: FleetRetries,
     /// Time from the shutdown signal until the process is killed.
     pub grace_period: Duration,
+    /// Whether endpoints are compared by the speed that all hosts observe.
+    pub endpoint_performance: bool,
 }
 
 impl GatewaySettings {
--- a/crates/daemon/src/gateway/target.rs
+++ b/crates/daemon/src/gateway/target.rs
@@ -7,10 +7,10 @@
 };
 
 use base::{DataCentreId, EndpointId, Incarnation, ModelId, MonotonicTime, ServiceId, TokenCount};
-use member::{Announcement, EndpointKind, EndpointRecord};
+use member::{Announcement, EndpointKind, EndpointRecord, IncarnationKey};
 use prefix::{PartCacheModel, PartChain};
 use route::{
-    EndpointKey, InFlightLoad, LimitChange, LimitResponse, SentLoad, StatedConstraints,
+    EndpointKey, InFlightLoad, LimitChange, LimitResponse, SentLoad, Slowness, StatedConstraints,
     StatedLimit, StatedWait,
 };
 
@@ -43,6 +43,8 @@
     /// The endpoint's compact key in messages between hosts.
     pub key: EndpointKey,
     pub incarnation: Incarnation,
+    /// The incarnation's compact key in messages between hosts.
+    pub incarnation_key: IncarnationKey,
     pub address: SocketAddr,
     pub data_centre: DataCentreId,
     pub service: ServiceId,
@@ -69,6 +71,8 @@
     limit: Cell<StatedLimit>,
     /// For how long it accepts no requests from this host, as it stated.
     wait: Cell<StatedWait>,
+    /// How much slower it is than its service's median endpoint.
+    slowness: Cell<Slowness>,
 }
 
 /// A request in flight at an endpoint, until dropped.
@@ -94,6 +98,7 @@
             endpoint: announcement.endpoint.clone(),
             key: EndpointKey::of(&announcement.endpoint),
             incarnation: announcement.incarnation,
+            incarnation_key: IncarnationKey::of(announcement),
             address: announcement.address,
             data_centre: announcement.data_centre.clone(),
             service,
@@ -110,9 +115,20 @@
             other_load: Cell::default(),
             limit: Cell::new(constraints.limit),
             wait: Cell::new(constraints.wait),
+            slowness: Cell::default(),
         }
     }
 
+    /// Returns how much slower it is than its service's median endpoint.
+    pub(super) fn slowness(&self) -> Slowness {
+        self.slowness.get()
+    }
+
+    /// Sets its slowness, and returns the previous one.
+    pub(super) fn set_slowness(&self, slowness: Slowness) -> Slowness {
+        self.slowness.replace(slowness)
+    }
+
     /// Returns what it has stated about the requests that it accepts from this host.
     pub(super) fn constraints(&self) -> StatedConstraints {
         StatedConstraints { limit: self.limit.get(), wait: self.wait.get() }
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -11,7 +11,9 @@
 use fleet::ReceivedEngineUpdates;
 use member::{Announcement, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster};
 use prefix::{PartChain, SentPrompt};
-use route::{EndedConstraints, EndpointKey, SentLoad, StatedConstraints};
+use route::{
+    EndedConstraints, EndpointKey, PublishedSlowness, SentLoad, Slowness, StatedConstraints,
+};
 use routes::KvStore;
 use wire::leader::PublishedView;
 
@@ -23,6 +25,9 @@
 /// Assumed KV capacity of an engine in tokens, until a configuration sets it.
 const DEFAULT_KV_TOKENS: TokenCount = TokenCount::new(60_000);
 
+/// Most changes of endpoints' slowness that are logged for one list.
+const MAX_LOGGED_CHANGES: usize = 8;
+
 /// The endpoints that may get requests.
 #[derive(Default)]
 pub(super) struct Targets {
@@ -38,6 +43,8 @@
     stated_leaving: BTreeSet<IncarnationKey>,
     /// What endpoints had stated to this host when their leases ended.
     ended_constraints: EndedConstraints,
+    /// The endpoints that differ in speed, as the leader published last.
+    slowness: BTreeMap<IncarnationKey, Slowness>,
 }
 
 /// Changes of the set of endpoints.
@@ -45,6 +52,8 @@
 pub(super) struct TargetChanges {
     pub joined: Vec<EndpointId>,
     pub left: Vec<EndpointId>,
+    /// Those that left and had a slowness other than nominal.
+    pub left_with_slowness: Vec<EndpointId>,
 }
 
 impl Targets {
@@ -61,6 +70,9 @@
                 .is_some_and(|record| record.announcement.incarnation == target.incarnation);
             if !stays {
                 changes.left.push(id.clone());
+                if target.slowness() != Slowness::NOMINAL {
+                    changes.left_with_slowness.push(id.clone());
+                }
                 let (incarnation, constraints) = (target.incarnation, target.constraints());
                 self.ended_constraints.keep(roster.at, id, incarnation, constraints);
             }
@@ -81,6 +93,9 @@
             }
             let target = Target::new(record, service.clone(), kv_tokens, constraints);
             target.renew(record, roster.stale_after);
+            if let Some(slowness) = self.slowness.get(&target.incarnation_key) {
+                target.set_slowness(*slowness);
+            }
             self.by_id.insert(id.clone(), Rc::new(target));
             changes.joined.push(id.clone());
         }
@@ -105,6 +120,36 @@
         self.apply_engine_updates();
     }
 
+    /// Applies the leader's list of endpoints that differ in speed; the others are nominal. Returns
+    /// the endpoints whose slowness has changed.
+    pub(super) fn apply_slowness(
+        &mut self,
+        endpoints: &[PublishedSlowness<IncarnationKey>],
+    ) -> Vec<Rc<Target>> {
+        let listed: BTreeMap<_, _> = endpoints.iter().map(|slow| (slow.endpoint, slow)).collect();
+        let mut changed = Vec::new();
+        for target in self.by_id.values() {
+            let published = listed.get(&target.incarnation_key);
+            let slowness = published.map_or(Slowness::NOMINAL, |slow| slow.slowness.bounded());
+            if target.set_slowness(slowness) == slowness {
+                continue;
+            }
+            changed.push(Rc::clone(target));
+            if changed.len() <= MAX_LOGGED_CHANGES {
+                log::info!(endpoint:% = target.endpoint, incarnation:% = target.incarnation,
+                    factor:% = slowness, weight = published.map_or(0, |slow| slow.weight),
+                    median_percent = published.map_or(0, |slow| slow.median);
+                    "endpoint slowness changed");
+            }
+        }
+        if MAX_LOGGED_CHANGES < changed.len() {
+            log::info!(unlogged = changed.len() - MAX_LOGGED_CHANGES; "endpoint slowness changed");
+        }
+        self.slowness =
+            listed.into_iter().map(|(key, slow)| (key, slow.slowness.bounded())).collect();
+        changed
+    }
+
     /// Returns the load that this host has placed on endpoints.
     pub(super) fn sent_loads(&self) -> Vec<SentLoad> {
         let busy = self.by_id.values().filter(|target| target.in_flight() != 0);
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -229,6 +229,7 @@
             if self.leading.take().is_some() {
                 log::info!(term:% = self.node.term(); "leadership lost");
                 self.followers.clear_crashes();
+                self.followers.clear_slowness();
             }
             // Engine states of a former leader are outdated.
             self.followers.clear_engines();
@@ -238,6 +239,7 @@
         if self.leading.is_none_or(|(led_term, _)| led_term != term) {
             self.leading = Some((term, self.clock.now()));
             self.followers.clear_engines();
+            self.followers.clear_slowness();
             self.followers.record_change();
             log::info!(term:%; "leadership acquired");
         }
--- a/crates/daemon/src/replica/followers.rs
+++ b/crates/daemon/src/replica/followers.rs
@@ -7,8 +7,10 @@
 use member::{IncarnationKey, LeavingSet};
 use prefix::SentPromptLog;
 use quarantine::Detector;
-use route::{LoadAggregator, SentLoad};
-use wire::leader::{CrashReport, FollowCursor, FollowRequest, PublishedView, ViewVersion};
+use route::{LoadAggregator, SentLoad, SlownessEstimator};
+use wire::leader::{
+    CrashReport, FollowCursor, FollowRequest, PublishedView, SlownessList, ViewVersion,
+};
 
 use super::pending::ReplySender;
 
@@ -33,6 +35,9 @@
     leaving_set: LeavingSet,
     crash_detector: Detector<IncarnationKey>,
     next_crash_check: MonotonicTime,
+    slowness: SlownessEstimator<IncarnationKey>,
+    /// Number of published lists of slow endpoints.
+    slowness_lists: u64,
     /// When weights became the desired ones, as far as this host observed or received it.
     weights: BTreeMap<ModelId, WeightsHistory>,
     /// Number of changes so far; each one ends the waiting polls.
@@ -56,6 +61,8 @@
             leaving_set: LeavingSet::default(),
             crash_detector: Detector::default(),
             next_crash_check: MonotonicTime::ZERO,
+            slowness: SlownessEstimator::default(),
+            slowness_lists: 0,
             weights: BTreeMap::new(),
             changes: 0,
         }
@@ -74,6 +81,7 @@
         self.sent.extend(&poll.from, std::mem::take(&mut poll.sent));
         self.record_leaving(now, &poll.leaving);
         self.record_crashes(now, std::mem::take(&mut poll.crashes));
+        self.slowness.record(now, &std::mem::take(&mut poll.response_times));
         let deadline = now + poll.max_wait.min(MAX_POLL_WAIT);
         self.polls.push(PendingPoll { poll, reply, deadline });
     }
@@ -166,6 +174,29 @@
         self.crash_detector = Detector::default();
     }
 
+    /// Forgets the speeds of endpoints; routers keep the last list until the next leader's.
+    pub(super) fn clear_slowness(&mut self) {
+        self.slowness = SlownessEstimator::default();
+        self.slowness_lists = 0;
+    }
+
+    /// Returns the list of slow endpoints, unless there is none yet or the follower has it.
+    fn slowness_list(
+        &mut self,
+        now: MonotonicTime,
+        term: Term,
+        seen: ViewVersion,
+    ) -> Option<SlownessList> {
+        if self.slowness.update(now) {
+            self.slowness_lists += 1;
+        }
+        let version = ViewVersion { term, changes: self.slowness_lists };
+        if self.slowness_lists == 0 || seen == version {
+            return None;
+        }
+        Some(SlownessList { version, endpoints: self.slowness.published().copied().collect() })
+    }
+
     /// Returns the load that all routers report to have placed on endpoints.
     pub(super) fn loads(&mut self, now: MonotonicTime) -> Vec<SentLoad> {
         self.loads.totals(now)
@@ -197,6 +228,7 @@
             next_sent: self.sent.next(),
             suspects: self.crash_detector.suspects(),
             quarantined: self.crash_detector.quarantined(now),
+            slowness: self.slowness_list(now, term, seen.slowness),
         }
     }
 
--- a/crates/telemetry/src/instruments.rs
+++ b/crates/telemetry/src/instruments.rs
@@ -30,6 +30,7 @@
     pub(crate) endpoint_notices: Counter<u64>,
     pub(crate) unused_announcements: Counter<u64>,
     pub(crate) gossip_bytes: Counter<u64>,
+    pub(crate) endpoint_slowness: Gauge<f64>,
     pub(crate) revision: Gauge<u64>,
     pub(crate) quorum_role: Gauge<u64>,
     pub(crate) quorum_term: Gauge<u64>,
@@ -77,6 +78,10 @@
                 "Announcements of endpoints that were not applied.",
             ),
             gossip_bytes: count("gossip_bytes", "Bytes of gossip by direction."),
+            endpoint_slowness: meter
+                .f64_gauge("endpoint_slowness")
+                .with_description("Slowness of endpoints, relative to their service's median.")
+                .build(),
             revision: gauge("configuration_revision", "Revision of the configuration in force."),
             quorum_role: gauge("quorum_role", "1 for the role held, 0 for the others."),
             quorum_term: gauge("quorum_term", "Latest term seen."),
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use base::{ByteCount, OrganisationId, Revision, Term};
+use base::{ByteCount, EndpointId, OrganisationId, Revision, Term};
 use eyre::WrapErr as _;
 use opentelemetry::{KeyValue, metrics::MeterProvider as _};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
@@ -179,6 +179,12 @@
         self.instruments.gossip_bytes.add(bytes.as_u64(), &self.received);
     }
 
+    /// Sets the gauge of an endpoint's slowness; 1 is that of its service's median endpoint.
+    pub fn set_endpoint_slowness(&self, endpoint: &EndpointId, factor: f64) {
+        let labels = [KeyValue::new("endpoint", endpoint.to_string())];
+        self.instruments.endpoint_slowness.record(factor, &labels);
+    }
+
     /// Sets the gauge of the revision of the configuration in force.
     pub fn set_configuration_revision(&self, revision: Revision) {
         self.instruments.revision.record(revision.as_u64(), &[]);
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -10,7 +10,7 @@
 use prefix::SentPrompt;
 use quarantine::{Crash, Quarantined, Survival, Suspect};
 use quorum::{FolderId, VoterSet};
-use route::SentLoad;
+use route::{PublishedSlowness, ResponseSums, SentLoad};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::BodyError;
@@ -65,6 +65,8 @@
     pub leaving: Vec<IncarnationKey>,
     /// What the router knows of crashes of endpoints.
     pub crashes: CrashReport,
+    /// Response times of endpoints since its last request.
+    pub response_times: Vec<ResponseSums<IncarnationKey>>,
 }
 
 /// A router's evidence on the parts of prompts and the requests that crash endpoints.
@@ -87,6 +89,8 @@
     pub version: ViewVersion,
     /// The position after the sent prompts of the last response, in the same term.
     pub next_sent: u64,
+    /// The version of the endpoints' slowness that it has.
+    pub slowness: ViewVersion,
 }
 
 /// The version of a leader's response; equal versions come from the same leader and state.
@@ -123,6 +127,17 @@
     pub suspects: Vec<Suspect>,
     /// What is kept from endpoints.
     pub quarantined: Vec<Quarantined>,
+    /// How slow endpoints are, if that has changed since the cursor.
+    pub slowness: Option<SlownessList>,
+}
+
+/// All endpoints that differ in speed from their service's median endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlownessList {
+    /// The list's version.
+    pub version: ViewVersion,
+    /// The endpoints.
+    pub endpoints: Vec<PublishedSlowness<IncarnationKey>>,
 }
 
 /// The leader's response.
