--- a/crates/route/src/slowness_estimator.rs
+++ b/crates/route/src/slowness_estimator.rs
@@ -216,7 +216,9 @@
     fn slowness(&self, ratio: &RelativeRatio) -> Slowness {
         let recent = self.short.count();
         let weight = recent / (recent + HALF_WEIGHT_RESPONSES);
-        Slowness::from_factor(1.0 + (ratio.log.exp() - 1.0) * weight)
+        // An unbounded ratio would take longer to return to 1 without responses.
+        let bounded = Slowness::from_factor(ratio.log.exp()).factor();
+        Slowness::from_factor(1.0 + (bounded - 1.0) * weight)
     }
 }
 
