--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -54,6 +54,7 @@
 /// Polls the leader for published changes until the thread ends.
 pub(super) async fn run<D: Dialect>(gateway: Rc<Gateway<D>>) {
     let (mut version, mut next_sent) = (ViewVersion::default(), 0);
+    let mut slowness = ViewVersion::default();
     let mut is_leader_lost = false;
     loop {
         let sent = gateway.clock.now();
@@ -64,11 +65,12 @@
             .crash_evidence
             .borrow_mut()
             .take_report(sent, |target| gateway.targets.borrow().has_left(target));
+        let response_times = gateway.response_times.borrow_mut().take();
         let (quota, next_quota) =
             (gateway.quota_report(), gateway.quotas.gate().borrow().position());
         let request = LeaderRequest::FollowPublished(FollowRequest {
             from: gateway.host.clone(),
-            seen: FollowCursor { number, version, next_sent, next_quota },
+            seen: FollowCursor { number, version, next_sent, slowness, next_quota },
             max_wait: if gateway.cfg.callers.is_some() {
                 CALLERS_MAX_POLL_WAIT
             } else {
@@ -78,6 +80,7 @@
             sent: reported.clone(),
             leaving: gateway.leaving_endpoints(),
             crashes: crashes.clone(),
+            response_times: response_times.clone(),
             quota,
         });
         match gateway.leader.submit(&request, FOLLOW_TIMEOUT).await {
@@ -92,6 +95,10 @@
                 (version, next_sent) = (view.version, view.next_sent);
                 gateway.targets.borrow_mut().apply_view(now, &loads, &view);
                 gateway.crash_evidence.borrow_mut().apply_view(now, sent, crashes, &view);
+                if let Some(list) = &view.slowness {
+                    slowness = list.version;
+                    gateway.apply_slowness(list);
+                }
                 gateway.quotas.gate().borrow_mut().apply_view(sent, view.quota.as_ref());
                 gateway.apply_view(sent, &view);
             }
@@ -101,6 +108,7 @@
             }
             Err(why) => {
                 gateway.unreported_prompts.borrow_mut().restore(reported);
+                gateway.response_times.borrow_mut().restore(response_times);
                 gateway.crash_evidence.borrow_mut().restore(sent, crashes);
                 gateway.quotas.gate().borrow_mut().record_failed_poll(gateway.clock.now());
                 if !std::mem::replace(&mut is_leader_lost, true) {
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -7,8 +7,8 @@
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
 use route::{
-    Candidate, EndpointKey, EngineMemory, EngineSpeed, Headroom, Policy as _, Request, Urgency,
-    Warm, choose_with_headroom,
+    Candidate, EndpointKey, EngineMemory, EngineSpeed, Headroom, Policy as _, Request, Slowness,
+    Urgency, Warm, choose_with_headroom,
 };
 
 use super::{target::Target, targets::Targets};
@@ -240,7 +240,7 @@
     let tokens = prompt.chain.tokens().as_u64();
     let uncached =
         TokenCount::new(tokens.saturating_sub(target.warm_tokens(prompt.chain).as_u64()));
-    let mut speed = EngineSpeed::with_slots(requirements.slots);
+    let mut speed = EngineSpeed::with_slots(requirements.slots).slowed_by(target.slowness());
     if requirements.leaves_reserved_slots {
         speed = speed.without_reserved_slots();
     }
@@ -302,6 +302,7 @@
         slots: requirements.slots,
         // The score adds these costs as it adds a round trip.
         round_trip: cost,
+        slowness: target.slowness(),
     }
 }
 
@@ -434,9 +435,9 @@
 ) -> Option<&'a Rc<Target>> {
     let load = |target: &Target| {
         let is_remote = target.data_centre != *requirements.local_data_centre;
-        target.in_flight()
-            + target.other_load().requests
-            + if is_remote { REMOTE_REQUEST_PENALTY } else { 0 }
+        let penalty = if is_remote { REMOTE_REQUEST_PENALTY } else { 0 };
+        target.slowness().weighted_load(target.load().requests)
+            + Slowness::NOMINAL.weighted_load(penalty)
     };
     let least = usable.iter().map(|target| load(target)).min()?;
     let tied: Vec<_> = usable.iter().filter(|target| load(target) == least).collect();
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -44,6 +44,7 @@
     stores: Vec<KvStore>,
     organisations: Vec<Arc<Organisation>>,
     keys: HashMap<ApiKey, usize>,
+    has_quotas: bool,
     limits: Limits,
     /// The scope of cached parts of all requests but those of isolated organisations.
     shared_scope: CacheScope,
@@ -58,6 +59,7 @@
             stores: Vec::new(),
             organisations: Vec::new(),
             keys: HashMap::new(),
+            has_quotas: false,
             limits: Limits::default(),
             shared_scope: CacheScope::shared([]),
         }
@@ -140,10 +142,8 @@
     }
 
     /// Returns whether any organisation has a quota.
-    ///
-    /// Organisations can't have quotas yet. Once they do, this is computed when the table is built.
     pub fn has_quotas(&self) -> bool {
-        false
+        self.has_quotas
     }
 
     /// Returns whether the admission of a service's requests depends on their urgency: its routes
@@ -243,6 +243,7 @@
                 return Err(TableError::DuplicateKey);
             }
         }
+        self.has_quotas |= organisation.quota.is_some();
         self.organisations.push(Arc::new(organisation));
         Ok(())
     }
--- a/crates/wire/src/leader.rs
+++ b/crates/wire/src/leader.rs
@@ -11,7 +11,7 @@
 use quarantine::{Crash, Quarantined, Survival, Suspect};
 use quorum::{FolderId, VoterSet};
 use quota::{Answer, Demand, QuotaReport, QuotaView};
-use route::SentLoad;
+use route::{PublishedSlowness, ResponseSums, SentLoad};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::BodyError;
@@ -68,6 +68,8 @@
     pub leaving: Vec<IncarnationKey>,
     /// What the router knows of crashes of endpoints.
     pub crashes: CrashReport,
+    /// Response times of endpoints since its last request.
+    pub response_times: Vec<ResponseSums<IncarnationKey>>,
     /// What the router has admitted of limited organisations, if it serves callers and there are any.
     pub quota: Option<QuotaReport>,
 }
@@ -92,6 +94,8 @@
     pub version: ViewVersion,
     /// The position after the sent prompts of the last response, in the same term.
     pub next_sent: u64,
+    /// The version of the endpoints' slowness that it has.
+    pub slowness: ViewVersion,
     /// The position after the quota changes of the last response, in the same term.
     pub next_quota: u64,
 }
@@ -130,10 +134,21 @@
     pub suspects: Vec<Suspect>,
     /// What is kept from endpoints.
     pub quarantined: Vec<Quarantined>,
+    /// How slow endpoints are, if that has changed since the cursor.
+    pub slowness: Option<SlownessList>,
     /// The limited organisations whose requests need no ask, if there are any limits.
     pub quota: Option<QuotaView>,
 }
 
+/// All endpoints that differ in speed from their service's median endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlownessList {
+    /// The list's version.
+    pub version: ViewVersion,
+    /// The endpoints.
+    pub endpoints: Vec<PublishedSlowness<IncarnationKey>>,
+}
+
 /// The leader's response.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LeaderResponse {
