--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -133,12 +133,16 @@
 
     /// Returns the class that the wait of the request is computed for.
     fn effective_urgency(&self, table: &Table, service: &ServiceId) -> Urgency {
-        match table.distinguishes_urgency(service) {
+        match self.prefers_urgent(table, service) {
             true => Urgency::of(self.urgency()),
             false => Urgency::Normal,
         }
     }
 
+    fn prefers_urgent(&self, table: &Table, service: &ServiceId) -> bool {
+        self.gateway.cfg.overload.prefers_urgent && table.distinguishes_urgency(service)
+    }
+
     /// Returns whether the request leaves slots to urgent ones, which have arrived recently.
     fn leaves_reserved_slots(&self, table: &Table, service: &ServiceId, urgency: Urgency) -> bool {
         let now = self.gateway.clock.now();
@@ -147,7 +151,7 @@
             targets.record_urgent(service, now);
             return false;
         }
-        table.distinguishes_urgency(service) && targets.has_recent_urgent(service, now)
+        self.prefers_urgent(table, service) && targets.has_recent_urgent(service, now)
     }
 
     /// Returns the service that all attempts of the request go to.
@@ -197,7 +201,7 @@
     /// Configurations without quotas state it only for the estimate of what engines cache.
     pub(super) fn engine_memory(&self) -> Option<EngineMemory> {
         let table = &self.active_configuration.table;
-        if !table.has_quotas() {
+        if !self.gateway.cfg.overload.bounds_memory || !table.has_quotas() {
             return None;
         }
         let service = table.service(self.service()?)?;
--- a/crates/daemon/src/gateway/exchange/shares.rs
+++ b/crates/daemon/src/gateway/exchange/shares.rs
@@ -45,8 +45,9 @@
         &self,
         update: impl FnOnce(&mut TokenShares, MonotonicTime, &Arc<str>) -> T,
     ) -> Option<T> {
-        let has_quotas = self.active_configuration.table.has_quotas();
-        if !has_quotas || self.chain.is_none() || !self.progress.tried.is_empty() {
+        let is_sharing =
+            self.gateway.cfg.overload.shares_tokens && self.active_configuration.table.has_quotas();
+        if !is_sharing || self.chain.is_none() || !self.progress.tried.is_empty() {
             return None;
         }
         let (organisation, service) = (self.organisation.as_ref()?, self.service()?);
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -74,7 +74,7 @@
     AttemptHead, CallerRequest, ControlRequest, ControlRequestError, ControlResponse, DecodeError,
     Dialect, EngineHead, EngineReport, LoadWeightsRequest, Prompt, ResponseHead,
 };
-pub use settings::{FleetRetries, GatewaySettings};
+pub use settings::{FleetRetries, GatewaySettings, OverloadSettings};
 
 /// Share of the fleet's retry budget that hosts spend, so that restarts don't exceed the budget.
 const HOST_RETRY_SHARE: f64 = 0.8;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -50,7 +50,7 @@
     gateway::{
         AttemptHead, CallerRequest, ControlRequest, ControlRequestError, ControlResponse,
         DecodeError, Dialect, EngineHead, EngineReport, FleetRetries, GatewaySettings,
-        LoadWeightsRequest, Prompt, ResponseHead,
+        LoadWeightsRequest, OverloadSettings, Prompt, ResponseHead,
     },
     peers::{PeerClient, PeerResponse},
     run::{exit_code, gateway_exit_code, main, run, run_gateway},
