--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -197,14 +197,11 @@
     }
 
     /// Returns the memory of the engines of the request's service, if it bounds their requests.
-    ///
-    /// Configurations without quotas state it only for the estimate of what engines cache.
     pub(super) fn engine_memory(&self) -> Option<EngineMemory> {
-        let table = &self.active_configuration.table;
-        if !self.gateway.cfg.overload.bounds_memory || !table.has_quotas() {
+        if !self.gateway.cfg.overload.bounds_memory {
             return None;
         }
-        let service = table.service(self.service()?)?;
+        let service = self.active_configuration.table.service(self.service()?)?;
         EngineMemory::new(service.engine.as_ref()?.kv_tokens)
     }
 
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -43,18 +43,19 @@
     pub grace_period: Duration,
     /// Whether endpoints are compared by the speed that all hosts observe.
     pub endpoint_performance: bool,
-    /// Admission of prompts under overload, for configurations with quotas.
+    /// Admission of prompts under overload.
     pub overload: OverloadSettings,
 }
 
 /// Which decisions a gateway takes under overload; none by default.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct OverloadSettings {
-    /// Whether urgent prompts wait only for urgent work, and find slots reserved.
+    /// Whether urgent prompts wait only for urgent work, and find slots reserved, in configurations
+    /// with quotas.
     pub prefers_urgent: bool,
     /// Whether the tokens in flight at an engine stay within its memory.
     pub bounds_memory: bool,
-    /// Whether organisations over their equal share are refused first.
+    /// Whether organisations over their equal share are refused first, in configurations with quotas.
     pub shares_tokens: bool,
 }
 
