--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -10,15 +10,17 @@
     body::{Body as _, Incoming},
     header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING},
 };
+use route::Urgency;
 use tokio::time::Instant;
 
 use crate::{
     failure::Failure,
     gateway::{
-        AttemptHead, Dialect, EngineHead, ResponseHead,
+        AttemptHead, Dialect, EngineHead, ResponseHead, performance,
         placement::{self, Transfers},
         target::{InFlight, SendPermit, Target},
     },
+    in_flight::Work,
     net::{self, AbortOnDrop},
 };
 
@@ -59,7 +61,7 @@
         permit: SendPermit,
         resume_after: Option<&str>,
     ) -> Result<StartedResponse, AttemptError> {
-        let in_flight = InFlight::begin(target, self.uncached_tokens(target));
+        let in_flight = InFlight::begin(target, self.work(target));
         let (source, address) = (self.gateway.source, target.address);
         let left = self.deadline.saturating_duration_since(Instant::now());
         let connected = net::connect_http(source, address, CONNECT_TIMEOUT.min(left)).await;
@@ -91,6 +93,10 @@
             }
             checked => checked?,
         };
+        // A stream has responded with its first event.
+        if !self.route.retry_policy.is_stream() && !response.status().is_server_error() {
+            self.record_response_time(target, &sent);
+        }
         let is_unframed = is_unframed(&response);
         Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
     }
@@ -110,7 +116,10 @@
             let why = tokio::select! {
                 biased;
                 response = &mut sending => return self.attempted(target, &sent, response),
-                () = tokio::time::sleep_until(self.deadline) => return Err(AttemptError::TimedOut),
+                () = tokio::time::sleep_until(self.deadline) => {
+                    self.record_response_time(target, &sent);
+                    return Err(AttemptError::TimedOut);
+                }
                 () = self.wait_until_start_overdue(sent.weights) => {
                     return Err(AttemptError::MayHaveRun(NOT_STARTED_IN_TIME.to_owned()));
                 }
@@ -130,6 +139,8 @@
                     if let Some(e) = lost {
                         // The replacement has responded; this only records what was lost.
                         let _ = self.attempted(target, &sent, Err(e));
+                    } else {
+                        self.record_response_time(target, &sent);
                     }
                     log::info!(request:% = self.caller_request.id, endpoint:% = target.endpoint,
                         to:% = started.in_flight.target().endpoint;
@@ -177,7 +188,8 @@
 
     fn send_record(&self, target: &Target) -> SendRecord {
         let (at, weights) = (self.gateway.clock.now(), target.version());
-        SendRecord { at, weights, outdated: self.outdated_for(weights, at) }
+        let expected = performance::expected_time(target, self.chain.is_some());
+        SendRecord { at, weights, outdated: self.outdated_for(weights, at), expected }
     }
 
     /// Returns for how long a version of the prompt's weights has not been the newest.
@@ -275,6 +287,13 @@
         now + left.mul_f64(ATTEMPT_TIME_SHARE).max(MIN_ATTEMPT_TIMEOUT).min(left)
     }
 
+    /// Returns what the request adds to the work of an endpoint.
+    fn work(&self, target: &Target) -> Work {
+        let prefill_tokens = self.uncached_tokens(target);
+        let (urgency, held_tokens) = (Urgency::of(self.urgency()), self.held_tokens());
+        Work { prefill_tokens, urgency, held_tokens }
+    }
+
     fn uncached_tokens(&self, target: &Target) -> TokenCount {
         let Some(chain) = &self.chain else { return TokenCount::ZERO };
         let warm = target.warm_tokens(chain).as_u64();
@@ -322,7 +341,8 @@
         placement::transfers(&targets, target, chain, self.gateway.clock.now())
     }
 
-    fn urgency(&self) -> u8 {
+    /// Returns the priority of the request; 0 is the most urgent.
+    pub(super) fn urgency(&self) -> u8 {
         let own = self.organisation.as_ref().and_then(|organisation| organisation.priority);
         own.unwrap_or(self.route.priority)
     }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod listen;
 mod liveness;
 mod notices;
+mod performance;
 mod placement;
 mod quotas;
 mod relay;
@@ -40,11 +41,14 @@
 
 use base::{DataCentreId, HostId, MonotonicTime, OrganisationId, ServiceId};
 use fleet::LeaderSighting;
-use member::{HeldAnnouncements, Roster};
+use member::{HeldAnnouncements, IncarnationKey, Roster};
 use prefix::{PartChain, SentPrompt, UnreportedPrompts};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
-use route::{BudgetSettings, EngineSpeed, RetryBudget, Warm, WarmSettings};
+use route::{
+    BudgetSettings, EngineSpeed, ResponseTimes, RetryBudget, Slowness, TokenShares, Warm,
+    WarmSettings,
+};
 use routes::{Organisation, Table};
 use telemetry::{Metrics, Recorder};
 
@@ -70,7 +74,7 @@
     AttemptHead, CallerRequest, ControlRequest, ControlRequestError, ControlResponse, DecodeError,
     Dialect, EngineHead, EngineReport, LoadWeightsRequest, Prompt, ResponseHead,
 };
-pub use settings::{FleetRetries, GatewaySettings};
+pub use settings::{FleetRetries, GatewaySettings, OverloadSettings};
 
 /// Share of the fleet's retry budget that hosts spend, so that restarts don't exceed the budget.
 const HOST_RETRY_SHARE: f64 = 0.8;
@@ -157,11 +161,15 @@
     /// Prompts sent to engines that were not reported to the leader yet.
     unreported_prompts: RefCell<UnreportedPrompts>,
     crash_evidence: RefCell<CrashEvidence>,
+    /// Response times of endpoints that were not reported to the leader yet.
+    response_times: RefCell<ResponseTimes<IncarnationKey>>,
     /// Timestamp of the latest roster.
     roster_updated_at: Cell<MonotonicTime>,
     /// Number of hosts that share the fleet's retry budget and the limits that endpoints state.
     router_count: Cell<u32>,
     budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
+    /// What organisations take of each service's tokens.
+    token_shares: RefCell<HashMap<ServiceId, TokenShares>>,
     warm: RefCell<Warm>,
     rng: RefCell<Pcg64Mcg>,
     active_requests: Rc<Cell<u64>>,
@@ -219,9 +227,11 @@
             held_announcements: RefCell::default(),
             unreported_prompts: RefCell::default(),
             crash_evidence: RefCell::default(),
+            response_times: RefCell::default(),
             roster_updated_at: Cell::new(MonotonicTime::ZERO),
             router_count: Cell::new(1),
             budgets: RefCell::default(),
+            token_shares: RefCell::default(),
             warm: RefCell::new(Warm::new(warm_settings())),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
             active_requests: Rc::default(),
@@ -415,6 +425,9 @@
         for endpoint in &changes.left {
             log::debug!(endpoint:%; "endpoint removed from routing");
         }
+        for endpoint in &changes.left_with_slowness {
+            gateway.metrics.set_endpoint_slowness(endpoint, Slowness::NOMINAL.factor());
+        }
         gateway.roster_updated_at.set(roster.at);
         let others = roster.peers.iter().filter(|peer| !peer.update.votes).count();
         let router_count = u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1);
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -1,6 +1,7 @@
 //! The endpoints that may get requests, and the stores that engines use.
 
 use std::{
+    cell::RefCell,
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
@@ -11,7 +12,10 @@
 use fleet::ReceivedEngineUpdates;
 use member::{Announcement, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster};
 use prefix::{PartChain, SentPrompt};
-use route::{EndedConstraints, EndpointKey, SentLoad, StatedConstraints};
+use route::{
+    ArrivalRate, EndedConstraints, EndpointKey, PublishedSlowness, SentLoad, Slowness,
+    StatedConstraints,
+};
 use routes::KvStore;
 use wire::leader::PublishedView;
 
@@ -23,12 +27,22 @@
 /// Assumed KV capacity of an engine in tokens, until a configuration sets it.
 const DEFAULT_KV_TOKENS: TokenCount = TokenCount::new(60_000);
 
+/// Time for which an urgent request keeps slots reserved; chats of a busy service arrive more often.
+const URGENT_RETENTION: Duration = Duration::from_secs(5);
+
+/// Most changes of endpoints' slowness that are logged for one list.
+const MAX_LOGGED_CHANGES: usize = 8;
+
 /// The endpoints that may get requests.
 #[derive(Default)]
 pub(super) struct Targets {
     by_id: BTreeMap<EndpointId, Rc<Target>>,
     engine_updates: ReceivedEngineUpdates,
     kv_tokens: HashMap<ServiceId, TokenCount>,
+    /// When an urgent request was last known, by service.
+    urgent_at: RefCell<HashMap<ServiceId, MonotonicTime>>,
+    /// Rates of this router's requests to services whose engines have a known memory.
+    arrivals: RefCell<HashMap<ServiceId, ArrivalRate>>,
     /// When the loads of other hosts arrived.
     loads_at: MonotonicTime,
     stores: Stores,
@@ -38,6 +52,8 @@
     stated_leaving: BTreeSet<IncarnationKey>,
     /// What endpoints had stated to this host when their leases ended.
     ended_constraints: EndedConstraints,
+    /// The endpoints that differ in speed, as the leader published last.
+    slowness: BTreeMap<IncarnationKey, Slowness>,
 }
 
 /// Changes of the set of endpoints.
@@ -45,6 +61,8 @@
 pub(super) struct TargetChanges {
     pub joined: Vec<EndpointId>,
     pub left: Vec<EndpointId>,
+    /// Those that left and had a slowness other than nominal.
+    pub left_with_slowness: Vec<EndpointId>,
 }
 
 impl Targets {
@@ -61,6 +79,9 @@
                 .is_some_and(|record| record.announcement.incarnation == target.incarnation);
             if !stays {
                 changes.left.push(id.clone());
+                if target.slowness() != Slowness::NOMINAL {
+                    changes.left_with_slowness.push(id.clone());
+                }
                 let (incarnation, constraints) = (target.incarnation, target.constraints());
                 self.ended_constraints.keep(roster.at, id, incarnation, constraints);
             }
@@ -81,6 +102,9 @@
             }
             let target = Target::new(record, service.clone(), kv_tokens, constraints);
             target.renew(record, roster.stale_after);
+            if let Some(slowness) = self.slowness.get(&target.incarnation_key) {
+                target.set_slowness(*slowness);
+            }
             self.by_id.insert(id.clone(), Rc::new(target));
             changes.joined.push(id.clone());
         }
@@ -105,17 +129,84 @@
         self.apply_engine_updates();
     }
 
+    /// Applies the leader's list of endpoints that differ in speed; the others are nominal. Returns
+    /// the endpoints whose slowness has changed.
+    pub(super) fn apply_slowness(
+        &mut self,
+        endpoints: &[PublishedSlowness<IncarnationKey>],
+    ) -> Vec<Rc<Target>> {
+        let listed: BTreeMap<_, _> = endpoints.iter().map(|slow| (slow.endpoint, slow)).collect();
+        let mut changed = Vec::new();
+        for target in self.by_id.values() {
+            let published = listed.get(&target.incarnation_key);
+            let slowness = published.map_or(Slowness::NOMINAL, |slow| slow.slowness.bounded());
+            if target.set_slowness(slowness) == slowness {
+                continue;
+            }
+            changed.push(Rc::clone(target));
+            if changed.len() <= MAX_LOGGED_CHANGES {
+                log::info!(endpoint:% = target.endpoint, incarnation:% = target.incarnation,
+                    factor:% = slowness, weight = published.map_or(0, |slow| slow.weight),
+                    median_percent = published.map_or(0, |slow| slow.median);
+                    "endpoint slowness changed");
+            }
+        }
+        if MAX_LOGGED_CHANGES < changed.len() {
+            log::info!(unlogged = changed.len() - MAX_LOGGED_CHANGES; "endpoint slowness changed");
+        }
+        self.slowness =
+            listed.into_iter().map(|(key, slow)| (key, slow.slowness.bounded())).collect();
+        changed
+    }
+
     /// Returns the load that this host has placed on endpoints.
     pub(super) fn sent_loads(&self) -> Vec<SentLoad> {
         let busy = self.by_id.values().filter(|target| target.in_flight() != 0);
         busy.map(|target| SentLoad {
             endpoint: target.key,
             requests: target.in_flight(),
-            prefill_tokens: u32::try_from(target.prefill_tokens().as_u64()).unwrap_or(u32::MAX),
+            prefill_tokens: reported_tokens(target.prefill_tokens()),
+            urgent_prefill_tokens: reported_tokens(target.urgent_prefill_tokens()),
+            held_tokens: reported_tokens(target.held_tokens()),
         })
         .collect()
     }
 
+    /// Records that an urgent request has arrived for a service, at this router or another.
+    pub(super) fn record_urgent(&self, service: &ServiceId, now: MonotonicTime) {
+        let mut urgent_at = self.urgent_at.borrow_mut();
+        match urgent_at.get_mut(service) {
+            Some(at) => *at = now,
+            None => _ = urgent_at.insert(service.clone(), now),
+        }
+    }
+
+    /// Returns whether urgent requests for a service have arrived within [`URGENT_RETENTION`].
+    pub(super) fn has_recent_urgent(&self, service: &ServiceId, now: MonotonicTime) -> bool {
+        let urgent_at = self.urgent_at.borrow();
+        urgent_at.get(service).is_some_and(|at| now.saturating_since(*at) < URGENT_RETENTION)
+    }
+
+    /// Counts a request to a service.
+    pub(super) fn record_arrival(&self, service: &ServiceId, now: MonotonicTime) {
+        let mut arrivals = self.arrivals.borrow_mut();
+        match arrivals.get_mut(service) {
+            Some(rate) => rate.record(now),
+            None => arrivals.entry(service.clone()).or_default().record(now),
+        }
+    }
+
+    /// Returns how many requests to a service this router expects in `period`.
+    pub(super) fn expected_arrivals(
+        &self,
+        service: &ServiceId,
+        now: MonotonicTime,
+        period: Duration,
+    ) -> f64 {
+        let arrivals = self.arrivals.borrow();
+        arrivals.get(service).map_or(0.0, |rate| rate.expected_in(now, period))
+    }
+
     /// Sets the load that all hosts have placed on endpoints, of which `own` is this host's share.
     fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
         let find = |loads: &[SentLoad], endpoint| {
@@ -124,10 +215,17 @@
         for target in self.by_id.values() {
             let endpoint = target.key;
             let (own, all) = (find(own, endpoint), find(all, endpoint));
+            if own.urgent_prefill_tokens < all.urgent_prefill_tokens {
+                self.record_urgent(&target.service, now);
+            }
             target.set_other_load(SentLoad {
                 endpoint,
                 requests: all.requests.saturating_sub(own.requests),
                 prefill_tokens: all.prefill_tokens.saturating_sub(own.prefill_tokens),
+                urgent_prefill_tokens: all
+                    .urgent_prefill_tokens
+                    .saturating_sub(own.urgent_prefill_tokens),
+                held_tokens: all.held_tokens.saturating_sub(own.held_tokens),
             });
         }
         self.loads_at = now;
@@ -287,3 +385,8 @@
 fn is_running(record: &EndpointRecord) -> bool {
     matches!(record.state, EndpointState::Ready | EndpointState::Leaving)
 }
+
+/// Returns a number of tokens as load reports have it.
+fn reported_tokens(tokens: TokenCount) -> u32 {
+    u32::try_from(tokens.as_u64()).unwrap_or(u32::MAX)
+}
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -230,6 +230,7 @@
             if self.leading.take().is_some() {
                 log::info!(term:% = self.node.term(); "leadership lost");
                 self.followers.clear_crashes();
+                self.followers.clear_slowness();
                 self.followers.quotas.end_term();
             }
             // Engine states of a former leader are outdated.
@@ -240,6 +241,7 @@
         if self.leading.is_none_or(|(led_term, _)| led_term != term) {
             self.leading = Some((term, self.clock.now()));
             self.followers.clear_engines();
+            self.followers.clear_slowness();
             self.followers.quotas.start_term(self.clock.now());
             self.followers.record_change();
             log::info!(term:%; "leadership acquired");
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`Admission`] shares the capacity found by [`CapacityEstimator`] among organisations.
 //! [`OutlierDetector`] ejects endpoints that fail or are slow. [`RetryBudget`], [`Backoff`] and
 //! [`Hedge`] limit retries and hedged requests. [`StatedLimit`] is a router's part of the rate that an
-//! endpoint accepts from all of them.
+//! endpoint accepts from all of them. [`SlownessEstimator`] compares the speed of a service's
+//! endpoints by the [`ResponseTimes`] of all routers.
 //!
 //! # Example
 //!
@@ -23,9 +24,12 @@
 //! ```
 
 mod admission;
+mod arrival_rate;
 mod baseline;
 mod capacity;
+mod decayed_sums;
 mod ended_constraints;
+mod engine_memory;
 mod estimate;
 mod fair_queue;
 mod headroom;
@@ -35,19 +39,26 @@
 mod notice;
 mod outlier;
 mod policy;
+mod response_times;
 mod retry;
+mod scarcity;
+mod slowness;
+mod slowness_estimator;
 mod stated_limit;
 mod ticket;
 mod transfer;
+mod urgency;
 mod warm;
 mod warm_v1;
 mod window;
 
 pub use crate::{
     admission::{Admission, AdmissionSettings},
+    arrival_rate::ArrivalRate,
     baseline::{Hash, LeastInFlight, RoundRobin},
     capacity::{CapacityEstimator, CapacitySettings},
     ended_constraints::{EndedConstraints, MAX_ENDED_CONSTRAINTS, StatedConstraints},
+    engine_memory::{EngineMemory, HeldLoad},
     estimate::TtftEstimate,
     headroom::{EngineSpeed, Headroom, InFlightLoad, choose_with_headroom},
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
@@ -56,10 +67,15 @@
     notice::{EndpointNotice, StatedWait},
     outlier::{EjectionChange, EjectionState, Outcome, OutlierDetector, OutlierSettings},
     policy::{Candidate, Policy, Request},
+    response_times::{ResponseSums, ResponseTimes, expected_call_time},
     retry::{Backoff, BudgetSettings, RetryBudget},
+    scarcity::{OverShare, TokenShares},
+    slowness::{PublishedSlowness, ServiceKey, Slowness},
+    slowness_estimator::SlownessEstimator,
     stated_limit::{LimitChange, LimitResponse, StatedLimit},
     ticket::{Action, Arrival, Decision, Priority, Refusal, RefusalReason, Ticket},
     transfer::{Source, TransferSettings, choose_source},
+    urgency::{LoadByUrgency, Urgency},
     warm::{Warm, WarmSettings},
     warm_v1::{WarmV1, WarmV1Weights},
 };
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -39,9 +39,12 @@
     /// Routes by host, the longest prefix first.
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: BTreeMap<ServiceId, Service>,
+    /// Services whose routes have different priorities.
+    mixed_priorities: BTreeSet<ServiceId>,
     stores: Vec<KvStore>,
     organisations: Vec<Arc<Organisation>>,
     keys: HashMap<ApiKey, usize>,
+    has_quotas: bool,
     limits: Limits,
     /// The scope of cached parts of all requests but those of isolated organisations.
     shared_scope: CacheScope,
@@ -52,9 +55,11 @@
         Self {
             by_host: HashMap::new(),
             services: BTreeMap::new(),
+            mixed_priorities: BTreeSet::new(),
             stores: Vec::new(),
             organisations: Vec::new(),
             keys: HashMap::new(),
+            has_quotas: false,
             limits: Limits::default(),
             shared_scope: CacheScope::shared([]),
         }
@@ -84,6 +89,7 @@
         for routes in table.by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        table.mixed_priorities = table.find_mixed_priorities();
         for organisation in organisations {
             table.add_organisation(organisation)?;
         }
@@ -135,6 +141,22 @@
         !self.organisations.is_empty()
     }
 
+    /// Returns whether any organisation has a quota.
+    pub fn has_quotas(&self) -> bool {
+        self.has_quotas
+    }
+
+    /// Returns whether the admission of a service's requests depends on their urgency: its routes
+    /// have different priorities, and organisations have quotas.
+    pub fn distinguishes_urgency(&self, service: &ServiceId) -> bool {
+        self.has_quotas() && self.has_mixed_priorities(service)
+    }
+
+    /// Returns whether the routes of a service have different priorities.
+    pub fn has_mixed_priorities(&self, service: &ServiceId) -> bool {
+        self.mixed_priorities.contains(service)
+    }
+
     /// Returns the service named `name`.
     pub fn service(&self, name: &ServiceId) -> Option<&Service> {
         self.services.get(name)
@@ -160,6 +182,20 @@
         &self.limits
     }
 
+    fn find_mixed_priorities(&self) -> BTreeSet<ServiceId> {
+        let mut first: BTreeMap<&ServiceId, u8> = BTreeMap::new();
+        let mut mixed = BTreeSet::new();
+        for route in self.routes() {
+            for entry in route.services.iter().filter(|entry| entry.weight != 0) {
+                let priority = *first.entry(&entry.service).or_insert(route.priority);
+                if priority != route.priority {
+                    mixed.insert(entry.service.clone());
+                }
+            }
+        }
+        mixed
+    }
+
     fn add_service(&mut self, service: Service) -> Result<(), TableError> {
         let name = service.name.clone();
         match self.services.insert(name.clone(), service) {
@@ -207,6 +243,7 @@
                 return Err(TableError::DuplicateKey);
             }
         }
+        self.has_quotas |= organisation.quota.is_some();
         self.organisations.push(Arc::new(organisation));
         Ok(())
     }
