--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -38,10 +38,6 @@
 /// Shortest timeout of an attempt while another one is allowed.
 const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time for which a refused request counts as load of the endpoint. A full endpoint would seem idle
-/// otherwise, as refusals are fast, and attract the requests of all routers.
-const REFUSED_LOAD_RETENTION: Duration = Duration::from_millis(500);
-
 /// Time between checks whether an engine's weights are outdated for too long.
 const OUTDATED_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -86,13 +82,7 @@
             Responder::Attempted(response) => response,
             Responder::Replacement(started) => return Ok(*started),
         };
-        let response = match self.check_response(target, &sent, response) {
-            Err(e @ AttemptError::Refused(StatusCode::SERVICE_UNAVAILABLE)) => {
-                retain_load(in_flight);
-                return Err(e);
-            }
-            checked => checked?,
-        };
+        let response = self.check_response(target, &sent, response)?;
         // A stream has responded with its first event.
         if !self.route.retry_policy.is_stream() && !response.status().is_server_error() {
             self.record_response_time(target, &sent);
@@ -348,14 +338,6 @@
     }
 }
 
-/// Keeps counting a request that a full endpoint refused as load for a while.
-fn retain_load(in_flight: InFlight) {
-    tokio::task::spawn_local(async move {
-        tokio::time::sleep(REFUSED_LOAD_RETENTION).await;
-        drop(in_flight);
-    });
-}
-
 /// The first response of a silent endpoint and of another one that may replace it.
 enum FirstResponse {
     /// The silent endpoint responded, or both failed.
