--- a/crates/route/tests/engines/mod.rs
+++ b/crates/route/tests/engines/mod.rs
@@ -101,13 +101,10 @@
 impl Engine {
     fn load(&self) -> LoadByUrgency {
         // Routers count a prompt in full until its first token.
-        let sum = |jobs: &mut dyn Iterator<Item = &Job>| {
-            TokenCount::new(jobs.map(|job| job.tokens as u64).sum())
-        };
         let urgent = |job: &&Job| job.urgency == Urgency::Urgent;
         let requests = (self.waiting.len() + self.decoding.len()) as u32;
-        let prefill_tokens = sum(&mut self.waiting.iter());
-        let urgent_prefill_tokens = sum(&mut self.waiting.iter().filter(urgent));
+        let prefill_tokens = prompt_tokens(self.waiting.iter());
+        let urgent_prefill_tokens = prompt_tokens(self.waiting.iter().filter(urgent));
         let total = InFlightLoad { requests, prefill_tokens };
         LoadByUrgency { total, urgent_prefill_tokens }
     }
@@ -198,3 +195,7 @@
         engine.waiting.push(job);
     }
 }
+
+fn prompt_tokens<'a>(jobs: impl Iterator<Item = &'a Job>) -> TokenCount {
+    TokenCount::new(jobs.map(|job| job.tokens as u64).sum())
+}
