daemon: one mapping of unreadable request bodies to refusals

Cause: the gateway, the OpenAI interface and the operator's interface each mapped the four ways in which a body can't be read to the same refusals. Ruled out: the control requests, whose responses have a form of their own. Change: RequestReadError::into_failure; the gateway's text for a broken body is now that of the others.

--- a/crates/daemon/src/admin/listen.rs
+++ b/crates/daemon/src/admin/listen.rs
@@ -22,7 +22,7 @@
 use tokio::{net::TcpListener, sync::watch};
 
 use crate::{
-    buffers::{BufferBudget, BufferedBody, MEMORY_RETRY_AFTER, RequestReadError},
+    buffers::{BufferBudget, BufferedBody},
     failure::Failure,
     serve::{self, ConnectionLimits, RequestBody, Serve},
 };
@@ -108,14 +108,7 @@
         let Ok(read) = tokio::time::timeout(timeout, reading).await else {
             return Err(Failure::body_timeout(timeout));
         };
-        read.map_err(|e| match e {
-            RequestReadError::TooLarge => Failure::body_too_large(max_bytes),
-            RequestReadError::Full => Failure::memory_full(MEMORY_RETRY_AFTER),
-            RequestReadError::Stalled => Failure::body_stalled(),
-            RequestReadError::Connection(_) => {
-                Failure::bad_request("the body is incomplete or malformed")
-            }
-        })
+        read.map_err(|e| e.into_failure(max_bytes))
     }
 
     /// Returns the largest body of any request; handlers have lower limits of their own.
--- a/crates/daemon/src/buffers.rs
+++ b/crates/daemon/src/buffers.rs
@@ -16,7 +16,7 @@
 use telemetry::Metrics;
 use tokio::time::Instant;
 
-use crate::serve::RequestBody;
+use crate::{failure::Failure, serve::RequestBody};
 
 /// Share of the process's memory that all buffered bodies may take together, as a divisor.
 ///
@@ -157,6 +157,16 @@
 }
 
 impl RequestReadError {
+    /// Returns the failure of a request whose body may have up to `max_bytes`; it has not run.
+    pub(crate) fn into_failure(self, max_bytes: usize) -> Failure {
+        match self {
+            Self::TooLarge => Failure::body_too_large(max_bytes),
+            Self::Full => Failure::memory_full(MEMORY_RETRY_AFTER),
+            Self::Stalled => Failure::body_stalled(),
+            Self::Connection(_) => Failure::bad_request("the body is incomplete or malformed"),
+        }
+    }
+
     /// Returns the reason's label in metrics.
     fn as_str(&self) -> &'static str {
         match self {
--- a/crates/daemon/src/edge/body.rs
+++ b/crates/daemon/src/edge/body.rs
@@ -4,12 +4,7 @@
     task::{Context, Poll},
 };
 
-use crate::{
-    buffers::{BufferedBody, MEMORY_RETRY_AFTER, RequestReadError},
-    failure::Failure,
-    net::AbortOnDrop,
-    serve::RequestBody,
-};
+use crate::{buffers::BufferedBody, failure::Failure, net::AbortOnDrop, serve::RequestBody};
 use bytes::Bytes;
 use futures_util::Stream as _;
 use http_body_util::Full;
@@ -95,12 +90,5 @@
     let Ok(read) = tokio::time::timeout(timeout, reading).await else {
         return Err(Failure::body_timeout(timeout));
     };
-    read.map_err(|e| match e {
-        RequestReadError::TooLarge => Failure::body_too_large(max_bytes),
-        RequestReadError::Full => Failure::memory_full(MEMORY_RETRY_AFTER),
-        RequestReadError::Stalled => Failure::body_stalled(),
-        RequestReadError::Connection(_) => {
-            Failure::bad_request("the body is incomplete or malformed")
-        }
-    })
+    read.map_err(|e| e.into_failure(max_bytes))
 }
--- a/crates/daemon/src/gateway/forward.rs
+++ b/crates/daemon/src/gateway/forward.rs
@@ -14,7 +14,7 @@
 use tokio::time::Instant;
 
 use crate::{
-    buffers::{BufferedBody, MEMORY_RETRY_AFTER, ReadError, RequestReadError},
+    buffers::{BufferedBody, ReadError},
     failure::Failure,
     serve::RequestBody,
 };
@@ -219,14 +219,8 @@
     body: RequestBody,
 ) -> Result<BufferedBody, Failure> {
     let max_bytes = usize::try_from(table.limits().body_bytes.as_u64()).unwrap_or(usize::MAX);
-    gateway.buffer_budget.read_request(body, max_bytes).await.map_err(|e| match e {
-        RequestReadError::TooLarge => Failure::body_too_large(max_bytes),
-        RequestReadError::Full => Failure::memory_full(MEMORY_RETRY_AFTER),
-        RequestReadError::Stalled => Failure::body_stalled(),
-        RequestReadError::Connection(_) => {
-            Failure::bad_request("the body is truncated or malformed")
-        }
-    })
+    let read = gateway.buffer_budget.read_request(body, max_bytes).await;
+    read.map_err(|e| e.into_failure(max_bytes))
 }
 
 /// Returns a request's target without scheme and authority, as endpoints get it.
