bench/tests: the recorded response is awaited, not a first 503

After the kill of the leader, the test sent the order again until a verdict came that isn't "not run", and then wanted the recorded response. A host without a quorum answers 503 "may have run", which is true, so the loop ended before the quorum was back. The other steps are unchanged.

--- a/crates/bench/tests/claims_faults.rs
+++ b/crates/bench/tests/claims_faults.rs
@@ -198,8 +198,13 @@
         fixture.heal();
         let first = order.await.unwrap();
         fixture.check_outcome(&first);
-        let settled =
-            |outcome: &CallOutcome| outcome.verdict().is_some_and(|v| v != Verdict::NotRun);
+        let settled = |outcome: &CallOutcome| match step {
+            // The quorum may be lost for a while after the kill; the response was recorded before.
+            Step::Answered => matches!(outcome, CallOutcome::Answered { .. }),
+            Step::Connected | Step::Claimed | Step::Sent => {
+                outcome.verdict().is_some_and(|v| v != Verdict::NotRun)
+            }
+        };
         fixture.resend_until(fixture.third_host(), settled).await;
         fixture.site.daemons[killed].start_again().unwrap();
         fixture.site.daemons[killed].wait_ready(WAIT_TIMEOUT).unwrap();
