gateway: an endpoint that refuses as full is left out until a slot should be free

Change: InferredFull (route), one per endpoint and router. A refusal infers full slots for the service's mean hold time over the slots, doubled with each further refusal in a row up to one hold time, ended by an accepted request. If more than half of the endpoints seem full, the state is ignored. An endpoint inferred to be full is left out by both kinds of choice; nothing is reported to other routers.

--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -86,6 +86,8 @@
         // A stream has responded with its first event.
         if !self.route.retry_policy.is_stream() && !response.status().is_server_error() {
             self.record_response_time(target, &sent);
+            // The rest of a response to a call is short compared with the time to its head.
+            self.record_hold_time(target, &sent);
         }
         let is_unframed = is_unframed(&response);
         Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
@@ -233,6 +235,7 @@
             target.update_version(version);
         }
         target.mark_answered(self.gateway.clock.now());
+        target.record_accepted(sent.at);
         self.record_notice(target, sent, head.notice);
         Ok(Response::from_parts(parts, body))
     }
@@ -256,6 +259,9 @@
             self.record_limit(target, sent, head.notice.limit);
         }
         self.record_constraints(target, head.notice);
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            self.record_full(target, sent, head.notice);
+        }
         if status != StatusCode::MISDIRECTED_REQUEST {
             return;
         }
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod exchange;
 mod follow;
 mod forward;
+mod full;
 mod headers;
 mod kv_stores;
 mod listen;
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, RngExt as _};
 use route::{
     Candidate, EndpointKey, EngineMemory, EngineSpeed, Headroom, Policy as _, Request, Slowness,
-    Urgency, Warm, choose_with_headroom,
+    Urgency, Warm, choose_with_headroom, without_full,
 };
 
 use super::{target::Target, targets::Targets};
@@ -140,6 +140,9 @@
         permitted.iter().copied().filter(|target| !target.is_avoided(requirements.now)).collect();
     // If all are avoided, an attempt costs less than a rejection.
     let usable = if reachable.is_empty() { permitted } else { reachable };
+    // Those inferred to be full have no headroom, as if their slots were known to be in use.
+    let usable =
+        without_full(&usable, |target| target.is_inferred_full(requirements.now)).unwrap_or(usable);
     let chosen = match &requirements.prompt {
         Some(prompt) => choose_for_prompt(targets, &usable, requirements, prompt, warm, rng)?,
         None => least_loaded(&usable, requirements, rng),
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -221,6 +221,8 @@
 
 /// Records what a complete stream shows of its request.
 fn record_end<D: Dialect>(exchange: &Exchange<D>, segment: &Segment) {
+    let started = &segment.started;
+    exchange.record_hold_time(started.in_flight.target(), &started.sent);
     if segment.has_survived || !segment.started.is_unframed {
         exchange.record_survival();
     } else {
--- a/crates/daemon/src/gateway/target.rs
+++ b/crates/daemon/src/gateway/target.rs
@@ -10,8 +10,8 @@
 use member::{Announcement, EndpointKind, EndpointRecord, IncarnationKey};
 use prefix::{PartCacheModel, PartChain};
 use route::{
-    EndpointKey, EngineMemory, HeldLoad, InFlightLoad, LimitChange, LimitResponse, LoadByUrgency,
-    SentLoad, Slowness, StatedConstraints, StatedLimit, StatedWait,
+    EndpointKey, EngineMemory, FullRefusal, HeldLoad, InFlightLoad, InferredFull, LimitChange,
+    LimitResponse, LoadByUrgency, SentLoad, Slowness, StatedConstraints, StatedLimit, StatedWait,
 };
 
 use crate::in_flight::{self, CountsInFlight, InFlightCounts};
@@ -76,6 +76,8 @@
     limit: Cell<StatedLimit>,
     /// For how long it accepts no requests from this host, as it stated.
     wait: Cell<StatedWait>,
+    /// Whether its slots are in use, as inferred from its refusals.
+    inferred_full: Cell<InferredFull>,
     /// How much slower it is than its service's median endpoint.
     slowness: Cell<Slowness>,
 }
@@ -121,6 +123,7 @@
             over_memory_at: Cell::new(None),
             limit: Cell::new(constraints.limit),
             wait: Cell::new(constraints.wait),
+            inferred_full: Cell::default(),
             slowness: Cell::default(),
         }
     }
@@ -322,6 +325,26 @@
         Some(if limit.is_active() { SendPermit::Counted } else { SendPermit::Unlimited })
     }
 
+    /// Applies a refusal for lack of slots, as [`InferredFull::record_refusal`].
+    pub(super) fn record_full(&self, refusal: &FullRefusal) -> bool {
+        let mut full = self.inferred_full.get();
+        let is_new = full.record_refusal(refusal);
+        self.inferred_full.set(full);
+        is_new
+    }
+
+    /// Records that the endpoint accepted a request that was sent at `sent`.
+    pub(super) fn record_accepted(&self, sent: MonotonicTime) {
+        let mut full = self.inferred_full.get();
+        full.record_accepted(sent);
+        self.inferred_full.set(full);
+    }
+
+    /// Returns whether its slots are inferred to be in use still.
+    pub(super) fn is_inferred_full(&self, now: MonotonicTime) -> bool {
+        self.inferred_full.get().is_full(now)
+    }
+
     /// Marks the endpoint reachable.
     pub(super) fn mark_reachable(&self) {
         self.unreachable_since.set(None);
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -13,7 +13,7 @@
 use member::{Announcement, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster};
 use prefix::{PartChain, SentPrompt};
 use route::{
-    ArrivalRate, EndedConstraints, EndpointKey, PublishedSlowness, SentLoad, Slowness,
+    ArrivalRate, EndedConstraints, EndpointKey, HoldTime, PublishedSlowness, SentLoad, Slowness,
     StatedConstraints,
 };
 use routes::KvStore;
@@ -43,6 +43,8 @@
     urgent_at: RefCell<HashMap<ServiceId, MonotonicTime>>,
     /// Rates of this router's requests to services whose engines have a known memory.
     arrivals: RefCell<HashMap<ServiceId, ArrivalRate>>,
+    /// Times that this router's requests occupied their endpoints, by service.
+    hold_times: RefCell<HashMap<ServiceId, HoldTime>>,
     /// When the loads of other hosts arrived.
     loads_at: MonotonicTime,
     stores: Stores,
@@ -207,6 +209,20 @@
         arrivals.get(service).map_or(0.0, |rate| rate.expected_in(now, period))
     }
 
+    /// Records the time that a completed request occupied an endpoint of a service.
+    pub(super) fn record_hold_time(&self, service: &ServiceId, held: Duration) {
+        let mut hold_times = self.hold_times.borrow_mut();
+        match hold_times.get_mut(service) {
+            Some(hold_time) => hold_time.record(held),
+            None => hold_times.entry(service.clone()).or_default().record(held),
+        }
+    }
+
+    /// Returns the mean time that requests occupy an endpoint of a service, if it is known.
+    pub(super) fn hold_time(&self, service: &ServiceId) -> Option<Duration> {
+        self.hold_times.borrow().get(service).and_then(HoldTime::mean)
+    }
+
     /// Sets the load that all hosts have placed on endpoints, of which `own` is this host's share.
     fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
         let find = |loads: &[SentLoad], endpoint| {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`Admission`] shares the capacity found by [`CapacityEstimator`] among organisations.
 //! [`OutlierDetector`] ejects endpoints that fail or are slow. [`RetryBudget`], [`Backoff`] and
 //! [`Hedge`] limit retries and hedged requests. [`StatedLimit`] is a router's part of the rate that an
-//! endpoint accepts from all of them. [`SlownessEstimator`] compares the speed of a service's
+//! endpoint accepts from all of them. [`InferredFull`] is an endpoint's state after it refused a
+//! request as full. [`SlownessEstimator`] compares the speed of a service's
 //! endpoints by the [`ResponseTimes`] of all routers.
 //!
 //! # Example
@@ -34,6 +35,7 @@
 mod fair_queue;
 mod headroom;
 mod hedge;
+mod inferred_full;
 mod kind;
 mod load_aggregator;
 mod notice;
@@ -62,6 +64,7 @@
     estimate::TtftEstimate,
     headroom::{EngineSpeed, Headroom, InFlightLoad, choose_with_headroom},
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
+    inferred_full::{FullRefusal, HoldTime, InferredFull, without_full},
     kind::{AnyPolicy, PolicyKind},
     load_aggregator::{EndpointKey, LoadAggregator, SentLoad},
     notice::{EndpointNotice, StatedWait},
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -54,6 +54,8 @@
     Wait,
     /// It accepts a limited rate of requests.
     Limit,
+    /// Its slots are in use, as inferred from a refusal.
+    Full,
 }
 
 impl NoticeKind {
@@ -62,6 +64,7 @@
             Self::Leaving => "leaving",
             Self::Wait => "wait",
             Self::Limit => "limit",
+            Self::Full => "full",
         }
     }
 }
