quota: the bounds of the settings decide the allowed debt

quotaWindowS, quotaOverage and quotaSlack of the settings file were not read; the core assumed their values. The adapter validates them and passes them on as quota::Bounds. From them follow the largest age of a view of open organisations, the debt that a grant may leave, and the local share without a leader. A request that would leave a larger debt is denied alone (Answer::TooLarge), so that cheaper ones of its organisation still run. The wait of a denial from the local share is at most 60 s: an endless one overflowed when jitter was added.

--- a/crates/daemon/src/gateway/follow.rs
+++ b/crates/daemon/src/gateway/follow.rs
@@ -162,7 +162,8 @@
         let may_be_news = !quotas.is_empty() || current_number != Some(view.number);
         if let Some(replica) = self.replica.as_ref().filter(|_| may_be_news) {
             // A list that a full channel drops is sent again with the next view.
-            let _ = replica.try_send(ReplicaInput::Quotas(Arc::clone(&quotas)));
+            let _ =
+                replica.try_send(ReplicaInput::Quotas(Arc::clone(&quotas), self.cfg.quota_bounds));
         }
         let weights = self.merge_desired_weights(view);
         let active_configuration =
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -214,6 +214,7 @@
         channels: &GatewayChannels,
     ) -> Self {
         Self {
+            quotas: Rc::new(Quotas::new(cfg.quota_bounds)),
             cfg,
             dialect,
             host: identity.host,
@@ -235,7 +236,6 @@
             warm: RefCell::new(Warm::new(warm_settings())),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(rand::random())),
             active_requests: Rc::default(),
-            quotas: Rc::default(),
             buffer_budget: Arc::clone(&channels.buffer_budget),
             connections: Cell::new(0),
             is_draining: Cell::new(false),
--- a/crates/daemon/src/gateway/quotas.rs
+++ b/crates/daemon/src/gateway/quotas.rs
@@ -7,7 +7,7 @@
 };
 
 use base::TokenCount;
-use quota::{Admission, Decision, Demand, Gate, OrganisationKey, Quota, QuotaReport};
+use quota::{Admission, Bounds, Decision, Demand, Gate, OrganisationKey, Quota, QuotaReport};
 use routes::Organisation;
 use tokio::sync::oneshot;
 use wire::leader::{LeaderRequest, LeaderResponse};
@@ -72,17 +72,16 @@
     }
 }
 
-impl Default for Quotas {
-    fn default() -> Self {
+impl Quotas {
+    /// Creates the state of a starting process.
+    pub(super) fn new(bounds: Bounds) -> Self {
         Self {
-            gate: RefCell::new(Gate::new(rand::random())),
+            gate: RefCell::new(Gate::with_bounds(rand::random(), bounds)),
             waiting: RefCell::default(),
             is_asking: Cell::new(false),
         }
     }
-}
 
-impl Quotas {
     /// Returns this host's gate.
     pub(super) fn gate(&self) -> &RefCell<Gate> {
         &self.gate
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -45,6 +45,8 @@
     pub endpoint_performance: bool,
     /// Admission of prompts under overload.
     pub overload: OverloadSettings,
+    /// What may run for an organisation in addition to its quota.
+    pub quota_bounds: quota::Bounds,
 }
 
 /// Which decisions a gateway takes under overload; none by default.
--- a/crates/daemon/src/replica/driver.rs
+++ b/crates/daemon/src/replica/driver.rs
@@ -209,7 +209,9 @@
             ReplicaInput::Learners(hosts) => self.step(Input::Learners(hosts)),
             ReplicaInput::EngineUpdate(engines) => self.followers.set_engines(engines),
             ReplicaInput::WeightAges { at, ages } => self.followers.record_weights_ages(at, &ages),
-            ReplicaInput::Quotas(list) => self.followers.quotas.set(self.clock.now(), list),
+            ReplicaInput::Quotas(list, bounds) => {
+                self.followers.quotas.set(self.clock.now(), list, bounds);
+            }
             ReplicaInput::TransferLeadership(done) => {
                 self.step(Input::Transfer);
                 self.transfer_done = Some(done);
--- a/crates/daemon/src/replica/mod.rs
+++ b/crates/daemon/src/replica/mod.rs
@@ -62,7 +62,7 @@
         ages: Vec<WeightsAge>,
     },
     /// The quotas of the configuration in force.
-    Quotas(QuotaList),
+    Quotas(QuotaList, quota::Bounds),
     /// Requests a leadership transfer before shutdown; the sender is dropped once this host no
     /// longer leads.
     TransferLeadership(flume::Sender<()>),
--- a/crates/daemon/src/replica/quotas.rs
+++ b/crates/daemon/src/replica/quotas.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use base::{HostId, MonotonicTime};
-use quota::{Answer, Demand, Ledger, OrganisationKey, Quota, QuotaReport, QuotaView};
+use quota::{Answer, Bounds, Demand, Ledger, OrganisationKey, Quota, QuotaReport, QuotaView};
 
 /// The names of limited organisations, with their quotas.
 pub(crate) type QuotaList = Arc<[(Arc<str>, Quota)]>;
@@ -12,19 +12,22 @@
 #[derive(Default)]
 pub(super) struct Quotas {
     list: Option<QuotaList>,
+    bounds: Bounds,
     names: HashMap<OrganisationKey, Arc<str>>,
     ledger: Option<Ledger<HostId>>,
 }
 
 impl Quotas {
-    /// Sets the quotas of the configuration in force; a list that is set already is ignored.
-    pub(super) fn set(&mut self, now: MonotonicTime, list: QuotaList) {
+    /// Sets the quotas of the configuration in force and this host's bounds; a list that is set
+    /// already is ignored.
+    pub(super) fn set(&mut self, now: MonotonicTime, list: QuotaList, bounds: Bounds) {
         if self.list.as_ref().is_some_and(|current| Arc::ptr_eq(current, &list)) {
             return;
         }
         let named = list.iter().map(|(name, _)| (OrganisationKey::of(name), Arc::clone(name)));
         self.names = named.collect();
         self.list = Some(list);
+        self.bounds = bounds;
         self.apply(now);
     }
 
@@ -71,6 +74,7 @@
     fn apply(&mut self, now: MonotonicTime) {
         let (Some(ledger), Some(list)) = (&mut self.ledger, &self.list) else { return };
         let keyed = list.iter().map(|(name, quota)| (OrganisationKey::of(name), *quota));
+        ledger.set_bounds(self.bounds);
         ledger.set_quotas(now, keyed);
     }
 }
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -20,6 +20,10 @@
         Self { quota, level: 0.0, at }
     }
 
+    pub(crate) fn quota(&self) -> &Quota {
+        &self.quota
+    }
+
     /// Sets the quota; a level above the burst is clipped, and one in other units is reset.
     pub(crate) fn set_quota(&mut self, at: f64, quota: Quota) {
         self.fill(at);
@@ -30,15 +34,20 @@
         self.quota = quota;
     }
 
-    /// Takes a request's cost if the level is above zero.
-    pub(crate) fn try_take(&mut self, at: f64, cost: Cost) -> bool {
+    /// Takes a request's cost if the level is above zero and no larger debt than `max_debt` is left.
+    pub(crate) fn try_take(&mut self, at: f64, cost: Cost, max_debt: f64) -> bool {
         self.fill(at);
-        // A bucket without burst never rises above zero.
-        let is_above_zero = 0.0 < self.level || self.quota.burst() == 0.0 && 0.0 <= self.level;
-        if is_above_zero {
+        let may_take = self.is_above_zero() && cost.units() - self.level <= max_debt;
+        if may_take {
             self.level -= cost.units();
         }
-        is_above_zero
+        may_take
+    }
+
+    /// Returns whether a request of a small cost may run, as of the last operation.
+    pub(crate) fn is_above_zero(&self) -> bool {
+        // A bucket without burst never rises above zero.
+        0.0 < self.level || self.quota.burst() == 0.0 && 0.0 <= self.level
     }
 
     /// Takes units unconditionally; negative ones are returned.
@@ -52,9 +61,14 @@
         self.level = (self.level + cost.units()).min(self.quota.burst());
     }
 
-    /// Returns the fill time until the level is above zero, in seconds.
-    pub(crate) fn debt_seconds(&self) -> f64 {
-        (-self.level / self.quota.rate()).max(0.0)
+    /// Returns the fill time until the level is above zero and a request of this cost leaves no larger
+    /// debt than `max_debt`, in seconds; infinite if that never is.
+    pub(crate) fn seconds_until(&self, cost: Cost, max_debt: f64) -> f64 {
+        let needed = (cost.units() - max_debt).max(0.0);
+        if self.quota.burst() < needed {
+            return f64::INFINITY;
+        }
+        ((needed - self.level) / self.quota.rate()).max(0.0)
     }
 
     pub(crate) fn is_below_open(&mut self, at: f64) -> bool {
--- a/crates/quota/src/gate.rs
+++ b/crates/quota/src/gate.rs
@@ -6,15 +6,19 @@
 use base::MonotonicTime;
 
 use crate::{
-    Answer, Demand, OrganisationKey, Quota, QuotaReport, QuotaView, ReportedCost, bucket::Bucket,
+    Answer, Bounds, Demand, OrganisationKey, Quota, QuotaReport, QuotaView, ReportedCost,
+    bucket::Bucket,
 };
 
-/// Age of the last view from which all organisations count as metered.
+/// Age of the last view from which the leader counts as lost, if polls fail.
 const MAX_VIEW_AGE: Duration = Duration::from_secs(1);
 
 /// Age of an answer from which its grants are returned, as after a freeze of this host.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(500);
 
+/// Longest wait of a denial from the local share.
+const MAX_LOCAL_WAIT: Duration = Duration::from_secs(60);
+
 /// Wait of a denial while the number of routers isn't known.
 const UNKNOWN_SHARE_WAIT: Duration = Duration::from_secs(1);
 
@@ -60,6 +64,7 @@
 /// A router's admission of requests of limited organisations.
 #[derive(Clone, Debug)]
 pub struct Gate {
+    bounds: Bounds,
     open: HashSet<OrganisationKey>,
     position: u64,
     /// When the poll was sent whose response is the latest view.
@@ -79,9 +84,15 @@
 }
 
 impl Gate {
-    /// Creates a gate for a process with a random id; it has no view.
+    /// Creates a gate for a process with a random id and the default bounds; it has no view.
     pub fn new(process: u64) -> Self {
+        Self::with_bounds(process, Bounds::default())
+    }
+
+    /// Creates a gate for a process with a random id; it has no view.
+    pub fn with_bounds(process: u64, bounds: Bounds) -> Self {
         Self {
+            bounds,
             open: HashSet::new(),
             position: 0,
             confirmed: None,
@@ -112,7 +123,8 @@
             let share = Share { since, routers, draw };
             return self.admit_locally(now, demand, quota, share);
         }
-        if self.is_view_current(now) && self.open.contains(&demand.organisation) {
+        let is_open = self.open.contains(&demand.organisation);
+        if is_open && self.is_view_within(now, self.bounds.max_report_delay(quota)) {
             self.add_unreported(demand, 1);
             return Decision::Admitted(Admission::Reported);
         }
@@ -155,6 +167,7 @@
                 self.denied_until.insert(demand.organisation, now + wait);
                 Decision::Denied { wait }
             }
+            Answer::TooLarge { wait } => Decision::Denied { wait },
         };
         demands.iter().zip(answers).map(decide).collect()
     }
@@ -166,7 +179,7 @@
 
     /// Records that a poll got no response.
     pub fn record_failed_poll(&mut self, now: MonotonicTime) {
-        if self.confirmed.is_some() && !self.is_view_current(now) {
+        if self.confirmed.is_some() && !self.is_view_within(now, MAX_VIEW_AGE) {
             self.lost_since.get_or_insert(now);
         }
     }
@@ -231,8 +244,8 @@
         }
     }
 
-    fn is_view_current(&self, now: MonotonicTime) -> bool {
-        self.confirmed.is_some_and(|sent| now.saturating_since(sent) < MAX_VIEW_AGE)
+    fn is_view_within(&self, now: MonotonicTime, max_age: Duration) -> bool {
+        self.confirmed.is_some_and(|sent| now.saturating_since(sent) < max_age)
     }
 
     /// Admits a request from the local share, the limit divided by the number of routers.
@@ -250,7 +263,9 @@
             return Decision::Denied { wait: UNKNOWN_SHARE_WAIT };
         };
         // The roster of a partitioned router may shrink.
-        let share = quota.share(routers.max(self.routers).max(1));
+        let routers = routers.max(self.routers).max(1);
+        let share = self.bounds.local_share(quota, routers, demand.cost);
+        let max_debt = self.bounds.allowance(quota);
         let at = now.since_origin().as_secs_f64();
         let bucket = self.local.entry(demand.organisation).or_insert_with(|| {
             let since = since.since_origin().as_secs_f64();
@@ -259,11 +274,11 @@
             bucket
         });
         bucket.set_quota(at, share);
-        if bucket.try_take(at, demand.cost) {
+        if bucket.try_take(at, demand.cost, max_debt) {
             return Decision::Admitted(Admission::Local);
         }
-        let wait = Duration::try_from_secs_f64(bucket.debt_seconds());
-        Decision::Denied { wait: wait.unwrap_or(Duration::MAX) }
+        let wait = Duration::try_from_secs_f64(bucket.seconds_until(demand.cost, max_debt));
+        Decision::Denied { wait: wait.unwrap_or(MAX_LOCAL_WAIT).min(MAX_LOCAL_WAIT) }
     }
 
     fn add_unreported(&mut self, demand: &Demand, sign: i64) {
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -7,7 +7,7 @@
 use base::MonotonicTime;
 
 use crate::{
-    Answer, Demand, OrganisationKey, Quota, QuotaReport, QuotaView, bucket::Bucket,
+    Answer, Bounds, Cost, Demand, OrganisationKey, Quota, QuotaReport, QuotaView, bucket::Bucket,
     fill_clock::FillClock, open_log::OpenLog, reports::CountedReports,
 };
 
@@ -28,6 +28,7 @@
 /// `R` identifies a router. The state belongs to one term: a new leader starts with a new ledger.
 #[derive(Clone, Debug)]
 pub struct Ledger<R> {
+    bounds: Bounds,
     clock: FillClock<R>,
     buckets: HashMap<OrganisationKey, Bucket>,
     /// When the organisations with traffic had their last.
@@ -42,9 +43,10 @@
 }
 
 impl<R: Clone + Eq + Hash> Ledger<R> {
-    /// Creates a ledger without quotas for a term that starts at `now`.
+    /// Creates a ledger without quotas for a term that starts at `now`, with the default bounds.
     pub fn new(now: MonotonicTime) -> Self {
         Self {
+            bounds: Bounds::default(),
             clock: FillClock::new(now),
             buckets: HashMap::new(),
             active: HashMap::new(),
@@ -56,6 +58,11 @@
         }
     }
 
+    /// Sets the bounds for the answers to come.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
     /// Sets the quotas of all limited organisations.
     ///
     /// A new organisation starts with an empty bucket; one that isn't listed is forgotten.
@@ -106,8 +113,8 @@
 
     /// Answers demands in order.
     ///
-    /// Each is granted while the bucket is above zero, whatever its cost, so that expensive requests
-    /// aren't starved by cheap ones.
+    /// Each is granted while the bucket is above zero and the debt that it leaves is within the
+    /// bounds' allowance, so that expensive requests up to that cost aren't starved by cheap ones.
     pub fn answer(&mut self, now: MonotonicTime, demands: &[Demand]) -> Vec<Answer> {
         let at = self.clock.at(now);
         demands.iter().map(|demand| self.answer_one(now, at, demand)).collect()
@@ -118,18 +125,24 @@
         // This host may apply a new limit slightly later than the router.
         let Some(bucket) = self.buckets.get_mut(&organisation) else { return Answer::Granted };
         self.active.insert(organisation, now);
-        if !bucket.try_take(at, cost) {
-            let wait = self.wait(organisation);
-            return Answer::Denied { wait };
+        let max_debt = self.bounds.allowance(bucket.quota());
+        if !bucket.try_take(at, cost, max_debt) {
+            if bucket.is_above_zero() {
+                let seconds = bucket.seconds_until(cost, max_debt);
+                return Answer::TooLarge { wait: self.wait(seconds) };
+            }
+            // Holds for the organisation's cheaper requests as well.
+            let seconds = bucket.seconds_until(Cost::default(), max_debt);
+            return Answer::Denied { wait: self.wait(seconds) };
         }
         self.meter_if_low(organisation, at);
         Answer::Granted
     }
 
-    fn wait(&self, organisation: OrganisationKey) -> Duration {
-        let debt = self.buckets.get(&organisation).map_or(0.0, Bucket::debt_seconds);
-        let wait =
-            Duration::try_from_secs_f64(debt / self.clock.expected_speed()).unwrap_or(MAX_WAIT);
+    /// Returns the expected time in which this much fill time passes.
+    fn wait(&self, fill_seconds: f64) -> Duration {
+        let wait = Duration::try_from_secs_f64(fill_seconds / self.clock.expected_speed())
+            .unwrap_or(MAX_WAIT);
         wait.clamp(MIN_WAIT, MAX_WAIT)
     }
 
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -23,6 +23,7 @@
 //! assert!(matches!(answers[2], Answer::Denied { .. }));
 //! ```
 
+mod bounds;
 mod bucket;
 mod fill_clock;
 mod gate;
@@ -33,6 +34,7 @@
 mod reports;
 
 pub use crate::{
+    bounds::Bounds,
     gate::{Admission, Decision, Gate},
     ledger::Ledger,
     message::{Answer, Demand, OrganisationKey, QuotaReport, QuotaView, ReportedCost},
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -37,6 +37,11 @@
         /// Time until it has some.
         wait: Duration,
     },
+    /// The request would leave a larger debt than is allowed; cheaper ones may run.
+    TooLarge {
+        /// Time until it leaves no larger debt, if no other request runs.
+        wait: Duration,
+    },
 }
 
 /// Units that a router has admitted without asking, less what it returns.
--- a/crates/quota/src/quota.rs
+++ b/crates/quota/src/quota.rs
@@ -87,10 +87,10 @@
         }
     }
 
-    /// Returns an equal share for one of some routers.
-    pub(crate) fn share(&self, routers: u32) -> Self {
+    /// Returns an equal share for one of some routers, with this part of the rate.
+    pub(crate) fn share(&self, routers: u32, part: f64) -> Self {
         let routers = f64::from(routers);
-        Self { rate: self.rate / routers, burst: self.burst / routers, ..*self }
+        Self { rate: part * self.rate / routers, burst: self.burst / routers, ..*self }
     }
 
     pub(crate) fn may_open(&self) -> bool {
--- a/crates/quota/tests/cases.rs
+++ b/crates/quota/tests/cases.rs
@@ -4,8 +4,8 @@
 
 use base::{MonotonicTime, TokenCount};
 use quota::{
-    Admission, Answer, Cost, Decision, Demand, Gate, Ledger, OrganisationKey, Quota, QuotaReport,
-    QuotaView, ReportedCost, Unit,
+    Admission, Answer, Bounds, Cost, Decision, Demand, Gate, Ledger, OrganisationKey, Quota,
+    QuotaReport, QuotaView, ReportedCost, Unit,
 };
 
 const ORGANISATION: &str = "school";
@@ -244,3 +244,92 @@
     let decision = gate.admit(at(900), &demand(1), &quota(100.0, 100.0), None, 0.0);
     assert_eq!(decision, Decision::Denied { wait: Duration::from_secs(1) });
 }
+
+fn bounds(overage: f64, slack: f64) -> Bounds {
+    Bounds::new(Duration::from_secs(8), overage, slack).unwrap()
+}
+
+#[test]
+fn impossible_bounds_are_refused() {
+    let window = Duration::from_secs(8);
+    for (window, overage, slack) in [
+        (Duration::ZERO, 0.1, 0.0),
+        (window, -0.1, 0.0),
+        (window, f64::NAN, 0.0),
+        (window, 0.1, -1.0),
+        (window, 0.1, f64::INFINITY),
+    ] {
+        assert_eq!(Bounds::new(window, overage, slack), None);
+    }
+}
+
+/// Guards against a router that relies on a view for longer than the bound allows, as with a slack
+/// below the default.
+#[test]
+fn age_of_views_follows_the_bounds() {
+    // A tenth of 8 s and of the burst: 0.9 s of the rate.
+    let quota = quota(100.0, 100.0);
+    for (bounds, millis) in [
+        (Bounds::default(), 1_000),
+        (bounds(0.1, 0.0), 900),
+        (bounds(0.0, 25.0), 250),
+        (bounds(0.0, 0.0), 0),
+    ] {
+        assert_eq!(bounds.max_report_delay(&quota), Duration::from_millis(millis));
+        let mut gate = Gate::with_bounds(1, bounds);
+        gate.apply_view(at(0), Some(&open_view()));
+        assert_eq!(decide(&mut gate, at(millis), 7), Decision::Ask);
+        if let Some(before) = millis.checked_sub(1) {
+            let admitted = Decision::Admitted(Admission::Reported);
+            assert_eq!(decide(&mut gate, at(before), 7), admitted);
+        }
+    }
+}
+
+/// Guards against a request whose cost alone exceeds the bound, and against the wait for it that
+/// cheaper requests share.
+#[test]
+fn demand_beyond_the_allowed_debt_is_denied_alone() {
+    let mut ledger = filled(quota(100.0, 100.0), 10);
+    ledger.set_bounds(bounds(0.0, 50.0));
+    let demands = [demand(u32::MAX), demand(151), demand(120), demand(31), demand(30)];
+    let answers = ledger.answer(at(10_000), &demands);
+    assert_eq!(answers[0], Answer::TooLarge { wait: Duration::from_secs(60) });
+    assert_eq!(answers[1], Answer::TooLarge { wait: Duration::from_secs(60) });
+    assert_eq!(answers[2], Answer::Granted);
+    // The level is 20 below zero.
+    let wait = Duration::from_millis(200);
+    assert_eq!(answers[3..], [Answer::Denied { wait }, Answer::Denied { wait }]);
+    let answers = ledger.answer(at(10_400), &[demand(100), demand(60)]);
+    assert_eq!(answers, [Answer::TooLarge { wait: Duration::from_millis(300) }, Answer::Granted]);
+
+    let mut gate = Gate::with_bounds(1, bounds(0.0, 50.0));
+    let decisions = gate.apply_answers(at(20), at(0), &[demand(100)], &answers[..1]);
+    assert!(matches!(decisions[0], Decision::Denied { .. }));
+    assert_eq!(decide(&mut gate, at(20), 1), Decision::Ask);
+}
+
+/// Guards against local shares that together exceed a bound with little slack, and against waits that
+/// can't be stated.
+#[test]
+fn local_share_follows_the_bounds() {
+    let limit = quota(1_000.0, 1_000.0);
+    let ran = |bounds: Bounds, cost: u32| {
+        let mut gate = Gate::with_bounds(1, bounds);
+        gate.record_unanswered(at(0));
+        let admit = |millis| gate.admit(at(millis), &demand(cost), &limit, Some(16), 0.0);
+        let decisions: Vec<_> = (0..80_000).step_by(10).map(admit).collect();
+        let denied = decisions.iter().filter_map(|decision| match decision {
+            Decision::Denied { wait } => Some(*wait),
+            _ => None,
+        });
+        assert!(denied.max().unwrap() <= Duration::from_secs(60));
+        decisions.iter().filter(|decision| matches!(decision, Decision::Admitted(_))).count()
+    };
+    // A sixteenth of 80,000 units, 15.6 requests, and up to one request ahead.
+    assert!((15..=17).contains(&ran(Bounds::default(), 320)));
+    // A deviation of 3 x 320 x 2 units, of which 320 are covered: 0.8 of the rate, 12.5 requests.
+    assert!((12..=14).contains(&ran(bounds(0.0, 320.0), 320)));
+    // That of 3 x 4,000 x 1.4 units exceeds the rate of a window by more than the slack.
+    assert_eq!(ran(bounds(0.0, 4_000.0), 4_000), 0);
+}
