gateway: learn the hold time and prefill rate of a service's engines

All services shared one hold time (500 ms) and fixed costs of prompts at engines preferred for the other kind (400 and 250 ms). With 12 slots per engine, short prompts hold a slot for 1.4 to 2.8 s, so the wait behind full engines was underestimated; at 81.9 tokens/ms the costs are too high and crowd short prompts onto 40% of the engines.

With the new setting `serviceSpeed` (off by default), a router learns both from its own prompts (`route::ServiceSpeed`). The costs are stated in tokens (11,200 and 7,000), which is the same time as before at the default rate, so placement is unchanged while the setting is off. Headroom and the compute time of `Warm` keep the default rate.

The effect on a site is not measured here.

--- a/crates/daemon/src/gateway/exchange.rs
+++ b/crates/daemon/src/gateway/exchange.rs
@@ -7,7 +7,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use base::{EndpointId, MonotonicTime, ServiceId, Verdict};
+use base::{EndpointId, MonotonicTime, ServiceId, TokenCount, Verdict};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Response, StatusCode, Uri, body::Incoming};
 use prefix::{CacheScope, PartChain, PartId};
@@ -25,6 +25,7 @@
     liveness,
     notices::Withheld,
     quotas::Charge,
+    speeds::HeldSlot,
     target::{InFlight, Target},
 };
 
@@ -121,6 +122,8 @@
     pub response: Response<Incoming>,
     pub in_flight: InFlight,
     pub sent: SendRecord,
+    /// The slot of a streamed prompt, if the hold time is learned.
+    pub slot: Option<HeldSlot>,
     /// Whether the response ends with its connection, as it does when its endpoint crashes.
     pub is_unframed: bool,
     _driver: AbortOnDrop,
@@ -136,6 +139,8 @@
     /// Time to the first event or the head of the response that a nominal endpoint was expected to
     /// take.
     pub expected: Duration,
+    /// Uncached tokens of the prompt, if the time to its first event shows their prefill.
+    pub shown_prefill: Option<TokenCount>,
 }
 
 /// Why an attempt has no response to forward.
--- a/crates/daemon/src/gateway/exchange/attempt.rs
+++ b/crates/daemon/src/gateway/exchange/attempt.rs
@@ -18,6 +18,7 @@
     gateway::{
         AttemptHead, Dialect, EngineHead, ResponseHead, performance,
         placement::{self, Transfers},
+        speeds::HeldSlot,
         target::{InFlight, SendPermit, Target},
     },
     in_flight::Work,
@@ -57,7 +58,8 @@
         permit: SendPermit,
         resume_after: Option<&str>,
     ) -> Result<StartedResponse, AttemptError> {
-        let in_flight = InFlight::begin(target, self.work(target));
+        let work = self.work(target);
+        let in_flight = InFlight::begin(target, work);
         let (source, address) = (self.gateway.source, target.address);
         let left = self.deadline.saturating_duration_since(Instant::now());
         let connected = net::connect_http(source, address, CONNECT_TIMEOUT.min(left)).await;
@@ -76,19 +78,28 @@
         if let Some(charge) = &mut self.charge {
             charge.spend();
         }
-        let sent = self.send_record(target);
+        let mut sent = self.send_record(target);
+        // Tokens that are fetched from another engine take less time than their prefill.
+        if self.chain.is_some() && transfers.fetch_from.is_none() {
+            sent.shown_prefill = performance::shown_prefill(target, work.prefill_tokens);
+        }
+        let mut slot = self.held_slot(target, &sent);
         let sending = sender.send_request(request);
         let response = match self.response(target, sending, sent, resume_after).await? {
             Responder::Attempted(response) => response,
             Responder::Replacement(started) => return Ok(*started),
         };
-        let response = self.check_response(target, &sent, response)?;
+        let response = self.check_response(target, &sent, response).inspect_err(|e| {
+            if let (AttemptError::Refused(_), Some(slot)) = (e, slot.take()) {
+                slot.discard();
+            }
+        })?;
         // A stream has responded with its first event.
         if !self.route.retry_policy.is_stream() && !response.status().is_server_error() {
             self.record_response_time(target, &sent);
         }
         let is_unframed = is_unframed(&response);
-        Ok(StartedResponse { response, in_flight, sent, is_unframed, _driver: driver })
+        Ok(StartedResponse { response, in_flight, sent, slot, is_unframed, _driver: driver })
     }
 
     /// Waits for the head of the response to a request that is being sent.
@@ -179,7 +190,14 @@
     fn send_record(&self, target: &Target) -> SendRecord {
         let (at, weights) = (self.gateway.clock.now(), target.version());
         let expected = performance::expected_time(target, self.chain.is_some());
-        SendRecord { at, weights, outdated: self.outdated_for(weights, at), expected }
+        let outdated = self.outdated_for(weights, at);
+        SendRecord { at, weights, outdated, expected, shown_prefill: None }
+    }
+
+    /// Returns the slot that a streamed prompt holds from now on.
+    fn held_slot(&self, target: &Target, sent: &SendRecord) -> Option<HeldSlot> {
+        let is_streamed_prompt = self.chain.is_some() && self.route.retry_policy.is_stream();
+        is_streamed_prompt.then(|| self.gateway.hold_slot(target, sent.at)).flatten()
     }
 
     /// Returns for how long a version of the prompt's weights has not been the newest.
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod relay;
 mod segment;
 mod settings;
+mod speeds;
 mod stop;
 mod target;
 mod targets;
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -7,8 +7,8 @@
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
 use route::{
-    Candidate, EndpointKey, EngineMemory, EngineSpeed, Headroom, Policy as _, Request, Slowness,
-    Urgency, Warm, choose_with_headroom,
+    Candidate, EndpointKey, EngineMemory, EngineSpeed, Headroom, Policy as _, Request,
+    ServiceSpeed, Slowness, Urgency, Warm, choose_with_headroom,
 };
 
 use super::{target::Target, targets::Targets};
@@ -31,11 +31,13 @@
 /// Share of the engines that are preferred for long prompts.
 const LONG_PROMPT_ENGINE_SHARE: f64 = 0.6;
 
-/// Cost of a long prompt at an engine that is preferred for short ones, as time.
-const LONG_MISPLACED_COST: Duration = Duration::from_millis(400);
+/// Cost of a long prompt at an engine that is preferred for short ones, as the tokens whose prefill
+/// delays other streams; 400 ms at the default rate.
+const LONG_MISPLACED_TOKENS: TokenCount = TokenCount::new(11_200);
 
-/// Cost of a short prompt at an engine that is preferred for long ones, as time.
-const SHORT_MISPLACED_COST: Duration = Duration::from_millis(250);
+/// Cost of a short prompt at an engine that is preferred for long ones, in tokens; 250 ms at the
+/// default rate.
+const SHORT_MISPLACED_TOKENS: TokenCount = TokenCount::new(7_000);
 
 /// Share of the prefill time of tokens that their transfer from another engine saves.
 const FETCH_SAVING_RATIO: f64 = 0.7;
@@ -219,7 +221,9 @@
     warm: &mut Warm,
     rng: &mut R,
 ) -> Result<Option<&'a Rc<Target>>, NoTarget> {
-    let candidates = candidates(targets, usable, requirements, prompt);
+    let speed = targets.service_speed(requirements.service);
+    warm.set_hold_time(speed.hold_time());
+    let candidates = candidates(targets, usable, requirements, prompt, &speed);
     let req = Request { prompt_tokens: prompt.chain.tokens(), homes: HOME_COUNT };
     let chosen = if requirements.tried.is_empty() {
         let headrooms: Vec<Headroom> =
@@ -256,13 +260,15 @@
     usable: &[&Rc<Target>],
     requirements: &Requirements<'_>,
     prompt: &PromptRequirements<'_>,
+    speed: &ServiceSpeed,
 ) -> Vec<Candidate> {
     let report_age = targets.loads_age(requirements.now);
     let long_prompt_engines = LongPromptEngines::of(targets, requirements);
     let is_long = MIN_LONG_PROMPT_TOKENS <= prompt.chain.tokens();
     let cached_tokens = CachedTokensByVersion::of(targets, requirements, prompt);
     let candidates = usable.iter().map(|target| {
-        let misplaced_cost = long_prompt_engines.misplaced_cost(target, is_long);
+        let misplaced_cost =
+            speed.prefill_time(long_prompt_engines.misplaced_tokens(target, is_long));
         candidate(target, requirements, prompt, report_age, &cached_tokens, misplaced_cost)
     });
     candidates.collect()
@@ -329,11 +335,12 @@
         Self(for_long)
     }
 
-    fn misplaced_cost(&self, target: &Target, is_long: bool) -> Duration {
+    /// Returns the cost of a prompt at an engine, in tokens.
+    fn misplaced_tokens(&self, target: &Target, is_long: bool) -> TokenCount {
         match (self.0.contains(&target.key), is_long) {
-            (true, false) => SHORT_MISPLACED_COST,
-            (false, true) => LONG_MISPLACED_COST,
-            (true, true) | (false, false) => Duration::ZERO,
+            (true, false) => SHORT_MISPLACED_TOKENS,
+            (false, true) => LONG_MISPLACED_TOKENS,
+            (true, true) | (false, false) => TokenCount::ZERO,
         }
     }
 }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -159,6 +159,9 @@
         let failure = match end {
             SegmentEnd::Complete => {
                 record_end(&exchange, &segment);
+                if let Some(slot) = segment.started.slot.take() {
+                    slot.complete();
+                }
                 log_complete(&exchange, &segment.started, &timing);
                 return caller.complete().await;
             }
@@ -391,6 +394,7 @@
     if segment.first_event.is_none() {
         log_outdated_start(exchange, &segment.started, now);
         let started = &segment.started;
+        exchange.gateway.record_prefill(now, started.in_flight.target(), &started.sent);
         exchange.record_response_time(started.in_flight.target(), &started.sent);
     }
     let first = *segment.first_event.get_or_insert(now);
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -43,6 +43,8 @@
     pub grace_period: Duration,
     /// Whether endpoints are compared by the speed that all hosts observe.
     pub endpoint_performance: bool,
+    /// Whether this host learns the speed of each service's engines from its own prompts.
+    pub service_speed: bool,
     /// Admission of prompts under overload.
     pub overload: OverloadSettings,
 }
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -13,14 +13,15 @@
 use member::{Announcement, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster};
 use prefix::{PartChain, SentPrompt};
 use route::{
-    ArrivalRate, EndedConstraints, EndpointKey, PublishedSlowness, SentLoad, Slowness,
-    StatedConstraints,
+    ArrivalRate, EndedConstraints, EndpointKey, PublishedSlowness, SentLoad, ServiceSpeed,
+    Slowness, StatedConstraints,
 };
 use routes::KvStore;
 use wire::leader::PublishedView;
 
 use super::{
     kv_stores::{Store, Stores},
+    speeds::ServiceSpeeds,
     target::Target,
 };
 
@@ -54,6 +55,8 @@
     ended_constraints: EndedConstraints,
     /// The endpoints that differ in speed, as the leader published last.
     slowness: BTreeMap<IncarnationKey, Slowness>,
+    /// The speed of each service's engines; a restarted engine keeps that of its service.
+    speeds: ServiceSpeeds,
 }
 
 /// Changes of the set of endpoints.
@@ -207,6 +210,16 @@
         arrivals.get(service).map_or(0.0, |rate| rate.expected_in(now, period))
     }
 
+    /// Returns the learned speed of a service's engines.
+    pub(super) fn service_speed(&self, service: &ServiceId) -> ServiceSpeed {
+        self.speeds.get(service)
+    }
+
+    /// Returns the learned speeds of all services.
+    pub(super) fn speeds(&self) -> &ServiceSpeeds {
+        &self.speeds
+    }
+
     /// Sets the load that all hosts have placed on endpoints, of which `own` is this host's share.
     fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
         let find = |loads: &[SentLoad], endpoint| {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,7 +8,8 @@
 //! [`OutlierDetector`] ejects endpoints that fail or are slow. [`RetryBudget`], [`Backoff`] and
 //! [`Hedge`] limit retries and hedged requests. [`StatedLimit`] is a router's part of the rate that an
 //! endpoint accepts from all of them. [`SlownessEstimator`] compares the speed of a service's
-//! endpoints by the [`ResponseTimes`] of all routers.
+//! endpoints by the [`ResponseTimes`] of all routers; [`ServiceSpeed`] is a service's speed as one
+//! router learns it.
 //!
 //! # Example
 //!
@@ -35,6 +36,7 @@
 mod headroom;
 mod hedge;
 mod kind;
+mod linear_fit;
 mod load_aggregator;
 mod notice;
 mod outlier;
@@ -42,6 +44,7 @@
 mod response_times;
 mod retry;
 mod scarcity;
+mod service_speed;
 mod slowness;
 mod slowness_estimator;
 mod stated_limit;
@@ -70,6 +73,7 @@
     response_times::{ResponseSums, ResponseTimes, expected_call_time},
     retry::{Backoff, BudgetSettings, RetryBudget},
     scarcity::{OverShare, TokenShares},
+    service_speed::ServiceSpeed,
     slowness::{PublishedSlowness, ServiceKey, Slowness},
     slowness_estimator::SlownessEstimator,
     stated_limit::{LimitChange, LimitResponse, StatedLimit},
--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -96,6 +96,11 @@
         self.settings = settings;
     }
 
+    /// Sets the time that a request occupies one of an endpoint's slots, from the next choice on.
+    pub fn set_hold_time(&mut self, hold_time: Duration) {
+        self.settings.hold_time = hold_time;
+    }
+
     /// Returns the components of each candidate's score, to explain a choice to an operator.
     ///
     /// # Examples
