route: judge differences of speed by the effective number of responses

The distance that counts as a clear difference now uses the effective number of responses, of the endpoint or the service's median endpoint.

Tests run with 40 seeds.

--- a/crates/route/src/slowness_estimator.rs
+++ b/crates/route/src/slowness_estimator.rs
@@ -69,17 +69,27 @@
     long: DecayedSums,
 }
 
-/// The median ratios of a service in both windows.
+/// The medians of a service in both windows.
 #[derive(Clone, Copy, Debug)]
 struct Medians {
-    short: f64,
-    long: f64,
+    short: Median,
+    long: Median,
+}
+
+/// The median ratio and the median number of effective responses of a service's endpoints.
+#[derive(Clone, Copy, Debug)]
+struct Median {
+    ratio: f64,
+    responses: f64,
 }
 
 /// An endpoint's ratio relative to the median, with the number of responses in its window.
 #[derive(Clone, Copy, Debug)]
 struct RelativeRatio {
     log: f64,
+    /// Responses of the endpoint.
+    count: f64,
+    /// Effective responses that the difference from the median is judged by.
     responses: f64,
     median: f64,
 }
@@ -157,7 +167,7 @@
             }
             let slowness = endpoint.slowness(&ratio);
             if slowness != Slowness::NOMINAL {
-                let weight = ratio.responses.round() as u32;
+                let weight = ratio.count.round() as u32;
                 let median = (ratio.median * 100.0).round() as u32;
                 estimated
                     .insert(key, PublishedSlowness { endpoint: key, slowness, weight, median });
@@ -167,17 +177,17 @@
     }
 
     fn medians(&self) -> BTreeMap<ServiceKey, Medians> {
-        let mut ratios: BTreeMap<ServiceKey, (Vec<f64>, Vec<f64>)> = BTreeMap::new();
+        let mut sums: BTreeMap<ServiceKey, Vec<&Endpoint>> = BTreeMap::new();
         for endpoint in self.endpoints.values() {
             if MIN_MEDIAN_RESPONSES <= endpoint.short.count() {
-                let (short, long) = ratios.entry(endpoint.service).or_default();
-                short.push(endpoint.short.ratio());
-                long.push(endpoint.long.ratio());
+                sums.entry(endpoint.service).or_default().push(endpoint);
             }
         }
-        ratios.retain(|_, (short, _)| MIN_ENDPOINTS <= short.len());
-        let medians = ratios.into_iter().map(|(service, (mut short, mut long))| {
-            (service, Medians { short: median(&mut short), long: median(&mut long) })
+        sums.retain(|_, endpoints| MIN_ENDPOINTS <= endpoints.len());
+        let medians = sums.into_iter().map(|(service, endpoints)| {
+            let short = Median::of(endpoints.iter().map(|endpoint| &endpoint.short));
+            let long = Median::of(endpoints.iter().map(|endpoint| &endpoint.long));
+            (service, Medians { short, long })
         });
         medians.collect()
     }
@@ -186,7 +196,7 @@
     fn differs_clearly(&self, key: K, ratio: &RelativeRatio) -> bool {
         let is_published = self.published.contains_key(&key);
         let share = if is_published { KEPT_SHARE } else { 1.0 };
-        let has_weight = is_published || MIN_RESPONSES <= ratio.responses;
+        let has_weight = is_published || MIN_RESPONSES <= ratio.count;
         has_weight && clear_difference(ratio.responses) * share <= ratio.log.abs()
     }
 
@@ -208,24 +218,41 @@
     fn relative_ratio(&self, medians: &Medians) -> Option<RelativeRatio> {
         let long = RelativeRatio::new(&self.long, medians.long)?;
         let Some(short) = RelativeRatio::new(&self.short, medians.short) else { return Some(long) };
-        let has_changed = clear_difference(short.responses) <= (short.log - long.log).abs();
+        let has_changed = clear_difference(short.count) <= (short.log - long.log).abs();
         Some(if has_changed { short } else { long })
     }
 
     /// Returns the factor, which returns to 1 while there are no responses.
     fn slowness(&self, ratio: &RelativeRatio) -> Slowness {
         let recent = self.short.count();
-        let weight = recent / (recent + HALF_WEIGHT_RESPONSES);
+        let weight = recent * recent / (recent * recent + HALF_WEIGHT_RESPONSES.powi(2));
         // An unbounded ratio would take longer to return to 1 without responses.
         let bounded = Slowness::from_factor(ratio.log.exp()).factor();
         Slowness::from_factor(1.0 + (bounded - 1.0) * weight)
     }
 }
 
+impl Median {
+    fn of<'a>(sums: impl Iterator<Item = &'a DecayedSums> + Clone) -> Self {
+        Self {
+            ratio: median(&mut sums.clone().map(DecayedSums::ratio).collect::<Vec<_>>()),
+            responses: median(&mut sums.map(DecayedSums::effective_count).collect::<Vec<_>>()),
+        }
+    }
+}
+
 impl RelativeRatio {
-    fn new(sums: &DecayedSums, median: f64) -> Option<Self> {
-        let log = (sums.ratio() / median).ln();
-        log.is_finite().then_some(Self { log, responses: sums.count(), median })
+    fn new(sums: &DecayedSums, median: Median) -> Option<Self> {
+        let log = (sums.ratio() / median.ratio).ln();
+        // While all change their speed, an endpoint's ratio depends on how many of its responses are
+        // new, and the median shows how few they are.
+        let responses = sums.effective_count().min(median.responses);
+        log.is_finite().then_some(Self {
+            log,
+            count: sums.count(),
+            responses,
+            median: median.ratio,
+        })
     }
 }
 
--- a/crates/route/tests/endpoint_performance.rs
+++ b/crates/route/tests/endpoint_performance.rs
@@ -1,7 +1,7 @@
 //! Inference of endpoints' speeds from the response times that routers report.
 //!
 //! The response times are those expected, times the endpoint's speed, times a random factor from 0.4
-//! to 1.6, in which requests of one kind differ.
+//! to 1.6, in which requests of one kind differ. Each test runs with all seeds.
 
 mod support;
 
@@ -14,6 +14,9 @@
 use support::closed_loop::ClosedLoop;
 use yare::parameterized;
 
+/// Seeds of the random factors; all slow at once failed with 7% of the seeds, not with the first ones.
+const SEEDS: std::ops::Range<u64> = 1..41;
+
 /// Time between two polls of a router.
 const POLL_MS: u64 = 150;
 
@@ -39,10 +42,10 @@
 }
 
 impl Site {
-    fn new(routers: usize) -> Self {
+    fn new(routers: usize, seed: u64) -> Self {
         Self {
             now_ms: 10_000,
-            rng: Pcg64Mcg::seed_from_u64(7),
+            rng: Pcg64Mcg::seed_from_u64(seed),
             routers: vec![ResponseTimes::default(); routers],
             estimator: SlownessEstimator::default(),
             changes: 0,
@@ -66,13 +69,17 @@
         let expected_responses = endpoint.rate * POLL_MS as f64 / 1_000.0;
         let fraction = self.rng.random_range(0.0..1.0);
         for _ in 0..(expected_responses + fraction) as u32 {
-            let expected = Duration::from_millis(100);
-            let observed = expected.mul_f64(endpoint.slowness * self.rng.random_range(0.4..1.6));
-            let router = self.rng.random_range(0..self.routers.len());
-            self.routers[router].record(endpoint.key, service("chat"), expected, observed);
+            self.respond_once(endpoint);
         }
     }
 
+    fn respond_once(&mut self, endpoint: &Endpoint) {
+        let expected = Duration::from_millis(100);
+        let observed = expected.mul_f64(endpoint.slowness * self.rng.random_range(0.4..1.6));
+        let router = self.rng.random_range(0..self.routers.len());
+        self.routers[router].record(endpoint.key, service("chat"), expected, observed);
+    }
+
     fn poll(&mut self) {
         let now = self.now();
         for router in &mut self.routers {
@@ -113,16 +120,18 @@
 // next. Guards against factors that miss small differences.
 #[test]
 fn three_speeds_in_one_service() {
-    let slowness = |key: Key| [1.0 / 1.3, 1.0, 1.3][key as usize % 3];
-    let endpoints: Vec<_> =
-        (0..140).map(|key| Endpoint { key, slowness: slowness(key), rate: 6.0 }).collect();
-    let mut site = Site::new(100);
-    site.run(seconds(30), &endpoints);
-    let close = endpoints
-        .iter()
-        .filter(|endpoint| (site.factor(endpoint.key) / endpoint.slowness - 1.0).abs() < 0.2);
-    let close = close.count();
-    assert!(126 <= close, "{close} of 140 factors are within 20% of the speed");
+    for seed in SEEDS {
+        let slowness = |key: Key| [1.0 / 1.3, 1.0, 1.3][key as usize % 3];
+        let endpoints: Vec<_> =
+            (0..140).map(|key| Endpoint { key, slowness: slowness(key), rate: 6.0 }).collect();
+        let mut site = Site::new(100, seed);
+        site.run(seconds(30), &endpoints);
+        let close = endpoints
+            .iter()
+            .filter(|endpoint| (site.factor(endpoint.key) / endpoint.slowness - 1.0).abs() < 0.2);
+        let close = close.count();
+        assert!(126 <= close, "{close} of 140 factors are near, seed {seed}");
+    }
 }
 
 // Load: 100 routers, 6 plain endpoints, 20 responses/s each; one slows down by 7.5 and recovers.
@@ -132,37 +141,43 @@
     one_of_140_engines = { 140, 6.0 },
 )]
 fn change_of_speed_and_back(count: u32, rate: f64) {
-    let mut site = Site::new(100);
-    site.run(seconds(30), &with_first(count, rate, 1.0));
-    assert_eq!(site.factor(0), 1.0);
-    site.run(seconds(2), &with_first(count, rate, 7.5));
-    assert!(3.0 < site.factor(0), "{} after 2 s", site.factor(0));
-    site.run(seconds(8), &with_first(count, rate, 7.5));
-    assert_near(site.factor(0), 7.5);
-    site.run(seconds(5), &with_first(count, rate, 1.0));
-    assert!(site.factor(0) < 3.0, "{} after 5 s", site.factor(0));
-    site.run(seconds(10), &with_first(count, rate, 1.0));
-    assert!(site.factor(0) < 1.3, "{} after 15 s", site.factor(0));
+    for seed in SEEDS {
+        let mut site = Site::new(100, seed);
+        site.run(seconds(30), &with_first(count, rate, 1.0));
+        assert_eq!(site.factor(0), 1.0);
+        site.run(seconds(2), &with_first(count, rate, 7.5));
+        assert!(3.0 < site.factor(0), "{} after 2 s", site.factor(0));
+        site.run(seconds(8), &with_first(count, rate, 7.5));
+        assert_near(site.factor(0), 7.5);
+        site.run(seconds(5), &with_first(count, rate, 1.0));
+        assert!(site.factor(0) < 3.0, "{} after 5 s", site.factor(0));
+        site.run(seconds(10), &with_first(count, rate, 1.0));
+        assert!(site.factor(0) < 1.3, "{} after 15 s", site.factor(0));
+    }
 }
 
 // Load: 100 routers with one response a second each, 14 endpoints. Guards against a factor that
 // needs more responses than any one router sees.
 #[test]
 fn hundred_routers_with_one_response_a_second_each() {
-    let rate = 100.0 / 14.0;
-    let mut site = Site::new(100);
-    site.run(seconds(10), &with_first(14, rate, 3.0));
-    assert_near(site.factor(0), 3.0);
+    for seed in SEEDS {
+        let rate = 100.0 / 14.0;
+        let mut site = Site::new(100, seed);
+        site.run(seconds(10), &with_first(14, rate, 3.0));
+        assert_near(site.factor(0), 3.0);
+    }
 }
 
 // Load: as before, all endpoints alike. Guards against factors that follow the noise.
 #[parameterized(engines = { 140, 6.0 }, plain_endpoints = { 6, 20.0 })]
 fn equal_endpoints_have_few_factors(count: u32, rate: f64) {
-    let mut site = Site::new(100);
-    for _ in 0..30 {
-        site.run(seconds(2), &with_first(count, rate, 1.0));
-        let published = site.published();
-        assert!(published <= count as usize / 20, "{published} of {count} differ");
+    for seed in SEEDS {
+        let mut site = Site::new(100, seed);
+        for _ in 0..30 {
+            site.run(seconds(2), &with_first(count, rate, 1.0));
+            let published = site.published();
+            assert!(published <= count as usize / 20, "{published} of {count} differ, seed {seed}");
+        }
     }
 }
 
@@ -170,14 +185,17 @@
 // Guards against load that counts as slow endpoints.
 #[test]
 fn all_slow_at_once() {
-    let all =
-        |slowness| -> Vec<_> { (0..20).map(|key| Endpoint { key, slowness, rate: 6.0 }).collect() };
-    let mut site = Site::new(100);
-    for slowness in [1.0, 7.5, 1.0] {
-        for _ in 0..20 {
-            site.run(seconds(1), &all(slowness));
-            assert!(site.published() <= 2, "{} differ", site.published());
-            (0..20).for_each(|key| assert!(site.factor(key) < 2.0));
+    for seed in SEEDS {
+        let all = |slowness| -> Vec<_> {
+            (0..20).map(|key| Endpoint { key, slowness, rate: 6.0 }).collect()
+        };
+        let mut site = Site::new(100, seed);
+        for slowness in [1.0, 7.5, 1.0] {
+            for _ in 0..20 {
+                site.run(seconds(1), &all(slowness));
+                assert!(site.published() <= 2, "{} differ, seed {seed}", site.published());
+                (0..20).for_each(|key| assert!(site.factor(key) < 2.0));
+            }
         }
     }
 }
@@ -186,41 +204,49 @@
 // has the median speed. Guards against a factor that outlives its incarnation.
 #[test]
 fn restart_begins_at_nominal() {
-    let mut site = Site::new(100);
-    let mut endpoints = with_first(6, 20.0, 7.5);
-    site.run(seconds(10), &endpoints);
-    assert!(5.0 < site.factor(0));
-    endpoints[0] = Endpoint { key: 100, slowness: 1.0, rate: 20.0 };
-    for _ in 0..60 {
-        site.run(seconds(1), &endpoints);
-        assert!(site.factor(100) < 1.3);
+    for seed in SEEDS {
+        let mut site = Site::new(100, seed);
+        let mut endpoints = with_first(6, 20.0, 7.5);
+        site.run(seconds(10), &endpoints);
+        assert!(5.0 < site.factor(0));
+        endpoints[0] = Endpoint { key: 100, slowness: 1.0, rate: 20.0 };
+        for _ in 0..60 {
+            site.run(seconds(1), &endpoints);
+            assert!(site.factor(100) < 1.3);
+        }
+        assert_eq!(site.published(), 0);
     }
-    assert_eq!(site.published(), 0);
 }
 
 // Load: one slow endpoint of 6 gets no more requests. Guards against an endpoint that is avoided
 // for good by its last factor.
 #[test]
 fn without_responses_the_factor_returns_to_nominal() {
-    let mut site = Site::new(100);
-    site.run(seconds(10), &with_first(6, 20.0, 7.5));
-    let others = &with_first(6, 20.0, 7.5)[1..];
-    site.run(seconds(5), others);
-    assert!(5.0 < site.factor(0), "{} after 5 s", site.factor(0));
-    site.run(seconds(15), others);
-    assert!(site.factor(0) < 1.8, "{} after 20 s", site.factor(0));
-    site.run(seconds(60), others);
-    assert_eq!(site.factor(0), 1.0);
+    for seed in SEEDS {
+        let mut site = Site::new(100, seed);
+        site.run(seconds(10), &with_first(6, 20.0, 7.5));
+        let others = &with_first(6, 20.0, 7.5)[1..];
+        site.run(seconds(5), others);
+        assert!(5.0 < site.factor(0), "{} after 5 s", site.factor(0));
+        site.run(seconds(15), others);
+        assert!(site.factor(0) < 1.8, "{} after 20 s", site.factor(0));
+        site.run(seconds(60), others);
+        assert_eq!(site.factor(0), 1.0);
+    }
 }
 
 // Load: 6 endpoints, 5 responses of the slow one in all. Guards against a factor from an accident.
 #[test]
 fn few_responses_give_no_factor() {
-    let mut site = Site::new(100);
-    let mut endpoints = with_first(6, 20.0, 7.5);
-    endpoints[0].rate = 1.0;
-    site.run(seconds(5), &endpoints);
-    assert_eq!(site.factor(0), 1.0);
+    for seed in SEEDS {
+        let mut site = Site::new(100, seed);
+        let endpoints = with_first(6, 20.0, 7.5);
+        for _ in 0..5 {
+            site.respond_once(&endpoints[0]);
+            site.run(seconds(1), &endpoints[1..]);
+            assert_eq!(site.factor(0), 1.0, "seed {seed}");
+        }
+    }
 }
 
 // Load: 6 endpoints, 20 responses/s each, and one report with an impossible value at each poll.
@@ -234,38 +260,50 @@
     overflowing = { 100_000, u64::MAX, u64::MAX },
 )]
 fn impossible_values_are_dropped(count: u32, expected_us: u64, observed_us: u64) {
-    let endpoints = with_first(6, 20.0, 1.0);
-    let mut site = Site::new(100);
-    for _ in 0..40 {
-        let sums =
-            ResponseSums { endpoint: 0, service: service("chat"), count, expected_us, observed_us };
-        site.estimator.record(site.now(), &[sums]);
-        site.run(Duration::from_millis(POLL_MS), &endpoints);
+    for seed in SEEDS {
+        let endpoints = with_first(6, 20.0, 1.0);
+        let mut site = Site::new(100, seed);
+        for _ in 0..40 {
+            let sums = ResponseSums {
+                endpoint: 0,
+                service: service("chat"),
+                count,
+                expected_us,
+                observed_us,
+            };
+            site.estimator.record(site.now(), &[sums]);
+            site.run(Duration::from_millis(POLL_MS), &endpoints);
+        }
+        assert_eq!(site.factor(0), 1.0);
     }
-    assert_eq!(site.factor(0), 1.0);
 }
 
 // Load: 140 engines, 6 responses/s each, a tenth twice as slow, for a minute. Guards against a list
-// that is sent to all routers with each poll.
+// that is sent to all routers several times a second, up to 240 times a minute.
 #[test]
 fn steady_speeds_are_seldom_published() {
-    let slowness = |key: Key| if key.is_multiple_of(10) { 2.0 } else { 1.0 };
-    let endpoints: Vec<_> =
-        (0..140).map(|key| Endpoint { key, slowness: slowness(key), rate: 6.0 }).collect();
-    let mut site = Site::new(100);
-    site.run(seconds(60), &endpoints);
-    assert!(site.changes <= 240, "{} changes in 60 s", site.changes);
+    for seed in SEEDS {
+        let slowness = |key: Key| if key.is_multiple_of(10) { 2.0 } else { 1.0 };
+        let endpoints: Vec<_> =
+            (0..140).map(|key| Endpoint { key, slowness: slowness(key), rate: 6.0 }).collect();
+        let mut site = Site::new(100, seed);
+        site.run(seconds(60), &endpoints);
+        println!("{} changes in 60 s, seed {seed}", site.changes);
+        assert!(site.changes <= 30, "{} changes in 60 s, seed {seed}", site.changes);
+    }
 }
 
 // Load: 6 equal endpoints, 20 responses/s each, at a new leader. Guards against its predecessor's
 // factors that stay for good, and against a first list from too few responses.
 #[test]
 fn first_list_is_published_after_the_warm_up_even_if_empty() {
-    let mut site = Site::new(100);
-    site.run(Duration::from_millis(2_700), &with_first(6, 20.0, 1.0));
-    assert_eq!(site.changes, 0);
-    site.run(seconds(1), &with_first(6, 20.0, 1.0));
-    assert_eq!((site.changes, site.published()), (1, 0));
+    for seed in SEEDS {
+        let mut site = Site::new(100, seed);
+        site.run(Duration::from_millis(2_700), &with_first(6, 20.0, 1.0));
+        assert_eq!(site.changes, 0);
+        site.run(seconds(1), &with_first(6, 20.0, 1.0));
+        assert_eq!((site.changes, site.published()), (1, 0));
+    }
 }
 
 #[test]
