--- a/crates/daemon/src/gateway/target.rs
+++ b/crates/daemon/src/gateway/target.rs
@@ -78,6 +78,8 @@
     wait: Cell<StatedWait>,
     /// How much slower it is than its service's median endpoint.
     slowness: Cell<Slowness>,
+    /// The slowness that was logged last.
+    logged_slowness: Cell<Slowness>,
 }
 
 /// A request in flight at an endpoint, until dropped.
@@ -122,6 +124,7 @@
             limit: Cell::new(constraints.limit),
             wait: Cell::new(constraints.wait),
             slowness: Cell::default(),
+            logged_slowness: Cell::default(),
         }
     }
 
@@ -135,6 +138,15 @@
         self.slowness.replace(slowness)
     }
 
+    /// Returns whether its slowness differs clearly from the one logged last, which it then replaces.
+    pub(super) fn must_log_slowness(&self) -> bool {
+        let is_news = self.slowness().differs_clearly(self.logged_slowness.get());
+        if is_news {
+            self.logged_slowness.set(self.slowness());
+        }
+        is_news
+    }
+
     /// Returns what it has stated about the requests that it accepts from this host.
     pub(super) fn constraints(&self) -> StatedConstraints {
         StatedConstraints { limit: self.limit.get(), wait: self.wait.get() }
--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -140,6 +140,7 @@
     ) -> Vec<Rc<Target>> {
         let listed: BTreeMap<_, _> = endpoints.iter().map(|slow| (slow.endpoint, slow)).collect();
         let mut changed = Vec::new();
+        let mut news = 0;
         for target in self.by_id.values() {
             let published = listed.get(&target.incarnation_key);
             let slowness = published.map_or(Slowness::NOMINAL, |slow| slow.slowness.bounded());
@@ -147,15 +148,19 @@
                 continue;
             }
             changed.push(Rc::clone(target));
-            if changed.len() <= MAX_LOGGED_CHANGES {
+            if !target.must_log_slowness() {
+                continue;
+            }
+            news += 1;
+            if news <= MAX_LOGGED_CHANGES {
                 log::info!(endpoint:% = target.endpoint, incarnation:% = target.incarnation,
                     factor:% = slowness, weight = published.map_or(0, |slow| slow.weight),
                     median_percent = published.map_or(0, |slow| slow.median);
                     "endpoint slowness changed");
             }
         }
-        if MAX_LOGGED_CHANGES < changed.len() {
-            log::info!(unlogged = changed.len() - MAX_LOGGED_CHANGES; "endpoint slowness changed");
+        if MAX_LOGGED_CHANGES < news {
+            log::info!(unlogged = news - MAX_LOGGED_CHANGES; "endpoint slowness changed");
         }
         self.slowness =
             listed.into_iter().map(|(key, slow)| (key, slow.slowness.bounded())).collect();
--- a/crates/route/src/slowness.rs
+++ b/crates/route/src/slowness.rs
@@ -4,6 +4,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Share of a factor by which a clearly different one exceeds it. At a site with speeds of 1.0, 1.0 and
+/// 1.3, smaller changes are noise and come several times a second.
+const CLEAR_CHANGE: f64 = 0.25;
+
 /// How much longer an endpoint's responses take than those of its service's median endpoint, in
 /// hundredths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -38,6 +42,12 @@
         f64::from(self.0) / 100.0
     }
 
+    /// Returns whether the factor is more than a quarter above an earlier one, or the reverse.
+    pub fn differs_clearly(self, earlier: Self) -> bool {
+        let (lower, higher) = (self.min(earlier).factor(), self.max(earlier).factor());
+        lower * (1.0 + CLEAR_CHANGE) < higher
+    }
+
     /// Returns the factor in hundredths.
     pub const fn as_hundredths(self) -> u16 {
         self.0
--- a/crates/route/tests/endpoint_performance.rs
+++ b/crates/route/tests/endpoint_performance.rs
@@ -293,6 +293,47 @@
     }
 }
 
+// Load: 140 engines of speeds 1.0, 1.0 and 1.3, 6 responses/s each, for a minute. Guards against log
+// lines for noise: each host logs the changes of all engines.
+#[test]
+fn steady_speeds_are_seldom_logged() {
+    let slowness = |key: Key| [1.0, 1.0, 1.3][key as usize % 3];
+    let endpoints: Vec<_> =
+        (0..140).map(|key| Endpoint { key, slowness: slowness(key), rate: 6.0 }).collect();
+    for seed in SEEDS {
+        let mut site = Site::new(100, seed);
+        let mut logged = vec![Slowness::NOMINAL; endpoints.len()];
+        let (mut all, mut lines) = (0, 0);
+        let mut last = logged.clone();
+        for _ in 0..400 {
+            site.run(Duration::from_millis(POLL_MS), &endpoints);
+            for endpoint in &endpoints {
+                let i = endpoint.key as usize;
+                let slowness = Slowness::from_factor(site.factor(endpoint.key));
+                all += u32::from(slowness != std::mem::replace(&mut last[i], slowness));
+                if slowness.differs_clearly(logged[i]) {
+                    logged[i] = slowness;
+                    lines += 1;
+                }
+            }
+        }
+        println!("{lines} lines for {all} changes, seed {seed}");
+        assert!(lines <= 60, "{lines} lines in 60 s, seed {seed}");
+    }
+}
+
+#[parameterized(
+    slower = { 130, 100, true },
+    faster = { 100, 130, true },
+    by_a_quarter = { 125, 100, false },
+    noise = { 115, 100, false },
+    back_to_nominal = { 100, 750, true },
+)]
+fn clear_differences_of_factors(new: u32, old: u32, differs: bool) {
+    let slowness = |hundredths: u32| Slowness::from_factor(f64::from(hundredths) / 100.0);
+    assert_eq!(slowness(new).differs_clearly(slowness(old)), differs);
+}
+
 // Load: 6 equal endpoints, 20 responses/s each, at a new leader. Guards against its predecessor's
 // factors that stay for good, and against a first list from too few responses.
 #[test]
