--- a/crates/daemon/src/gateway/targets.rs
+++ b/crates/daemon/src/gateway/targets.rs
@@ -13,14 +13,15 @@
 use member::{Announcement, EndpointRecord, EndpointState, IncarnationKey, LeavingSet, Roster};
 use prefix::{PartChain, SentPrompt};
 use route::{
-    ArrivalRate, EndedConstraints, EndpointKey, HoldTime, PublishedSlowness, SentLoad, Slowness,
-    StatedConstraints,
+    ArrivalRate, EndedConstraints, EndpointKey, HoldTime, PublishedSlowness, SentLoad,
+    ServiceSpeed, Slowness, StatedConstraints,
 };
 use routes::KvStore;
 use wire::leader::PublishedView;
 
 use super::{
     kv_stores::{Store, Stores},
+    speeds::ServiceSpeeds,
     target::Target,
 };
 
@@ -56,6 +57,8 @@
     ended_constraints: EndedConstraints,
     /// The endpoints that differ in speed, as the leader published last.
     slowness: BTreeMap<IncarnationKey, Slowness>,
+    /// The speed of each service's engines; a restarted engine keeps that of its service.
+    speeds: ServiceSpeeds,
 }
 
 /// Changes of the set of endpoints.
@@ -139,6 +142,7 @@
     ) -> Vec<Rc<Target>> {
         let listed: BTreeMap<_, _> = endpoints.iter().map(|slow| (slow.endpoint, slow)).collect();
         let mut changed = Vec::new();
+        let mut news = 0;
         for target in self.by_id.values() {
             let published = listed.get(&target.incarnation_key);
             let slowness = published.map_or(Slowness::NOMINAL, |slow| slow.slowness.bounded());
@@ -146,15 +150,19 @@
                 continue;
             }
             changed.push(Rc::clone(target));
-            if changed.len() <= MAX_LOGGED_CHANGES {
+            if !target.must_log_slowness() {
+                continue;
+            }
+            news += 1;
+            if news <= MAX_LOGGED_CHANGES {
                 log::info!(endpoint:% = target.endpoint, incarnation:% = target.incarnation,
                     factor:% = slowness, weight = published.map_or(0, |slow| slow.weight),
                     median_percent = published.map_or(0, |slow| slow.median);
                     "endpoint slowness changed");
             }
         }
-        if MAX_LOGGED_CHANGES < changed.len() {
-            log::info!(unlogged = changed.len() - MAX_LOGGED_CHANGES; "endpoint slowness changed");
+        if MAX_LOGGED_CHANGES < news {
+            log::info!(unlogged = news - MAX_LOGGED_CHANGES; "endpoint slowness changed");
         }
         self.slowness =
             listed.into_iter().map(|(key, slow)| (key, slow.slowness.bounded())).collect();
@@ -223,6 +231,16 @@
         self.hold_times.borrow().get(service).and_then(HoldTime::mean)
     }
 
+    /// Returns the learned speed of a service's engines.
+    pub(super) fn service_speed(&self, service: &ServiceId) -> ServiceSpeed {
+        self.speeds.get(service)
+    }
+
+    /// Returns the learned speeds of all services.
+    pub(super) fn speeds(&self) -> &ServiceSpeeds {
+        &self.speeds
+    }
+
     /// Sets the load that all hosts have placed on endpoints, of which `own` is this host's share.
     fn set_loads(&mut self, now: MonotonicTime, own: &[SentLoad], all: &[SentLoad]) {
         let find = |loads: &[SentLoad], endpoint| {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,8 +8,8 @@
 //! [`OutlierDetector`] ejects endpoints that fail or are slow. [`RetryBudget`], [`Backoff`] and
 //! [`Hedge`] limit retries and hedged requests. [`StatedLimit`] is a router's part of the rate that an
 //! endpoint accepts from all of them. [`InferredFull`] is an endpoint's state after it refused a
-//! request as full. [`SlownessEstimator`] compares the speed of a service's
-//! endpoints by the [`ResponseTimes`] of all routers.
+//! request as full. [`SlownessEstimator`] compares the speed of a service's endpoints by the
+//! [`ResponseTimes`] of all routers; [`ServiceSpeed`] is a service's speed as one router learns it.
 //!
 //! # Example
 //!
@@ -37,6 +37,7 @@
 mod hedge;
 mod inferred_full;
 mod kind;
+mod linear_fit;
 mod load_aggregator;
 mod notice;
 mod outlier;
@@ -44,6 +45,7 @@
 mod response_times;
 mod retry;
 mod scarcity;
+mod service_speed;
 mod slowness;
 mod slowness_estimator;
 mod stated_limit;
@@ -73,6 +75,7 @@
     response_times::{ResponseSums, ResponseTimes, expected_call_time},
     retry::{Backoff, BudgetSettings, RetryBudget},
     scarcity::{OverShare, TokenShares},
+    service_speed::ServiceSpeed,
     slowness::{PublishedSlowness, ServiceKey, Slowness},
     slowness_estimator::SlownessEstimator,
     stated_limit::{LimitChange, LimitResponse, StatedLimit},
