quota: a request beyond the local share leaves no debt

Without a leader, a first request whose token count overflows started its organisation's local bucket with a debt of a random part of 4,294,967,295 units, and others were refused until the next view. A request that costs more than the share's burst and the allowed debt is now refused before that. Found by request_whose_token_count_overflows_is_refused_alone (platform, quotas), when the leader was lost while seven tests ran at once.

--- a/crates/quota/src/gate.rs
+++ b/crates/quota/src/gate.rs
@@ -266,11 +266,15 @@
         let routers = routers.max(self.routers).max(1);
         let share = self.bounds.local_share(quota, routers, demand.cost);
         let max_debt = self.bounds.allowance(quota);
+        // It never runs from this share, and must not start a bucket with a debt of its cost.
+        if share.burst() + max_debt < demand.cost.units() {
+            return Decision::Denied { wait: MAX_LOCAL_WAIT };
+        }
         let at = now.since_origin().as_secs_f64();
         let bucket = self.local.entry(demand.organisation).or_insert_with(|| {
             let since = since.since_origin().as_secs_f64();
             let mut bucket = Bucket::new(share, since);
-            bucket.take(since, draw * f64::from(demand.cost.as_u32()));
+            bucket.take(since, draw * demand.cost.units());
             bucket
         });
         bucket.set_quota(at, share);
--- a/crates/quota/tests/cases.rs
+++ b/crates/quota/tests/cases.rs
@@ -309,6 +309,17 @@
     assert_eq!(decide(&mut gate, at(20), 1), Decision::Ask);
 }
 
+/// Guards against a request that never runs, and leaves its organisation a debt of its cost.
+#[test]
+fn request_beyond_the_local_share_leaves_no_debt() {
+    let mut gate = Gate::new(1);
+    gate.record_unanswered(at(0));
+    let limit = quota(1_000.0, 1_000.0);
+    let mut admit = |cost| gate.admit(at(4_000), &demand(cost), &limit, Some(4), 0.9);
+    assert_eq!(admit(u32::MAX), Decision::Denied { wait: Duration::from_secs(60) });
+    assert_eq!(admit(100), Decision::Admitted(Admission::Local));
+}
+
 /// Guards against local shares that together exceed a bound with little slack, and against waits that
 /// can't be stated.
 #[test]
