edge: engines of unknown capacity start with four requests, and double as responses prove it

Cause: until engines had reported how many requests they run at once, 16 each were assumed, growing without any response. Change: the capacity starts at four per engine and doubles after timely first tokens of half as many requests (CapacityEstimator::record_proof); views of the engines no longer make it grow. Waits that requests are refused for are computed with 16 per engine until the capacity is known, as before. The probe's factor is 2 instead of 1.25. Waiting requests were admitted alternately across organisations before (FairQueue); that is unchanged.

--- a/crates/daemon/src/edge/admission.rs
+++ b/crates/daemon/src/edge/admission.rs
@@ -10,8 +10,12 @@
 
 use crate::failure::Failure;
 
-/// Assumed concurrency of an engine that has not been full yet, over all routers.
-const INITIAL_REQUESTS_PER_ENGINE: f64 = 16.0;
+/// Requests in flight at an engine that has not been full yet, over all routers, until its responses
+/// prove more. 16 each put 1.6 s of work ahead at engines that run one request of 100 ms at a time.
+const INITIAL_REQUESTS_PER_ENGINE: f64 = 4.0;
+
+/// Requests that an engine that has not been full yet is expected to run soon, over all routers.
+const EXPECTED_REQUESTS_PER_ENGINE: f64 = 16.0;
 
 /// Requests admitted for each that the engines run at once. The excess waits at the engines, so that
 /// no slot is idle while requests are on their way, and none waits long.
@@ -131,7 +135,7 @@
     /// Sets the capacity from this router's part of the engines, each of which runs `slots` requests
     /// at once; 0 if no engine has been full yet.
     ///
-    /// Until one has, the capacity grows quickly with the requests in flight.
+    /// Until one has, the capacity starts low and doubles as responses prove it.
     pub(super) fn resize(&self, engines: usize, slots: u32, routers: usize) {
         if engines == 0 {
             return;
@@ -143,15 +147,15 @@
             f64::from(slots) * HEADROOM_FACTOR
         };
         let requests = (engines_per_router * requests_per_engine).ceil() as u32;
+        let expected = (engines_per_router * EXPECTED_REQUESTS_PER_ENGINE).ceil() as u32;
         let mut state = self.0.borrow_mut();
-        let running = u32::try_from(state.admission.running()).unwrap_or(u32::MAX);
+        state.admission.set_expected_capacity(if slots == 0 { expected } else { 0 });
         if state.capacity.is_none() || (slots != 0) != state.slots_reported {
             state.capacity = Some(CapacityEstimator::new(requests, CapacitySettings::default()));
             state.slots_reported = slots != 0;
         }
         let Some(capacity) = &mut state.capacity else { return };
-        let requests =
-            if slots == 0 { capacity.probe(running) } else { capacity.set_min(requests) };
+        let requests = capacity.set_min(requests);
         state.set_capacity(requests);
     }
 
@@ -160,9 +164,13 @@
         let mut state = self.0.borrow_mut();
         let now = state.clock.now();
         let running = u32::try_from(state.admission.running()).unwrap_or(u32::MAX);
+        let slots_reported = state.slots_reported;
         let Some(capacity) = &mut state.capacity else { return };
         let before = capacity.requests();
-        let requests = capacity.record(now, time_to_first_token, running);
+        let mut requests = capacity.record(now, time_to_first_token, running);
+        if !slots_reported {
+            requests = capacity.record_proof(time_to_first_token, running);
+        }
         if requests != before {
             state.set_capacity(requests);
         }
--- a/crates/route/src/admission.rs
+++ b/crates/route/src/admission.rs
@@ -48,6 +48,8 @@
     running: HashMap<Ticket, Running>,
     deadlines: BTreeSet<(MonotonicTime, Ticket)>,
     next_number: u64,
+    /// Capacity that is expected soon, while it is still growing.
+    expected_capacity: u32,
     /// Moving average of the time that a request is in flight.
     hold_time: Option<Duration>,
 }
@@ -82,6 +84,7 @@
             running: HashMap::new(),
             deadlines: BTreeSet::new(),
             next_number: 0,
+            expected_capacity: 0,
             hold_time: None,
         }
     }
@@ -97,6 +100,12 @@
         self.start_waiting(now)
     }
 
+    /// Sets the capacity that is expected soon, 0 if it doesn't grow; no request is refused for a wait
+    /// that is shorter with it.
+    pub fn set_expected_capacity(&mut self, capacity: u32) {
+        self.expected_capacity = capacity;
+    }
+
     /// Admits, queues or refuses a request that arrives at `now`.
     pub fn admit(&mut self, now: MonotonicTime, arrival: Arrival) -> Decision {
         if arrival.deadline <= now {
@@ -218,7 +227,7 @@
     /// The organisation's first request waits for the organisations that were charged less; each
     /// further one waits for a round of all organisations.
     fn estimate_wait(&self, organisation: &OrganisationId, requests_ahead: usize) -> Duration {
-        let capacity = f64::from(self.settings.capacity.max(1));
+        let capacity = f64::from(self.settings.capacity.max(self.expected_capacity).max(1));
         let first = (self.fair_queue.organisations_ahead(organisation) + 1) as f64;
         let further = requests_ahead as f64 / self.fair_queue.capacity_share(organisation);
         let wait = self.hold_time().as_secs_f64() * (first + further) / capacity;
--- a/crates/route/src/capacity.rs
+++ b/crates/route/src/capacity.rs
@@ -39,13 +39,19 @@
     estimate: f64,
     outcomes: Window,
     reduced_at: Option<MonotonicTime>,
+    /// Timely responses since the estimate last doubled.
+    proofs: u32,
 }
 
 /// Minimum number of outcomes in the window before a reduction.
 const MIN_OUTCOMES: u32 = 10;
 
 /// Growth factor of a probe, while no limit is known.
-const PROBE_GROWTH_FACTOR: f64 = 1.25;
+const PROBE_GROWTH_FACTOR: f64 = 2.0;
+
+/// Part of the target within which a first token proves the estimate. At twice the requests, which
+/// is the next estimate, the time is still within the target.
+const PROOF_TARGET_SHARE: f64 = 0.5;
 
 /// Factor of one reduction.
 const REDUCTION_FACTOR: f64 = 0.9;
@@ -59,6 +65,7 @@
             estimate,
             outcomes: Window::new(settings.min_reduction_interval),
             reduced_at: None,
+            proofs: 0,
         }
     }
 
@@ -96,6 +103,24 @@
         self.requests()
     }
 
+    /// Records the time to first token of a request at endpoints that have not shown a limit, while
+    /// `running` requests were in flight, and returns the new estimate.
+    ///
+    /// The estimate doubles by a [`probe`](Self::probe) after responses to half as many requests, which
+    /// are those that the last doubling admitted (slow start). More might never come while the streams
+    /// admitted before go on.
+    pub fn record_proof(&mut self, ttft: Duration, running: u32) -> u32 {
+        if self.settings.target.mul_f64(PROOF_TARGET_SHARE) < ttft {
+            return self.requests();
+        }
+        self.proofs += 1;
+        if self.proofs < self.requests() / 2 {
+            return self.requests();
+        }
+        self.proofs = 0;
+        self.probe(running)
+    }
+
     /// Returns the estimated number of requests that can be in flight.
     pub fn requests(&self) -> u32 {
         self.estimate as u32
