route: weigh the waiting time at a slow engine against the delay to others

Waiting time was scaled by the factor before the comparison that counts the delay to others, so a prompt could leave its warm engine without that. Now all time that slowness adds is weighed in one place; fast engines still attract prompts by shorter waits.

New test without a network: 12 engines of speeds 1.0, 1.0 and 1.3.

--- a/crates/route/src/warm.rs
+++ b/crates/route/src/warm.rs
@@ -67,7 +67,7 @@
 ///
 /// The estimate is the sum, in seconds, of the time to compute the tokens that are not warm, the
 /// queueing time behind this router's and reported load, and the round-trip time; the queueing time is
-/// scaled by the candidate's slowness. If the least estimate is that of a slow candidate, the
+/// scaled for candidates that are fast. If the least estimate is that of a slow candidate, the
 /// candidates are compared again by the whole time that slowness costs, and by the delay to others of
 /// prefilling more elsewhere: a slow endpoint loses load rather than prompts that it has cached.
 /// Reported load has less weight the older it is, so that routers do not all converge on an endpoint with one low
@@ -187,7 +187,8 @@
             let wait = load.prefill_tokens * token_time
                 + load.requests * request_time
                 + load.queue_rounds(candidate.slots) * hold_time;
-            let factor = candidate.slowness.factor();
+            // The time that slowness adds is weighed separately, against the delay to others.
+            let factor = candidate.slowness.min(Slowness::NOMINAL).factor();
             TtftEstimate {
                 compute: compute * settings.compute_weight,
                 away: compute * settings.away_weight * homes.distance(candidate),
@@ -217,6 +218,7 @@
             let additional = (estimate.compute - compute_at_first).max(0.0);
             estimate.slowness =
                 (estimate.compute + cached_ttft) * change + additional * load.requests.min(1.0);
+            estimate.slowness += estimate.wait * change.max(0.0);
         }
     }
 }
