route: engines of sites under memory pressure take prompts of any length

Cause: long prompts prefer six of ten engines and short ones the others. Change: the division is a decision of its own, route::LengthPools. Where the settings have the contract that bounds engines' memory, it is off.

--- a/crates/daemon/src/gateway/exchange/choice.rs
+++ b/crates/daemon/src/gateway/exchange/choice.rs
@@ -128,6 +128,7 @@
                 .saturating_sub(now.saturating_since(self.arrived)),
             router_count: gateway.router_count.get(),
             uses_service_speed: gateway.cfg.service_speed,
+            mixes_lengths: gateway.cfg.overload.mixes_lengths,
         };
         gateway.choose(&requirements)
     }
--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -7,7 +7,7 @@
 use prefix::{PartChain, rank};
 use rand::{Rng, RngExt as _};
 use route::{
-    Candidate, EndpointKey, EngineMemory, EngineSpeed, Headroom, Policy as _, Request,
+    Candidate, EndpointKey, EngineMemory, EngineSpeed, Headroom, LengthPools, Policy as _, Request,
     ServiceSpeed, Slowness, Urgency, Warm, choose_with_headroom, without_full,
 };
 
@@ -25,19 +25,8 @@
 /// Time since newer weights were desired from which responses made on older ones are worth less.
 const OUTDATED_WEIGHTS_AGE: Duration = Duration::from_millis(1_200);
 
-/// Length from which a prompt counts as long: more than engines prefill in one step.
-const MIN_LONG_PROMPT_TOKENS: TokenCount = TokenCount::new(2_049);
-
-/// Share of the engines that are preferred for long prompts.
-const LONG_PROMPT_ENGINE_SHARE: f64 = 0.6;
-
-/// Cost of a long prompt at an engine that is preferred for short ones, as the tokens whose prefill
-/// delays other streams; 400 ms at the default rate.
-const LONG_MISPLACED_TOKENS: TokenCount = TokenCount::new(11_200);
-
-/// Cost of a short prompt at an engine that is preferred for long ones, in tokens; 250 ms at the
-/// default rate.
-const SHORT_MISPLACED_TOKENS: TokenCount = TokenCount::new(7_000);
+/// Length from which shared parts are saved in the store: more than engines prefill in one step.
+const MIN_SAVED_TOKENS: TokenCount = TokenCount::new(2_049);
 
 /// Share of the prefill time of tokens that their transfer from another engine saves.
 const FETCH_SAVING_RATIO: f64 = 0.7;
@@ -83,6 +72,8 @@
     pub first_event_objective: Duration,
     /// Number of hosts that share the limits that endpoints state.
     pub router_count: u32,
+    /// Whether engines take prompts of any length alike.
+    pub mixes_lengths: bool,
     /// Whether the learned speed of the service's engines is used, or the default.
     pub uses_service_speed: bool,
 }
@@ -271,12 +262,11 @@
     speed: &ServiceSpeed,
 ) -> Vec<Candidate> {
     let report_age = targets.loads_age(requirements.now);
-    let long_prompt_engines = LongPromptEngines::of(targets, requirements);
-    let is_long = MIN_LONG_PROMPT_TOKENS <= prompt.chain.tokens();
+    let pools = length_pools(targets, requirements);
     let cached_tokens = CachedTokensByVersion::of(targets, requirements, prompt);
     let candidates = usable.iter().map(|target| {
         let misplaced_cost =
-            speed.prefill_time(long_prompt_engines.misplaced_tokens(target, is_long));
+            speed.prefill_time(pools.misplaced_tokens(target.key, prompt.chain.tokens()));
         candidate(target, requirements, prompt, report_age, &cached_tokens, misplaced_cost)
     });
     candidates.collect()
@@ -320,37 +310,18 @@
     }
 }
 
-/// The engines of each data centre that are preferred for long prompts.
-///
-/// The prefill of a long prompt delays every stream of its engine, so short requests are faster on
-/// engines without long ones.
-struct LongPromptEngines(Vec<EndpointKey>);
-
-impl LongPromptEngines {
-    fn of(targets: &Targets, requirements: &Requirements<'_>) -> Self {
-        let mut by_centre: BTreeMap<&DataCentreId, Vec<EndpointKey>> = BTreeMap::new();
-        for target in targets.of_service(requirements.service) {
-            if !target.is_avoided(requirements.now) {
-                by_centre.entry(&target.data_centre).or_default().push(target.key);
-            }
-        }
-        let mut for_long = Vec::new();
-        for mut keys in by_centre.into_values() {
-            keys.sort_unstable();
-            keys.truncate((keys.len() as f64 * LONG_PROMPT_ENGINE_SHARE).round() as usize);
-            for_long.append(&mut keys);
-        }
-        Self(for_long)
+/// Returns the division of the service's engines by the length of prompts.
+fn length_pools(targets: &Targets, requirements: &Requirements<'_>) -> LengthPools {
+    if requirements.mixes_lengths {
+        return LengthPools::Mixed;
     }
-
-    /// Returns the cost of a prompt at an engine, in tokens.
-    fn misplaced_tokens(&self, target: &Target, is_long: bool) -> TokenCount {
-        match (self.0.contains(&target.key), is_long) {
-            (true, false) => SHORT_MISPLACED_TOKENS,
-            (false, true) => LONG_MISPLACED_TOKENS,
-            (true, true) | (false, false) => TokenCount::ZERO,
+    let mut by_centre: BTreeMap<&DataCentreId, Vec<EndpointKey>> = BTreeMap::new();
+    for target in targets.of_service(requirements.service) {
+        if !target.is_avoided(requirements.now) {
+            by_centre.entry(&target.data_centre).or_default().push(target.key);
         }
     }
+    LengthPools::divide(by_centre.into_values())
 }
 
 /// Most tokens of a prompt's shared parts that an engine is estimated to cache, by version of the
@@ -407,7 +378,7 @@
     let stored = targets.store_of(chain).map(|store| {
         (store.address, store.warm_tokens(target.version(), chain).as_u64().min(shared))
     });
-    let is_long = MIN_LONG_PROMPT_TOKENS.as_u64() <= shared;
+    let is_long = MIN_SAVED_TOKENS.as_u64() <= shared;
     let save_to = stored.filter(|(_, tokens)| is_long && *tokens < shared).map(|(store, _)| store);
     if shared < cached + MIN_FETCHED_TOKENS {
         return Transfers { fetch_from: None, save_to };
--- a/crates/daemon/src/gateway/settings.rs
+++ b/crates/daemon/src/gateway/settings.rs
@@ -61,6 +61,9 @@
     pub bounds_memory: bool,
     /// Whether organisations over their equal share are refused first, in configurations with quotas.
     pub shares_tokens: bool,
+    /// Whether every engine takes long and short prompts alike; otherwise each kind prefers a part of
+    /// the engines.
+    pub mixes_lengths: bool,
 }
 
 impl GatewaySettings {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -37,6 +37,7 @@
 mod hedge;
 mod inferred_full;
 mod kind;
+mod length_pools;
 mod linear_fit;
 mod load_aggregator;
 mod notice;
@@ -68,6 +69,7 @@
     hedge::{Hedge, HedgeDecision, HedgeSettings, Idempotence},
     inferred_full::{FullRefusal, HoldTime, InferredFull, without_full},
     kind::{AnyPolicy, PolicyKind},
+    length_pools::LengthPools,
     load_aggregator::{EndpointKey, LoadAggregator, SentLoad},
     notice::{EndpointNotice, StatedWait},
     outlier::{EjectionChange, EjectionState, Outcome, OutlierDetector, OutlierSettings},
