route: StatedLimit returns the rate that the endpoint states

Cause: an operator who asks where a request would go can't be told the limit that holds an endpoint back. Change: StatedLimit::rate. Checked: stated_limit of route 22 of 22, with a new case for a limit that changes and is lifted.

--- a/crates/route/src/stated_limit.rs
+++ b/crates/route/src/stated_limit.rs
@@ -73,6 +73,11 @@
         self.0.is_some()
     }
 
+    /// Returns the rate that the endpoint states for all routers together.
+    pub fn rate(&self) -> Option<RequestRate> {
+        self.0.map(|active| active.rate)
+    }
+
     /// Applies a response; `phase`, from 0 to 1, is this router's place within the interval.
     ///
     /// Only a response to a request that was sent after the latest statement lifts a limit.
--- a/crates/route/tests/stated_limit.rs
+++ b/crates/route/tests/stated_limit.rs
@@ -54,6 +54,17 @@
     steps.collect()
 }
 
+/// Guards against a rate that is shown after the endpoint has lifted it.
+#[test]
+fn rate_is_the_latest_that_was_stated() {
+    let mut limit = StatedLimit::default();
+    assert_eq!(limit.rate(), None);
+    for stated in [Some(2.0), Some(0.5), None] {
+        limit.record(&response(stated, START, START), 3, 0.0);
+        assert_eq!(limit.rate(), stated.map(rate));
+    }
+}
+
 fn check_fleet(per_second: f64, routers: u32, demand: Demand) {
     let allowed = 1.5 * per_second * 4.0 + 5.0;
     for seed in 0..5 {
