--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -6,17 +6,18 @@
 use toml::{Table, Value};
 use wire::operator::{
     CALLS_PATH, Call, CallPath, CurrentDeclaration, DECLARATION_PATH, ENDPOINTS_PATH, EXPLAIN_PATH,
-    Endpoints, ExplainRequest, Explanation, HISTORY_PATH, History, PromptPart, RESOLVE_SUFFIX,
-    ResolveRequest, ResolvedVerdict, STATUS_PATH, Status, UnsettledCalls, VOTERS_PATH, VoterChange,
-    VoterChangeRequest, Voters,
+    EXPLAIN_ROUTE_PATH, Endpoints, ExplainRequest, Explanation, HISTORY_PATH, History, PromptPart,
+    RESOLVE_SUFFIX, ResolveRequest, ResolvedVerdict, RouteExplanation, STATUS_PATH, Status,
+    UnsettledCalls, VOTERS_PATH, VoterChange, VoterChangeRequest, Voters,
 };
 
 use crate::{
     EditableDeclaration, Error, Exit, NewException,
     client::Client,
     line_diff,
-    options::{self, Action, Approval, ExceptionOptions, Input, Outcome},
+    options::{self, Action, Approval, ExceptionOptions, Input, Outcome, RouteOptions},
     output::{Output, printable},
+    route_query, route_view,
     settings::Settings,
     submit::submit,
     view,
@@ -53,15 +54,19 @@
     })
 }
 
-/// Prints the digest of a key read from standard input, which keeps the key out of process lists.
-fn print_digest() -> Result<(), Error> {
+/// Reads a key from standard input, which keeps the key out of process lists.
+pub(crate) fn read_key() -> Result<String, Error> {
     let mut line = String::new();
     io::stdin().read_line(&mut line).map_err(|e| Error::usage(format!("standard input: {e}")))?;
     let key = line.trim_end_matches(['\r', '\n']);
     if key.is_empty() {
         return Err(Error::usage("standard input: expected a key on one line"));
     }
-    println!("{}", Digest::of(key.as_bytes()));
+    Ok(key.to_owned())
+}
+
+fn print_digest() -> Result<(), Error> {
+    println!("{}", Digest::of(read_key()?.as_bytes()));
     Ok(())
 }
 
@@ -109,6 +114,7 @@
             Action::Explain { organisation, model, adapter, input } => {
                 self.explain(&organisation, &model, adapter.as_deref(), input)?;
             }
+            Action::ExplainRoute(options) => self.explain_route(options)?,
             Action::Apply { approval, file } => {
                 let toml = read_file(&file)?;
                 submit(self.settings, &self.current_declaration()?, toml, &approval)?;
@@ -214,6 +220,13 @@
         Ok(())
     }
 
+    fn explain_route(&self, options: RouteOptions) -> Result<(), Error> {
+        let query = route_query::parse(options)?;
+        let explanation: RouteExplanation = self.client.query(EXPLAIN_ROUTE_PATH, &query)?;
+        self.output().print(&explanation, || route_view::explanation(&explanation));
+        Ok(())
+    }
+
     fn resolve(&self, path: &CallPath, outcome: Outcome, reason: String) -> Result<(), Error> {
         let verdict = match outcome {
             Outcome::Ran => ResolvedVerdict::Ran,
@@ -280,7 +293,7 @@
     texts.iter().map(checked).collect()
 }
 
-fn parse_argument<T: std::str::FromStr<Err = ParseError>>(
+pub(crate) fn parse_argument<T: std::str::FromStr<Err = ParseError>>(
     name: &str,
     text: &str,
 ) -> Result<T, Error> {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -22,6 +22,8 @@
 mod error;
 mod options;
 mod output;
+mod route_query;
+mod route_view;
 mod settings;
 mod submit;
 mod view;
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -38,6 +38,7 @@
     ExceptionsAdd { exception: ExceptionOptions, approval: Approval, id: String },
     ExceptionsRemove { approval: Approval, id: String },
     Explain { organisation: String, model: String, adapter: Option<String>, input: Input },
+    ExplainRoute(RouteOptions),
     Diff { file: PathBuf },
     Apply { approval: Approval, file: PathBuf },
     CallsList,
@@ -64,6 +65,28 @@
     pub(crate) until: Option<String>,
 }
 
+/// Options that describe a caller's request.
+#[derive(Clone, Debug)]
+pub(crate) struct RouteOptions {
+    pub(crate) host: String,
+    pub(crate) path: String,
+    pub(crate) method: String,
+    pub(crate) caller: Option<Caller>,
+    pub(crate) request: Option<String>,
+    pub(crate) model: Option<String>,
+    pub(crate) parts: Option<String>,
+    pub(crate) tokens: Option<String>,
+    pub(crate) body: String,
+}
+
+/// Who sends the request to explain.
+#[derive(Clone, Debug)]
+pub(crate) enum Caller {
+    Organisation(String),
+    /// The holder of the key on standard input.
+    KeyFromStdin,
+}
+
 /// Text of the request to explain.
 #[derive(Clone, Debug)]
 pub(crate) enum Input {
@@ -95,6 +118,8 @@
     let defaults = defaults();
     let exceptions = exceptions();
     let explain = subcommand("explain", "Shows how a request would be routed, and why", explain());
+    let explain_route = "Shows where a gateway would send a caller's request now, and why";
+    let explain_route = subcommand("explain-route", explain_route, route());
     let diff = subcommand("diff", "Compares a file with the declaration in force", diff());
     let apply = subcommand("apply", "Replaces the whole declaration with a file", apply());
     let calls = calls();
@@ -102,7 +127,17 @@
     let digest = "Prints the digest of a key, read as one line from the standard input";
     let digest = subcommand("digest", digest, bpaf::pure(Action::Digest));
     construct!([
-        status, endpoints, defaults, exceptions, explain, diff, apply, calls, voters, history,
+        status,
+        endpoints,
+        defaults,
+        exceptions,
+        explain,
+        explain_route,
+        diff,
+        apply,
+        calls,
+        voters,
+        history,
         digest
     ])
     .to_options()
@@ -168,6 +203,37 @@
     construct!(Action::Explain { organisation, model, adapter, input })
 }
 
+fn route() -> impl Parser<Action> {
+    let host = long("host").help("Host that the request names").argument("HOST");
+    let path = long("path").help("Path of the request, with its query").argument("PATH");
+    let method = long("method")
+        .help("Method of the request")
+        .argument("METHOD")
+        .fallback("GET".to_owned())
+        .display_fallback();
+    let named = organisation().map(Caller::Organisation);
+    let key = long("key-stdin")
+        .help("Reads the caller's API key, one line, from the standard input")
+        .req_flag(Caller::KeyFromStdin);
+    let caller = construct!([named, key]).optional();
+    let request = long("request")
+        .help("Request id, which determines the service on a route with several")
+        .argument("ID")
+        .optional();
+    let model = long("model").help("Model that the request names").argument("MODEL").optional();
+    let parts = long("parts")
+        .help("Parts of the prompt, such as 5c1e07a2:800,e4402b7d:250")
+        .argument("ID:TOKENS,...")
+        .optional();
+    let tokens = long("tokens")
+        .help("Token counts that the request states, such as 1050,80")
+        .argument("PROMPT,OUTPUT")
+        .optional();
+    let body = long("body").help("Body of the request").argument("TEXT").fallback(String::new());
+    construct!(RouteOptions { host, path, method, caller, request, model, parts, tokens, body })
+        .map(Action::ExplainRoute)
+}
+
 fn diff() -> impl Parser<Action> {
     let file = file();
     construct!(Action::Diff { file })
--- a/crates/cli/src/view.rs
+++ b/crates/cli/src/view.rs
@@ -204,19 +204,19 @@
     pairs.collect::<Vec<_>>().join(" ")
 }
 
-fn table(header: &[&str]) -> Table {
+pub(crate) fn table(header: &[&str]) -> Table {
     let mut table = Table::new();
     table.load_preset(NOTHING).set_header(header);
     table
 }
 
 /// Returns a unit variant's name on the wire.
-fn wire_name<T: Serialize>(state: &T) -> String {
+pub(crate) fn wire_name<T: Serialize>(state: &T) -> String {
     let value = serde_json::to_value(state).ok();
     value.as_ref().and_then(serde_json::Value::as_str).unwrap_or("unknown").to_owned()
 }
 
-fn or_dash<T: ToString>(value: Option<T>) -> String {
+pub(crate) fn or_dash<T: ToString>(value: Option<T>) -> String {
     value.map_or_else(|| "-".into(), |value| value.to_string())
 }
 
--- a/crates/cli/tests/tool/main.rs
+++ b/crates/cli/tests/tool/main.rs
@@ -3,3 +3,4 @@
 mod changes;
 mod fake;
 mod queries;
+mod routes;
