--- a/crates/bench/tests/operator/queries.rs
+++ b/crates/bench/tests/operator/queries.rs
@@ -66,6 +66,15 @@
     assert!(run.stderr.contains("no endpoint serves model none"), "{run:?}");
 }
 
+/// Guards against a wait for an answer that no thread gives.
+#[test]
+fn explain_route_of_a_router_without_routes_is_refused() {
+    let site = site();
+    let run = run(&site, &["explain-route", "--host", "desk.example", "--path", "/notes/7"]);
+    assert_eq!(run.code, Some(1), "{run:?}");
+    assert!(run.stderr.contains("this router has no routes"), "{run:?}");
+}
+
 #[test]
 fn history_of_a_new_fleet_is_empty() {
     let site = site();
