tests: crowds of clients that keep connections or read nothing

Idle, pipelining, slow-head and non-reading clients, against the daemon, a router of the platform and the leader's host. Each test checks that memory and descriptors stay bounded and that an ordinary request is answered afterwards; at the leader, also that no election takes place and that heartbeats are answered. The client load and the bounds are fixed here, before the product changes.

--- a/crates/bench/tests/crowd/mod.rs
+++ b/crates/bench/tests/crowd/mod.rs
@@ -1,5 +1,9 @@
 //! Clients that send many large or unfinished bodies at once, and stay connected.
 
+#![allow(dead_code, reason = "each test file uses a part of the crowds")]
+
+pub mod clients;
+
 use std::{
     fs,
     io::Write as _,
