serve: a new connection replaces the longest unused one

When all connections of a listener or an address were open, a new one was closed at once, so a crowd of clients that sent nothing kept everyone else out. It now takes the place of the connection that has been idle, or has left a head, a body or a response unfinished, the longest. An unread response counts after 1 s. Connections closed so are counted in connections_closed_total{reason="replaced"}, without a log line.

--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -149,13 +149,15 @@
         };
         match accepted {
             Ok((stream, caller)) => {
-                let Some(open) = all_open.begin(caller.ip()) else {
+                let activity = Activity::new();
+                let Some(open) = all_open.begin(caller.ip(), &activity) else {
                     service.metrics().connection_refused();
                     refusals.add(caller);
                     continue;
                 };
                 let open = OpenConnection::begin(&service, open);
-                let serving = connection(Rc::clone(&service), stream, drain.clone(), open);
+                let serving =
+                    connection(Rc::clone(&service), stream, drain.clone(), open, activity);
                 tokio::task::spawn_local(serving);
             }
             Err(e) => {
@@ -242,16 +244,21 @@
     mut stream: TcpStream,
     drain: watch::Receiver<bool>,
     _open: OpenConnection<S>,
+    activity: Activity,
 ) {
     let _ = stream.set_nodelay(true);
     let caller = stream.peer_addr().map_or("-".to_owned(), |caller| caller.to_string());
-    let requests = Requests {
-        service,
-        due: ResponseDue::default(),
-        unread: Unread::default(),
-        activity: Activity::new(),
-    };
-    let (end, due) = serve_requests(&requests, &mut stream, drain).await;
+    let requests =
+        Requests { service, due: ResponseDue::default(), unread: Unread::default(), activity };
+    let Served { end, due, overdue } = serve_requests(&requests, &mut stream, drain).await;
+    if let Some(reason @ Overdue::Replaced) = overdue {
+        requests.service.metrics().connection_closed(reason.as_str());
+        // A reset would discard a whole response that the caller hasn't read yet.
+        if due.is_some() || requests.activity.is_unread() {
+            reset_on_close(&stream);
+        }
+        return;
+    }
     if let Some(due) = due {
         if due.version < Version::HTTP_11 {
             reset_on_close(&stream);
@@ -259,8 +266,13 @@
         return record_cut(requests.service.metrics(), &caller, due, end);
     }
     let is_head_refused = end.as_ref().is_err_and(hyper::Error::is_parse);
-    if (requests.unread.is_abandoned() || is_head_refused) && linger(&mut stream).await.is_err() {
-        log::info!(caller; "caller connection closed while the caller was sending");
+    if requests.unread.is_abandoned() || is_head_refused {
+        tokio::select! {
+            lingered = linger(&mut stream) => if lingered.is_err() {
+                log::info!(caller; "caller connection closed while the caller was sending");
+            },
+            () = requests.activity.replaced() => {}
+        }
     }
     if let Err(e) = end {
         log::debug!("caller connection failed: {}", describe(&e));
@@ -290,7 +302,7 @@
 impl<S: Serve> Requests<S> {
     async fn handle(self, req: Request<Incoming>) -> Response<TrackedBody<S::Body>> {
         let expects_continue = req.headers().contains_key(EXPECT);
-        let req = self.unread.watch(req);
+        let req = self.unread.watch(req, &self.activity);
         let mut response = Rc::clone(&self.service).handle(req).await;
         let max_bytes = self.service.connection_limits().body_bytes;
         self.unread.settle(max_bytes, expects_continue, &mut response);
@@ -307,12 +319,21 @@
     }
 }
 
-/// Serves requests; returns how the connection ended, and the response that was due then.
+/// How a connection ended.
+struct Served {
+    end: hyper::Result<()>,
+    /// The response that was due then.
+    due: Option<Due>,
+    /// Why this host closed it before its requests were finished.
+    overdue: Option<Overdue>,
+}
+
+/// Serves requests until the connection ends.
 async fn serve_requests<S: Serve>(
     requests: &Requests<S>,
     stream: &mut TcpStream,
     mut drain: watch::Receiver<bool>,
-) -> (hyper::Result<()>, Option<Due>) {
+) -> Served {
     let limits = requests.service.connection_limits();
     let handler = service_fn(|req| {
         let requests = requests.clone();
@@ -336,25 +357,29 @@
     let serving = async {
         tokio::select! {
             biased;
-            end = connection.as_mut() => return end,
+            end = connection.as_mut() => return (end, None),
             () = close => {}
             overdue = requests.activity.overdue(|| requests.time_limits()) => {
-                if overdue == Overdue::Head {
-                    return Ok(());
+                if overdue != Overdue::Idle {
+                    return (Ok(()), Some(overdue));
                 }
             }
         }
         connection.as_mut().graceful_shutdown();
-        connection.as_mut().await
+        tokio::select! {
+            biased;
+            end = connection.as_mut() => (end, None),
+            () = requests.activity.replaced() => (Ok(()), Some(Overdue::Replaced)),
+        }
     };
     // The response is written first, as the connection is polled first.
-    let end = tokio::select! {
+    let (end, overdue) = tokio::select! {
         biased;
         end = serving => end,
         never = requests.unread.discard(|| requests.activity.end_body()) => match never {},
     };
     // The connection still holds the response's body, which settles what is due when it is dropped.
-    (end, requests.due.get())
+    Served { end, due: requests.due.get(), overdue }
 }
 
 /// Reads on until the caller closes its side, as unread bytes would reset the connection, and the
--- a/crates/daemon/src/serve/activity.rs
+++ b/crates/daemon/src/serve/activity.rs
@@ -17,6 +17,10 @@
 
 use super::timer;
 
+/// Shortest time for which a response stays unread before its connection may be replaced; callers
+/// with slow links read a little more often.
+const MIN_UNREAD_TIME: Duration = Duration::from_secs(1);
+
 /// What a connection's caller does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -24,6 +28,8 @@
     Idle { since: Instant },
     /// It has sent the beginning of a request's head.
     SendingHead { since: Instant },
+    /// Its request is handled, and the body hasn't ended.
+    SendingBody { since: Instant },
     /// Its request is handled.
     Waiting,
 }
@@ -35,6 +41,19 @@
     Idle,
     /// The head of a request hasn't arrived in time.
     Head,
+    /// It was idle or unfinished, and a new connection takes its place.
+    Replaced,
+}
+
+impl Overdue {
+    /// Returns the reason's label in metrics.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Self::Idle => "idle",
+            Self::Head => "head-timeout",
+            Self::Replaced => "replaced",
+        }
+    }
 }
 
 /// How long a caller may be idle, and take to send a request's head.
@@ -49,15 +68,75 @@
 pub(super) struct Activity(Rc<Shared>);
 
 struct Shared {
+    opened: Instant,
     state: Cell<State>,
+    /// Since when the caller hasn't read what is written to it.
+    unread_since: Cell<Option<Instant>>,
+    is_replaced: Cell<bool>,
     changed: Notify,
 }
 
 impl Activity {
     /// Starts to track a connection that was just opened.
     pub(super) fn new() -> Self {
-        let state = Cell::new(State::Idle { since: Instant::now() });
-        Self(Rc::new(Shared { state, changed: Notify::new() }))
+        let opened = Instant::now();
+        Self(Rc::new(Shared {
+            opened,
+            state: Cell::new(State::Idle { since: opened }),
+            unread_since: Cell::new(None),
+            is_replaced: Cell::new(false),
+            changed: Notify::new(),
+        }))
+    }
+
+    /// Returns when the connection was opened.
+    pub(super) fn opened(&self) -> Instant {
+        self.0.opened
+    }
+
+    /// Returns since when the caller has been idle, or has left a request or its response unfinished;
+    /// `None` while its request is handled.
+    pub(super) fn unused_since(&self, now: Instant) -> Option<Instant> {
+        let unread_since = self.0.unread_since.get();
+        if let Some(since) = unread_since.filter(|since| *since + MIN_UNREAD_TIME <= now) {
+            return Some(since);
+        }
+        match self.0.state.get() {
+            State::Idle { since } | State::SendingHead { since } | State::SendingBody { since } => {
+                Some(since)
+            }
+            State::Waiting => None,
+        }
+    }
+
+    /// Returns whether bytes of a response wait until the caller reads.
+    pub(super) fn is_unread(&self) -> bool {
+        self.0.unread_since.get().is_some()
+    }
+
+    /// Closes the connection, whose place a new one takes.
+    pub(super) fn replace(&self) {
+        self.0.is_replaced.set(true);
+        self.0.changed.notify_one();
+    }
+
+    /// Waits until a new connection takes the place of this one.
+    pub(super) async fn replaced(&self) {
+        while !self.0.is_replaced.get() {
+            self.0.changed.notified().await;
+        }
+    }
+
+    /// Records that the body of a request begins.
+    pub(super) fn begin_body(&self) {
+        self.set(State::SendingBody { since: Instant::now() });
+    }
+
+    /// Records that the body of a request was read, or its handler has stopped reading it.
+    pub(super) fn end_reading(&self) {
+        if let State::SendingBody { .. } = self.0.state.get() {
+            self.set(State::Waiting);
+        }
     }
 
     /// Records that a request's head was read.
@@ -72,7 +151,7 @@
 
     /// Records that the rest of a request's body was read after its response.
     pub(super) fn end_body(&self) {
-        if self.0.state.get() != State::Waiting {
+        if !matches!(self.0.state.get(), State::Waiting | State::SendingBody { .. }) {
             self.set(State::Idle { since: Instant::now() });
         }
     }
@@ -91,6 +170,9 @@
     /// Waits until the caller exceeds the limits that hold then, if any.
     pub(super) async fn overdue(&self, limits: impl Fn() -> Option<TimeLimits>) -> Overdue {
         loop {
+            if self.0.is_replaced.get() {
+                return Overdue::Replaced;
+            }
             let Some((deadline, overdue)) = self.deadline(limits()) else {
                 self.0.changed.notified().await;
                 continue;
@@ -115,12 +197,21 @@
         match self.0.state.get() {
             State::Idle { since } => Some((since + limits.idle, Overdue::Idle)),
             State::SendingHead { since } => Some((since + limits.head, Overdue::Head)),
-            State::Waiting => None,
+            State::SendingBody { .. } | State::Waiting => None,
         }
     }
+
+    /// Records whether bytes could be written.
+    fn record_write<T>(&self, written: &Poll<T>) {
+        let since = self.0.unread_since.get();
+        self.0.unread_since.set(match written {
+            Poll::Pending => since.or_else(|| Some(Instant::now())),
+            Poll::Ready(_) => None,
+        });
+    }
 }
 
-/// A connection whose reads are tracked.
+/// A connection whose reads and writes are tracked.
 pub(super) struct Tracked<'a, T> {
     pub io: &'a mut T,
     pub activity: Activity,
@@ -147,7 +238,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.io).poll_write(cx, buf)
+        let written = Pin::new(&mut *self.io).poll_write(cx, buf);
+        self.activity.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -155,7 +248,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut *self.io).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut *self.io).poll_write_vectored(cx, bufs);
+        self.activity.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/daemon/src/serve/request_body.rs
+++ b/crates/daemon/src/serve/request_body.rs
@@ -18,6 +18,8 @@
 };
 use tokio::sync::Notify;
 
+use super::activity::Activity;
+
 /// Longest time for which the rest of a body is discarded to keep its connection.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -30,6 +32,7 @@
     incoming: Option<Incoming>,
     read_bytes: u64,
     unread: Unread,
+    activity: Activity,
 }
 
 impl HttpBody for RequestBody {
@@ -52,6 +55,9 @@
             }
             None => self.incoming = None,
         }
+        if self.is_end_stream() {
+            self.activity.end_reading();
+        }
         Poll::Ready(frame)
     }
 
@@ -66,6 +72,7 @@
 
 impl Drop for RequestBody {
     fn drop(&mut self) {
+        self.activity.end_reading();
         if let Some(incoming) = self.incoming.take().filter(|body| !body.is_end_stream()) {
             let rest = Rest { incoming, read_bytes: self.read_bytes };
             self.unread.0.rest.set(Some(rest));
@@ -115,11 +122,19 @@
 
 impl Unread {
     /// Wraps the body of a request, to learn what its handler leaves unread.
-    pub(super) fn watch(&self, req: Request<Incoming>) -> Request<RequestBody> {
+    pub(super) fn watch(
+        &self,
+        req: Request<Incoming>,
+        activity: &Activity,
+    ) -> Request<RequestBody> {
+        if !req.body().is_end_stream() {
+            activity.begin_body();
+        }
         req.map(|incoming| RequestBody {
             incoming: Some(incoming),
             read_bytes: 0,
             unread: self.clone(),
+            activity: activity.clone(),
         })
     }
 
--- a/crates/telemetry/src/instruments.rs
+++ b/crates/telemetry/src/instruments.rs
@@ -28,6 +28,7 @@
     pub(crate) claims: Counter<u64>,
     pub(crate) connections_cut: Counter<u64>,
     pub(crate) connections_refused: Counter<u64>,
+    pub(crate) connections_closed: Counter<u64>,
     pub(crate) bodies_refused: Counter<u64>,
     pub(crate) endpoint_notices: Counter<u64>,
     pub(crate) unused_announcements: Counter<u64>,
@@ -78,6 +79,10 @@
                 "connections_refused",
                 "Connections of callers closed at once, as too many were open.",
             ),
+            connections_closed: count(
+                "connections_closed",
+                "Connections closed before their requests were finished, by reason.",
+            ),
             bodies_refused: count("bodies_refused", "Bodies of requests refused, by reason."),
             endpoint_notices: count("endpoint_notices", "What endpoints stated about themselves."),
             unused_announcements: count(
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -164,6 +164,12 @@
         self.instruments.connections_refused.add(1, &[]);
     }
 
+    /// Counts a connection that was closed before its requests were finished, with the reason as a
+    /// label.
+    pub fn connection_closed(&self, reason: &'static str) {
+        self.instruments.connections_closed.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a body that was refused or given up, with the reason as a label.
     pub fn body_refused(&self, reason: &'static str) {
         self.instruments.bodies_refused.add(1, &[KeyValue::new("reason", reason)]);
