serve: heads count toward the process's memory

Heads of requests were bounded by the limits on their size and on connections only: 200 unfinished heads of 500 KB took 122 MiB. A head now takes twice its bytes of the memory for bodies, as its buffer grows by doubling, until the response has ended.

--- a/crates/daemon/src/admin/listen.rs
+++ b/crates/daemon/src/admin/listen.rs
@@ -72,6 +72,10 @@
         &self.connections
     }
 
+    fn buffers(&self) -> &Arc<BufferBudget> {
+        &self.budget
+    }
+
     fn metrics(&self) -> &Metrics {
         &self.api.context.metrics
     }
--- a/crates/daemon/src/buffers.rs
+++ b/crates/daemon/src/buffers.rs
@@ -26,6 +26,12 @@
 /// Share of the budget that only small bodies may take, as a divisor.
 const SMALL_DIVISOR: usize = 8;
 
+/// Largest head that may take the share of small ones; twice the first read buffer of a connection.
+const SMALL_HEAD_BYTES: usize = 16 << 10;
+
+/// Memory that a head takes for each of its bytes, as its buffer grows by doubling.
+const HEAD_FACTOR: usize = 2;
+
 /// Largest body that may take the share of small ones.
 const SMALL_BYTES: usize = 64 << 10;
 
@@ -271,6 +277,12 @@
         Ok(BufferedBody { bytes: buf.into_bytes(), buffered })
     }
 
+    /// Returns whether a head that takes `bytes` may be read on where all together take `used`.
+    fn fits_head(&self, used: usize, bytes: usize) -> bool {
+        let small = if bytes <= SMALL_HEAD_BYTES { 0 } else { self.max / SMALL_DIVISOR };
+        used <= self.max - small
+    }
+
     /// Returns whether a body may take `bytes` where all together take `used`.
     fn fits(&self, used: usize, bytes: usize) -> bool {
         if bytes <= SMALL_BYTES {
@@ -288,6 +300,23 @@
     ///
     /// Returns an error if that is more than is left; it takes as much as before then.
     pub(crate) fn resize(&mut self, bytes: usize) -> Result<(), BufferFull> {
+        self.resize_if(bytes, BufferBudget::fits)
+    }
+
+    /// Sets the number of bytes that were received of a request's head.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it takes more than is left; it takes as much as before then.
+    pub(crate) fn resize_head(&mut self, bytes: usize) -> Result<(), BufferFull> {
+        self.resize_if(bytes.saturating_mul(HEAD_FACTOR), BufferBudget::fits_head)
+    }
+
+    fn resize_if(
+        &mut self,
+        bytes: usize,
+        fits: impl Fn(&BufferBudget, usize, usize) -> bool,
+    ) -> Result<(), BufferFull> {
         if bytes <= self.bytes {
             self.budget.used.fetch_sub(self.bytes - bytes, Ordering::Relaxed);
             self.bytes = bytes;
@@ -295,7 +324,7 @@
         }
         let more = bytes - self.bytes;
         let used = self.budget.used.fetch_add(more, Ordering::Relaxed) + more;
-        if !self.budget.fits(used, bytes) {
+        if !fits(&self.budget, used, bytes) {
             self.budget.used.fetch_sub(more, Ordering::Relaxed);
             return Err(self.full());
         }
--- a/crates/daemon/src/edge/listen.rs
+++ b/crates/daemon/src/edge/listen.rs
@@ -1,4 +1,4 @@
-use std::{cell::Cell, rc::Rc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use hyper::{
     Method, Request, Response,
@@ -7,7 +7,10 @@
 use telemetry::Metrics;
 use tokio::{net::TcpListener, sync::watch};
 
-use crate::serve::{self, ConnectionLimits, Drain, RequestBody, Serve};
+use crate::{
+    buffers::BufferBudget,
+    serve::{self, ConnectionLimits, Drain, RequestBody, Serve},
+};
 
 use crate::failure::Failure;
 
@@ -67,6 +70,10 @@
         &self.connections
     }
 
+    fn buffers(&self) -> &Arc<BufferBudget> {
+        &self.buffer_budget
+    }
+
     fn metrics(&self) -> &Metrics {
         &self.metrics
     }
--- a/crates/daemon/src/gateway/listen.rs
+++ b/crates/daemon/src/gateway/listen.rs
@@ -1,6 +1,6 @@
 //! The gateway's listeners and its shutdown.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode};
@@ -8,6 +8,7 @@
 use tokio::{net::TcpListener, sync::watch, time::Instant};
 
 use crate::{
+    buffers::BufferBudget,
     edge::{ServerCommand, ServerExit},
     serve::{self, ConnectionLimits, Drain, RequestBody, Serve},
 };
@@ -57,6 +58,10 @@
         &self.0.connections
     }
 
+    fn buffers(&self) -> &Arc<BufferBudget> {
+        &self.0.buffer_budget
+    }
+
     fn metrics(&self) -> &Metrics {
         &self.0.metrics
     }
@@ -79,6 +84,10 @@
         &self.0.connections
     }
 
+    fn buffers(&self) -> &Arc<BufferBudget> {
+        &self.0.buffer_budget
+    }
+
     fn metrics(&self) -> &Metrics {
         &self.0.metrics
     }
@@ -105,6 +114,10 @@
         &self.connections
     }
 
+    fn buffers(&self) -> &Arc<BufferBudget> {
+        &self.gateway.buffer_budget
+    }
+
     fn metrics(&self) -> &Metrics {
         &self.gateway.metrics
     }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -8,7 +8,7 @@
 
 use std::{
     cell::Cell, convert::Infallible, error::Error, future::Future, net::SocketAddr, rc::Rc,
-    time::Duration,
+    sync::Arc, time::Duration,
 };
 
 use bytes::Bytes;
@@ -29,7 +29,7 @@
     time::{Instant, error::Elapsed},
 };
 
-use crate::edge::ServerCommand;
+use crate::{buffers::BufferBudget, edge::ServerCommand};
 
 use activity::{Activity, Overdue, TimeLimits, Tracked};
 use due::{Due, ResponseDue, TrackedBody};
@@ -99,6 +99,9 @@
     /// Returns the counter of open connections.
     fn connections(&self) -> &Cell<u64>;
 
+    /// Returns the process's memory for heads and bodies.
+    fn buffers(&self) -> &Arc<BufferBudget>;
+
     /// Returns the process's metrics.
     fn metrics(&self) -> &Metrics;
 
@@ -149,7 +152,7 @@
         };
         match accepted {
             Ok((stream, caller)) => {
-                let activity = Activity::new();
+                let activity = Activity::new(service.buffers().begin());
                 let Some(open) = all_open.begin(caller.ip(), &activity) else {
                     service.metrics().connection_refused();
                     refusals.add(caller);
@@ -251,7 +254,7 @@
     let requests =
         Requests { service, due: ResponseDue::default(), unread: Unread::default(), activity };
     let Served { end, due, overdue } = serve_requests(&requests, &mut stream, drain).await;
-    if let Some(reason @ Overdue::Replaced) = overdue {
+    if let Some(reason) = overdue.filter(|overdue| *overdue != Overdue::Head) {
         requests.service.metrics().connection_closed(reason.as_str());
         // A reset would discard a whole response that the caller hasn't read yet.
         if due.is_some() || requests.activity.is_unread() {
@@ -378,6 +381,7 @@
         end = serving => end,
         never = requests.unread.discard(|| requests.activity.end_body()) => match never {},
     };
+    let overdue = overdue.or_else(|| requests.activity.refused_head());
     // The connection still holds the response's body, which settles what is due when it is dropped.
     Served { end, due: requests.due.get(), overdue }
 }
--- a/crates/daemon/src/serve/activity.rs
+++ b/crates/daemon/src/serve/activity.rs
@@ -1,7 +1,7 @@
 //! What a connection's caller does, and for how long it may go on with it.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io,
     pin::Pin,
     rc::Rc,
@@ -15,6 +15,8 @@
     time::Instant,
 };
 
+use crate::buffers::Buffered;
+
 use super::timer;
 
 /// Shortest time for which a response stays unread before its connection may be replaced; callers
@@ -41,6 +43,8 @@
     Idle,
     /// The head of a request hasn't arrived in time.
     Head,
+    /// No memory is left for the head of a request.
+    MemoryFull,
     /// It was idle or unfinished, and a new connection takes its place.
     Replaced,
 }
@@ -51,6 +55,7 @@
         match self {
             Self::Idle => "idle",
             Self::Head => "head-timeout",
+            Self::MemoryFull => "memory-full",
             Self::Replaced => "replaced",
         }
     }
@@ -67,24 +72,33 @@
 #[derive(Clone)]
 pub(super) struct Activity(Rc<Shared>);
 
+/// The head of the latest request, which takes memory until the response has ended.
+struct Head {
+    bytes: usize,
+    buffered: Buffered,
+    is_refused: bool,
+}
+
 struct Shared {
     opened: Instant,
     state: Cell<State>,
     /// Since when the caller hasn't read what is written to it.
     unread_since: Cell<Option<Instant>>,
     is_replaced: Cell<bool>,
+    head: RefCell<Head>,
     changed: Notify,
 }
 
 impl Activity {
-    /// Starts to track a connection that was just opened.
-    pub(super) fn new() -> Self {
+    /// Starts to track a connection that was just opened, whose heads take the memory of `buffered`.
+    pub(super) fn new(buffered: Buffered) -> Self {
         let opened = Instant::now();
         Self(Rc::new(Shared {
             opened,
             state: Cell::new(State::Idle { since: opened }),
             unread_since: Cell::new(None),
             is_replaced: Cell::new(false),
+            head: RefCell::new(Head { bytes: 0, buffered, is_refused: false }),
             changed: Notify::new(),
         }))
     }
@@ -146,6 +160,8 @@
 
     /// Records that the response to the latest request has ended.
     pub(super) fn end_request(&self) {
+        // Releasing memory never fails.
+        let _ = self.0.head.borrow_mut().buffered.resize_head(0);
         self.set(State::Idle { since: Instant::now() });
     }
 
@@ -156,10 +172,26 @@
         }
     }
 
-    fn record_read(&self) {
+    /// Records that bytes were received; fails if they belong to a head for which no memory is left.
+    fn record_read(&self, bytes: usize) -> io::Result<()> {
         if let State::Idle { .. } = self.0.state.get() {
+            self.0.head.borrow_mut().bytes = 0;
             self.set(State::SendingHead { since: Instant::now() });
         }
+        if !matches!(self.0.state.get(), State::SendingHead { .. }) {
+            return Ok(());
+        }
+        let head = &mut *self.0.head.borrow_mut();
+        head.bytes += bytes;
+        head.buffered.resize_head(head.bytes).map_err(|_| {
+            head.is_refused = true;
+            io::ErrorKind::OutOfMemory.into()
+        })
+    }
+
+    /// Returns the reason to close the connection if there was no memory for a head.
+    pub(super) fn refused_head(&self) -> Option<Overdue> {
+        self.0.head.borrow().is_refused.then_some(Overdue::MemoryFull)
     }
 
     fn set(&self, state: State) {
@@ -226,7 +258,7 @@
         let before = buf.filled().len();
         let read = Pin::new(&mut *self.io).poll_read(cx, buf);
         if before < buf.filled().len() {
-            self.activity.record_read();
+            self.activity.record_read(buf.filled().len() - before)?;
         }
         read
     }
