gateway, serve: unread responses count toward memory and end

A stream held up to 16 chunks for a caller that didn't read, and a response that the HTTP library had taken wasn't counted any more. A response of which nothing is read for the connection's idle timeout ends by a reset, so that it doesn't look complete, and counts in connections_closed_total{reason="unread"}; a connection that was to close when idle waited for such a caller without end.

--- a/crates/daemon/src/buffers.rs
+++ b/crates/daemon/src/buffers.rs
@@ -312,6 +312,11 @@
         self.resize_if(bytes.saturating_mul(HEAD_FACTOR), BufferBudget::fits_head)
     }
 
+    /// Returns the bytes of a body, which take their memory until the last reference is dropped.
+    pub(crate) fn hold(self, bytes: Bytes) -> Bytes {
+        Bytes::from_owner(HeldBytes { bytes, _buffered: self })
+    }
+
     fn resize_if(
         &mut self,
         bytes: usize,
@@ -337,6 +342,18 @@
     }
 }
 
+/// Bytes with the memory that they take.
+struct HeldBytes {
+    bytes: Bytes,
+    _buffered: Buffered,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl Drop for Buffered {
     fn drop(&mut self) {
         self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
--- a/crates/daemon/src/edge/services.rs
+++ b/crates/daemon/src/edge/services.rs
@@ -13,12 +13,7 @@
 use route::Outcome;
 use telemetry::{Refusal, RequestStage};
 
-use crate::{
-    buffers::{Buffered, BufferedBody},
-    failure::Failure,
-    net,
-    serve::RequestBody,
-};
+use crate::{buffers::BufferedBody, failure::Failure, net, serve::RequestBody};
 
 use super::{
     ActiveRequest, Edge,
@@ -272,7 +267,6 @@
     status: StatusCode,
     content_type: Option<HeaderValue>,
     body: Bytes,
-    _buffered: Buffered,
 }
 
 /// Reads a service's complete response, so that a truncated one is never passed on as complete.
@@ -291,8 +285,7 @@
     Ok(ServiceResponse {
         status: parts.status,
         content_type: parts.headers.get(CONTENT_TYPE).cloned(),
-        body: body.bytes,
-        _buffered: body.buffered,
+        body: body.buffered.hold(body.bytes),
     })
 }
 
--- a/crates/daemon/src/gateway/body.rs
+++ b/crates/daemon/src/gateway/body.rs
@@ -11,22 +11,14 @@
 use http_body_util::Full;
 use hyper::body::{Body as HttpBody, Frame, SizeHint};
 
-use crate::{
-    buffers::{Buffered, BufferedBody},
-    net::AbortOnDrop,
-};
+use crate::{buffers::BufferedBody, net::AbortOnDrop};
 
 use super::{ActiveRequest, caller_stream::StreamItem};
 
 /// The body of a response to a caller.
 pub(super) enum Body {
     /// A body that is fully buffered.
-    Whole {
-        /// The bytes.
-        body: Full<Bytes>,
-        /// The memory that they take, if they are an endpoint's response.
-        _buffered: Option<Buffered>,
-    },
+    Whole(Full<Bytes>),
     /// A body that is streamed as it arrives.
     Relayed(RelayedBody),
 }
@@ -53,7 +45,7 @@
 impl Body {
     /// Creates the body of an endpoint's response.
     pub(super) fn buffered(body: BufferedBody) -> Self {
-        Self::Whole { body: Full::new(body.bytes), _buffered: Some(body.buffered) }
+        Self::Whole(Full::new(body.buffered.hold(body.bytes)))
     }
 
     pub(super) fn relayed(
@@ -67,7 +59,7 @@
 
 impl From<Bytes> for Body {
     fn from(bytes: Bytes) -> Self {
-        Self::Whole { body: Full::new(bytes), _buffered: None }
+        Self::Whole(Full::new(bytes))
     }
 }
 
@@ -80,9 +72,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
-            Self::Whole { body, .. } => {
-                Pin::new(body).poll_frame(cx).map_err(|never| match never {})
-            }
+            Self::Whole(body) => Pin::new(body).poll_frame(cx).map_err(|never| match never {}),
             Self::Relayed(body) => Pin::new(&mut body.rx).poll_next(cx).map(|item| match item {
                 Some(StreamItem::Events(bytes)) => Some(Ok(Frame::data(bytes))),
                 Some(StreamItem::End) => None,
@@ -93,14 +83,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole { body, .. } => body.is_end_stream(),
+            Self::Whole(body) => body.is_end_stream(),
             Self::Relayed(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole { body, .. } => body.size_hint(),
+            Self::Whole(body) => body.size_hint(),
             Self::Relayed(_) => SizeHint::default(),
         }
     }
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay.rs
@@ -1,6 +1,6 @@
 //! Relays event streams from endpoints to callers.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use base::{MonotonicTime, Verdict};
 use bytes::Bytes;
@@ -13,7 +13,7 @@
 use super::{
     ActiveRequest, Dialect,
     body::Body,
-    caller_stream::CallerStream,
+    caller_stream::{CallerStream, SendError},
     exchange::{self, EVENT_TIMEOUT, Exchange, StartedResponse},
     segment::{self, Received, Segment},
 };
@@ -39,6 +39,8 @@
     /// The engine is about to load weights; the stream migrates, and its retry was spent from the
     /// budget.
     Migrate,
+    /// No memory is left for events that the caller hasn't read.
+    MemoryFull,
     /// The request's deadline has passed.
     TimedOut,
 }
@@ -134,7 +136,7 @@
     started: StartedResponse,
     active: ActiveRequest,
 ) -> Result<Response<Body>, Failure> {
-    let (caller, receivers) = CallerStream::new();
+    let (caller, receivers) = CallerStream::new(Arc::clone(&exchange.gateway.buffer_budget));
     let task = AbortOnDrop(tokio::task::spawn_local(relay_events(exchange, started, caller)));
     let headers = receivers.head.await.unwrap_or_else(|_| {
         Err(Failure::bad_gateway("the stream ended unexpectedly", Verdict::MayHaveRun))
@@ -174,6 +176,10 @@
                 replace_stalled(&mut exchange, &mut segment, last_id.as_deref(), &why).await;
                 continue;
             }
+            SegmentEnd::MemoryFull => {
+                let detail = "no memory is left for events that the caller hasn't read";
+                Failure::bad_gateway(detail, Verdict::MayHaveRun)
+            }
             SegmentEnd::TimedOut => {
                 Failure::timed_out("the request's deadline passed", Verdict::MayHaveRun)
             }
@@ -375,8 +381,10 @@
             *last_id = Some(id);
         }
         let bytes = Bytes::from(events.bytes);
-        if caller.send(segment.started.response.headers(), bytes).await.is_err() {
-            return SegmentEnd::CallerDisconnected;
+        match caller.send(segment.started.response.headers(), bytes).await {
+            Ok(()) => {}
+            Err(SendError::Disconnected) => return SegmentEnd::CallerDisconnected,
+            Err(SendError::MemoryFull) => return SegmentEnd::MemoryFull,
         }
     }
 }
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -274,7 +274,7 @@
             lingered = linger(&mut stream) => if lingered.is_err() {
                 log::info!(caller; "caller connection closed while the caller was sending");
             },
-            () = requests.activity.replaced() => {}
+            _ = requests.activity.cut_off(|| requests.idle_timeout()) => {}
         }
     }
     if let Err(e) = end {
@@ -312,6 +312,10 @@
         response.map(|body| self.due.track(body, self.activity))
     }
 
+    fn idle_timeout(&self) -> Duration {
+        self.service.connection_limits().idle_timeout
+    }
+
     /// Returns the limits that hold now, or `None` while the rest of a body is discarded.
     fn time_limits(&self) -> Option<TimeLimits> {
         if self.unread.is_discarding() {
@@ -372,7 +376,7 @@
         tokio::select! {
             biased;
             end = connection.as_mut() => (end, None),
-            () = requests.activity.replaced() => (Ok(()), Some(Overdue::Replaced)),
+            cut_off = requests.activity.cut_off(|| requests.idle_timeout()) => (Ok(()), Some(cut_off)),
         }
     };
     // The response is written first, as the connection is polled first.
--- a/crates/daemon/src/serve/activity.rs
+++ b/crates/daemon/src/serve/activity.rs
@@ -43,6 +43,8 @@
     Idle,
     /// The head of a request hasn't arrived in time.
     Head,
+    /// The caller has read nothing of a response for too long.
+    Unread,
     /// No memory is left for the head of a request.
     MemoryFull,
     /// It was idle or unfinished, and a new connection takes its place.
@@ -55,13 +57,14 @@
         match self {
             Self::Idle => "idle",
             Self::Head => "head-timeout",
+            Self::Unread => "unread",
             Self::MemoryFull => "memory-full",
             Self::Replaced => "replaced",
         }
     }
 }
 
-/// How long a caller may be idle, and take to send a request's head.
+/// How long a caller may be idle or read nothing of a response, and take to send a request's head.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TimeLimits {
     pub idle: Duration,
@@ -134,10 +137,25 @@
         self.0.changed.notify_one();
     }
 
-    /// Waits until a new connection takes the place of this one.
-    pub(super) async fn replaced(&self) {
-        while !self.0.is_replaced.get() {
-            self.0.changed.notified().await;
+    /// Waits until a new connection takes the place of this one, or a response was unread for
+    /// `limit()`.
+    pub(super) async fn cut_off(&self, limit: impl Fn() -> Duration) -> Overdue {
+        loop {
+            if self.0.is_replaced.get() {
+                return Overdue::Replaced;
+            }
+            let changed = self.0.changed.notified();
+            let Some(since) = self.0.unread_since.get() else {
+                changed.await;
+                continue;
+            };
+            if since + limit() <= Instant::now() {
+                return Overdue::Unread;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(since + limit()) => {}
+                () = changed => {}
+            }
         }
     }
 
@@ -226,6 +244,9 @@
 
     fn deadline(&self, limits: Option<TimeLimits>) -> Option<(Instant, Overdue)> {
         let limits = limits?;
+        if let Some(since) = self.0.unread_since.get() {
+            return Some((since + limits.idle, Overdue::Unread));
+        }
         match self.0.state.get() {
             State::Idle { since } => Some((since + limits.idle, Overdue::Idle)),
             State::SendingHead { since } => Some((since + limits.head, Overdue::Head)),
@@ -236,10 +257,14 @@
     /// Records whether bytes could be written.
     fn record_write<T>(&self, written: &Poll<T>) {
         let since = self.0.unread_since.get();
-        self.0.unread_since.set(match written {
-            Poll::Pending => since.or_else(|| Some(Instant::now())),
-            Poll::Ready(_) => None,
-        });
+        match written {
+            Poll::Pending if since.is_none() => {
+                self.0.unread_since.set(Some(Instant::now()));
+                self.0.changed.notify_one();
+            }
+            Poll::Pending => {}
+            Poll::Ready(_) => self.0.unread_since.set(None),
+        }
     }
 }
 
