--- a/crates/bench/tests/connection_crowds.rs
+++ b/crates/bench/tests/connection_crowds.rs
@@ -115,3 +115,19 @@
     caller_slow_head_crowd_over_the_limit: Callers, SlowHeadOver, MAX_CONNECTIONS, 16 << 10;
     caller_head_crowd_with_a_raised_limit: Callers, RaisedHead, 10_000, 512 << 10;
 }
+
+/// Operators must see why connections of a crowd are closed.
+#[test]
+fn closed_connections_are_counted_by_reason() {
+    let _alone = crowd::run_alone();
+    let daemon = start(MAX_CONNECTIONS, 16 << 10);
+    let head = Interface::Callers.head();
+    let _open = clients::connect(daemon.spec().listen, &head, Behaviour::SlowHead);
+    clients::assert_released(daemon.pid(), RELEASED_DESCRIPTORS);
+    let metrics = b"GET /metrics HTTP/1.1\r\nhost: router\r\nconnection: close\r\n\r\n";
+    let response = ask(daemon.spec().admin_listen, metrics);
+    for reason in ["replaced", "head-timeout"] {
+        let counter = format!("connections_closed_total{{reason=\"{reason}\"}}");
+        assert!(response.contains(&counter), "no {reason} in {response}");
+    }
+}
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -254,8 +254,10 @@
     let requests =
         Requests { service, due: ResponseDue::default(), unread: Unread::default(), activity };
     let Served { end, due, overdue } = serve_requests(&requests, &mut stream, drain).await;
-    if let Some(reason) = overdue.filter(|overdue| *overdue != Overdue::Head) {
+    if let Some(reason) = overdue {
         requests.service.metrics().connection_closed(reason.as_str());
+    }
+    if overdue.is_some_and(|overdue| overdue != Overdue::Head) {
         // A reset would discard a whole response that the caller hasn't read yet.
         if due.is_some() || requests.activity.is_unread() {
             reset_on_close(&stream);
