--- a/crates/daemon/src/gateway/placement.rs
+++ b/crates/daemon/src/gateway/placement.rs
@@ -170,7 +170,7 @@
     }
 }
 
-/// Returns the endpoints that are neither avoided nor inferred to be full.
+/// Returns the endpoints that are neither avoided nor inferred to be full, as far as some are left.
 ///
 /// If all are avoided, it returns them, since an attempt costs less than a rejection.
 fn preferred<'a>(
