route/tests: one loop that learns the speed of a service

Cause: two tests repeated the same 100 prompts, draw for draw. Change: both call one function; seeds, draws and bounds are the same.

--- a/crates/route/tests/service_speed.rs
+++ b/crates/route/tests/service_speed.rs
@@ -31,6 +31,18 @@
     if rng.random_bool(0.5) { prompt } else { prompt / 10 }
 }
 
+/// Returns what is learned from 100 prompts, half of them cached, at engines of this rate.
+fn speed_after_100_prompts(seed: u64, rate: f64, cached_ms: f64) -> ServiceSpeed {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut speed = ServiceSpeed::default();
+    for _ in 0..100 {
+        let tokens = uncached_tokens(&mut rng);
+        let took = first_event(&mut rng, tokens, rate, cached_ms);
+        speed.record_prefill(TokenCount::new(tokens), took);
+    }
+    speed
+}
+
 fn rate_per_ms(speed: &ServiceSpeed) -> f64 {
     speed.prefill_rate().as_u64() as f64 / 1_000.0
 }
@@ -44,13 +56,7 @@
 )]
 fn prefill_rate_is_learned(rate: f64, cached_ms: f64) {
     for seed in 0..SEEDS {
-        let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let mut speed = ServiceSpeed::default();
-        for _ in 0..100 {
-            let tokens = uncached_tokens(&mut rng);
-            let took = first_event(&mut rng, tokens, rate, cached_ms);
-            speed.record_prefill(TokenCount::new(tokens), took);
-        }
+        let speed = speed_after_100_prompts(seed, rate, cached_ms);
         let learned = rate_per_ms(&speed);
         assert!((learned / rate - 1.0).abs() < 0.2, "{learned} instead of {rate}, seed {seed}");
     }
@@ -65,13 +71,7 @@
 )]
 fn expected_time_is_learned_for_all_lengths(rate: f64, cached_ms: f64) {
     for seed in 0..SEEDS {
-        let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let mut speed = ServiceSpeed::default();
-        for _ in 0..100 {
-            let tokens = uncached_tokens(&mut rng);
-            let took = first_event(&mut rng, tokens, rate, cached_ms);
-            speed.record_prefill(TokenCount::new(tokens), took);
-        }
+        let speed = speed_after_100_prompts(seed, rate, cached_ms);
         for tokens in PROMPT_TOKENS {
             let load = InFlightLoad { requests: 1, prefill_tokens: TokenCount::new(tokens) };
             let learned = speed.expected_ttft(load).as_secs_f64() * 1_000.0;
